Add the thin whole path as separate processes

Daemon, administration API and operators' tool, with stand-ins for the log, the VM list, workers and targets as processes. A request and a batch job go from end to end; a template is published, an availability zone is taken out and brought back.

--- /dev/null
+++ b/src/limpetyard/admin/_views.py
@@ -0,0 +1,105 @@
+"""What one daemon shows operators of itself."""
+
+from limpetyard.admin._messages import CellRow, Status, TargetRow, WorkerRow
+from limpetyard.cell import CellState, Size, Task, cell_of, stream_of
+from limpetyard.config import ConfigState
+from limpetyard.platform import Role, Vm
+from limpetyard.scheduler import CellService, Decision
+
+
+class Views:
+    """Reads the daemon's services; changes nothing."""
+
+    __slots__ = ("_daemon",)
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+
+    def config_age_ms(self) -> float:
+        """Returns the time since the configuration was last confirmed."""
+        confirmed_ms = self._daemon.config.confirmed_ms
+        if confirmed_ms is None:
+            return float("inf")
+        return self._daemon.clock.now_ms() - confirmed_ms
+
+    def version_in_force(self) -> int:
+        """Returns the configuration version that the services work with."""
+        return self._daemon.version_in_force
+
+    def availability_zones(self) -> set[str]:
+        """Returns all availability zones that the VM list names."""
+        return {vm.availability_zone for vm in self._daemon.vms.vms}
+
+    def decisions(self, count: int) -> list[Decision]:
+        """Returns the newest decisions."""
+        return self._daemon.tail.newest(count)
+
+    def status(self) -> Status:
+        """Returns the daemon's own state."""
+        daemon = self._daemon
+        config = daemon.config.current
+        return Status(
+            daemon.cfg.node,
+            daemon.machine.state,
+            config.version if config else 0,
+            sorted(daemon.membership.view.alive()),
+            [_cell_row(service) for service in daemon.cells.values()],
+        )
+
+    def tasks(self) -> list[Task]:
+        """Returns the tasks of the cells that this daemon follows."""
+        states = [self._state_of(name) for name in self._daemon.cells]
+        return [task for s in states if s for task in s.tasks.values()]
+
+    def workers(self, config: ConfigState) -> list[WorkerRow]:
+        """Returns all workers."""
+        cells = config.cfg.parameters.cells
+        return [
+            self._worker_row(vm, cell_of(vm.id, cells), config)
+            for vm in self._daemon.vms.with_role(Role.WORKER)
+        ]
+
+    def targets(self) -> list[TargetRow]:
+        """Returns the targets that this daemon uses."""
+        return [
+            TargetRow(
+                target.vm.id,
+                name,
+                target.vm.availability_zone,
+                target.allowed,
+                target.in_flight,
+                target.failures,
+                target.latency_ms,
+            )
+            for name, dispatcher in self._daemon.requests.dispatchers.items()
+            for target in dispatcher.pool.targets.values()
+        ]
+
+    def _worker_row(self, vm: Vm, cell: int, config: ConfigState) -> WorkerRow:
+        state = self._state_of(stream_of(cell))
+        zone_out = vm.availability_zone in config.zones_out
+        if state is None:
+            return WorkerRow(vm, cell, zone_out, -1, Size(0.0, 0))
+        tasks = len(state.placed.get(vm.id, ()))
+        return WorkerRow(vm, cell, zone_out, tasks, state.reserved(vm.id))
+
+    def _state_of(self, name: str) -> CellState | None:
+        service = self._daemon.cells.get(name)
+        if service is None or service.reader.folder is None:
+            return None
+        return service.reader.folder.fold
+
+
+def _cell_row(service: CellService) -> CellRow:
+    controller = service.controller
+    state = controller.state
+    return CellRow(
+        controller.name,
+        controller.ownership.status,
+        state.owner,
+        state.epoch,
+        len(state.jobs),
+        len(state.queued),
+        sum(len(tasks) for tasks in state.placed.values()),
+        service.reader.records_read,
+    )
--- /dev/null
+++ b/src/limpetyard/config/__init__.py
@@ -0,0 +1,49 @@
+"""Configuration: documents, records and the state folded from them."""
+
+from limpetyard.config._document import (
+    BatchClass,
+    Configuration,
+    Limits,
+    Parameters,
+    Partner,
+    Service,
+    Template,
+    parse,
+    parse_parameters,
+    parse_template,
+)
+from limpetyard.config._service import (
+    ConfigService,
+    new_publish,
+    new_set_zone,
+)
+from limpetyard.config._state import (
+    CONFIG_STREAM,
+    ConfigRecord,
+    ConfigSnapshot,
+    ConfigState,
+    Publish,
+    SetZone,
+)
+
+__all__ = [
+    "CONFIG_STREAM",
+    "BatchClass",
+    "ConfigRecord",
+    "ConfigService",
+    "ConfigSnapshot",
+    "ConfigState",
+    "Configuration",
+    "Limits",
+    "Parameters",
+    "Partner",
+    "Publish",
+    "Service",
+    "SetZone",
+    "Template",
+    "new_publish",
+    "new_set_zone",
+    "parse",
+    "parse_parameters",
+    "parse_template",
+]
--- /dev/null
+++ b/src/limpetyard/ctl/__main__.py
@@ -0,0 +1,5 @@
+"""Runs limpetyardctl as a module."""
+
+from limpetyard.ctl import main
+
+main()
--- /dev/null
+++ b/src/limpetyard/daemon.py
@@ -0,0 +1,287 @@
+"""limpetyardd, the daemon that every entry VM runs."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+import uuid
+
+import aiohttp
+import cappa
+from mode import Service
+
+from limpetyard import _events
+from limpetyard._chart import Chart, Machine
+from limpetyard._clock import MS_PER_SECOND, BootClock
+from limpetyard._events import event
+from limpetyard._metrics import Metrics
+from limpetyard._settings import Settings, host_port
+from limpetyard.admin import AdminService
+from limpetyard.admin._jobs import Jobs
+from limpetyard.admin._views import Views
+from limpetyard.cell import LeaseTerms, cell_of, cell_streams
+from limpetyard.config import CONFIG_STREAM, ConfigService
+from limpetyard.errors import SettingError
+from limpetyard.log import HttpLog, StreamReader
+from limpetyard.membership import MembershipService, rank_of
+from limpetyard.placement import new_policy
+from limpetyard.platform import HttpVmList, HttpWorkers, Role, VmService
+from limpetyard.requests import SLOT_POLICIES, RequestService
+from limpetyard.scheduler import (
+    CellController,
+    CellService,
+    ControlTerms,
+    DecisionTail,
+)
+
+REFRESH_MS = 100
+PLATFORM_CONNECTIONS = 64
+
+# Daemons that follow each cell: the first choice and its standby.
+FOLLOWERS = 2
+
+
+class Daemon(Service):
+    """All services of one entry VM.
+
+    Attributes:
+        cfg: Settings.
+        machine: Where it is in the daemon chart.
+        config: Follows the configuration.
+        vms: Keeps the VM list.
+        membership: Keeps the view of the other daemons.
+        requests: Serves callers.
+        cells: Follows cells, by name of their stream.
+        version_in_force: Configuration version handed to all services.
+        tail: The newest decisions.
+    """
+
+    def __init__(self, cfg: Settings):
+        super().__init__()
+        self.cfg = cfg
+        self.clock = BootClock()
+        self.machine = Machine(Chart.load("daemon"))
+        self.tail = DecisionTail()
+        self.metrics = Metrics()
+        self.cells: dict[str, CellService] = {}
+        self.version_in_force = -1
+        self._owner = f"{cfg.node}#{uuid.uuid4().hex[:8]}"
+        self._terms = _control_terms(cfg)
+        self._sessions: list[aiohttp.ClientSession] = []
+
+    async def on_start(self) -> None:
+        """Builds the services and starts them."""
+        cfg = self.cfg
+        timeout_ms = cfg.platform_timeout_ms
+        self.platform_log = HttpLog(self._session(), cfg.log_url, timeout_ms)
+        self.workers = HttpWorkers(self._session(), timeout_ms)
+        self.config = ConfigService(self.platform_log, self.clock)
+        self.vms = VmService(
+            HttpVmList(self._session(), cfg.vms_url, timeout_ms), self.clock
+        )
+        self.membership = MembershipService(
+            cfg.node, *host_port("peer_listen", cfg.peer_listen), self.clock
+        )
+        self.requests = RequestService(
+            cfg.node,
+            *host_port("listen", cfg.listen),
+            SLOT_POLICIES.get(cfg.slot_policy),
+            self.clock,
+            self.metrics,
+            self._is_ready,
+        )
+        self.admin = AdminService(
+            *host_port("admin_listen", cfg.admin_listen),
+            cfg.admin_token,
+            self.config,
+            Jobs(self.platform_log, self.clock, self._open_reader),
+            Views(self),
+            self.metrics,
+        )
+        for service in (
+            self.config,
+            self.vms,
+            self.membership,
+            self.requests,
+            self.admin,
+        ):
+            await self.add_runtime_dependency(service)
+        event("daemon_started", node=cfg.node, zone=cfg.availability_zone)
+
+    async def shut_down(self) -> None:
+        """Leaves without cutting off a request or holding up a cell."""
+        self.machine.fire("stop")
+        self.requests.draining = True
+        event("daemon_draining", drain_ms=self.cfg.drain_ms)
+        await asyncio.sleep(self.cfg.drain_ms / MS_PER_SECOND)
+        await asyncio.gather(
+            self.requests.drain(),
+            *(self._give_up(cell) for cell in self.cells.values()),
+        )
+        self.machine.fire("drained")
+        await self.stop()
+        event("daemon_stopped")
+
+    async def on_shutdown(self) -> None:
+        """Closes the connections to the platform."""
+        for session in self._sessions:
+            await session.close()
+
+    @Service.task
+    async def _refresh(self) -> None:
+        """Hands what was learnt by one service to the others."""
+        while not self.should_stop:
+            await self._refresh_once()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self.config.changed.wait(), REFRESH_MS / MS_PER_SECOND
+                )
+            self.config.changed.clear()
+
+    async def _refresh_once(self) -> None:
+        now_ms = self.clock.now_ms()
+        view = self.membership.view
+        if self.vms.read_ms is not None:
+            view.set_listed(self.vms.entry_addresses(), now_ms)
+        state = self.config.current
+        if state is None:
+            return
+        members = view.alive()
+        self._note_config_age(now_ms)
+        self.config.snapshot_rank = rank_of(
+            CONFIG_STREAM, self.cfg.node, members
+        )
+        await self.requests.update(state, self.vms.vms, members)
+        view.free_slots = self.requests.free_slots()
+        caught_up = self.vms.read_ms is not None
+        if caught_up and self.machine.chart.allows(
+            self.machine.state, "caught_up"
+        ):
+            self.machine.fire("caught_up")
+            event("daemon_serving", config_version=state.version)
+        version = state.version
+        await self._refresh_cells(members)
+        self.version_in_force = version
+
+    async def _refresh_cells(self, members: list[str]) -> None:
+        state = self.config.current
+        count = state.cfg.parameters.cells
+        workers = self.vms.with_role(Role.WORKER)
+        for number, name in enumerate(cell_streams(count)):
+            rank = rank_of(name, self.cfg.node, members)
+            await self._follow_or_leave(name, rank, bool(state.version))
+            service = self.cells.get(name)
+            if service is None:
+                continue
+            service.claim_extra_ms = rank * self.cfg.lease_ms / 4
+            controller = service.controller
+            controller.set_config(state, self.config.confirmed_ms)
+            controller.set_vms(
+                vm for vm in workers if cell_of(vm.id, count) == number
+            )
+        owned = sum(s.controller.ownership.owning for s in self.cells.values())
+        self.metrics.cells_owned.set(owned)
+
+    async def _follow_or_leave(
+        self, name: str, rank: int, configured: bool
+    ) -> None:
+        serving = self.machine.state == "serving"
+        service = self.cells.get(name)
+        wanted = rank < FOLLOWERS and configured and serving
+        if wanted and service is None:
+            self.cells[name] = self._new_cell(name)
+            await self.add_runtime_dependency(self.cells[name])
+            return
+        if service is None or wanted or not serving:
+            return
+        if not service.controller.ownership.owning:
+            del self.cells[name]
+            await service.stop()
+
+    def _new_cell(self, name: str) -> CellService:
+        policy = new_policy(self.cfg.policy, seed=0)
+        controller = CellController(name, self._owner, self._terms, policy)
+        return CellService(
+            controller,
+            self.platform_log,
+            self.workers,
+            self.clock,
+            self._terms,
+            self.tail,
+        )
+
+    async def _give_up(self, service: CellService) -> None:
+        wait_s = self.cfg.lease_ms / MS_PER_SECOND
+        try:
+            await asyncio.wait_for(service.give_up(), wait_s)
+        except TimeoutError:
+            event("release_unread", cell=service.controller.name)
+
+    def _note_config_age(self, now_ms: float) -> None:
+        confirmed_ms = self.config.confirmed_ms
+        if confirmed_ms is not None:
+            age_ms = now_ms - confirmed_ms
+            self.metrics.config_age.set(age_ms / MS_PER_SECOND)
+
+    def _is_ready(self) -> bool:
+        return self.machine.state in ("serving", "draining")
+
+    def _open_reader(self, stream: str) -> StreamReader | None:
+        service = self.cells.get(stream)
+        if service is None or service.reader.folder is None:
+            return None
+        return service.reader
+
+    def _session(self) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=0, limit_per_host=PLATFORM_CONNECTIONS
+        )
+        session = aiohttp.ClientSession(connector=connector)
+        self._sessions.append(session)
+        return session
+
+
+def _control_terms(cfg: Settings) -> ControlTerms:
+    return ControlTerms(
+        lease=LeaseTerms(lease_ms=cfg.lease_ms),
+        task_lease_ms=cfg.task_lease_ms,
+        outage_ms=cfg.outage_ms,
+        sync_ms=cfg.sync_ms,
+        commit_ms=cfg.commit_ms,
+    )
+
+
+async def run(cfg: Settings) -> None:
+    """Runs a daemon until a signal asks it to leave."""
+    daemon = Daemon(cfg)
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, leave.set)
+    await daemon.start()
+    crashed = asyncio.ensure_future(daemon.wait_until_stopped())
+    left = asyncio.ensure_future(leave.wait())
+    await asyncio.wait({crashed, left}, return_when=asyncio.FIRST_COMPLETED)
+    left.cancel()
+    if daemon.crashed:
+        event("daemon_crashed", "ERROR", reason=repr(daemon.crash_reason))
+        await daemon.stop()
+        sys.exit(1)
+    await daemon.shut_down()
+    await crashed
+
+
+def main() -> None:
+    """Entry point of limpetyardd."""
+    cfg = cappa.parse(Settings)
+    try:
+        cfg.check()
+    except SettingError as exc:
+        print(f"limpetyardd: {exc}", file=sys.stderr)
+        sys.exit(2)
+    _events.configure(cfg.log_level, cfg.node)
+    asyncio.run(run(cfg))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/limpetyard/log/__init__.py
@@ -0,0 +1,16 @@
+"""The platform's append-only log: interface, client and stream folding."""
+
+from limpetyard.log._fold import Fold, StreamFolder
+from limpetyard.log._http import HttpLog
+from limpetyard.log._interface import Log, Page, Record
+from limpetyard.log._reader import StreamReader
+
+__all__ = [
+    "Fold",
+    "HttpLog",
+    "Log",
+    "Page",
+    "Record",
+    "StreamFolder",
+    "StreamReader",
+]
--- /dev/null
+++ b/src/limpetyard/log/_reader.py
@@ -0,0 +1,103 @@
+"""Reading one stream to its end and following it from there."""
+
+from collections.abc import Callable
+
+from limpetyard._clock import Clock
+from limpetyard.errors import OffsetTrimmedError, StreamBrokenError
+from limpetyard.log._fold import StreamFolder
+from limpetyard.log._interface import Log, Page
+
+PAGE_RECORDS = 500
+
+# A newcomer first tries the stream's last records alone.
+RECOVERY_RECORDS = 600
+
+
+class StreamReader:
+    """Keeps a folder level with its stream.
+
+    Attributes:
+        folder: Holds the state, or None before the first catch-up. It is
+            replaced as a whole once a new one has caught up, so that no
+            older state shows while a trimmed stream is read again.
+        confirmed_ms: Reading of the clock before the newest call that reached
+            the stream's end, or None before the first. The state shown by
+            the folder holds everything that was appended before then.
+        bytes_read: Size of all record texts read.
+        records_read: Count of all records read.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_log",
+        "_new_folder",
+        "_stream",
+        "bytes_read",
+        "confirmed_ms",
+        "folder",
+        "records_read",
+    )
+
+    def __init__(
+        self,
+        log: Log,
+        stream: str,
+        new_folder: Callable[[], StreamFolder],
+        clock: Clock,
+    ):
+        self._log = log
+        self._stream = stream
+        self._clock = clock
+        self._new_folder = new_folder
+        self.folder: StreamFolder | None = None
+        self.confirmed_ms: float | None = None
+        self.bytes_read = 0
+        self.records_read = 0
+
+    async def begin(self) -> None:
+        """Finds a start from which the state can be folded.
+
+        Raises:
+            LogUnavailableError: If the log does not answer.
+            StreamBrokenError: If no snapshot replaces the records trimmed away.
+        """
+        bounds = await self._log.read(self._stream, 0, 0, 0)
+        recent = max(bounds.first, bounds.end - RECOVERY_RECORDS)
+        for start in sorted({recent, bounds.first}, reverse=True):
+            folder = self._new_folder()
+            folder.restart(start)
+            while await self._read_page(folder, 0):
+                pass
+            if folder.based:
+                self.folder = folder
+                return
+        raise StreamBrokenError(f"{self._stream}: nothing usable in {bounds}")
+
+    async def follow(self, wait_ms: int) -> None:
+        """Reads what is new, waiting up to `wait_ms` for it.
+
+        Raises:
+            LogUnavailableError: If the log does not answer.
+            StreamBrokenError: If no snapshot replaces the records trimmed away.
+        """
+        try:
+            await self._read_page(self.folder, wait_ms)
+        except OffsetTrimmedError:
+            await self.begin()
+
+    async def _read_page(self, folder: StreamFolder, wait_ms: int) -> bool:
+        """Reads one page and returns whether more is known to be there."""
+        sent_ms = self._clock.now_ms()
+        page = await self._log.read(
+            self._stream, folder.next_offset, PAGE_RECORDS, wait_ms
+        )
+        self._count(page)
+        folder.feed(page)
+        more = folder.next_offset < page.end
+        if not more:
+            self.confirmed_ms = sent_ms
+        return more
+
+    def _count(self, page: Page) -> None:
+        self.records_read += len(page.records)
+        self.bytes_read += sum(len(record.data) for record in page.records)
--- /dev/null
+++ b/src/limpetyard/membership/_rank.py
@@ -0,0 +1,22 @@
+"""Rendezvous hashing: who of the members stands first for a thing."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def ranked(thing: str, members: Iterable[str]) -> list[str]:
+    """Returns the members in their order for `thing`, the first choice first.
+
+    The loss of a member moves nothing but what it stood first for.
+    """
+    return sorted(members, key=lambda member: _score(thing, member))
+
+
+def rank_of(thing: str, member: str, members: Iterable[str]) -> int:
+    """Returns the place of `member`, from 0, in the order for `thing`."""
+    return ranked(thing, {member, *members}).index(member)
+
+
+def _score(thing: str, member: str) -> int:
+    return xxhash.xxh64_intdigest(f"{thing}|{member}".encode())
--- /dev/null
+++ b/src/limpetyard/placement/__init__.py
@@ -0,0 +1,38 @@
+"""Decisions on placement: typed views in, typed decisions out, no I/O."""
+
+from limpetyard.placement._baselines import FirstFit, LeastLoaded, RandomTwo
+from limpetyard.placement._interference import InterferenceModel
+from limpetyard.placement._learned import Learned
+from limpetyard.placement._plan import PlacePlan, plan_placements
+from limpetyard.placement._policy import (
+    POLICIES,
+    Choice,
+    PlacementPolicy,
+    RateSample,
+    TaskView,
+    WorkerView,
+    new_policy,
+)
+from limpetyard.placement._relief import Relief, ReliefTerms
+from limpetyard.placement._shares import PartnerView, order_by_share
+
+__all__ = [
+    "POLICIES",
+    "Choice",
+    "FirstFit",
+    "InterferenceModel",
+    "Learned",
+    "LeastLoaded",
+    "PartnerView",
+    "PlacePlan",
+    "PlacementPolicy",
+    "RandomTwo",
+    "RateSample",
+    "Relief",
+    "ReliefTerms",
+    "TaskView",
+    "WorkerView",
+    "new_policy",
+    "order_by_share",
+    "plan_placements",
+]
--- /dev/null
+++ b/src/limpetyard/placement/_policy.py
@@ -0,0 +1,128 @@
+"""The views that placement decides on, and the interface of a policy."""
+
+import dataclasses
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+from limpetyard._registry import Registry
+from limpetyard.cell import Size
+
+
+@dataclasses.dataclass(slots=True)
+class TaskView:
+    """A task that waits for a placement, or runs on a worker.
+
+    Attributes:
+        id: Id of the task.
+        job: Id of its job.
+        partner: Whom it runs for.
+        class_name: Its class.
+        latency_critical: Whether it goes before batch work.
+        size: What has to be set aside for it.
+    """
+
+    id: str
+    job: str
+    partner: str
+    class_name: str
+    latency_critical: bool
+    size: Size
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerView:
+    """A worker as placement sees it.
+
+    Attributes:
+        id: Id of the worker VM.
+        availability_zone: Where it stands.
+        rack: Its rack.
+        capacity: All that it has.
+        free: What is not set aside.
+        tasks: Everything that is set down on it.
+    """
+
+    id: str
+    availability_zone: str
+    rack: str
+    capacity: Size
+    free: Size
+    tasks: list[TaskView] = dataclasses.field(default_factory=list)
+
+    def add(self, task: TaskView) -> None:
+        """Sets a task down on the worker."""
+        self.tasks.append(task)
+        self.free = self.free.minus(task.size)
+
+    def load(self) -> float:
+        """Returns the largest used fraction over the resources."""
+        return max(
+            _used(self.capacity.cores, self.free.cores),
+            _used(self.capacity.memory_mb, self.free.memory_mb),
+            _used(self.capacity.accelerators, self.free.accelerators),
+        )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Choice:
+    """A worker for a task and why it was chosen."""
+
+    worker: WorkerView
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RateSample:
+    """How fast one task ran among others on one worker.
+
+    Attributes:
+        class_name: Class of the task.
+        latency_critical: Whether the task is latency-critical.
+        neighbours: Classes and numbers of the tasks beside it at that time.
+        rate: Progress against an idle worker, above 0, about 1 at best.
+        at_ms: When this was so.
+        capacity: All that the worker has.
+    """
+
+    class_name: str
+    latency_critical: bool
+    neighbours: tuple[tuple[str, int], ...]
+    rate: float
+    at_ms: float
+    capacity: Size
+
+
+class PlacementPolicy(Protocol):
+    """Chooses among workers that have room."""
+
+    def choose(
+        self, task: TaskView, workers: Sequence[WorkerView]
+    ) -> Choice | None:
+        """Returns a worker for `task`, or None to let it wait.
+
+        Args:
+            task: The task.
+            workers: Workers that have room for it, at least one.
+        """
+
+    def learn(self, sample: RateSample) -> None:
+        """Takes in one measurement."""
+
+
+def _used(capacity: float, free: float) -> float:
+    return (capacity - free) / capacity if capacity else 0.0
+
+
+Factory = type[PlacementPolicy]
+POLICIES: Registry[Factory] = Registry("placement policy")
+
+
+def new_policy(name: str, seed: int) -> PlacementPolicy:
+    """Returns a new policy.
+
+    Args:
+        name: Name in `POLICIES`.
+        seed: Seed of its random choices.
+    """
+    return POLICIES.get(name)(random.Random(seed))
--- /dev/null
+++ b/src/limpetyard/placement/_shares.py
@@ -0,0 +1,86 @@
+"""Weighted dominant-resource fairness between partners."""
+
+import dataclasses
+import heapq
+from collections.abc import Iterable, Iterator
+
+from limpetyard.cell import Size
+from limpetyard.placement._policy import TaskView
+
+
+@dataclasses.dataclass(slots=True)
+class PartnerView:
+    """What a partner may have and holds.
+
+    Attributes:
+        name: The partner.
+        weight: Its share is in proportion to this.
+        quota_cores: Cores that it may hold at one time.
+        held: What its placed tasks hold.
+        waiting: Its tasks that wait, in the order they should start.
+        history: Dominant share of the recent past, in the unit of `held`
+            over the total.
+    """
+
+    name: str
+    weight: float
+    quota_cores: float
+    held: Size = Size(0.0, 0)
+    waiting: list[TaskView] = dataclasses.field(default_factory=list)
+    history: float = 0.0
+
+    def within_quota(self, task: TaskView) -> bool:
+        """Returns whether the quota leaves room for the task."""
+        return self.held.cores + task.size.cores <= self.quota_cores
+
+    def weighted_share(self, total: Size) -> float:
+        """Returns the dominant share divided by the weight."""
+        return (dominant_share(self.held, total) + self.history) / self.weight
+
+
+def dominant_share(size: Size, total: Size) -> float:
+    """Returns the largest fraction that `size` takes of any resource."""
+    return max(
+        _fraction(size.cores, total.cores),
+        _fraction(size.memory_mb, total.memory_mb),
+        _fraction(size.accelerators, total.accelerators),
+    )
+
+
+def order_by_share(
+    partners: Iterable[PartnerView], total: Size
+) -> Iterator[tuple[PartnerView, TaskView]]:
+    """Yields waiting tasks, the partner with the smallest share first.
+
+    The caller adds what it placed to `held` before it asks for the next.
+    Latency-critical tasks of any partner within its quota go before batch.
+    """
+    partners = list(partners)
+    for critical in (True, False):
+        heap = _heap_of(partners, total, critical)
+        while heap:
+            _, _, partner, tasks = heapq.heappop(heap)
+            task = tasks.pop()
+            if partner.within_quota(task):
+                yield partner, task
+            if tasks:
+                _push(heap, partner, total, tasks)
+
+
+def _heap_of(partners: list[PartnerView], total: Size, critical: bool) -> list:
+    heap: list = []
+    for partner in partners:
+        tasks = [t for t in partner.waiting if t.latency_critical is critical]
+        if tasks:
+            tasks.reverse()
+            _push(heap, partner, total, tasks)
+    return heap
+
+
+def _push(heap: list, partner: PartnerView, total: Size, tasks: list) -> None:
+    share = partner.weighted_share(total)
+    heapq.heappush(heap, (share, partner.name, partner, tasks))
+
+
+def _fraction(part: float, total: float) -> float:
+    return part / total if total else 0.0
--- /dev/null
+++ b/src/limpetyard/scheduler/__init__.py
@@ -0,0 +1,26 @@
+"""The decisions of a cell's owner and the service that carries them out."""
+
+from limpetyard.scheduler._controller import CellController
+from limpetyard.scheduler._decisions import Decision, DecisionTail
+from limpetyard.scheduler._effects import (
+    Append,
+    Effect,
+    StartRuns,
+    StopRuns,
+    SyncWorker,
+)
+from limpetyard.scheduler._service import CellService
+from limpetyard.scheduler._terms import ControlTerms
+
+__all__ = [
+    "Append",
+    "CellController",
+    "CellService",
+    "ControlTerms",
+    "Decision",
+    "DecisionTail",
+    "Effect",
+    "StartRuns",
+    "StopRuns",
+    "SyncWorker",
+]
--- /dev/null
+++ b/src/limpetyard/scheduler/_service.py
@@ -0,0 +1,183 @@
+"""Runs a cell's controller against the log and the workers."""
+
+import asyncio
+
+import msgspec
+from mode import Service
+
+from limpetyard._clock import MS_PER_SECOND, Clock
+from limpetyard._events import event
+from limpetyard.cell import CellRecord, CellSnapshot, CellState, Change
+from limpetyard.errors import (
+    LogUnavailableError,
+    StreamBrokenError,
+    WorkerUnavailableError,
+)
+from limpetyard.log import Log, StreamFolder, StreamReader
+from limpetyard.platform import Workers
+from limpetyard.scheduler._controller import CellController
+from limpetyard.scheduler._decisions import DecisionTail
+from limpetyard.scheduler._effects import (
+    Append,
+    Effect,
+    StartRuns,
+    StopRuns,
+    SyncWorker,
+)
+from limpetyard.scheduler._terms import ControlTerms
+
+STEP_MS = 50
+FOLLOW_WAIT_MS = 500
+RETRY_MS = 200
+
+_ENCODER = msgspec.json.Encoder()
+
+
+class CellService(Service):
+    """Follows one cell and acts for it while this daemon owns it.
+
+    Attributes:
+        controller: Decides; fed by this service's tasks.
+        reader: Keeps the state level with the stream.
+        claim_extra_ms: Wait on top of the lease before claiming.
+        appends: Count of append calls.
+    """
+
+    def __init__(
+        self,
+        controller: CellController,
+        log: Log,
+        workers: Workers,
+        clock: Clock,
+        terms: ControlTerms,
+        tail: DecisionTail,
+    ):
+        super().__init__()
+        self.controller = controller
+        self.claim_extra_ms = 0.0
+        self.appends = 0
+        self._log = log
+        self._workers = workers
+        self._clock = clock
+        self._terms = terms
+        self._tail = tail
+        self._snapshot_sent = -1
+        self.reader = StreamReader(
+            log, controller.name, self._new_folder, clock
+        )
+        self._do = {
+            Append: self._do_append,
+            SyncWorker: self._do_sync,
+            StartRuns: self._do_start,
+            StopRuns: self._do_stop,
+        }
+
+    @property
+    def label(self) -> str:
+        """Name of the service in mode's reports."""
+        return f"CellService: {self.controller.name}"
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            try:
+                if self.reader.folder is None:
+                    await self.reader.begin()
+                else:
+                    await self.reader.follow(FOLLOW_WAIT_MS)
+                self.controller.set_state(self.reader.folder.fold)
+            except (LogUnavailableError, StreamBrokenError) as exc:
+                event("cell_read_failed", "WARNING", reason=exc)
+                await self.sleep(RETRY_MS / MS_PER_SECOND)
+            self.step()
+
+    @Service.task
+    async def _steps(self) -> None:
+        while not self.should_stop:
+            self.step()
+            await self.sleep(STEP_MS / MS_PER_SECOND)
+
+    def step(self) -> None:
+        """Lets the controller decide and carries out what is due."""
+        if self.reader.folder is None:
+            return
+        status = self.controller.ownership.status
+        effects = self.controller.step(
+            self._clock.now_ms(), self.reader.confirmed_ms, self.claim_extra_ms
+        )
+        self._note_status(status)
+        for effect in effects + self._snapshot():
+            self._perform(effect)
+
+    async def give_up(self) -> None:
+        """Releases the cell if it is owned here; returns once it is gone."""
+        self.controller.accepting = False
+        while self.controller.ownership.owning:
+            for effect in self.controller.release(self._clock.now_ms()):
+                self._perform(effect)
+            await asyncio.sleep(STEP_MS / MS_PER_SECOND)
+
+    def _note_status(self, before: str) -> None:
+        ownership = self.controller.ownership
+        if ownership.status != before:
+            event(
+                "cell_ownership",
+                cell=self.controller.name,
+                before=before,
+                now=ownership.status,
+                epoch=self.controller.state.epoch,
+            )
+
+    def _new_folder(self) -> StreamFolder:
+        state = CellState(self._note_change)
+        return StreamFolder(state, CellRecord, CellSnapshot)
+
+    def _note_change(self, change: Change) -> None:
+        if change.epoch == self.controller.ownership.epoch:
+            self._tail.note(self.controller.name, change, self._clock.now_ms())
+
+    def _snapshot(self) -> list[Effect]:
+        folder = self.reader.folder
+        if not self.controller.ownership.owning or not folder.based:
+            return []
+        as_of = folder.next_offset - 1
+        newest = max(folder.snapshot_as_of, self._snapshot_sent)
+        if as_of - newest < self._terms.snapshot_records:
+            return []
+        self._snapshot_sent = as_of
+        return [Append(CellSnapshot(as_of, folder.fold.dump()))]
+
+    def _perform(self, effect: Effect) -> None:
+        self.add_future(self._do[type(effect)](effect))
+
+    async def _do_append(self, effect: Append) -> None:
+        self.appends += 1
+        text = _ENCODER.encode(effect.record).decode()
+        try:
+            await self._log.append(self.controller.name, text)
+        except LogUnavailableError as exc:
+            event("append_unanswered", "WARNING", reason=exc)
+
+    async def _do_sync(self, effect: SyncWorker) -> None:
+        try:
+            reply = await self._workers.sync(effect.address, effect.order)
+        except WorkerUnavailableError as exc:
+            event("worker_silent", "DEBUG", worker=effect.worker, reason=exc)
+            return
+        self.controller.heard_sync(
+            effect.worker, effect.order, reply, self._clock.now_ms()
+        )
+
+    async def _do_start(self, effect: StartRuns) -> None:
+        try:
+            reply = await self._workers.start(effect.address, effect.orders)
+        except WorkerUnavailableError as exc:
+            event("start_unanswered", worker=effect.worker, reason=exc)
+            return
+        self.controller.heard_start(effect.worker, effect.orders, reply)
+
+    async def _do_stop(self, effect: StopRuns) -> None:
+        try:
+            await self._workers.stop(effect.address, effect.orders)
+        except WorkerUnavailableError as exc:
+            event("stop_unanswered", worker=effect.worker, reason=exc)
--- /dev/null
+++ b/standins/checks.py
@@ -0,0 +1,122 @@
+"""Counts violations from the stand-ins' own records."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+from limpetyard.cell import Size
+from standins.target import TargetRecord
+from standins.worker_model import Happening
+
+ENDS = frozenset({"finished", "failed", "stopped", "lapsed", "restarted"})
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ZoneOut:
+    """When an availability zone was out of service, by the machine's clock."""
+
+    zone: str
+    from_ms: float
+    to_ms: float
+
+
+def overlaps(happenings: Iterable[Happening]) -> list[str]:
+    """Returns tasks that ran in two places at one time."""
+    running: dict[str, set] = collections.defaultdict(set)
+    found = []
+    for h in _in_order(happenings):
+        place = (h.worker, h.attempt)
+        if h.what == "start":
+            if running[h.task]:
+                found.append(f"{h.task} at {place} and {running[h.task]}")
+            running[h.task].add(place)
+        elif h.what in ENDS:
+            running[h.task].discard(place)
+    return found
+
+
+def finished_twice(happenings: Iterable[Happening]) -> list[str]:
+    """Returns tasks that ran to their end more than once."""
+    counts = collections.Counter(
+        h.task for h in happenings if h.what == "finished"
+    )
+    return [task for task, count in counts.items() if count > 1]
+
+
+def attempts_twice(happenings: Iterable[Happening]) -> list[str]:
+    """Returns runs that were started more than once."""
+    counts = collections.Counter(
+        (h.task, h.attempt) for h in happenings if h.what == "start"
+    )
+    return [f"{key}" for key, count in counts.items() if count > 1]
+
+
+def wrong_resumes(happenings: Iterable[Happening]) -> list[str]:
+    """Returns runs that did not continue from their last checkpoint.
+
+    A run that was stopped leaves its checkpoint; the task's next start has to
+    carry it.
+    """
+    left: dict[str, str] = {}
+    found = []
+    for h in _in_order(happenings):
+        if h.what == "stopped":
+            left[h.task] = h.checkpoint
+        elif h.what == "start" and h.checkpoint != left.get(h.task, ""):
+            found.append(f"{h.task}: {h.checkpoint} for {left.get(h.task)}")
+    return found
+
+
+def overloads(
+    happenings: Iterable[Happening], sizes: dict[str, Size]
+) -> list[str]:
+    """Returns moments at which a worker held more than it has."""
+    free = dict(sizes)
+    held: dict[tuple, Size] = {}
+    found = []
+    for h in _in_order(happenings):
+        key = (h.worker, h.task, h.attempt)
+        if h.what == "start":
+            free[h.worker] = free[h.worker].minus(h.size)
+            held[key] = h.size
+            if not free[h.worker].holds(Size(-1e-6, 0)):
+                found.append(f"{h.worker} at {h.at_ms:.0f}: {free[h.worker]}")
+        elif key in held:
+            free[h.worker] = free[h.worker].plus(held.pop(key))
+    return found
+
+
+def zone_starts(
+    happenings: Iterable[Happening], outs: Iterable[ZoneOut], grace_ms: float
+) -> list[str]:
+    """Returns starts in a zone later than `grace_ms` after it was taken out."""
+    outs = list(outs)
+    return [
+        f"{h.task} on {h.worker} {h.at_ms - out.from_ms:.0f} ms after"
+        for h in happenings
+        if h.what == "start"
+        for out in outs
+        if h.zone == out.zone and out.from_ms + grace_ms < h.at_ms < out.to_ms
+    ]
+
+
+def doubled(records: Iterable[TargetRecord]) -> list[str]:
+    """Returns ids of requests that ran more than once."""
+    return [i for i, count in _runs(records).items() if i and count > 1]
+
+
+def ran(records: Iterable[TargetRecord]) -> set[str]:
+    """Returns ids of requests that ran."""
+    return set(_runs(records))
+
+
+def _runs(records: Iterable[TargetRecord]) -> collections.Counter:
+    counts: collections.Counter[str] = collections.Counter()
+    for record in records:
+        counts.update(record.runs)
+    return counts
+
+
+def _in_order(happenings: Iterable[Happening]) -> list[Happening]:
+    """Returns happenings by time; at one moment ends go before starts."""
+    return sorted(happenings, key=lambda h: (h.at_ms, h.what == "start"))
--- /dev/null
+++ b/standins/log_model.py
@@ -0,0 +1,61 @@
+"""An append-only log in memory."""
+
+from limpetyard.errors import OffsetTrimmedError
+from limpetyard.log import Page, Record
+
+
+class LogModel:
+    """Streams of records with limited retention.
+
+    Attributes:
+        appends: Count of appends by stream.
+        bytes: Size of all appended texts by stream.
+        reads: Count of reads.
+    """
+
+    def __init__(self):
+        self.appends: dict[str, int] = {}
+        self.bytes: dict[str, int] = {}
+        self.reads = 0
+        self._first: dict[str, int] = {}
+        self._records: dict[str, list[Record]] = {}
+
+    def append(self, stream: str, data: str) -> int:
+        """Appends one record and returns its offset."""
+        records = self._records.setdefault(stream, [])
+        offset = self._first.get(stream, 0) + len(records)
+        records.append(Record(offset, data))
+        self.appends[stream] = self.appends.get(stream, 0) + 1
+        self.bytes[stream] = self.bytes.get(stream, 0) + len(data)
+        return offset
+
+    def end(self, stream: str) -> int:
+        """Returns the offset that the next append gets."""
+        records = self._records.get(stream, [])
+        return self._first.get(stream, 0) + len(records)
+
+    def read(self, stream: str, offset: int, limit: int) -> Page:
+        """Returns records from `offset` on.
+
+        Raises:
+            OffsetTrimmedError: If records were asked for from an offset that
+                is not kept.
+        """
+        self.reads += 1
+        first = self._first.get(stream, 0)
+        if limit and offset < first:
+            raise OffsetTrimmedError(stream, offset, first)
+        records = self._records.get(stream, [])
+        start = max(0, offset - first)
+        return Page(first, self.end(stream), records[start : start + limit])
+
+    def trim(self, stream: str, keep: int) -> None:
+        """Drops all but the newest `keep` records."""
+        records = self._records.get(stream, [])
+        drop = max(0, len(records) - keep)
+        self._first[stream] = self._first.get(stream, 0) + drop
+        del records[:drop]
+
+    def streams(self) -> list[str]:
+        """Returns the names of all streams."""
+        return list(self._records)
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,315 @@
+"""Starts stand-ins and daemons as processes on loopback, and ends them."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from limpetyard.cell import Size
+from limpetyard.platform import Role, Vm
+from standins.target import TargetRecord
+from standins.worker import Described
+from standins.worker_model import Happening
+
+TOKEN = "bench-token"
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 20
+WORKER_SIZE = Size(32.0, 128_000)
+
+
+def free_port() -> int:
+    """Returns a port of loopback that is free for TCP and UDP now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Process:
+    """One process that this site has started.
+
+    Attributes:
+        url: Base URL of its HTTP server.
+    """
+
+    def __init__(self, arguments: list[str], url: str, output: Path):
+        self.url = url
+        self._output = output.open("ab")
+        self._popen = subprocess.Popen(
+            [sys.executable, *arguments],
+            cwd=ROOT,
+            stdout=self._output,
+            stderr=self._output,
+            start_new_session=True,
+        )
+
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._popen.pid
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process if it still runs."""
+        if self._popen.poll() is None:
+            self._popen.send_signal(number)
+
+    def end(self, timeout_s: float = 10.0) -> int:
+        """Asks the process to end, and returns its exit status."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            return self._popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return self._popen.wait()
+        finally:
+            self._output.close()
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self.send(signal.SIGKILL)
+        self._popen.wait()
+
+    def memory_kb(self) -> int:
+        """Returns the resident memory in KiB."""
+        text = Path(f"/proc/{self.pid}/status").read_text()
+        line = next(x for x in text.splitlines() if x.startswith("VmRSS"))
+        return int(line.split()[1])
+
+    def cpu_s(self) -> float:
+        """Returns the processor time used so far, in seconds."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(")")[1]
+        user, system = fields.split()[11:13]
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
+class Site:
+    """A small platform with daemons.
+
+    Attributes:
+        log: Process of the log.
+        vms: Process of the VM list.
+        daemons: Processes of daemons by node.
+        admin: Base URL of each daemon's administration API by node.
+        targets: Processes of targets by id.
+        workers: Process of each worker by id.
+        http: Client for everything.
+    """
+
+    def __init__(self, output: Path, zones: int = 3):
+        self.output = output
+        self.zones = [f"zone-{n}" for n in range(zones)]
+        self.daemons: dict[str, Process] = {}
+        self.admin: dict[str, str] = {}
+        self.targets: dict[str, Process] = {}
+        self.workers: dict[str, Process] = {}
+        self.http: aiohttp.ClientSession | None = None
+        self._all: list[Process] = []
+        self._vms: dict[str, Vm] = {}
+        self._daemon_arguments: dict[str, list[str]] = {}
+
+    async def __aenter__(self) -> "Site":
+        self.output.mkdir(parents=True, exist_ok=True)
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        self.log = self._start("log", ["-m", "standins.log"])
+        self.vms = self._start("vms", ["-m", "standins.vms"])
+        await self._up(f"{self.log.url}/record", f"{self.vms.url}/vms")
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.http.close()
+        for process in reversed(self._all):
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGTERM)
+        for process in reversed(self._all):
+            process.end()
+
+    async def add_targets(self, count: int, service: str) -> None:
+        """Starts targets, spread over the availability zones."""
+        for number in range(count):
+            vm_id = f"target-{number}"
+            process = self._start(
+                vm_id, ["-m", "standins.target", "--slots", "8"]
+            )
+            self.targets[vm_id] = process
+            self._list(
+                Vm(
+                    vm_id,
+                    Role.TARGET,
+                    self._zone(number),
+                    process.url,
+                    service=service,
+                )
+            )
+        await self._up(*(f"{t.url}/_record" for t in self.targets.values()))
+        await self.publish_vms()
+
+    async def add_workers(
+        self, count: int, processes: int = 1, size: Size = WORKER_SIZE
+    ) -> None:
+        """Starts workers, spread over the zones and over processes."""
+        described = [
+            Described(f"worker-{n}", self._zone(n), size) for n in range(count)
+        ]
+        for part in range(processes):
+            mine = described[part::processes]
+            text = msgspec.json.encode(mine).decode()
+            process = self._start(
+                f"workers-{part}",
+                ["-m", "standins.worker", "--workers", text],
+            )
+            for worker in mine:
+                self.workers[worker.id] = process
+                self._list(
+                    Vm(
+                        worker.id,
+                        Role.WORKER,
+                        worker.zone,
+                        f"{process.url}/w/{worker.id}",
+                        rack=f"{worker.zone}-rack-0",
+                        size=worker.size,
+                    )
+                )
+        await self._up(*(f"{p.url}/record" for p in self.workers.values()))
+        await self.publish_vms()
+
+    async def add_daemons(self, count: int, *flags: str) -> None:
+        """Starts daemons that know of each other from the VM list."""
+        for number in range(count):
+            node = f"entry-{number}"
+            peer = f"127.0.0.1:{free_port()}"
+            self._list(Vm(node, Role.ENTRY, self._zone(number), peer))
+            admin = f"127.0.0.1:{free_port()}"
+            self.admin[node] = f"http://{admin}"
+            self._daemon_arguments[node] = [
+                "-m",
+                "limpetyard.daemon",
+                f"--node={node}",
+                f"--availability-zone={self._zone(number)}",
+                f"--admin-listen={admin}",
+                f"--peer-listen={peer}",
+                f"--log-url={self.log.url}",
+                f"--vms-url={self.vms.url}",
+                f"--admin-token={TOKEN}",
+                *flags,
+            ]
+        await self.publish_vms()
+        for node in list(self._daemon_arguments):
+            if node not in self.daemons:
+                self.start_daemon(node)
+
+    def start_daemon(self, node: str) -> None:
+        """Starts a daemon, again if it has ended."""
+        port = free_port()
+        arguments = [
+            *self._daemon_arguments[node],
+            f"--listen=127.0.0.1:{port}",
+        ]
+        url = f"http://127.0.0.1:{port}"
+        self.daemons[node] = self._process(node, arguments, url)
+
+    async def ready(self, *nodes: str) -> None:
+        """Returns once the daemons tell the balancer that they are ready."""
+        for node in nodes or tuple(self.daemons):
+            await self._up(f"{self.daemons[node].url}/health/ready")
+
+    async def publish_vms(self) -> None:
+        """Sets the VM list."""
+        body = msgspec.json.encode(list(self._vms.values()))
+        await self.http.put(f"{self.vms.url}/vms", data=body)
+
+    async def set_vm_state(self, vm_id: str, state: str) -> None:
+        """Changes what the VM list says of one VM."""
+        await self.http.post(f"{self.vms.url}/state/{vm_id}/{state}")
+
+    async def switch(self, url: str, **switches: object) -> None:
+        """Sets the faults of a stand-in; those not named are off.
+
+        Args:
+            url: URL of its switch.
+            **switches: Faults by name.
+        """
+        resp = await self.http.post(url, json=switches)
+        resp.raise_for_status()
+
+    async def switch_log(self, **switches: object) -> None:
+        """Sets the faults of the log."""
+        await self.switch(f"{self.log.url}/switch", **switches)
+
+    async def switch_target(self, vm_id: str, **switches: object) -> None:
+        """Sets the faults of a target."""
+        await self.switch(f"{self.targets[vm_id].url}/_switch", **switches)
+
+    async def switch_worker(self, vm_id: str, **switches: object) -> None:
+        """Sets the faults of a worker."""
+        url = f"{self.workers[vm_id].url}/w/{vm_id}/switch"
+        await self.switch(url, **switches)
+
+    async def call(
+        self, method: str, path: str, body: object = None, node: str = ""
+    ) -> tuple[int, dict]:
+        """Calls a daemon's administration API.
+
+        Returns:
+            The status and the answer.
+        """
+        base = self.admin[node or next(iter(self.daemons))]
+        headers = {"Authorization": f"Bearer {TOKEN}"}
+        async with self.http.request(
+            method, f"{base}{path}", json=body, headers=headers
+        ) as resp:
+            return resp.status, await resp.json()
+
+    async def happenings(self) -> list[Happening]:
+        """Returns the record of all workers, by time."""
+        found: list[Happening] = []
+        for process in {p.pid: p for p in self.workers.values()}.values():
+            async with self.http.get(f"{process.url}/record") as resp:
+                body = await resp.read()
+            found += msgspec.json.decode(body, type=list[Happening])
+        return sorted(found, key=lambda h: h.at_ms)
+
+    async def target_records(self) -> dict[str, TargetRecord]:
+        """Returns the records of all targets by id."""
+        found = {}
+        for vm_id, process in self.targets.items():
+            async with self.http.get(f"{process.url}/_record") as resp:
+                body = await resp.read()
+            found[vm_id] = msgspec.json.decode(body, type=TargetRecord)
+        return found
+
+    def _zone(self, number: int) -> str:
+        return self.zones[number % len(self.zones)]
+
+    def _list(self, vm: Vm) -> None:
+        self._vms[vm.id] = vm
+
+    def _start(self, name: str, arguments: list[str]) -> Process:
+        port = free_port()
+        url = f"http://127.0.0.1:{port}"
+        return self._process(name, [*arguments, "--port", str(port)], url)
+
+    def _process(self, name: str, arguments: list[str], url: str) -> Process:
+        process = Process(arguments, url, self.output / f"{name}.log")
+        self._all.append(process)
+        return process
+
+    async def _up(self, *urls: str) -> None:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for url in urls:
+                while not await self._answers(url):
+                    await asyncio.sleep(0.05)
+
+    async def _answers(self, url: str) -> bool:
+        try:
+            async with self.http.get(url) as resp:
+                return resp.status == 200
+        except aiohttp.ClientError:
+            return False
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,48 @@
+"""The whole path from end to end through separate processes."""
+
+import unittest
+
+from standins import checks
+from tests.sites import PARTNER, SiteTest
+
+
+class WholePathTest(SiteTest):
+    """One request, one task, the operators' two acts."""
+
+    async def test_request_reaches_a_target(self):
+        """A request gets the answer of a target through any daemon."""
+        for node, daemon in self.site.daemons.items():
+            headers = {**PARTNER, "X-Request-Id": node}
+            async with self.site.http.post(
+                f"{daemon.url}/v1/tally/herd?x=1", data=b"7", headers=headers
+            ) as resp:
+                self.assertEqual(resp.status, 200)
+                self.assertEqual(await resp.text(), f"{node}:7")
+
+    async def test_task_runs_once(self):
+        """Every task of a job runs to its end exactly once."""
+        status, _ = await self.submit("season", count=12)
+        self.assertEqual(status, 200)
+        await self.job_over("season")
+        happenings = await self.site.happenings()
+        finished = [h.task for h in happenings if h.what == "finished"]
+        self.assertEqual(len(finished), 12)
+        self.assertEqual(checks.overlaps(happenings), [])
+
+    async def test_zone_out_and_back(self):
+        """Nothing starts in a zone that is out, and it is used once back."""
+        status, answer = await self.set_zone(1, "zone-0", True)
+        self.assertEqual((status, answer), (200, {"version": 2}))
+        await self.submit("while-out", count=6)
+        await self.job_over("while-out")
+        starts = [h.zone for h in await self.site.happenings()]
+        self.assertNotIn("zone-0", starts)
+        await self.set_zone(2, "zone-0", False)
+        await self.submit("after", count=24)
+        await self.job_over("after")
+        starts = [h.zone for h in await self.site.happenings()]
+        self.assertIn("zone-0", starts)
+
+
+if __name__ == "__main__":
+    unittest.main()
