--- a/standins/log_model.py
+++ b/standins/log_model.py
@@ -11,12 +11,14 @@
         appends: Count of appends by stream.
         bytes: Size of all appended texts by stream.
         reads: Count of reads.
+        archive: All records ever appended by stream, for checkers only.
     """
 
     def __init__(self):
         self.appends: dict[str, int] = {}
         self.bytes: dict[str, int] = {}
         self.reads = 0
+        self.archive: dict[str, list[Record]] = {}
         self._first: dict[str, int] = {}
         self._records: dict[str, list[Record]] = {}
 
@@ -25,6 +27,7 @@
         records = self._records.setdefault(stream, [])
         offset = self._first.get(stream, 0) + len(records)
         records.append(Record(offset, data))
+        self.archive.setdefault(stream, []).append(records[-1])
         self.appends[stream] = self.appends.get(stream, 0) + 1
         self.bytes[stream] = self.bytes.get(stream, 0) + len(data)
         return offset
