Take workers' answers in the order of their syncs

Ruled out: lapsed leases (none lapsed in the trace). Change: a sync has a number and a late answer is passed over; a placement on an earlier boot ends as lost before anything else is considered.

--- a/src/limpetyard/platform/_workers.py
+++ b/src/limpetyard/platform/_workers.py
@@ -79,6 +79,8 @@
     Attributes:
         cell: Name of the cell.
         epoch: Ownership that asks; the worker refuses an older one.
+        number: Counts the syncs of one ownership; answers to earlier ones
+            are passed over once a later one is answered.
         since: Revision of the news that the owner has.
         boot: Run of the worker that `since` belongs to.
         lease_until_ms: Worker's clock until when the runs may go on, or 0
@@ -88,6 +90,7 @@
 
     cell: str
     epoch: int
+    number: int
     since: int
     boot: str = ""
     lease_until_ms: float = 0.0
--- a/src/limpetyard/scheduler/_controller.py
+++ b/src/limpetyard/scheduler/_controller.py
@@ -138,7 +138,7 @@
         worker = self.workers.get(worker_id)
         if worker is None or not self._is_current(order.epoch):
             return
-        if reply.stale:
+        if reply.stale or not worker.in_order(order):
             return
         news = worker.take(reply, now_ms)
         for task_id, attempt in order.forget:
@@ -250,6 +250,9 @@
         self, worker: KnownWorker, task: Task, lapsed: bool
     ) -> Ended | None:
         run = worker.runs.get(task.id)
+        restarted = worker.boot not in ("", task.boot)
+        if restarted:
+            return _lost(task, 0, "worker restarted")
         if run and run.attempt == task.attempt and run.state in ENDED_STATES:
             return Ended(
                 task.id,
@@ -258,13 +261,8 @@
                 run.checkpoint,
                 run.ran_ms,
             )
-        restarted = worker.boot not in ("", task.boot)
-        if lapsed or restarted:
-            reason = "worker restarted" if restarted else "worker silent"
-            ran_ms = run.ran_ms if run else 0
-            return Ended(
-                task.id, task.attempt, Outcome.LOST, "", ran_ms, reason
-            )
+        if lapsed:
+            return _lost(task, run.ran_ms if run else 0, "worker silent")
         return None
 
     def _judge(
@@ -341,6 +339,7 @@
         order = SyncOrder(
             self.name,
             self.ownership.epoch,
+            worker.next_sync(),
             worker.rev,
             worker.boot,
             lease_until_ms,
@@ -497,6 +496,10 @@
     return Outcome.REFUSED if never_ran else _OUTCOMES[run.state]
 
 
+def _lost(task: Task, ran_ms: int, reason: str) -> Ended:
+    return Ended(task.id, task.attempt, Outcome.LOST, "", ran_ms, reason)
+
+
 def _text(size: Size) -> str:
     return (
         f"{size.cores:g} cores, {size.memory_mb} MiB,"
--- a/src/limpetyard/scheduler/_workers.py
+++ b/src/limpetyard/scheduler/_workers.py
@@ -2,7 +2,14 @@
 
 import dataclasses
 
-from limpetyard.platform import Run, RunState, SyncReply, Vm, VmState
+from limpetyard.platform import (
+    Run,
+    RunState,
+    SyncOrder,
+    SyncReply,
+    Vm,
+    VmState,
+)
 from limpetyard.scheduler._breaker import Breaker
 from limpetyard.scheduler._terms import ControlTerms
 
@@ -46,6 +53,8 @@
     """
 
     __slots__ = (
+        "_sync_answered",
+        "_syncs_sent",
         "boot",
         "breaker",
         "clock_ms",
@@ -73,6 +82,8 @@
         self.heard_ms: float | None = None
         self.first_heard_ms: float | None = None
         self.granted_ms = float("-inf")
+        self._syncs_sent = 0
+        self._sync_answered = 0
         self.rev = 0
         self.runs: dict[str, Run] = {}
         self.sync_sent_ms = float("-inf")
@@ -85,6 +96,22 @@
         """Whether the platform says that it runs nothing any more."""
         return self.vm.state is VmState.GONE
 
+    def next_sync(self) -> int:
+        """Returns the number of the next sync."""
+        self._syncs_sent += 1
+        return self._syncs_sent
+
+    def in_order(self, order: SyncOrder) -> bool:
+        """Returns whether no later sync than `order` has been answered.
+
+        An answer that was held back may come from an earlier boot, and would
+        make the present one look like a restart.
+        """
+        if order.number <= self._sync_answered:
+            return False
+        self._sync_answered = order.number
+        return True
+
     def take(self, reply: SyncReply, now_ms: float) -> list[Run]:
         """Takes in an answer and returns the runs that are news."""
         if reply.boot != self.boot:
@@ -93,8 +120,6 @@
             self.starts = {}
             self.stops = {}
             self.rev = 0
-        if reply.rev < self.rev:
-            return []
         self.rev = reply.rev
         self.clock_ms = reply.clock_ms
         self.heard_ms = now_ms
--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -64,6 +64,7 @@
 
 CELL = "cell-0"
 STEP_MS = 100
+WORKER_TICK_MS = 25
 ZONE_GRACE_MS = 3000
 CHAOS_MS = 60_000
 HEAL_MS = 240_000
@@ -156,6 +157,7 @@
         self.gone: set[str] = set()
         self.cut: set[tuple[str, str]] = set()
         self._publish()
+        self._tick_workers()
         self.nodes = [Node(self, f"n{n}", n) for n in range(nodes)]
 
     def later(self, delay_ms: float, act: Callable[[], None]) -> None:
@@ -267,6 +269,11 @@
         if len(holders) > 1:
             self.double_owners.append(f"{holders} at {now_ms:.0f}")
 
+    def _tick_workers(self) -> None:
+        for model in self.workers.values():
+            model.tick()
+        self.later(WORKER_TICK_MS, self._tick_workers)
+
     def _publish(self) -> None:
         record = Publish("p0", 0, "operator", *DOCUMENTS)
         self.append(CONFIG_STREAM, record)
