Confirm a stream's end only for the state that is shown

Change: the confirmation belongs to the folder that reached the end; begin starts over when trimmed; news count by (boot, revision), boots being numbers that grow.

--- a/src/limpetyard/cell/_records.py
+++ b/src/limpetyard/cell/_records.py
@@ -127,7 +127,7 @@
     task: str
     attempt: int
     worker: str
-    boot: str
+    boot: int
     size: Size
     reason: str = ""
 
--- a/src/limpetyard/cell/_state.py
+++ b/src/limpetyard/cell/_state.py
@@ -49,7 +49,7 @@
     state: str = TASK_CHART.initial
     attempt: int = 0
     worker: str = ""
-    boot: str = ""
+    boot: int = 0
     size: Size = Size(0.0, 0)
     checkpoint: str = ""
     failures: int = 0
@@ -314,7 +314,7 @@
         if not tasks:
             del self.placed[task.worker]
         task.worker = ""
-        task.boot = ""
+        task.boot = 0
 
     def _apply_rejected(self, entry: Rejected) -> bool:
         job = self.jobs.get(entry.job)
--- a/src/limpetyard/log/_reader.py
+++ b/src/limpetyard/log/_reader.py
@@ -12,6 +12,9 @@
 # A newcomer first tries the stream's last records alone.
 RECOVERY_RECORDS = 600
 
+# The stream may be trimmed while it is being read.
+BEGIN_TRIES = 3
+
 
 class StreamReader:
     """Keeps a folder level with its stream.
@@ -20,9 +23,6 @@
         folder: Holds the state, or None before the first catch-up. It is
             replaced as a whole once a new one has caught up, so that no
             older state shows while a trimmed stream is read again.
-        confirmed_ms: Reading of the clock before the newest call that reached
-            the stream's end, or None before the first. The state shown by
-            the folder holds everything that was appended before then.
         bytes_read: Size of all record texts read.
         records_read: Count of all records read.
     """
@@ -32,8 +32,8 @@
         "_log",
         "_new_folder",
         "_stream",
+        "_confirmed",
         "bytes_read",
-        "confirmed_ms",
         "folder",
         "records_read",
     )
@@ -50,10 +50,21 @@
         self._clock = clock
         self._new_folder = new_folder
         self.folder: StreamFolder | None = None
-        self.confirmed_ms: float | None = None
+        self._confirmed: tuple[StreamFolder | None, float] = (None, 0.0)
         self.bytes_read = 0
         self.records_read = 0
 
+    @property
+    def confirmed_ms(self) -> float | None:
+        """Clock before the newest call that read the stream to its end.
+
+        The state that `folder` holds has everything that was appended before
+        then. None before the first such call, and while the folder that was
+        level with the end has not become the reader's.
+        """
+        folder, sent_ms = self._confirmed
+        return sent_ms if folder and folder is self.folder else None
+
     async def begin(self) -> None:
         """Finds a start from which the state can be folded.
 
@@ -61,16 +72,12 @@
             LogUnavailableError: If the log does not answer.
             StreamBrokenError: If no snapshot replaces the records trimmed away.
         """
-        bounds = await self._log.read(self._stream, 0, 0, 0)
-        recent = max(bounds.first, bounds.end - RECOVERY_RECORDS)
-        for start in sorted({recent, bounds.first}, reverse=True):
-            folder = self._new_folder()
-            folder.restart(start)
-            while await self._read_page(folder, 0):
-                pass
-            if folder.based:
-                self.folder = folder
-                return
+        for _ in range(BEGIN_TRIES):
+            bounds = await self._log.read(self._stream, 0, 0, 0)
+            recent = max(bounds.first, bounds.end - RECOVERY_RECORDS)
+            for start in sorted({recent, bounds.first}, reverse=True):
+                if await self._begin_at(start):
+                    return
         raise StreamBrokenError(f"{self._stream}: nothing usable in {bounds}")
 
     async def follow(self, wait_ms: int) -> None:
@@ -85,6 +92,19 @@
         except OffsetTrimmedError:
             await self.begin()
 
+    async def _begin_at(self, start: int) -> bool:
+        """Reads from `start` to the end and returns whether that was enough."""
+        folder = self._new_folder()
+        folder.restart(start)
+        try:
+            while await self._read_page(folder, 0):
+                pass
+        except OffsetTrimmedError:
+            return False
+        if folder.based:
+            self.folder = folder
+        return folder.based
+
     async def _read_page(self, folder: StreamFolder, wait_ms: int) -> bool:
         """Reads one page and returns whether more is known to be there."""
         sent_ms = self._clock.now_ms()
@@ -95,7 +115,7 @@
         folder.feed(page)
         more = folder.next_offset < page.end
         if not more:
-            self.confirmed_ms = sent_ms
+            self._confirmed = (folder, sent_ms)
         return more
 
     def _count(self, page: Page) -> None:
--- a/src/limpetyard/platform/_workers.py
+++ b/src/limpetyard/platform/_workers.py
@@ -79,10 +79,8 @@
     Attributes:
         cell: Name of the cell.
         epoch: Ownership that asks; the worker refuses an older one.
-        number: Counts the syncs of one ownership; answers to earlier ones
-            are passed over once a later one is answered.
         since: Revision of the news that the owner has.
-        boot: Run of the worker that `since` belongs to.
+        boot: Run of the worker that `since` belongs to, 0 if unknown.
         lease_until_ms: Worker's clock until when the runs may go on, or 0
             to leave the lease as it is.
         forget: Ended runs that the log holds.
@@ -90,9 +88,8 @@
 
     cell: str
     epoch: int
-    number: int
     since: int
-    boot: str = ""
+    boot: int = 0
     lease_until_ms: float = 0.0
     forget: list[tuple[str, int]] = []
 
@@ -101,7 +98,7 @@
     """A worker's news.
 
     Attributes:
-        boot: This run of the worker.
+        boot: This run of the worker; a later one has a larger number.
         clock_ms: Worker's clock.
         rev: Revision of the news.
         stale: Whether the order came from an older ownership.
@@ -109,7 +106,7 @@
         usage: Measured use.
     """
 
-    boot: str
+    boot: int
     clock_ms: float
     rev: int
     stale: bool = False
@@ -136,7 +133,7 @@
 
     cell: str
     epoch: int
-    boot: str
+    boot: int
     task: str
     attempt: int
     not_after_ms: float
--- a/src/limpetyard/scheduler/_controller.py
+++ b/src/limpetyard/scheduler/_controller.py
@@ -138,7 +138,7 @@
         worker = self.workers.get(worker_id)
         if worker is None or not self._is_current(order.epoch):
             return
-        if reply.stale or not worker.in_order(order):
+        if reply.stale or not worker.in_order(reply):
             return
         news = worker.take(reply, now_ms)
         for task_id, attempt in order.forget:
@@ -250,7 +250,7 @@
         self, worker: KnownWorker, task: Task, lapsed: bool
     ) -> Ended | None:
         run = worker.runs.get(task.id)
-        restarted = worker.boot not in ("", task.boot)
+        restarted = worker.boot > task.boot
         if restarted:
             return _lost(task, 0, "worker restarted")
         if run and run.attempt == task.attempt and run.state in ENDED_STATES:
@@ -339,7 +339,6 @@
         order = SyncOrder(
             self.name,
             self.ownership.epoch,
-            worker.next_sync(),
             worker.rev,
             worker.boot,
             lease_until_ms,
--- a/src/limpetyard/scheduler/_workers.py
+++ b/src/limpetyard/scheduler/_workers.py
@@ -5,7 +5,6 @@
 from limpetyard.platform import (
     Run,
     RunState,
-    SyncOrder,
     SyncReply,
     Vm,
     VmState,
@@ -37,7 +36,7 @@
 
     Attributes:
         vm: Its entry in the VM list.
-        boot: Its run, or "" before it answered.
+        boot: Its run, or 0 before it answered.
         clock_ms: Its clock when it last answered.
         heard_ms: Own clock when that answer arrived, or None.
         rev: Revision of the news that was taken in.
@@ -53,8 +52,6 @@
     """
 
     __slots__ = (
-        "_sync_answered",
-        "_syncs_sent",
         "boot",
         "breaker",
         "clock_ms",
@@ -77,13 +74,11 @@
 
     def forget_ownership(self) -> None:
         """Drops what only counts under one ownership."""
-        self.boot = ""
+        self.boot = 0
         self.clock_ms = 0.0
         self.heard_ms: float | None = None
         self.first_heard_ms: float | None = None
         self.granted_ms = float("-inf")
-        self._syncs_sent = 0
-        self._sync_answered = 0
         self.rev = 0
         self.runs: dict[str, Run] = {}
         self.sync_sent_ms = float("-inf")
@@ -96,21 +91,13 @@
         """Whether the platform says that it runs nothing any more."""
         return self.vm.state is VmState.GONE
 
-    def next_sync(self) -> int:
-        """Returns the number of the next sync."""
-        self._syncs_sent += 1
-        return self._syncs_sent
+    def in_order(self, reply: SyncReply) -> bool:
+        """Returns whether no later news of the worker was taken in.
 
-    def in_order(self, order: SyncOrder) -> bool:
-        """Returns whether no later sync than `order` has been answered.
-
-        An answer that was held back may come from an earlier boot, and would
-        make the present one look like a restart.
+        An answer that was held back would otherwise make the present boot
+        look like a restart, or an ended run like one that goes on.
         """
-        if order.number <= self._sync_answered:
-            return False
-        self._sync_answered = order.number
-        return True
+        return (reply.boot, reply.rev) >= (self.boot, self.rev)
 
     def take(self, reply: SyncReply, now_ms: float) -> list[Run]:
         """Takes in an answer and returns the runs that are news."""
--- a/standins/checks.py
+++ b/standins/checks.py
@@ -96,7 +96,7 @@
         if h.what == "start":
             free[h.worker] = free[h.worker].minus(h.size)
             held[key] = h.size
-            if not free[h.worker].holds(Size(-1e-6, 0)):
+            if _exceeded(free[h.worker]):
                 found.append(f"{h.worker} at {h.at_ms:.0f}: {free[h.worker]}")
         elif key in held:
             free[h.worker] = free[h.worker].plus(held.pop(key))
@@ -127,6 +127,10 @@
     return set(_runs(records))
 
 
+def _exceeded(free: Size) -> bool:
+    return free.cores < -1e-6 or free.memory_mb < 0 or free.accelerators < 0
+
+
 def _runs(records: Iterable[TargetRecord]) -> collections.Counter:
     counts: collections.Counter[str] = collections.Counter()
     for record in records:
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -98,7 +98,7 @@
         self.record: list[Happening] = []
         self.slow = slow
         self._clock = clock
-        self._boots = 0
+        self.boot = 0
         self._rev = 0
         self._reported_ms = clock.now_ms()
         self.restart()
@@ -108,8 +108,7 @@
         for run in getattr(self, "_runs", {}).values():
             if run.state is RunState.RUNNING:
                 self._note("restarted", run)
-        self._boots += 1
-        self.boot = f"{self.id}-boot-{self._boots}"
+        self.boot += 1
         self._epochs: dict[str, int] = {}
         self._runs: dict[str, _Run] = {}
 
--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -66,6 +66,7 @@
 STEP_MS = 100
 WORKER_TICK_MS = 25
 ZONE_GRACE_MS = 3000
+CONFIG_SNAPSHOT_RECORDS = 4
 CHAOS_MS = 60_000
 HEAL_MS = 240_000
 TERMS = ControlTerms(
@@ -139,6 +140,7 @@
         self.log = LogModel()
         self.log_down = False
         self.chaos = True
+        self.storm = False
         self.double_owners: list[str] = []
         self.reverts: list[str] = []
         self.zones_out: list[checks.ZoneOut] = []
@@ -175,10 +177,17 @@
 
     def delay_ms(self) -> float:
         """Returns how long a message is on its way."""
+        if self.storm and self.rng.random() < 0.4:
+            return self.rng.uniform(50, 2500)
         if self.chaos and self.rng.random() < 0.02:
             return self.rng.uniform(500, 15_000)
         return self.rng.uniform(1, 40)
 
+    def copies(self) -> int:
+        """Returns how often a message arrives."""
+        chance = 0.3 if self.storm else 0.02
+        return 2 if self.chaos and self.rng.random() < chance else 1
+
     def lost(self) -> bool:
         """Returns whether a message is lost."""
         return self.chaos and self.rng.random() < 0.03
@@ -322,7 +331,7 @@
         world = self.world
         self.lives += 1
         self.alive = True
-        self.held: list[Effect] = []
+        self.paused_until_ms = 0.0
         self.snapshot_sent = -1
         self.config_seen = 0
         self.controller = CellController(
@@ -412,8 +421,17 @@
         effects = self.controller.step(
             now_ms, self.cell.confirmed_ms, self.rank * 750.0
         )
+        self._snapshot_config()
         return effects + self._snapshot()
 
+    def _snapshot_config(self) -> None:
+        folder = self.config.folder
+        as_of = folder.next_offset - 1
+        if as_of - folder.snapshot_as_of < CONFIG_SNAPSHOT_RECORDS:
+            return
+        record = ConfigSnapshot(as_of, folder.fold.dump())
+        self._commit_later(CONFIG_STREAM, record)
+
     def _snapshot(self) -> list[Effect]:
         folder = self.cell.folder
         as_of = folder.next_offset - 1
@@ -429,13 +447,16 @@
 
     def _append(self, effect: Append, life: int) -> None:
         del life
+        self._commit_later(CELL, effect.record)
+
+    def _commit_later(self, stream: str, record: object) -> None:
         world = self.world
         if world.lost() or self.cut_from("log"):
             return
 
         def commit() -> None:
             if not world.log_down:
-                world.append(CELL, effect.record)
+                world.append(stream, record)
 
         world.later(world.delay_ms(), commit)
 
@@ -469,8 +490,7 @@
 
     def _to_worker(self, worker_id: str, act) -> None:
         world = self.world
-        copies = 2 if world.chaos and world.rng.random() < 0.02 else 1
-        for _ in range(copies):
+        for _ in range(world.copies()):
             if world.lost() or self.cut_from(worker_id):
                 continue
             world.later(world.delay_ms(), lambda: self._arrive(worker_id, act))
@@ -532,6 +552,9 @@
             self._cancel,
             self._zone,
             self._zone,
+            self._flap,
+            self._split,
+            self._storm,
         )
 
     def next(self) -> None:
@@ -582,8 +605,21 @@
         world.later(world.rng.uniform(500, 20_000), end)
 
     def _trim(self) -> None:
-        for stream in self._world.log.streams():
-            self._world.log.trim(stream, 130)
+        world = self._world
+        for stream, keep in ((CELL, 60), (CONFIG_STREAM, 8)):
+            world.log.trim(stream, max(keep, self._needed(stream)))
+
+    def _needed(self, stream: str) -> int:
+        """Returns how many records a newcomer needs."""
+        kept = self._world.log.read(stream, 0, 0)
+        records = self._world.log.archive[stream][kept.first :]
+        snapshots = [
+            msgspec.json.decode(r.data)["as_of"]
+            for r in records
+            if '"type":"snapshot"' in r.data
+        ]
+        usable = [as_of for as_of in snapshots if as_of + 1 >= kept.first]
+        return kept.end - 1 - max(usable, default=kept.first - 1)
 
     def _restart_worker(self) -> None:
         self._worker().restart()
@@ -630,6 +666,47 @@
         if world.jobs and world.rng.random() < 0.5:
             world.cancel(world.rng.choice(world.jobs))
 
+    def _flap(self) -> None:
+        """Takes a zone out and in again several times."""
+        world = self._world
+        zone = f"zone-{world.rng.randrange(3)}"
+        for number in range(6):
+            world.later(
+                number * world.rng.uniform(100, 2500),
+                lambda out=number % 2 == 0: world.set_zone(zone, out),
+            )
+
+    def _split(self) -> None:
+        """Leaves a worker to an owner that has lost the log."""
+        world = self._world
+        owner = self._node()
+        pairs = {(owner.name, "log")}
+        worker = self._worker().id
+        pairs |= {(n.name, worker) for n in world.nodes if n is not owner}
+        world.cut |= pairs
+
+        def heal() -> None:
+            world.cut.difference_update(pairs)
+
+        world.later(world.rng.uniform(8000, 30_000), heal)
+
+    def _storm(self) -> None:
+        """Delays and repeats messages while work comes and goes."""
+        world = self._world
+        world.storm = True
+        for _ in range(4):
+            world.later(world.rng.uniform(0, 4000), self._short_job)
+        world.later(world.rng.uniform(0, 4000), self._restart_worker)
+        world.later(world.rng.uniform(0, 4000), self._cancel)
+
+        def end() -> None:
+            world.storm = False
+
+        world.later(5000, end)
+
+    def _short_job(self) -> None:
+        self._world.submit(6, 0.5, self._world.rng.randint(100, 900))
+
     def _zone(self) -> None:
         world = self._world
         zone = f"zone-{world.rng.randrange(3)}"
