Say that a request did not run only if no attempt was sent

Change: the request keeps its history; a refusal after an attempt that was handed over becomes outcome unknown. A body over the limit without a length is told as too large, not as truncated.

--- a/src/limpetyard/requests/_dispatch.py
+++ b/src/limpetyard/requests/_dispatch.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from limpetyard._clock import MS_PER_SECOND, Clock
-from limpetyard._kinds import ErrorKind
+from limpetyard._kinds import ANSWERS, ErrorKind, Ran
 from limpetyard.config import Limits, Service
 from limpetyard.errors import RequestError
 from limpetyard.platform import Vm
@@ -47,6 +47,29 @@
         )
 
 
+class _History:
+    """What has become of a request so far.
+
+    Attributes:
+        attempts: Attempts that ended.
+        tried: Targets that it has been at.
+        handed_over: Whether any attempt may have been executed.
+    """
+
+    __slots__ = ("attempts", "handed_over", "tried")
+
+    def __init__(self):
+        self.attempts = 0
+        self.tried: frozenset[str] = frozenset()
+        self.handed_over = False
+
+    def note(self, target: str, fate: Fate) -> None:
+        """Takes in an attempt that ended."""
+        self.attempts += 1
+        self.tried |= {target}
+        self.handed_over |= fate is not Fate.NOT_SENT
+
+
 class Dispatcher:
     """The request path of one service on this entry VM.
 
@@ -119,20 +142,27 @@
         Raises:
             RequestError: If there is none; its kind says what is known.
         """
-        avoid: frozenset[str] = frozenset()
-        attempts = 0
+        history = _History()
+        try:
+            return await self._call(req, history)
+        except RequestError as exc:
+            if history.handed_over and ANSWERS[exc.kind].ran is Ran.NO:
+                kind = ErrorKind.OUTCOME_UNKNOWN
+                raise RequestError(kind, f"{exc.detail}, sent before") from exc
+            raise
+
+    async def _call(self, req: Request, history: "_History") -> Attempt:
         while True:
-            target = await self._slot(req, avoid)
-            attempts += 1
+            target = await self._slot(req, history.tried)
             attempt = await self._attempt(target, req)
+            history.note(target.vm.id, attempt.fate)
             verdict = verdict_of(attempt.fate, req.idempotent)
             if verdict.kind is None:
                 self._budget.earn(self._limits.retry_ratio)
                 return attempt
-            if not self._may_retry(req, verdict.retry, attempts):
+            if not self._may_retry(req, verdict.retry, history.attempts):
                 raise RequestError(verdict.kind, attempt.detail)
             self.retries += 1
-            avoid |= {target.vm.id}
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/src/limpetyard/requests/_service.py
+++ b/src/limpetyard/requests/_service.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import dataclasses
+from collections.abc import AsyncIterator
 
-from aiohttp import web
+from aiohttp import ClientError, web
 from mode import Service as ModeService
 from multidict import CIMultiDict
 
 from limpetyard._clock import Clock
-from limpetyard._events import event
 from limpetyard._kinds import ANSWERS, ErrorKind
 from limpetyard._metrics import Metrics
 from limpetyard.config import ConfigState, Service
@@ -222,24 +222,25 @@
         raise RequestError(ErrorKind.BODY_TOO_LARGE, f"over {limit} bytes")
     parts = []
     size = 0
-    try:
-        async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
-                detail = f"over {limit} bytes"
-                raise RequestError(ErrorKind.BODY_TOO_LARGE, detail)
-            parts.append(part)
-    except (OSError, asyncio.IncompleteReadError, web.HTTPException) as exc:
-        raise RequestError(ErrorKind.BODY_TRUNCATED, repr(exc)) from exc
-    except Exception as exc:
-        event("body_unreadable", reason=exc)
-        raise RequestError(ErrorKind.BODY_TRUNCATED, repr(exc)) from exc
+    async for part in _parts(request):
+        size += len(part)
+        if size > limit:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE, f"over {limit} bytes")
+        parts.append(part)
     if declared is not None and size != declared:
         detail = f"{size} of {declared} bytes"
         raise RequestError(ErrorKind.BODY_TRUNCATED, detail)
     return b"".join(parts)
 
 
+async def _parts(request: web.Request) -> AsyncIterator[bytes]:
+    try:
+        async for part in request.content.iter_any():
+            yield part
+    except (OSError, ClientError, web.RequestPayloadError) as exc:
+        raise RequestError(ErrorKind.BODY_TRUNCATED, repr(exc)) from exc
+
+
 def _millis(request: web.Request, default_ms: int) -> float:
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
--- a/standins/target.py
+++ b/standins/target.py
@@ -58,7 +58,7 @@
         self._slot_count = slots
         self._clock = BootClock()
         self._runs: collections.Counter[str] = collections.Counter()
-        self._record = TargetRecord({}, [])
+        self.record = TargetRecord({}, [])
         self._present = 0
         self._in_slots = 0
         self._switches = Switches()
@@ -77,20 +77,42 @@
         )
         return app
 
+    def set_switches(self, switches: Switches) -> None:
+        """Sets the faults."""
+        self._switches = switches
+        if switches.silent:
+            self._silent |= self._open
+
+    def runs(self, request_id: str) -> int:
+        """Returns how often a request ran."""
+        return self._runs[request_id]
+
+    def arrivals(self) -> int:
+        """Returns how many requests have arrived."""
+        return len(self.record.arrived_ms)
+
+    @staticmethod
+    def _abort(request: web.Request) -> None:
+        if request.transport is not None:
+            request.transport.abort()
+
+    def abort_all(self) -> None:
+        """Breaks all connections."""
+        for transport in self._open:
+            transport.abort()
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         self._meet(request)
         body = await request.read()
         if request.transport in self._silent:
             await asyncio.sleep(3600)
         if self._switches.refuse:
-            request.transport.abort()
+            self._abort(request)
             return web.Response()
         self._present += 1
-        self._record.arrived_ms.append(self._clock.now_ms())
-        self._record.over_slots += self._present > self._slot_count
-        self._record.most_present = max(
-            self._record.most_present, self._present
-        )
+        self.record.arrived_ms.append(self._clock.now_ms())
+        self.record.over_slots += self._present > self._slot_count
+        self.record.most_present = max(self.record.most_present, self._present)
         try:
             async with self._slots:
                 await self._work(request)
@@ -100,8 +122,8 @@
 
     async def _work(self, request: web.Request) -> None:
         self._in_slots += 1
-        self._record.most_in_slots = max(
-            self._record.most_in_slots, self._in_slots
+        self.record.most_in_slots = max(
+            self.record.most_in_slots, self._in_slots
         )
         work_ms = float(request.headers.get(WORK_HEADER, "0"))
         work_ms += self._switches.slow_ms
@@ -118,7 +140,7 @@
         text = request.headers.get(ID_HEADER, "").encode() + b":" + body
         if self._switches.drop_after_effect:
             self._switches.drop_after_effect -= 1
-            request.transport.abort()
+            self._abort(request)
             return web.Response()
         if self._switches.cut_answers:
             self._switches.cut_answers -= 1
@@ -126,29 +148,26 @@
             resp.content_length = len(text) + 10
             await resp.prepare(request)
             await resp.write(text)
-            request.transport.abort()
+            self._abort(request)
             return resp
         return web.Response(body=text)
 
     def _meet(self, request: web.Request) -> None:
         self._open = {t for t in self._open if not t.is_closing()}
         self._open.add(request.transport)
-        self._record.most_connections = max(
-            self._record.most_connections, len(self._open)
+        self.record.most_connections = max(
+            self.record.most_connections, len(self._open)
         )
 
     async def _switch(self, request: web.Request) -> web.Response:
-        self._switches = msgspec.json.decode(
-            await request.read(), type=Switches
-        )
-        if self._switches.silent:
-            self._silent |= self._open
+        body = await request.read()
+        self.set_switches(msgspec.json.decode(body, type=Switches))
         return web.Response()
 
     async def _tell(self, request: web.Request) -> web.Response:
         del request
-        self._record.runs = dict(self._runs)
-        return web.Response(body=msgspec.json.encode(self._record))
+        self.record.runs = dict(self._runs)
+        return web.Response(body=msgspec.json.encode(self.record))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/frontends.py
@@ -0,0 +1,150 @@
+"""Request services and targets in the process of a test."""
+
+import asyncio
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from limpetyard._clock import BootClock
+from limpetyard._metrics import Metrics
+from limpetyard.config import ConfigState, Publish
+from limpetyard.platform import Role, Vm, VmState
+from limpetyard.requests import SLOT_POLICIES, RequestService
+from standins.site import free_port
+from standins.target import Switches, TargetProcess
+
+TEMPLATE = """
+[service.tally]
+idempotent = false
+deadline_ms = 2000
+max_body_bytes = 1000
+queue_length = 100
+
+[service.lookup]
+idempotent = true
+deadline_ms = 2000
+"""
+PARAMETERS = "[partner.north]\n"
+HEADERS = {"X-Limpetyard-Partner": "north"}
+
+
+class FrontendTest(unittest.IsolatedAsyncioTestCase):
+    """A test on request services and targets; `http` is a caller.
+
+    Attributes:
+        frontends: The request services.
+        urls: Where each listens.
+        targets: The targets.
+        vms: What the VM list says.
+    """
+
+    frontend_count = 1
+    target_count = 2
+
+    async def asyncSetUp(self):  # noqa: N802
+        """Starts everything."""
+        self.cfg = ConfigState()
+        self.cfg.apply(0, Publish("id", 0, "test", TEMPLATE, PARAMETERS))
+        self.targets: list[TargetProcess] = []
+        self.vms: list[Vm] = []
+        self.frontends: list[RequestService] = []
+        self.urls: list[str] = []
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        self.addAsyncCleanup(self.http.close)
+        for number in range(self.target_count):
+            await self._add_target(number)
+        for number in range(self.frontend_count):
+            await self._add_frontend(number)
+        await self.refresh()
+
+    async def refresh(self) -> None:
+        """Hands all services the VM list."""
+        members = [f"entry-{n}" for n in range(self.frontend_count)]
+        for frontend in self.frontends:
+            await frontend.update(self.cfg, self.vms, members)
+
+    def set_vm_state(self, number: int, state: VmState) -> None:
+        """Changes what the VM list says of a target."""
+        vm_id = f"target-{number}"
+        self.vms = [
+            Vm(vm.id, vm.role, "zone-0", vm.address, state, "", vm.service)
+            if vm.id == vm_id
+            else vm
+            for vm in self.vms
+        ]
+
+    def switch(self, number: int, **switches: object) -> None:
+        """Sets the faults of a target; those not named are off."""
+        self.targets[number].set_switches(Switches(**switches))
+
+    def runs(self, request_id: str) -> int:
+        """Returns how often a request ran."""
+        return sum(t.runs(request_id) for t in self.targets)
+
+    async def ask(
+        self,
+        request_id: str,
+        service: str = "tally",
+        method: str = "POST",
+        frontend: int = 0,
+        **headers: str,
+    ) -> tuple[int, str, str]:
+        """Sends one request.
+
+        Returns:
+            Status, text of the answer, and what the caller may conclude.
+        """
+        sent = {**HEADERS, "X-Request-Id": request_id, **headers}
+        async with self.http.request(
+            method,
+            f"{self.urls[frontend]}/v1/{service}/x",
+            data=request_id[::-1].encode(),
+            headers=sent,
+        ) as resp:
+            text = await resp.text()
+            return resp.status, text, resp.headers.get("X-Limpetyard-Ran", "")
+
+    async def _add_target(self, number: int) -> None:
+        target = TargetProcess(8)
+        port = free_port()
+        runner = web.AppRunner(
+            target.app(), access_log=None, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        self.addAsyncCleanup(_close, runner, target)
+        self.targets.append(target)
+        for service in ("tally", "lookup"):
+            self.vms.append(
+                Vm(
+                    f"target-{number}",
+                    Role.TARGET,
+                    "zone-0",
+                    f"http://127.0.0.1:{port}",
+                    service=service,
+                )
+            )
+
+    async def _add_frontend(self, number: int) -> None:
+        port = free_port()
+        frontend = RequestService(
+            f"entry-{number}",
+            "127.0.0.1",
+            port,
+            SLOT_POLICIES.get("dealt"),
+            BootClock(),
+            Metrics(),
+            lambda: True,
+        )
+        await frontend.start()
+        self.addAsyncCleanup(frontend.stop)
+        self.frontends.append(frontend)
+        self.urls.append(f"http://127.0.0.1:{port}")
+
+
+async def _close(runner: web.AppRunner, target: TargetProcess) -> None:
+    target.abort_all()
+    await asyncio.wait_for(runner.cleanup(), 5)
