--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,310 @@
+"""Failures of whole processes, counted from the stand-ins' record."""
+
+import asyncio
+import contextlib
+import signal
+import unittest
+
+from limpetyard._clock import BootClock
+from standins import checks
+from standins.callers import Callers
+from standins.site import WORKER_SIZE
+from tests.sites import PARAMETERS, SiteTest
+
+CONFIG_LIMIT_MS = 6000
+GRACE_MS = 3000
+FLAGS = (
+    "--log-level=WARNING",
+    "--drain-ms=500",
+    "--lease-ms=2000",
+    "--task-lease-ms=4000",
+)
+
+
+class FailureTest(SiteTest):
+    """A site whose leases are short."""
+
+    flags = FLAGS
+
+    def setUp(self):
+        """Sets the clock of the machine that everything runs on."""
+        self.clock = BootClock()
+
+    async def assert_sound(self) -> None:
+        """Checks everything that the workers recorded."""
+        happenings = await self.site.happenings()
+        sizes = dict.fromkeys(self.site.workers, WORKER_SIZE)
+        self.assertEqual(checks.overlaps(happenings), [])
+        self.assertEqual(checks.finished_twice(happenings), [])
+        self.assertEqual(checks.attempts_twice(happenings), [])
+        self.assertEqual(checks.overloads(happenings, sizes), [])
+
+    async def finished(self, job: str) -> int:
+        """Returns how many tasks of a job ran to their end."""
+        return sum(
+            h.what == "finished" and h.task.startswith(f"{job}/")
+            for h in await self.site.happenings()
+        )
+
+    async def owner_now(self) -> str:
+        """Waits for an owner of the cell and returns its node."""
+        found = ""
+
+        async def known() -> bool:
+            nonlocal found
+            found = await self.owner()
+            return bool(found)
+
+        await self.until(known)
+        return found
+
+    def other(self, node: str) -> str:
+        """Returns a node besides `node`."""
+        return next(name for name in self.site.daemons if name != node)
+
+
+class OwnerTest(FailureTest):
+    """Owners that die, freeze or are held up."""
+
+    async def test_killed_owner(self):
+        """The work of a killed owner is taken over and runs once."""
+        await self.submit("job", count=30)
+        owner = await self.owner_now()
+        await asyncio.sleep(0.7)
+        self.site.daemons[owner].kill()
+        del self.site.daemons[owner]
+        await self.job_over("job")
+        self.assertEqual(await self.finished("job"), 30)
+        await self.assert_sound()
+
+    async def test_frozen_owner(self):
+        """An owner that sleeps through every lease does no harm after."""
+        await self.submit("job", count=40)
+        owner = await self.owner_now()
+        frozen = self.site.daemons.pop(owner)
+        frozen.send(signal.SIGSTOP)
+        await self.until(lambda: self._moved(owner))
+        frozen.send(signal.SIGCONT)
+        self.site.daemons[owner] = frozen
+        await self.submit("next", count=30)
+        await self.job_over("job")
+        await self.job_over("next")
+        self.assertEqual(await self.finished("job"), 40)
+        self.assertEqual(await self.finished("next"), 30)
+        await self.assert_sound()
+
+    async def test_start_held_back_past_the_move(self):
+        """A start that arrives after its task was moved does nothing."""
+        await self.owner_now()
+        for number in range(2):
+            vm_id = f"worker-{number}"
+            await self.site.switch_worker(vm_id, hold_start_ms=5000)
+        await self.submit("job", count=12)
+        await asyncio.sleep(1)
+        await self.set_zone(1, "zone-0", True)
+        await self.set_zone(2, "zone-1", True)
+        await self.job_over("job")
+        await asyncio.sleep(5)
+        self.assertEqual(await self.finished("job"), 12)
+        await self.assert_sound()
+
+    async def test_zone_out_during_takeover(self):
+        """A zone that goes out while nobody owns the cell gets no start."""
+        owner = await self.owner_now()
+        self.site.daemons[owner].kill()
+        del self.site.daemons[owner]
+        await self.submit("job", count=30)
+        begin_ms = self.clock.now_ms()
+        await self.set_zone(1, "zone-2", True)
+        await self.job_over("job")
+        out = checks.ZoneOut("zone-2", begin_ms, float("inf"))
+        happenings = await self.site.happenings()
+        self.assertEqual(checks.zone_starts(happenings, [out], GRACE_MS), [])
+        await self.assert_sound()
+
+    async def _moved(self, owner: str) -> bool:
+        return await self.owner() not in ("", owner)
+
+
+class OutageTest(FailureTest):
+    """Outages of the platform."""
+
+    async def test_log_outage(self):
+        """Requests go on, runs live, nothing starts while the log is down."""
+        await self.submit("job", "urgent-count", count=6)
+        await self.until(lambda: self._started(6))
+        await self.site.switch_log(down=True)
+        begin_ms = self.clock.now_ms()
+        callers = Callers(self.site)
+        await callers.look()
+        await callers.load("tally", 40, 12, False)
+        await callers.close()
+        happenings = await self.site.happenings()
+        self.assertEqual({h.what for h in happenings}, {"start"})
+        late = [h for h in happenings if h.at_ms > begin_ms + GRACE_MS]
+        self.assertEqual(late, [])
+        self.assertTrue(all(t.own for t in callers.told))
+        await self.site.switch_log()
+        await self.submit("next", count=3)
+        await self.job_over("next")
+        await self.assert_sound()
+
+    async def test_lost_answers(self):
+        """Appends whose answers are lost count once."""
+        await self.owner_now()
+        await self.site.switch_log(lose_answers=6)
+        status, answer = await self.set_zone(1, "zone-0", True)
+        self.assertEqual((status, answer), (200, {"version": 2}))
+        await self.submit("job", count=8)
+        await self.submit("job", count=8)
+        await self.job_over("job")
+        self.assertEqual(await self.finished("job"), 8)
+        await self.assert_sound()
+
+    async def test_failing_and_frozen_workers(self):
+        """Work goes around a worker that fails all and one that is frozen."""
+        await self.site.switch_worker("worker-0", fail_everything=True)
+        await self.site.switch_worker("worker-1", frozen=True)
+        await self.submit("job", count=20)
+        await self.job_over("job", 45)
+        self.assertEqual(await self.finished("job"), 20)
+        await self.assert_sound()
+
+    async def _started(self, count: int) -> bool:
+        return len(await self.site.happenings()) >= count
+
+
+class ConfigurationTest(FailureTest):
+    """Configuration under failure."""
+
+    daemon_count = 3
+    worker_count = 0
+    target_count = 0
+
+    async def test_one_of_two_operators_succeeds(self):
+        """Of two acts on the same version one is accepted."""
+        nodes = list(self.site.daemons)
+        for version in range(1, 6):
+            answers = await asyncio.gather(
+                self._publish_as(nodes[0], version),
+                self._publish_as(nodes[1], version),
+            )
+            statuses = sorted(status for status, _ in answers)
+            self.assertEqual(statuses, [200, 409])
+
+    async def test_in_force_everywhere_and_never_reverts(self):
+        """A change is in force within the limit; a newcomer has it too."""
+        watch = asyncio.ensure_future(self._watch())
+        for version in range(1, 12):
+            begin_ms = self.clock.now_ms()
+            if version == 4:
+                self.site.daemons["entry-2"].kill()
+                self.site.start_daemon("entry-2")
+                await self.site.ready("entry-2")
+                begin_ms = self.clock.now_ms()
+            if version == 8:
+                await self.site.switch_log(slow_ms=300)
+            status, _ = await self._publish_as("entry-0", version)
+            self.assertEqual(status, 200)
+            await self.in_force(version + 1)
+            took_ms = self.clock.now_ms() - begin_ms
+            self.assertLess(took_ms, CONFIG_LIMIT_MS)
+        watch.cancel()
+        self.assertEqual(self.reverts, [])
+
+    async def test_invalid_document_changes_nothing(self):
+        """A bad document is refused with its place and reason."""
+        _, answer = await self.publish(1, "[partner.north]\nweight = -1.0\n")
+        self.assertEqual(answer["kind"], "invalid_document")
+        self.assertIn("partner", answer["detail"])
+        _, config = await self.site.call("GET", "/api/config")
+        self.assertEqual(config["version"], 1)
+
+    async def test_wrong_token(self):
+        """The administration API refuses a wrong token."""
+        url = f"{self.site.admin['entry-0']}/api/config"
+        headers = {"Authorization": "Bearer wrong"}
+        async with self.site.http.get(url, headers=headers) as resp:
+            self.assertEqual(resp.status, 401)
+            self.assertEqual((await resp.json())["kind"], "unauthorized")
+
+    async def _publish_as(self, node: str, version: int) -> tuple[int, dict]:
+        return await self.site.call(
+            "POST",
+            "/api/config",
+            {
+                "expected": version,
+                "author": node,
+                "template": "",
+                "parameters": f"{PARAMETERS}\n[limits]\nattempts = 2\n",
+            },
+            node,
+        )
+
+    async def _watch(self) -> None:
+        self.reverts = []
+        newest: dict[str, int] = {}
+        while True:
+            for node in list(self.site.daemons):
+                with contextlib.suppress(OSError):
+                    _, config = await self.site.call(
+                        "GET", "/api/config", None, node
+                    )
+                    version = config.get("in_force")
+                    if version is None:
+                        continue
+                    if version < newest.get(node, -1):
+                        self.reverts.append(f"{node}: {version}")
+                    newest[node] = max(version, newest.get(node, -1))
+            await asyncio.sleep(0.02)
+
+
+class LeavingTest(FailureTest):
+    """Daemons and targets that leave."""
+
+    daemon_count = 3
+    worker_count = 0
+    target_count = 4
+
+    async def test_daemon_that_leaves_cuts_nothing_off(self):
+        """Every request is answered while daemons are replaced in turn."""
+        callers = Callers(self.site)
+        await callers.look()
+        watch = asyncio.ensure_future(callers.watch())
+        load = asyncio.ensure_future(callers.load("tally", 100, 6, False))
+        for node in ("entry-0", "entry-1"):
+            await asyncio.sleep(1)
+            loop = asyncio.get_running_loop()
+            process = self.site.daemons[node]
+            code = await loop.run_in_executor(None, process.end)
+            self.assertEqual(code, 0)
+            self.site.start_daemon(node)
+            await self.site.ready(node)
+        await load
+        watch.cancel()
+        await callers.close()
+        unanswered = [t for t in callers.told if not t.own]
+        self.assertEqual(unanswered, [])
+
+    async def test_target_that_leaves_gets_nothing_new(self):
+        """No request arrives later than the grace after the list says so."""
+        callers = Callers(self.site)
+        await callers.look()
+        load = asyncio.ensure_future(callers.load("tally", 100, 6, False))
+        await asyncio.sleep(1)
+        await self.site.set_vm_state("target-1", "leaving")
+        left_ms = self.clock.now_ms()
+        await load
+        await callers.close()
+        records = await self.site.target_records()
+        late = [
+            at_ms
+            for at_ms in records["target-1"].arrived_ms
+            if at_ms > left_ms + GRACE_MS
+        ]
+        self.assertEqual(late, [])
+        self.assertTrue(all(t.own for t in callers.told))
+
+
+if __name__ == "__main__":
+    unittest.main()
