--- a/src/limpetyard/placement/__init__.py
+++ b/src/limpetyard/placement/__init__.py
@@ -3,7 +3,11 @@
 from limpetyard.placement._baselines import FirstFit, LeastLoaded, RandomTwo
 from limpetyard.placement._interference import InterferenceModel
 from limpetyard.placement._learned import Learned
-from limpetyard.placement._plan import PlacePlan, plan_placements
+from limpetyard.placement._plan import (
+    PlacePlan,
+    plan_placements,
+    plan_preemption,
+)
 from limpetyard.placement._policy import (
     POLICIES,
     Choice,
@@ -13,8 +17,18 @@
     WorkerView,
     new_policy,
 )
-from limpetyard.placement._relief import Relief, ReliefTerms
-from limpetyard.placement._shares import PartnerView, order_by_share
+from limpetyard.placement._relief import (
+    Relief,
+    ReliefStep,
+    ReliefTerms,
+    StepKind,
+    Suspect,
+)
+from limpetyard.placement._shares import (
+    PartnerView,
+    UseWindow,
+    order_by_share,
+)
 
 __all__ = [
     "POLICIES",
@@ -29,10 +43,15 @@
     "RandomTwo",
     "RateSample",
     "Relief",
+    "ReliefStep",
     "ReliefTerms",
+    "StepKind",
+    "Suspect",
     "TaskView",
+    "UseWindow",
     "WorkerView",
     "new_policy",
     "order_by_share",
     "plan_placements",
+    "plan_preemption",
 ]
--- a/src/limpetyard/placement/_baselines.py
+++ b/src/limpetyard/placement/_baselines.py
@@ -23,6 +23,11 @@
     def learn(self, sample: RateSample) -> None:
         """Passes over the measurement."""
 
+    def slowdown(self, victims: Sequence[str], class_name: str) -> float:
+        """Returns 0; nothing is known."""
+        del victims, class_name
+        return 0.0
+
 
 @POLICIES.register("first-fit")
 class FirstFit(_Unlearning):
--- a/src/limpetyard/placement/_learned.py
+++ b/src/limpetyard/placement/_learned.py
@@ -1,7 +1,6 @@
 """Placement that avoids learnt interference."""
 
 import random
-from collections import Counter
 from collections.abc import Sequence
 
 from limpetyard.placement._interference import InterferenceModel
@@ -43,25 +42,27 @@
         cost, best = min(costs, key=lambda pair: pair[0])
         return Choice(best, f"cost {cost:.3f}")
 
+    def slowdown(self, victims: Sequence[str], class_name: str) -> float:
+        """Returns what the model expects."""
+        return sum(self.model.pair(victim, class_name) for victim in victims)
+
     def cost(self, task: TaskView, worker: WorkerView) -> float:
         """Returns the weighted slowdown that the task would add there."""
-        own = others = 0.0
-        for neighbour in worker.tasks:
-            own += self.model.pair(task.class_name, neighbour.class_name)
-            suffered = self.model.pair(neighbour.class_name, task.class_name)
-            others += _weight(neighbour) * suffered
+        pair = self.model.pair
+        added = 0.0
+        for (class_name, critical), number in worker.classes.items():
+            suffered = pair(class_name, task.class_name)
+            own = pair(task.class_name, class_name)
+            weighted = _weight(critical) * suffered
+            weighted += _weight(task.latency_critical) * own
+            added += weighted * number
         spread = _siblings(task, worker) if task.latency_critical else 0
-        return (
-            _weight(task) * own
-            + others
-            + LOAD_WEIGHT * worker.load()
-            + SPREAD_WEIGHT * spread
-        )
+        return added + LOAD_WEIGHT * worker.load() + SPREAD_WEIGHT * spread
 
 
-def _weight(task: TaskView) -> float:
-    return CRITICAL_WEIGHT if task.latency_critical else 1.0
+def _weight(critical: bool) -> float:
+    return CRITICAL_WEIGHT if critical else 1.0
 
 
 def _siblings(task: TaskView, worker: WorkerView) -> int:
-    return Counter(other.job for other in worker.tasks)[task.job]
+    return sum(other.job == task.job for other in worker.tasks)
--- a/src/limpetyard/placement/_plan.py
+++ b/src/limpetyard/placement/_plan.py
@@ -57,13 +57,53 @@
 def _plan_one(
     task: TaskView, workers: Sequence[WorkerView], policy: PlacementPolicy
 ) -> PlacePlan | None:
-    with_room = [w for w in workers if w.free.holds(task.size)]
+    with_room = [worker for worker in workers if worker.takes(task)]
     choice = policy.choose(task, with_room) if with_room else None
     if choice is None:
         return None
     return PlacePlan(task, choice.worker, choice.reason)
 
 
+def plan_preemption(
+    task: TaskView, workers: Sequence[WorkerView]
+) -> list[tuple[WorkerView, TaskView]]:
+    """Returns the batch tasks that have to leave for a task, if that helps.
+
+    The worker that loses the fewest cores to it is taken; its view is updated
+    as if the victims had left and the task had come.
+    """
+    best: list[TaskView] | None = None
+    place: WorkerView | None = None
+    for worker in workers:
+        victims = _victims(task, worker)
+        if victims is not None and (
+            best is None or _cores(victims) < _cores(best)
+        ):
+            best, place = victims, worker
+    if best is None or place is None:
+        return []
+    for victim in best:
+        place.remove(victim)
+    place.add(task)
+    return [(place, victim) for victim in best]
+
+
+def _victims(task: TaskView, worker: WorkerView) -> list[TaskView] | None:
+    free = worker.free
+    victims = []
+    batch = [other for other in worker.tasks if not other.latency_critical]
+    for other in sorted(batch, key=lambda t: t.size.cores):
+        if free.holds(task.size):
+            break
+        free = free.plus(other.size)
+        victims.append(other)
+    return victims if free.holds(task.size) else None
+
+
+def _cores(tasks: Sequence[TaskView]) -> float:
+    return sum(task.size.cores for task in tasks)
+
+
 def _total(workers: Sequence[WorkerView]) -> Size:
     total = Size(0.0, 0)
     for worker in workers:
--- a/src/limpetyard/placement/_policy.py
+++ b/src/limpetyard/placement/_policy.py
@@ -40,7 +40,9 @@
         rack: Its rack.
         capacity: All that it has.
         free: What is not set aside.
+        takes_batch: Whether batch work may be placed there now.
         tasks: Everything that is set down on it.
+        classes: Number of these tasks by class and urgency.
     """
 
     id: str
@@ -48,12 +50,29 @@
     rack: str
     capacity: Size
     free: Size
+    takes_batch: bool = True
     tasks: list[TaskView] = dataclasses.field(default_factory=list)
+    classes: dict[tuple[str, bool], int] = dataclasses.field(
+        default_factory=dict
+    )
 
     def add(self, task: TaskView) -> None:
         """Sets a task down on the worker."""
         self.tasks.append(task)
         self.free = self.free.minus(task.size)
+        key = (task.class_name, task.latency_critical)
+        self.classes[key] = self.classes.get(key, 0) + 1
+
+    def remove(self, task: TaskView) -> None:
+        """Takes a task off the worker."""
+        self.tasks.remove(task)
+        self.free = self.free.plus(task.size)
+        self.classes[(task.class_name, task.latency_critical)] -= 1
+
+    def takes(self, task: TaskView) -> bool:
+        """Returns whether the task may be placed there and has room."""
+        allowed = self.takes_batch or task.latency_critical
+        return allowed and self.free.holds(task.size)
 
     def load(self) -> float:
         """Returns the largest used fraction over the resources."""
@@ -109,6 +128,14 @@
     def learn(self, sample: RateSample) -> None:
         """Takes in one measurement."""
 
+    def slowdown(self, victims: Sequence[str], class_name: str) -> float:
+        """Returns what a task adds to the slowdown of others.
+
+        Args:
+            victims: Classes of the tasks beside it.
+            class_name: Class of the task.
+        """
+
 
 def _used(capacity: float, free: float) -> float:
     return (capacity - free) / capacity if capacity else 0.0
--- a/src/limpetyard/placement/_relief.py
+++ b/src/limpetyard/placement/_relief.py
@@ -1,13 +1,18 @@
 """Relief of latency-critical tasks that their neighbours slow down.
 
-Steps with hysteresis: a worker whose latency-critical tasks are slow for
-several reports in a row loses the batch task that costs least to move; then it
-is left alone until reports can show the effect.
+Steps with hysteresis. A worker is alarmed when its latency-critical tasks
+were slow in several reports in a row. The batch task that slows them most is
+throttled, then throttled more, then evicted; after each step the worker is
+left alone until reports can show the effect. Once they are fair again for
+long, throttled tasks get their speed back, the least noisy one first.
 """
 
 import dataclasses
+import enum
+from collections.abc import Sequence
 
-from limpetyard.placement._policy import TaskView, WorkerView
+FULL_SPEED = 1.0
+THROTTLE_STEPS = (0.5, 0.2)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -16,25 +21,70 @@
 
     Attributes:
         slow_rate: A latency-critical task below this rate is slow.
-        fair_rate: One above this rate counts as well again.
+        fair_rate: One above this rate counts as fair again.
         slow_reports: Slow reports in a row before relief acts.
+        fair_reports: Fair reports in a row before speed is given back.
         settle_ms: Time given to a step before the next one.
     """
 
-    slow_rate: float = 0.6
-    fair_rate: float = 0.75
-    slow_reports: int = 3
-    settle_ms: float = 15_000.0
+    slow_rate: float = 0.62
+    fair_rate: float = 0.8
+    slow_reports: int = 2
+    fair_reports: int = 10
+    settle_ms: float = 6_000.0
+
+
+class StepKind(enum.Enum):
+    """What relief does to a batch task."""
+
+    THROTTLE = "throttle"
+    RESTORE = "restore"
+    EVICT = "evict"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReliefStep:
+    """One step of relief.
+
+    Attributes:
+        kind: What is done.
+        task: Id of the batch task.
+        fraction: Part of its speed that it keeps; 0 for an eviction.
+        reason: Why.
+    """
+
+    kind: StepKind
+    task: str
+    fraction: float
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Suspect:
+    """A batch task beside latency-critical ones.
+
+    Attributes:
+        task: Id of the task.
+        slowdown: What it adds to their slowdown.
+        cost: What an eviction would lose, in core milliseconds.
+        fraction: Part of its speed that it has now.
+    """
+
+    task: str
+    slowdown: float
+    cost: float
+    fraction: float
 
 
 @dataclasses.dataclass(slots=True)
 class _Watch:
     slow: int = 0
+    fair: int = 0
     settled_ms: float = float("-inf")
 
 
 class Relief:
-    """Decides which batch task, if any, has to leave a worker."""
+    """Decides the next step of relief for each worker."""
 
     __slots__ = ("_terms", "_watches")
 
@@ -43,37 +93,68 @@
         self._watches: dict[str, _Watch] = {}
 
     def observe(self, worker: str, rate: float) -> None:
-        """Takes in the lowest rate of a worker's latency-critical tasks."""
+        """Takes in a report of one of the worker's latency-critical tasks."""
         watch = self._watches.setdefault(worker, _Watch())
         if rate < self._terms.slow_rate:
             watch.slow += 1
+            watch.fair = 0
         elif rate > self._terms.fair_rate:
             watch.slow = 0
+            watch.fair += 1
 
-    def alarmed(self, worker: str) -> bool:
-        """Returns whether the worker was slow for several reports."""
+    def due(self, worker: str, now_ms: float) -> bool:
+        """Returns whether a step may be due, before any views are built."""
         watch = self._watches.get(worker)
-        return watch is not None and watch.slow >= self._terms.slow_reports
+        if watch is None or now_ms < watch.settled_ms:
+            return False
+        slow = watch.slow >= self._terms.slow_reports
+        return slow or watch.fair >= self._terms.fair_reports
 
-    def victim(
-        self, worker: WorkerView, slowdowns: dict[str, float], now_ms: float
-    ) -> TaskView | None:
-        """Returns the batch task to evict now, or None.
+    def step(
+        self, worker: str, suspects: Sequence[Suspect], now_ms: float
+    ) -> ReliefStep | None:
+        """Returns the step to take on a worker now, or None.
 
         Args:
-            worker: The worker.
-            slowdowns: What each batch task, by id, adds to the slowdown of
-                the latency-critical ones there.
+            worker: Id of the worker.
+            suspects: Its batch tasks.
             now_ms: Present reading of the clock.
         """
-        if not self.alarmed(worker.id):
-            return None
-        watch = self._watches[worker.id]
-        if now_ms < watch.settled_ms:
-            return None
-        batch = [t for t in worker.tasks if not t.latency_critical]
-        if not batch:
+        if not suspects or not self.due(worker, now_ms):
             return None
-        watch.slow = 0
-        watch.settled_ms = now_ms + self._terms.settle_ms
-        return max(batch, key=lambda task: slowdowns.get(task.id, 0.0))
+        watch = self._watches[worker]
+        alarmed = watch.slow >= self._terms.slow_reports
+        step = _tighten(suspects) if alarmed else _loosen(suspects)
+        if step is not None:
+            watch.slow = watch.fair = 0
+            watch.settled_ms = now_ms + self._terms.settle_ms
+        return step
+
+
+def _tighten(suspects: Sequence[Suspect]) -> ReliefStep:
+    worst = max(suspects, key=lambda s: s.slowdown * s.fraction)
+    for fraction in THROTTLE_STEPS:
+        if worst.fraction > fraction:
+            return ReliefStep(
+                StepKind.THROTTLE,
+                worst.task,
+                fraction,
+                f"slows latency-critical work by {worst.slowdown:.2f}",
+            )
+    spent = [s for s in suspects if s.fraction <= THROTTLE_STEPS[-1]]
+    cheapest = min(spent, key=lambda s: s.cost)
+    return ReliefStep(
+        StepKind.EVICT, cheapest.task, 0.0, "throttling did not help"
+    )
+
+
+def _loosen(suspects: Sequence[Suspect]) -> ReliefStep | None:
+    limited = [s for s in suspects if s.fraction < FULL_SPEED]
+    if not limited:
+        return None
+    mildest = min(limited, key=lambda s: s.slowdown)
+    steps = (FULL_SPEED, *THROTTLE_STEPS)
+    wider = min(step for step in steps if step > mildest.fraction)
+    return ReliefStep(
+        StepKind.RESTORE, mildest.task, wider, "latency-critical work is fair"
+    )
--- a/src/limpetyard/placement/_shares.py
+++ b/src/limpetyard/placement/_shares.py
@@ -2,10 +2,13 @@
 
 import dataclasses
 import heapq
+import math
 from collections.abc import Iterable, Iterator
 
 from limpetyard.cell import Size
-from limpetyard.placement._policy import TaskView
+from limpetyard.placement._policy import TaskView, WorkerView
+
+WINDOW_MS = 60_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,3 +87,32 @@
 
 def _fraction(part: float, total: float) -> float:
     return part / total if total else 0.0
+
+
+class UseWindow:
+    """What partners held in the recent past, fading with time."""
+
+    __slots__ = ("_means", "_seen_ms")
+
+    def __init__(self):
+        self._means: dict[str, float] = {}
+        self._seen_ms: float | None = None
+
+    def observe(
+        self,
+        partners: Iterable[PartnerView],
+        workers: Iterable[WorkerView],
+        now_ms: float,
+    ) -> None:
+        """Takes in what partners hold now and sets their history."""
+        total = Size(0.0, 0)
+        for worker in workers:
+            total = total.plus(worker.capacity)
+        passed_ms = 0.0 if self._seen_ms is None else now_ms - self._seen_ms
+        self._seen_ms = now_ms
+        kept = math.exp(-passed_ms / WINDOW_MS)
+        for partner in partners:
+            share = dominant_share(partner.held, total)
+            mean = self._means.get(partner.name, 0.0)
+            mean = kept * mean + (1 - kept) * share
+            self._means[partner.name] = partner.history = mean
--- a/src/limpetyard/platform/__init__.py
+++ b/src/limpetyard/platform/__init__.py
@@ -13,6 +13,7 @@
     StopOrder,
     SyncOrder,
     SyncReply,
+    ThrottleOrder,
     Usage,
     Workers,
 )
@@ -30,6 +31,7 @@
     "StopOrder",
     "SyncOrder",
     "SyncReply",
+    "ThrottleOrder",
     "Usage",
     "Vm",
     "VmList",
--- a/src/limpetyard/platform/_workers.py
+++ b/src/limpetyard/platform/_workers.py
@@ -48,6 +48,8 @@
         rate: Progress per unit of time against an idle worker, as far as
             the lagging report shows, or 0 if it does not show it yet.
         rate_at_ms: Worker's clock at the moment that `rate` describes.
+        cores: Processors that it used at that moment.
+        fraction: Part of its speed that it is throttled to.
     """
 
     task: str
@@ -57,6 +59,8 @@
     ran_ms: int = 0
     rate: float = 0.0
     rate_at_ms: float = 0.0
+    cores: float = 0.0
+    fraction: float = 1.0
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -167,6 +171,24 @@
     attempt: int
 
 
+class ThrottleOrder(msgspec.Struct, frozen=True):
+    """Limits a run to a fraction of its speed, or lifts the limit.
+
+    Attributes:
+        cell: Name of the cell.
+        epoch: Ownership that asks.
+        task: Id of the task.
+        attempt: Number of the run.
+        fraction: Part of its speed, above 0 and at most 1.
+    """
+
+    cell: str
+    epoch: int
+    task: str
+    attempt: int
+    fraction: float
+
+
 class Workers(Protocol):
     """Calls to workers; each raises WorkerUnavailableError if unanswered."""
 
@@ -179,6 +201,9 @@
     async def stop(self, address: str, orders: list[StopOrder]) -> None:
         """Stops runs; the outcome shows in the next sync."""
 
+    async def throttle(self, address: str, orders: list[ThrottleOrder]) -> None:
+        """Throttles runs."""
+
 
 class HttpWorkers:
     """Clients of all workers."""
@@ -203,6 +228,10 @@
         """Stops runs; the outcome shows in the next sync."""
         await self._post(f"{address}/stop", orders)
 
+    async def throttle(self, address: str, orders: list[ThrottleOrder]) -> None:
+        """Throttles runs."""
+        await self._post(f"{address}/throttle", orders)
+
     async def _post(self, url: str, order: object) -> bytes:
         try:
             async with self._session.post(
--- a/src/limpetyard/scheduler/__init__.py
+++ b/src/limpetyard/scheduler/__init__.py
@@ -8,6 +8,7 @@
     StartRuns,
     StopRuns,
     SyncWorker,
+    ThrottleRuns,
 )
 from limpetyard.scheduler._service import CellService
 from limpetyard.scheduler._terms import ControlTerms
@@ -23,4 +24,5 @@
     "StartRuns",
     "StopRuns",
     "SyncWorker",
+    "ThrottleRuns",
 ]
--- /dev/null
+++ b/src/limpetyard/scheduler/_commits.py
@@ -0,0 +1,136 @@
+"""Decisions that the stream has to hold before they take effect."""
+
+from limpetyard.cell import (
+    Ended,
+    Entry,
+    Outcome,
+    Placed,
+    Rejected,
+    Size,
+    Task,
+)
+from limpetyard.platform import Run, RunState
+from limpetyard.scheduler._context import CellContext
+from limpetyard.scheduler._planner import Planner
+from limpetyard.scheduler._workers import ENDED_STATES, KnownWorker
+
+_OUTCOMES = {
+    RunState.FINISHED: Outcome.FINISHED,
+    RunState.FAILED: Outcome.FAILED,
+    RunState.STOPPED: Outcome.EVICTED,
+    RunState.LAPSED: Outcome.LOST,
+}
+
+
+class Commits:
+    """Collects the entries of the next record."""
+
+    __slots__ = ("_context", "_planner")
+
+    def __init__(self, context: CellContext, planner: Planner):
+        self._context = context
+        self._planner = planner
+
+    def entries(self, now_ms: float) -> list[Entry]:
+        """Returns everything that there is to write."""
+        entries = self._endings(now_ms)
+        entries += self._rejections()
+        if self._context.may_start(now_ms):
+            entries += self._placements(now_ms)
+        return entries
+
+    def _endings(self, now_ms: float) -> list[Entry]:
+        context = self._context
+        entries: list[Entry] = []
+        for worker_id in context.state.placed:
+            worker = context.workers.get(worker_id)
+            if worker is None:
+                continue
+            lapsed = worker.surely_lapsed(
+                now_ms, context.ownership.won_ms, context.terms
+            )
+            for task in context.placed_on(worker):
+                entry = _ending(worker, task, lapsed)
+                if entry is not None:
+                    entries.append(entry)
+                    _judge(worker, entry.outcome, now_ms)
+        return entries
+
+    def _rejections(self) -> list[Entry]:
+        context = self._context
+        if not context.workers:
+            return []
+        return [
+            Rejected(
+                job.spec.id,
+                f"no worker of {context.name} holds {_text(job.spec.size)}",
+            )
+            for job in context.state.jobs.values()
+            if not (job.rejected or job.cancelled)
+            and not self._fits_somewhere(job.spec.size)
+        ]
+
+    def _fits_somewhere(self, size: Size) -> bool:
+        workers = self._context.workers.values()
+        return any(worker.vm.size.holds(size) for worker in workers)
+
+    def _placements(self, now_ms: float) -> list[Entry]:
+        context = self._context
+        entries: list[Entry] = []
+        for plan in self._planner.plan(context, now_ms):
+            worker = context.workers[plan.worker.id]
+            worker.breaker.note_placed()
+            task = context.state.tasks[plan.task.id]
+            entries.append(
+                Placed(
+                    task.id,
+                    task.attempt + 1,
+                    worker.vm.id,
+                    worker.boot,
+                    plan.task.size,
+                    plan.reason,
+                )
+            )
+        return entries
+
+
+def _ending(worker: KnownWorker, task: Task, lapsed: bool) -> Ended | None:
+    if worker.boot > task.boot:
+        return _lost(task, 0, "worker restarted")
+    run = worker.runs.get(task.id)
+    if run and run.attempt == task.attempt and run.state in ENDED_STATES:
+        return Ended(
+            task.id,
+            task.attempt,
+            _outcome_of(run),
+            run.checkpoint,
+            run.ran_ms,
+        )
+    if lapsed:
+        return _lost(task, run.ran_ms if run else 0, "worker silent")
+    return None
+
+
+def _lost(task: Task, ran_ms: int, reason: str) -> Ended:
+    return Ended(task.id, task.attempt, Outcome.LOST, "", ran_ms, reason)
+
+
+def _outcome_of(run: Run) -> Outcome:
+    never_ran = run.state is RunState.STOPPED and run.ran_ms == 0
+    return Outcome.REFUSED if never_ran else _OUTCOMES[run.state]
+
+
+def _judge(worker: KnownWorker, outcome: Outcome, now_ms: float) -> None:
+    if outcome is Outcome.FAILED:
+        worker.breaker.note_failure(now_ms)
+    elif outcome is Outcome.FINISHED:
+        worker.breaker.note_success()
+    else:
+        worker.breaker.note_no_outcome()
+
+
+def _text(size: Size) -> str:
+    return (
+        f"{size.cores:g} cores, {size.memory_mb} MiB,"
+        f" {size.accelerators} accelerators"
+    )
--- /dev/null
+++ b/src/limpetyard/scheduler/_easing.py
@@ -0,0 +1,84 @@
+"""Relief of latency-critical tasks, carried out on a cell's workers."""
+
+from limpetyard.placement import (
+    PlacementPolicy,
+    Relief,
+    StepKind,
+    Suspect,
+)
+from limpetyard.platform import Run, ThrottleOrder
+from limpetyard.scheduler._context import CellContext
+from limpetyard.scheduler._effects import Effect, ThrottleRuns
+from limpetyard.scheduler._rates import note_stay, sample_of
+from limpetyard.scheduler._workers import KnownWorker
+
+
+class Easing:
+    """Feeds reports to the policy and to relief, and takes relief's steps."""
+
+    __slots__ = ("_context", "_policy", "_relief")
+
+    def __init__(self, context: CellContext, policy: PlacementPolicy):
+        self._context = context
+        self._policy = policy
+        self._relief = Relief()
+
+    def learn(self, worker: KnownWorker, news: list[Run]) -> None:
+        """Takes in the reports among a worker's news."""
+        state = self._context.state
+        for run in news:
+            note_stay(state, worker, run)
+        worker.presence.drop_before(worker.clock_ms)
+        for run in news:
+            sample = sample_of(state, worker, run)
+            if sample is None:
+                continue
+            if run.fraction == 1.0:
+                self._policy.learn(sample)
+            if sample.latency_critical:
+                self._relief.observe(worker.vm.id, sample.rate)
+
+    def effects(self, worker: KnownWorker, now_ms: float) -> list[Effect]:
+        """Returns the throttling that is due; evictions are noted."""
+        if not self._relief.due(worker.vm.id, now_ms):
+            return []
+        step = self._relief.step(worker.vm.id, self._suspects(worker), now_ms)
+        if step is None:
+            return []
+        attempt = self._context.state.tasks[step.task].attempt
+        if step.kind is StepKind.EVICT:
+            worker.want_stop(step.task, attempt)
+            return []
+        order = ThrottleOrder(
+            self._context.name,
+            self._context.ownership.epoch,
+            step.task,
+            attempt,
+            step.fraction,
+        )
+        return [ThrottleRuns(worker.vm.id, worker.vm.address, [order])]
+
+    def _suspects(self, worker: KnownWorker) -> list[Suspect]:
+        context = self._context
+        tasks = context.placed_on(worker)
+        victims = [
+            context.state.job_of(task).spec.class_name
+            for task in tasks
+            if context.is_critical(task)
+        ]
+        suspects = []
+        for task in tasks:
+            run = worker.runs.get(task.id)
+            stopping = (task.id, task.attempt) in worker.stops
+            if run is None or stopping or context.is_critical(task):
+                continue
+            class_name = context.state.job_of(task).spec.class_name
+            suspects.append(
+                Suspect(
+                    task.id,
+                    self._policy.slowdown(victims, class_name),
+                    run.ran_ms * task.size.cores,
+                    run.fraction,
+                )
+            )
+        return suspects
--- a/src/limpetyard/scheduler/_effects.py
+++ b/src/limpetyard/scheduler/_effects.py
@@ -3,7 +3,12 @@
 import dataclasses
 
 from limpetyard.cell import CellSnapshot, Claim, Release, Write
-from limpetyard.platform import StartOrder, StopOrder, SyncOrder
+from limpetyard.platform import (
+    StartOrder,
+    StopOrder,
+    SyncOrder,
+    ThrottleOrder,
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,4 +45,13 @@
     orders: list[StopOrder]
 
 
-Effect = Append | SyncWorker | StartRuns | StopRuns
+@dataclasses.dataclass(slots=True, frozen=True)
+class ThrottleRuns:
+    """Throttle runs on a worker."""
+
+    worker: str
+    address: str
+    orders: list[ThrottleOrder]
+
+
+Effect = Append | SyncWorker | StartRuns | StopRuns | ThrottleRuns
--- a/src/limpetyard/scheduler/_planner.py
+++ b/src/limpetyard/scheduler/_planner.py
@@ -3,18 +3,24 @@
 from collections.abc import Iterable
 
 from limpetyard.cell import CellState, Job, Size, Task
-from limpetyard.config import ConfigState, Partner
+from limpetyard.config import Partner
 from limpetyard.placement import (
     PartnerView,
     PlacementPolicy,
     PlacePlan,
     TaskView,
+    UseWindow,
     WorkerView,
     plan_placements,
+    plan_preemption,
 )
 from limpetyard.platform import VmState
-from limpetyard.scheduler._terms import ControlTerms
+from limpetyard.scheduler._context import CellContext
 from limpetyard.scheduler._workers import KnownWorker
+from limpetyard.scheduler._zones import ZoneHold
+
+PREEMPT_PAUSE_MS = 3000.0
+PREEMPTIONS_PER_ROUND = 8
 
 _DEFAULT_PARTNER = Partner()
 
@@ -22,118 +28,115 @@
 class Planner:
     """Plans placements for one cell."""
 
-    __slots__ = ("_policy", "_terms")
+    __slots__ = ("_hold", "_policy", "_preempted", "_window")
 
-    def __init__(self, policy: PlacementPolicy, terms: ControlTerms):
+    def __init__(self, policy: PlacementPolicy):
         self._policy = policy
-        self._terms = terms
-
-    def plan(
-        self,
-        state: CellState,
-        cfg: ConfigState,
-        workers: Iterable[KnownWorker],
-        now_ms: float,
-    ) -> list[PlacePlan]:
-        """Returns the placements to write next."""
-        if not state.queued:
+        self._hold = ZoneHold()
+        self._window = UseWindow()
+        self._preempted: dict[str, float] = {}
+
+    def plan(self, context: CellContext, now_ms: float) -> list[PlacePlan]:
+        """Returns the placements to write next.
+
+        Where a latency-critical task finds no room, batch tasks that stand in
+        its way are asked to stop; the task is placed once they have.
+        """
+        self._hold.observe(context.cfg.zones_out, now_ms)
+        if not context.state.queued:
             return []
-        views = [
-            self.view_of(state, worker)
-            for worker in workers
-            if self._open(worker, cfg, now_ms)
-        ]
+        views = self._views(context, now_ms)
+        partners = self._partners(context, views, now_ms)
         if not views:
             return []
-        partners = self._partners(state, cfg)
-        plans = plan_placements(
-            partners, views, self._policy, self._terms.starts_per_commit
-        )
-        return self._within_probes(plans, workers, now_ms)
-
-    def view_of(self, state: CellState, worker: KnownWorker) -> WorkerView:
-        """Returns the view of one worker with all that is placed on it."""
-        view = WorkerView(
-            worker.vm.id,
-            worker.vm.availability_zone,
-            worker.vm.rack,
-            worker.vm.size,
-            worker.vm.size,
-        )
-        for task_id in state.placed.get(worker.vm.id, ()):
-            task = state.tasks[task_id]
-            view.add(_task_view(state.job_of(task), task, task.size))
-        return view
-
-    def slowdowns(self, view: WorkerView) -> dict[str, float]:
-        """Returns what each batch task adds to the latency-critical ones."""
-        model = getattr(self._policy, "model", None)
-        if model is None:
-            return {}
-        critical = [t for t in view.tasks if t.latency_critical]
-        return {
-            task.id: sum(
-                model.pair(victim.class_name, task.class_name)
-                for victim in critical
-            )
-            for task in view.tasks
-            if not task.latency_critical
-        }
-
-    def _open(
-        self, worker: KnownWorker, cfg: ConfigState, now_ms: float
-    ) -> bool:
-        return (
-            worker.vm.state is VmState.LIVE
-            and worker.vm.availability_zone not in cfg.zones_out
-            and worker.heard_lately(now_ms, self._terms)
-            and worker.breaker.room(now_ms) != 0
-        )
-
-    def _within_probes(
+        limit = context.terms.starts_per_commit
+        plans = plan_placements(partners, views, self._policy, limit)
+        placed = {plan.task.id for plan in plans}
+        self._preempt(context, partners, views, placed, now_ms)
+        return _within_probes(plans, context.workers.values(), now_ms)
+
+    def _views(self, context: CellContext, now_ms: float) -> list[WorkerView]:
+        views = []
+        for worker in context.workers.values():
+            if _takes_work(context, worker, now_ms):
+                zone = worker.vm.availability_zone
+                view = view_of(context.state, worker)
+                view.takes_batch = self._hold.takes_batch(zone, now_ms)
+                views.append(view)
+        return views
+
+    def _preempt(
         self,
-        plans: list[PlacePlan],
-        workers: Iterable[KnownWorker],
+        context: CellContext,
+        partners: Iterable[PartnerView],
+        views: list[WorkerView],
+        placed: set[str],
         now_ms: float,
-    ) -> list[PlacePlan]:
-        rooms = {w.vm.id: w.breaker.room(now_ms) for w in workers}
-        kept = []
-        for plan in plans:
-            room = rooms[plan.worker.id]
-            if room == 0:
-                continue
-            if room is not None:
-                rooms[plan.worker.id] = room - 1
-            kept.append(plan)
-        return kept
+    ) -> None:
+        self._preempted = {
+            task: until_ms
+            for task, until_ms in self._preempted.items()
+            if now_ms < until_ms
+        }
+        waiting = [
+            task
+            for partner in partners
+            for task in partner.waiting
+            if task.latency_critical
+            and task.id not in placed
+            and task.id not in self._preempted
+        ]
+        for task in waiting[:PREEMPTIONS_PER_ROUND]:
+            self._preempted[task.id] = now_ms + PREEMPT_PAUSE_MS
+            for view, victim in plan_preemption(task, views):
+                attempt = context.state.tasks[victim.id].attempt
+                context.workers[view.id].want_stop(victim.id, attempt)
 
     def _partners(
-        self, state: CellState, cfg: ConfigState
+        self, context: CellContext, views: list[WorkerView], now_ms: float
     ) -> list[PartnerView]:
-        views: dict[str, PartnerView] = {}
-        parameters = cfg.cfg.parameters
+        partners: dict[str, PartnerView] = {}
+        parameters = context.cfg.cfg.parameters
 
-        def view(name: str) -> PartnerView:
-            if name not in views:
+        def partner_of(job: Job) -> PartnerView:
+            name = job.spec.partner
+            if name not in partners:
                 known = parameters.partner.get(name, _DEFAULT_PARTNER)
                 quota = known.quota_cores / parameters.cells
-                views[name] = PartnerView(name, known.weight, quota)
-            return views[name]
+                partners[name] = PartnerView(name, known.weight, quota)
+            return partners[name]
 
+        state = context.state
         for task in state.tasks.values():
-            job = state.job_of(task)
-            partner = view(job.spec.partner)
             if task.worker:
+                partner = partner_of(state.job_of(task))
                 partner.held = partner.held.plus(task.size)
         for task_id in state.queued:
             task = state.tasks[task_id]
             job = state.job_of(task)
-            partner = view(job.spec.partner)
-            partner.waiting.append(_task_view(job, task, job.spec.size))
-        return list(views.values())
+            waiting = task_view(job, task, job.spec.size)
+            partner_of(job).waiting.append(waiting)
+        self._window.observe(partners.values(), views, now_ms)
+        return list(partners.values())
+
+
+def view_of(state: CellState, worker: KnownWorker) -> WorkerView:
+    """Returns the view of one worker with all that is placed on it."""
+    view = WorkerView(
+        worker.vm.id,
+        worker.vm.availability_zone,
+        worker.vm.rack,
+        worker.vm.size,
+        worker.vm.size,
+    )
+    for task_id in state.placed.get(worker.vm.id, ()):
+        task = state.tasks[task_id]
+        view.add(task_view(state.job_of(task), task, task.size))
+    return view
 
 
-def _task_view(job: Job, task: Task, size: Size) -> TaskView:
+def task_view(job: Job, task: Task, size: Size) -> TaskView:
+    """Returns the view of one task."""
     return TaskView(
         task.id,
         job.spec.id,
@@ -142,3 +145,30 @@
         job.spec.latency_critical,
         size,
     )
+
+
+def _takes_work(
+    context: CellContext, worker: KnownWorker, now_ms: float
+) -> bool:
+    return (
+        worker.vm.state is VmState.LIVE
+        and context.zone_open(worker)
+        and worker.heard_lately(now_ms, context.terms)
+        and worker.breaker.room(now_ms) != 0
+    )
+
+
+def _within_probes(
+    plans: list[PlacePlan], workers: Iterable[KnownWorker], now_ms: float
+) -> list[PlacePlan]:
+    """Returns the plans without those beyond a breaker's probe."""
+    rooms = {w.vm.id: w.breaker.room(now_ms) for w in workers}
+    kept = []
+    for plan in plans:
+        room = rooms[plan.worker.id]
+        if room == 0:
+            continue
+        if room is not None:
+            rooms[plan.worker.id] = room - 1
+        kept.append(plan)
+    return kept
--- a/src/limpetyard/scheduler/_rates.py
+++ b/src/limpetyard/scheduler/_rates.py
@@ -1,36 +1,38 @@
 """Turning workers' lagging reports into samples for the policy."""
 
-from collections import Counter
-
 from limpetyard.cell import CellState
 from limpetyard.placement import RateSample
-from limpetyard.platform import Run
+from limpetyard.platform import Run, RunState
 from limpetyard.scheduler._workers import KnownWorker
 
 
-def samples_of(
+def note_stay(state: CellState, worker: KnownWorker, run: Run) -> None:
+    """Notes from when to when a run shared its worker."""
+    task = state.tasks.get(run.task)
+    if task is None or run.attempt != task.attempt or run.ran_ms == 0:
+        return
+    going_on = run.state is RunState.RUNNING
+    to_ms = float("inf") if going_on else worker.clock_ms
+    worker.presence.note(
+        (run.task, run.attempt),
+        state.job_of(task).spec.class_name,
+        worker.clock_ms - run.ran_ms,
+        to_ms,
+    )
+
+
+def sample_of(
     state: CellState, worker: KnownWorker, run: Run
 ) -> RateSample | None:
-    """Returns the sample that a run's report holds, if any.
-
-    Only runs that were already going on at the moment described count as
-    neighbours.
-    """
+    """Returns the sample that a run's report holds, if any."""
     task = state.tasks.get(run.task)
     if run.rate <= 0 or task is None or task.attempt != run.attempt:
         return None
     spec = state.job_of(task).spec
-    beside: Counter[str] = Counter()
-    for other in worker.runs.values():
-        other_task = state.tasks.get(other.task)
-        started_ms = worker.clock_ms - other.ran_ms
-        there = started_ms <= run.rate_at_ms
-        if other.task != run.task and other_task is not None and there:
-            beside[state.job_of(other_task).spec.class_name] += 1
     return RateSample(
         spec.class_name,
         spec.latency_critical,
-        tuple(sorted(beside.items())),
+        worker.presence.beside((run.task, run.attempt), run.rate_at_ms),
         run.rate,
         run.rate_at_ms,
         worker.vm.size,
--- a/src/limpetyard/scheduler/_service.py
+++ b/src/limpetyard/scheduler/_service.py
@@ -23,6 +23,7 @@
     StartRuns,
     StopRuns,
     SyncWorker,
+    ThrottleRuns,
 )
 from limpetyard.scheduler._terms import ControlTerms
 
@@ -70,6 +71,7 @@
             SyncWorker: self._do_sync,
             StartRuns: self._do_start,
             StopRuns: self._do_stop,
+            ThrottleRuns: self._do_throttle,
         }
 
     @property
@@ -181,3 +183,9 @@
             await self._workers.stop(effect.address, effect.orders)
         except WorkerUnavailableError as exc:
             event("stop_unanswered", worker=effect.worker, reason=exc)
+
+    async def _do_throttle(self, effect: ThrottleRuns) -> None:
+        try:
+            await self._workers.throttle(effect.address, effect.orders)
+        except WorkerUnavailableError as exc:
+            event("throttle_unanswered", worker=effect.worker, reason=exc)
--- a/src/limpetyard/scheduler/_workers.py
+++ b/src/limpetyard/scheduler/_workers.py
@@ -10,6 +10,7 @@
     VmState,
 )
 from limpetyard.scheduler._breaker import Breaker
+from limpetyard.scheduler._presence import Presence
 from limpetyard.scheduler._terms import ControlTerms
 
 ENDED_STATES = frozenset(
@@ -47,6 +48,7 @@
         starts: The newest start sent of each task.
         stops: Own clock at the newest stop sent of each run that has to
             end, or minus infinity before the first.
+        presence: Which classes shared it when.
         usage: Its newest measured use, or None.
         breaker: Keeps work from a worker that fails everything.
     """
@@ -58,6 +60,7 @@
         "first_heard_ms",
         "granted_ms",
         "heard_ms",
+        "presence",
         "rev",
         "runs",
         "starts",
@@ -85,6 +88,7 @@
         self.starts: dict[str, SentStart] = {}
         self.stops: dict[tuple[str, int], float] = {}
         self.usage = None
+        self.presence = Presence()
 
     @property
     def gone(self) -> bool:
@@ -121,6 +125,17 @@
         """Notes that a run has to end."""
         self.stops.setdefault((task, attempt), float("-inf"))
 
+    def forgotten(self, runs: list[tuple[str, int]]) -> None:
+        """Drops runs that the worker was told to forget."""
+        for task, attempt in runs:
+            run = self.runs.get(task)
+            if run is not None and run.attempt == attempt:
+                del self.runs[task]
+            self.stops.pop((task, attempt), None)
+            sent = self.starts.get(task)
+            if sent is not None and sent.attempt == attempt:
+                del self.starts[task]
+
     def heard_lately(self, now_ms: float, terms: ControlTerms) -> bool:
         """Returns whether it answered within the silent time."""
         if self.heard_ms is None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -12,12 +12,17 @@
 
 from limpetyard._clock import MS_PER_SECOND, BootClock
 from limpetyard.cell import Size
-from limpetyard.platform import StartOrder, StopOrder, SyncOrder
+from limpetyard.platform import (
+    StartOrder,
+    StopOrder,
+    SyncOrder,
+    ThrottleOrder,
+)
 from standins.process import serve
 from standins.worker_model import (
     Faults,
     WorkerModel,
-    pairwise_interference,
+    noisy_interference,
 )
 
 TICK_MS = 20
@@ -47,9 +52,7 @@
     def __init__(self, workers: list[Described]):
         clock = BootClock()
         self.models = {
-            w.id: WorkerModel(
-                w.id, w.zone, w.size, clock, pairwise_interference
-            )
+            w.id: WorkerModel(w.id, w.zone, w.size, clock, noisy_interference)
             for w in workers
         }
         self.switches = {w.id: Switches() for w in workers}
@@ -62,6 +65,7 @@
                 web.post("/w/{id}/sync", self._sync),
                 web.post("/w/{id}/start", self._start),
                 web.post("/w/{id}/stop", self._stop),
+                web.post("/w/{id}/throttle", self._throttle),
                 web.post("/w/{id}/switch", self._switch),
                 web.get("/record", self._record),
             ]
@@ -104,6 +108,12 @@
         model.stop(msgspec.json.decode(body, type=list[StopOrder]))
         return web.Response()
 
+    async def _throttle(self, request: web.Request) -> web.Response:
+        model = await self._model(request)
+        body = await request.read()
+        model.throttle(msgspec.json.decode(body, type=list[ThrottleOrder]))
+        return web.Response()
+
     async def _model(self, request: web.Request) -> WorkerModel:
         worker_id = request.match_info["id"]
         if self.switches[worker_id].frozen:
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -1,6 +1,7 @@
 """A worker in memory: runs under leases, refusals and an own record."""
 
 import dataclasses
+from typing import NamedTuple
 
 from limpetyard._clock import Clock
 from limpetyard.cell import Size
@@ -14,6 +15,7 @@
     StopOrder,
     SyncOrder,
     SyncReply,
+    ThrottleOrder,
     Usage,
 )
 
@@ -28,10 +30,12 @@
     Attributes:
         fail_everything: Every run fails at once.
         run_factor: True run times against the declared ones.
+        core_factors: True use of processors against the declared, by class.
     """
 
     fail_everything: bool = False
     run_factor: float = 1.0
+    core_factors: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -59,6 +63,18 @@
     size: Size
 
 
+class Beside(NamedTuple):
+    """A run beside another one.
+
+    Attributes:
+        class_name: Its class.
+        fraction: Part of its speed that it is throttled to.
+    """
+
+    class_name: str
+    fraction: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Run:
     cell: str
@@ -74,6 +90,8 @@
     ran_ms: float = 0.0
     rate: float = 0.0
     rate_at_ms: float = 0.0
+    next_rate: float = 0.0
+    fraction: float = 1.0
     rev: int = 0
 
 
@@ -87,7 +105,7 @@
         boot: Its present run.
         faults: How it goes wrong.
         record: What truly happened, in order.
-        slow: Function from class and classes beside it to a rate.
+        slow: Function from a class and the runs beside it to a rate.
     """
 
     def __init__(self, vm_id: str, zone: str, size: Size, clock: Clock, slow):
@@ -155,6 +173,16 @@
         if run.attempt == attempt:
             del self._runs[task]
 
+    def throttle(self, orders: list[ThrottleOrder]) -> None:
+        """Carries out throttle orders."""
+        self.tick()
+        for order in orders:
+            run = self._runs.get(order.task)
+            admitted = self._admit(order.cell, order.epoch)
+            if run and admitted and run.attempt == order.attempt:
+                run.fraction = order.fraction
+                self._touch(run)
+
     def tick(self) -> None:
         """Moves all runs to the present moment."""
         now_ms = self._clock.now_ms()
@@ -247,13 +275,31 @@
     def _move(self, run: _Run, running: list[_Run], until_ms: float) -> None:
         if until_ms <= run.moved_ms:
             return
-        beside = [other.class_name for other in running if other is not run]
-        rate = self.slow(run.class_name, beside)
+        rate = self.rate_of(run, running) * run.fraction
         passed_ms = until_ms - run.moved_ms
         run.progress_ms += passed_ms * rate
         run.ran_ms += passed_ms
         run.moved_ms = until_ms
 
+    def rate_of(self, run: _Run, running: list[_Run]) -> float:
+        """Returns the speed of a run against an idle worker, unthrottled."""
+        beside = [
+            Beside(other.class_name, other.fraction)
+            for other in running
+            if other is not run
+        ]
+        needed = sum(self._cores(other) for other in running)
+        crowding = min(1.0, self.size.cores / needed) if needed else 1.0
+        return self.slow(run.class_name, beside) * crowding
+
+    def running(self) -> list[_Run]:
+        """Returns the runs that go on."""
+        return self._running()
+
+    def _cores(self, run: _Run) -> float:
+        factor = self.faults.core_factors.get(run.class_name, 1.0)
+        return run.size.cores * factor * run.fraction
+
     def _settle(self, run: _Run, now_ms: float) -> None:
         if run.progress_ms >= run.goal_ms:
             self._end(run, RunState.FINISHED)
@@ -268,15 +314,14 @@
         self._note(state.value, run)
 
     def _report(self, now_ms: float) -> None:
-        """Shows the rates as they were at the last report."""
+        """Shows the rates measured at the last report and measures anew."""
         shown_ms, self._reported_ms = self._reported_ms, now_ms
         running = self._running()
         for run in running:
-            if run.moved_ms - run.ran_ms <= shown_ms:
-                beside = [o.class_name for o in running if o is not run]
-                run.rate = self.slow(run.class_name, beside)
-                run.rate_at_ms = shown_ms
+            if run.next_rate:
+                run.rate, run.rate_at_ms = run.next_rate, shown_ms
                 self._touch(run)
+            run.next_rate = self.rate_of(run, running)
 
     def _usage(self) -> Usage:
         cores = sum(run.size.cores for run in self._running())
@@ -297,6 +342,8 @@
             int(run.ran_ms),
             run.rate if running else 0.0,
             run.rate_at_ms if running else 0.0,
+            self._cores(run) if running else 0.0,
+            run.fraction,
         )
 
     def _note(self, what: str, run: _Run) -> None:
@@ -320,14 +367,14 @@
     return f"{run.progress_ms:.0f}" if run.progress_ms else ""
 
 
-def no_interference(class_name: str, beside: list[str]) -> float:
+def no_interference(class_name: str, beside: list[Beside]) -> float:
     """Returns full speed for everyone."""
     del class_name, beside
     return 1.0
 
 
-def pairwise_interference(class_name: str, beside: list[str]) -> float:
+def noisy_interference(class_name: str, beside: list[Beside]) -> float:
     """Returns a rate that falls with the noisy neighbours."""
-    noisy = sum(other.startswith("noisy") for other in beside)
+    noise = sum(b.fraction for b in beside if b.class_name.startswith("noisy"))
     weight = 0.3 if class_name.startswith("urgent") else 0.1
-    return 1.0 / (1.0 + weight * noisy)
+    return 1.0 / (1.0 + weight * noise)
--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -52,6 +52,7 @@
     StartRuns,
     StopRuns,
     SyncWorker,
+    ThrottleRuns,
 )
 from standins import checks
 from standins.log_model import LogModel
@@ -59,7 +60,7 @@
     Faults,
     Happening,
     WorkerModel,
-    pairwise_interference,
+    noisy_interference,
 )
 
 CELL = "cell-0"
@@ -152,7 +153,7 @@
         zones = [f"zone-{n % 3}" for n in range(workers)]
         self.workers = {
             f"w{n}": WorkerModel(
-                f"w{n}", zone, WORKER_SIZE, self.clock, pairwise_interference
+                f"w{n}", zone, WORKER_SIZE, self.clock, noisy_interference
             )
             for n, zone in enumerate(zones)
         }
@@ -488,6 +489,12 @@
         del life
         self._to_worker(effect.worker, lambda model: model.stop(effect.orders))
 
+    def _throttle_runs(self, effect: ThrottleRuns, life: int) -> None:
+        del life
+        self._to_worker(
+            effect.worker, lambda model: model.throttle(effect.orders)
+        )
+
     def _to_worker(self, worker_id: str, act) -> None:
         world = self.world
         for _ in range(world.copies()):
@@ -520,6 +527,7 @@
         SyncWorker: _sync,
         StartRuns: _start_runs,
         StopRuns: _stop_runs,
+        ThrottleRuns: _throttle_runs,
     }
 
 
@@ -650,7 +658,7 @@
         world.gone.add(model.id)
         name = f"w{len(world.workers)}"
         world.workers[name] = WorkerModel(
-            name, model.zone, model.size, world.clock, pairwise_interference
+            name, model.zone, model.size, world.clock, noisy_interference
         )
 
     def _submit(self) -> None:
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -11,7 +11,8 @@
 from limpetyard.cell import CellState, Claim, Ownership
 from limpetyard.log import StreamFolder, StreamReader
 from limpetyard.platform import Refusal
-from limpetyard.scheduler import CellController
+from limpetyard.scheduler._context import CellContext
+from limpetyard.scheduler._tending import Tending
 from limpetyard.scheduler._workers import KnownWorker
 from standins.worker_model import WorkerModel
 
@@ -75,13 +76,13 @@
 @GUARDS.register("start-deadline")
 def _start_deadline(stack: contextlib.ExitStack) -> None:
     """A start order is valid for ever."""
-    start = CellController._start
+    start = Tending._start
 
     def endless(self, worker, task, now_ms):
         order = start(self, worker, task, now_ms)
         return msgspec.structs.replace(order, not_after_ms=math.inf)
 
-    _replace(stack, CellController, "_start", endless)
+    _replace(stack, Tending, "_start", endless)
 
 
 @GUARDS.register("epoch-fence")
@@ -110,7 +111,7 @@
     """A worker is told to forget while a copy of the start is on its way."""
     _replace(
         stack,
-        CellController,
+        Tending,
         "_start_void",
         lambda self, worker, run, now_ms: True,
     )
@@ -150,8 +151,8 @@
     """Starts go on however old the configuration is."""
     _replace(
         stack,
-        CellController,
-        "_starts_end_ms",
+        CellContext,
+        "starts_end_ms",
         lambda self: self.ownership.lease_until_ms,
     )
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -27,6 +27,7 @@
     StartRuns,
     StopRuns,
     SyncWorker,
+    ThrottleRuns,
 )
 from standins import checks
 from standins.log_model import LogModel
@@ -182,6 +183,8 @@
             self.controller.heard_start(worker.id, effect.orders, reply)
         elif isinstance(effect, StopRuns):
             worker.stop(effect.orders)
+        elif isinstance(effect, ThrottleRuns):
+            worker.throttle(effect.orders)
 
 
 class ControllerTest(unittest.TestCase):
@@ -259,7 +262,7 @@
     def test_log_outage_keeps_running_tasks(self):
         """An outage of ten leases ends no run and starts none."""
         terms = ControlTerms(lease=LeaseTerms(lease_ms=3000))
-        self.daemon.controller._terms = terms
+        self.daemon.controller._context.terms = terms
         self.bench.submit("job", 2, run_ms=60_000)
         self.daemon.run(1000)
         self.bench.log_up = False
