--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of limpetyard, with bounds from the stated targets."""
--- a/src/limpetyard/placement/_interference.py
+++ b/src/limpetyard/placement/_interference.py
@@ -1,63 +1,100 @@
 """Online model of how classes of tasks slow each other on a worker.
 
-The logarithm of a task's rate is taken to be a sum over its neighbours of one
-coefficient for each pair of classes. The coefficients follow the measurements
-by normalized least mean squares, so old measurements fade as load shifts.
+A victim's slowdown, the negative logarithm of its rate, is first taken to be a
+sum over its neighbours of one coefficient for each pair of classes; these
+follow the measurements by normalized least mean squares. Interference is not
+additive in truth, so a curve for each victim class then turns the sum into the
+slowdown that was measured at such sums. Both fade with new measurements.
 """
 
 import math
 
 from limpetyard.placement._policy import RateSample
 
-STEP = 0.15
+STEP = 0.1
 RATE_FLOOR = 0.02
 
 # Slowdown expected of a pair of classes that was never seen together.
 UNKNOWN_SLOWDOWN = 0.02
-KNOWN_SAMPLES = 5
+
+CURVE_STEP = 0.05
+CURVE_WIDTH = 0.1
+CURVE_BINS = 40
+CURVE_SAMPLES = 5
 
 
 class InterferenceModel:
-    """Pairwise slowdowns between classes, learnt from rates."""
+    """Slowdowns between classes, learnt from rates."""
 
-    __slots__ = ("_counts", "_slowdown")
+    __slots__ = ("_curves", "_slowdown")
 
     def __init__(self):
         self._slowdown: dict[tuple[str, str], float] = {}
-        self._counts: dict[tuple[str, str], int] = {}
+        self._curves: dict[str, _Curve] = {}
 
     def learn(self, sample: RateSample) -> None:
-        """Moves the coefficients of the neighbours towards the measurement."""
+        """Moves coefficients and curve towards a measurement."""
         if not sample.neighbours:
             return
         measured = -math.log(max(sample.rate, RATE_FLOOR))
-        error = measured - self.slowdown(sample.class_name, sample.neighbours)
+        expected = sum(
+            self.pair(sample.class_name, other) * number
+            for other, number in sample.neighbours
+        )
+        error = measured - expected
         norm = sum(number * number for _, number in sample.neighbours)
         for other, number in sample.neighbours:
             pair = (sample.class_name, other)
             moved = self._slowdown.get(pair, UNKNOWN_SLOWDOWN)
             moved += STEP * error * number / norm
             self._slowdown[pair] = max(0.0, moved)
-            self._counts[pair] = self._counts.get(pair, 0) + 1
+        curve = self._curves.setdefault(sample.class_name, _Curve())
+        curve.learn(expected, measured)
+
+    def pair(self, class_name: str, other: str) -> float:
+        """Returns what one task of class `other` adds to the sum."""
+        return self._slowdown.get((class_name, other), UNKNOWN_SLOWDOWN)
 
-    def slowdown(
-        self, class_name: str, neighbours: tuple[tuple[str, int], ...]
-    ) -> float:
-        """Returns the expected negative logarithm of a task's rate.
+    def slowdown(self, class_name: str, total: float) -> float:
+        """Returns the slowdown expected at a sum of coefficients.
 
         Args:
-            class_name: Class of the task.
-            neighbours: Classes and numbers of the tasks beside it.
+            class_name: Class of the victim.
+            total: Sum of `pair` over its neighbours.
         """
-        return sum(
-            self.pair(class_name, other) * number
-            for other, number in neighbours
-        )
+        curve = self._curves.get(class_name)
+        return total if curve is None else curve.at(total)
+
+
+class _Curve:
+    """Measured slowdown by expected sum, in bins of equal width."""
+
+    __slots__ = ("_counts", "_means")
+
+    def __init__(self):
+        self._counts = [0] * CURVE_BINS
+        self._means = [0.0] * CURVE_BINS
+
+    def learn(self, total: float, measured: float) -> None:
+        number = _bin(total)
+        self._counts[number] += 1
+        step = max(CURVE_STEP, 1.0 / self._counts[number])
+        self._means[number] += step * (measured - self._means[number])
+
+    def at(self, total: float) -> float:
+        """Returns the curve at a sum, straight between known bins."""
+        place = total / CURVE_WIDTH - 0.5
+        left = math.floor(place)
+        low = self._value(left)
+        high = self._value(left + 1)
+        return low + (place - left) * (high - low)
+
+    def _value(self, number: int) -> float:
+        if number < 0:
+            return 0.0
+        known = number < CURVE_BINS and self._counts[number] >= CURVE_SAMPLES
+        return self._means[number] if known else (number + 0.5) * CURVE_WIDTH
 
-    def pair(self, class_name: str, other: str) -> float:
-        """Returns what one task of class `other` adds to the slowdown."""
-        return self._slowdown.get((class_name, other), UNKNOWN_SLOWDOWN)
 
-    def known(self, class_name: str, other: str) -> bool:
-        """Returns whether the pair was measured often enough to rely on."""
-        return self._counts.get((class_name, other), 0) >= KNOWN_SAMPLES
+def _bin(total: float) -> int:
+    return min(CURVE_BINS - 1, int(total / CURVE_WIDTH))
--- a/src/limpetyard/placement/_relief.py
+++ b/src/limpetyard/placement/_relief.py
@@ -27,8 +27,8 @@
         settle_ms: Time given to a step before the next one.
     """
 
-    slow_rate: float = 0.62
-    fair_rate: float = 0.8
+    slow_rate: float = 0.55
+    fair_rate: float = 0.7
     slow_reports: int = 2
     fair_reports: int = 10
     settle_ms: float = 6_000.0
