Attribute slowness to throttled neighbours and keep loud work off them

Cause: in the cliff form a latency-critical task was at 0.45 of its speed for a quarter of the time. Three causes: reports of a second service on the worker reset the alarm of the first; samples beside throttled tasks taught the model that their class is harmless; new loud tasks were placed beside throttled ones. Ruled out: speed given back too early (doubling the wait changed nothing). Change: relief counts each task by itself, a throttled neighbour counts as the fraction of its speed, loud batch tasks go elsewhere; relapses wait longer.

--- a/src/limpetyard/placement/__init__.py
+++ b/src/limpetyard/placement/__init__.py
@@ -18,6 +18,7 @@
     new_policy,
 )
 from limpetyard.placement._relief import (
+    FULL_SPEED,
     Relief,
     ReliefStep,
     ReliefTerms,
@@ -31,6 +32,7 @@
 )
 
 __all__ = [
+    "FULL_SPEED",
     "POLICIES",
     "Choice",
     "FirstFit",
--- a/src/limpetyard/placement/_learned.py
+++ b/src/limpetyard/placement/_learned.py
@@ -20,6 +20,10 @@
 CRITICAL_WEIGHT = 8.0
 CRITICAL_FLOOR = 0.5
 
+# No batch task that adds more than this to the slowdown of latency-critical
+# ones goes where batch tasks are throttled already.
+LOUD_SLOWDOWN = 0.04
+
 # A batch task waits rather than cost more than about its own progress.
 WAIT_COST = 1.0
 
@@ -62,15 +66,29 @@
         spread = _Spread(task, workers) if task.latency_critical else None
         costs = []
         for worker in workers:
+            if worker.throttled and self._is_loud(task, worker):
+                continue
             cost = self.cost(task, worker)
             if spread is not None:
                 cost += spread.cost(worker)
             costs.append((cost, worker))
+        if not costs:
+            return None
         cost, best = min(costs, key=lambda pair: pair[0])
         if not task.latency_critical and cost > WAIT_COST:
             return None
         return Choice(best, f"cost {cost:.3f}")
 
+    def _is_loud(self, task: TaskView, worker: WorkerView) -> bool:
+        """Returns whether a batch task would slow critical ones there."""
+        if task.latency_critical:
+            return False
+        return any(
+            self.model.pair(class_name, task.class_name) > LOUD_SLOWDOWN
+            for (class_name, critical), number in worker.classes.items()
+            if critical and number
+        )
+
     def cost(self, task: TaskView, worker: WorkerView) -> float:
         """Returns the progress that placing the task there would cost.
 
--- a/src/limpetyard/placement/_policy.py
+++ b/src/limpetyard/placement/_policy.py
@@ -40,6 +40,7 @@
         rack: Its rack.
         capacity: All that it has.
         free: What is not set aside.
+        throttled: Number of its tasks that are throttled.
         takes_batch: Whether batch work may be placed there now.
         tasks: Everything that is set down on it.
         classes: Number of these tasks by class and urgency.
@@ -50,6 +51,7 @@
     rack: str
     capacity: Size
     free: Size
+    throttled: int = 0
     takes_batch: bool = True
     tasks: list[TaskView] = dataclasses.field(default_factory=list)
     classes: dict[tuple[str, bool], int] = dataclasses.field(
@@ -98,7 +100,8 @@
     Attributes:
         class_name: Class of the task.
         latency_critical: Whether the task is latency-critical.
-        neighbours: Classes and numbers of the tasks beside it at that time.
+        neighbours: Classes and numbers of the tasks beside it at that time;
+            a throttled one counts as the fraction of its speed.
         rate: Progress against an idle worker, above 0, about 1 at best.
         at_ms: When this was so.
         capacity: All that the worker has.
@@ -106,7 +109,7 @@
 
     class_name: str
     latency_critical: bool
-    neighbours: tuple[tuple[str, int], ...]
+    neighbours: tuple[tuple[str, float], ...]
     rate: float
     at_ms: float
     capacity: Size
--- a/src/limpetyard/placement/_relief.py
+++ b/src/limpetyard/placement/_relief.py
@@ -25,13 +25,20 @@
         slow_reports: Slow reports in a row before relief acts.
         fair_reports: Fair reports in a row before speed is given back.
         settle_ms: Time given to a step before the next one.
+        relapse_ms: An alarm this soon after speed was given back makes the
+            worker wait longer before it is tried again.
+        relapse_factor: How much longer.
+        longest_fair_reports: Bound on that wait.
     """
 
     slow_rate: float = 0.55
     fair_rate: float = 0.7
     slow_reports: int = 2
-    fair_reports: int = 10
+    fair_reports: int = 5
     settle_ms: float = 6_000.0
+    relapse_ms: float = 30_000.0
+    relapse_factor: int = 4
+    longest_fair_reports: int = 640
 
 
 class StepKind(enum.Enum):
@@ -78,9 +85,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Watch:
-    slow: int = 0
+    slow: dict[str, int] = dataclasses.field(default_factory=dict)
     fair: int = 0
+    fair_needed: int = 0
     settled_ms: float = float("-inf")
+    restored_ms: float = float("-inf")
 
 
 class Relief:
@@ -92,23 +101,33 @@
         self._terms = terms
         self._watches: dict[str, _Watch] = {}
 
-    def observe(self, worker: str, rate: float) -> None:
-        """Takes in a report of one of the worker's latency-critical tasks."""
-        watch = self._watches.setdefault(worker, _Watch())
+    def observe(self, worker: str, task: str, rate: float) -> None:
+        """Takes in a report of one of the worker's latency-critical tasks.
+
+        Each task counts by itself: one that is well does not speak for
+        another that suffers.
+        """
+        watch = self._watches.get(worker)
+        if watch is None:
+            watch = _Watch(fair_needed=self._terms.fair_reports)
+            self._watches[worker] = watch
         if rate < self._terms.slow_rate:
-            watch.slow += 1
+            watch.slow[task] = watch.slow.get(task, 0) + 1
             watch.fair = 0
         elif rate > self._terms.fair_rate:
-            watch.slow = 0
-            watch.fair += 1
+            watch.slow.pop(task, None)
+            watch.fair += not watch.slow
 
     def due(self, worker: str, now_ms: float) -> bool:
         """Returns whether a step may be due, before any views are built."""
         watch = self._watches.get(worker)
         if watch is None or now_ms < watch.settled_ms:
             return False
-        slow = watch.slow >= self._terms.slow_reports
-        return slow or watch.fair >= self._terms.fair_reports
+        return self._alarmed(watch) or watch.fair >= watch.fair_needed
+
+    def _alarmed(self, watch: _Watch) -> bool:
+        most = max(watch.slow.values(), default=0)
+        return most >= self._terms.slow_reports
 
     def step(
         self, worker: str, suspects: Sequence[Suspect], now_ms: float
@@ -123,13 +142,24 @@
         if not suspects or not self.due(worker, now_ms):
             return None
         watch = self._watches[worker]
-        alarmed = watch.slow >= self._terms.slow_reports
+        alarmed = self._alarmed(watch)
         step = _tighten(suspects) if alarmed else _loosen(suspects)
         if step is not None:
-            watch.slow = watch.fair = 0
+            watch.slow.clear()
+            watch.fair = 0
             watch.settled_ms = now_ms + self._terms.settle_ms
+            self._note(watch, step, now_ms)
         return step
 
+    def _note(self, watch: _Watch, step: ReliefStep, now_ms: float) -> None:
+        """Makes a worker that relapses wait longer for its next try."""
+        terms = self._terms
+        if step.kind is StepKind.RESTORE:
+            watch.restored_ms = now_ms
+        elif now_ms - watch.restored_ms < terms.relapse_ms:
+            longer = watch.fair_needed * terms.relapse_factor
+            watch.fair_needed = min(longer, terms.longest_fair_reports)
+
 
 def _tighten(suspects: Sequence[Suspect]) -> ReliefStep:
     worst = max(suspects, key=lambda s: s.slowdown * s.fraction)
--- a/src/limpetyard/scheduler/_easing.py
+++ b/src/limpetyard/scheduler/_easing.py
@@ -1,6 +1,7 @@
 """Relief of latency-critical tasks, carried out on a cell's workers."""
 
 from limpetyard.placement import (
+    FULL_SPEED,
     PlacementPolicy,
     Relief,
     StepKind,
@@ -33,10 +34,10 @@
             sample = sample_of(state, worker, run)
             if sample is None:
                 continue
-            if run.fraction == 1.0:
+            if run.fraction == FULL_SPEED:
                 self._policy.learn(sample)
             if sample.latency_critical:
-                self._relief.observe(worker.vm.id, sample.rate)
+                self._relief.observe(worker.vm.id, run.task, sample.rate)
 
     def effects(self, worker: KnownWorker, now_ms: float) -> list[Effect]:
         """Returns the throttling that is due; evictions are noted."""
--- a/src/limpetyard/scheduler/_planner.py
+++ b/src/limpetyard/scheduler/_planner.py
@@ -5,6 +5,7 @@
 from limpetyard.cell import CellState, Job, Size, Task
 from limpetyard.config import Partner
 from limpetyard.placement import (
+    FULL_SPEED,
     PartnerView,
     PlacementPolicy,
     PlacePlan,
@@ -132,6 +133,7 @@
     for task_id in state.placed.get(worker.vm.id, ()):
         task = state.tasks[task_id]
         view.add(task_view(state.job_of(task), task, task.size))
+    view.throttled = sum(r.fraction < FULL_SPEED for r in worker.runs.values())
     return view
 
 
--- a/src/limpetyard/scheduler/_presence.py
+++ b/src/limpetyard/scheduler/_presence.py
@@ -1,6 +1,5 @@
 """Which classes of tasks shared a worker at a past moment."""
 
-import collections
 import dataclasses
 
 KEPT_MS = 30_000.0
@@ -9,58 +8,72 @@
 @dataclasses.dataclass(slots=True)
 class _Stay:
     class_name: str
+    fraction: float
     from_ms: float
-    to_ms: float
+    to_ms: float = float("inf")
 
 
 class Presence:
     """Stays of a cell's runs on one worker, by the worker's clock.
 
     Reports lag: a rate describes the runs that were there then, some of
-    which have ended since, and not those that were started since.
+    which have ended since, and not those that were started since. A run whose
+    throttling changes begins another stay.
     """
 
-    __slots__ = ("_stays",)
+    __slots__ = ("_open", "_stays")
 
     def __init__(self):
-        self._stays: dict[tuple[str, int], _Stay] = {}
+        self._open: dict[tuple[str, int], _Stay] = {}
+        self._stays: list[tuple[tuple[str, int], _Stay]] = []
 
     def note(
         self,
         run: tuple[str, int],
         class_name: str,
-        from_ms: float,
-        to_ms: float,
+        fraction: float,
+        since_ms: float,
+        now_ms: float,
     ) -> None:
-        """Takes in a run's stay as far as it is known.
+        """Takes in that a run goes on.
 
         Args:
             run: Task and attempt.
             class_name: Class of the task.
-            from_ms: When it was started.
-            to_ms: When it ended, or infinity.
+            fraction: Part of its speed that it is throttled to.
+            since_ms: When it was started.
+            now_ms: When this was so.
         """
-        stay = self._stays.get(run)
-        if stay is None:
-            self._stays[run] = _Stay(class_name, from_ms, to_ms)
-        else:
-            stay.to_ms = min(stay.to_ms, to_ms)
+        stay = self._open.get(run)
+        if stay is not None and stay.fraction == fraction:
+            return
+        if stay is not None:
+            stay.to_ms = now_ms
+        from_ms = since_ms if stay is None else now_ms
+        self._open[run] = _Stay(class_name, fraction, from_ms)
+        self._stays.append((run, self._open[run]))
+
+    def ended(self, run: tuple[str, int], now_ms: float) -> None:
+        """Takes in that a run has ended."""
+        stay = self._open.pop(run, None)
+        if stay is not None:
+            stay.to_ms = now_ms
 
     def beside(
         self, run: tuple[str, int], at_ms: float
-    ) -> tuple[tuple[str, int], ...]:
-        """Returns classes and numbers of the others at a moment."""
-        counts: collections.Counter[str] = collections.Counter(
-            stay.class_name
-            for key, stay in self._stays.items()
-            if key != run and stay.from_ms <= at_ms < stay.to_ms
-        )
+    ) -> tuple[tuple[str, float], ...]:
+        """Returns classes and numbers of the others at a moment.
+
+        A throttled run counts as the fraction of its speed.
+        """
+        counts: dict[str, float] = {}
+        for key, stay in self._stays:
+            if key != run and stay.from_ms <= at_ms < stay.to_ms:
+                number = counts.get(stay.class_name, 0.0)
+                counts[stay.class_name] = number + stay.fraction
         return tuple(sorted(counts.items()))
 
     def drop_before(self, at_ms: float) -> None:
         """Drops stays that ended long before a moment."""
-        self._stays = {
-            key: stay
-            for key, stay in self._stays.items()
-            if stay.to_ms > at_ms - KEPT_MS
-        }
+        limit_ms = at_ms - KEPT_MS
+        self._stays = [s for s in self._stays if s[1].to_ms > limit_ms]
--- a/src/limpetyard/scheduler/_rates.py
+++ b/src/limpetyard/scheduler/_rates.py
@@ -11,13 +11,16 @@
     task = state.tasks.get(run.task)
     if task is None or run.attempt != task.attempt or run.ran_ms == 0:
         return
-    going_on = run.state is RunState.RUNNING
-    to_ms = float("inf") if going_on else worker.clock_ms
+    key = (run.task, run.attempt)
+    if run.state is not RunState.RUNNING:
+        worker.presence.ended(key, worker.clock_ms)
+        return
     worker.presence.note(
-        (run.task, run.attempt),
+        key,
         state.job_of(task).spec.class_name,
+        run.fraction,
         worker.clock_ms - run.ran_ms,
-        to_ms,
+        worker.clock_ms,
     )
 
 
