--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,20 +10,25 @@
 import sys
 from pathlib import Path
 
-from bench import decisions
+from bench import decisions, path, recovery, scale, shares, slots
 from bench.report import Section
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "MEASUREMENTS.md"
 
 SECTIONS = {
     "decisions": decisions.section,
+    "slots": slots.section,
+    "shares": shares.section,
+    "path": path.section,
+    "scale": scale.section,
+    "recovery": recovery.section,
 }
 
 
 def main() -> int:
     """Returns the exit status."""
     parser = argparse.ArgumentParser()
-    parser.add_argument("sections", nargs="*", choices=[[], *SECTIONS])
+    parser.add_argument("sections", nargs="*", metavar="SECTION")
     parser.add_argument("--write", action="store_true")
     args = parser.parse_args()
     failed = 0
--- /dev/null
+++ b/bench/passthrough.py
@@ -0,0 +1,40 @@
+"""A bare pass-through by the same library; the baseline of the path."""
+
+import aiohttp
+from aiohttp import web
+
+from standins.process import serve
+
+
+def _make(target: str) -> web.Application:
+    app = web.Application()
+
+    async def client(app: web.Application):
+        app["http"] = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=64)
+        )
+        yield
+        await app["http"].close()
+
+    async def handle(request: web.Request) -> web.Response:
+        body = await request.read()
+        headers = {
+            k: v
+            for k, v in request.headers.items()
+            if k not in ("Host", "Content-Length")
+        }
+        async with request.app["http"].request(
+            request.method,
+            f"{target}{request.path}",
+            data=body,
+            headers=headers,
+        ) as resp:
+            return web.Response(body=await resp.read(), status=resp.status)
+
+    app.cleanup_ctx.append(client)
+    app.router.add_route("*", "/{path:.*}", handle)
+    return app
+
+
+if __name__ == "__main__":
+    serve(_make, "target")
--- a/bench/workspace.py
+++ b/bench/workspace.py
@@ -26,12 +26,9 @@
     Append,
     CellController,
     ControlTerms,
-    StartRuns,
-    StopRuns,
-    SyncWorker,
-    ThrottleRuns,
 )
 from standins import checks
+from standins.driven import perform
 from standins.log_model import LogModel
 from standins.worker_model import WorkerModel
 
@@ -289,19 +286,8 @@
         if isinstance(effect, Append):
             self._append(effect.record)
             return
-        worker = self.workers[effect.worker]
-        if isinstance(effect, SyncWorker):
-            reply = worker.sync(effect.order)
-            self.controller.heard_sync(
-                worker.id, effect.order, reply, self.clock.now_ms()
-            )
-        elif isinstance(effect, StartRuns):
-            reply = worker.start(effect.orders)
-            self.controller.heard_start(worker.id, effect.orders, reply)
-        elif isinstance(effect, StopRuns):
-            worker.stop(effect.orders)
-        elif isinstance(effect, ThrottleRuns):
-            worker.throttle(effect.orders)
+        now_ms = self.clock.now_ms()
+        perform(effect, self.controller, self.workers, now_ms)
 
     def _append(self, record: object) -> None:
         self._log.append(CELL, msgspec.json.encode(record).decode())
@@ -369,6 +355,24 @@
             done[partner] += reached_ms * BATCH_CORES / MS_PER_SECOND
         return done
 
+    def held_shares(self) -> dict[str, float]:
+        """Returns the core seconds that each partner's runs have held."""
+        held = dict.fromkeys(self.partners, 0.0)
+        for worker in self.workers.values():
+            starts: dict[str, float] = {}
+            for h in worker.record:
+                if h.what == "start":
+                    starts[h.task] = h.at_ms
+                elif h.task in starts:
+                    self._add_held(held, h.task, h.at_ms - starts.pop(h.task))
+            for task, at_ms in starts.items():
+                self._add_held(held, task, self.clock.now_ms() - at_ms)
+        return held
+
+    def _add_held(self, held: dict[str, float], task: str, ms: float) -> None:
+        partner = self._partner_of(task.split("/", maxsplit=1)[0])
+        held[partner] += ms * BATCH_CORES / MS_PER_SECOND
+
     def _partner_of(self, job: str) -> str:
         if not hasattr(self, "_partner_by_job"):
             self._partner_by_job: dict[str, str] = {}
