--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -45,9 +45,11 @@
     return table(columns, rows), []
 
 
-def appends_at(starts_per_second: float, seconds: int = 60) -> tuple:
-    """Returns appends a second and a start of a cell at a rate of starts."""
-    stage = Stage(WORKERS, WORKER_SIZE, TERMS)
+def appends_at(
+    starts_per_second: float, seconds: int = 60, terms: ControlTerms = TERMS
+) -> tuple[float, float, int]:
+    """Returns a cell's appends a second and a start, and the starts."""
+    stage = Stage(WORKERS, WORKER_SIZE, terms)
     daemon = stage.daemon("d0")
     daemon.run(2000)
     before = _owner_records(stage)
--- a/src/limpetyard/_settings.py
+++ b/src/limpetyard/_settings.py
@@ -121,7 +121,7 @@
     "lease_ms": (1000, 60_000),
     "task_lease_ms": (2000, 600_000),
     "outage_ms": (0, 3_600_000),
-    "commit_ms": (10, 1000),
+    "commit_ms": (10, 2000),
     "sync_ms": (50, 10_000),
     "platform_timeout_ms": (50, 30_000),
     "drain_ms": (0, 600_000),
--- a/src/limpetyard/config/_service.py
+++ b/src/limpetyard/config/_service.py
@@ -26,7 +26,7 @@
 )
 from limpetyard.log import Log, StreamFolder, StreamReader
 
-FOLLOW_WAIT_MS = 400
+FOLLOW_WAIT_MS = 800
 RETRY_MS = 200
 VERDICTS_KEPT = 256
 PUBLISH_TIMEOUT_MS = 5000
--- a/src/limpetyard/platform/_vms.py
+++ b/src/limpetyard/platform/_vms.py
@@ -72,28 +72,36 @@
 class HttpVmList:
     """A client of the VM list."""
 
-    __slots__ = ("_session", "_timeout", "_url")
+    __slots__ = ("_etag", "_newest", "_session", "_timeout", "_url")
 
     def __init__(
         self, session: aiohttp.ClientSession, url: str, timeout_ms: int
     ):
         self._session = session
         self._url = f"{url.rstrip('/')}/vms"
+        self._etag = ""
+        self._newest: list[Vm] = []
         self._timeout = aiohttp.ClientTimeout(total=timeout_ms / MS_PER_SECOND)
 
     async def read(self) -> list[Vm]:
-        """Returns the list; see `VmList.read`."""
+        """Returns the list; an unchanged one is not sent again."""
+        headers = {"If-None-Match": self._etag} if self._etag else {}
         try:
             async with self._session.get(
-                self._url, timeout=self._timeout
+                self._url, timeout=self._timeout, headers=headers
             ) as resp:
                 resp.raise_for_status()
+                if resp.status == aiohttp.http.HTTPStatus.NOT_MODIFIED:
+                    return self._newest
                 body = await resp.read()
-            return msgspec.json.decode(body, type=_VmPage).vms
+                etag = resp.headers.get("ETag", "")
+            self._newest = msgspec.json.decode(body, type=_VmPage).vms
+            self._etag = etag
         except (
-            TimeoutError,
             aiohttp.ClientError,
+            TimeoutError,
             OSError,
             msgspec.MsgspecError,
         ) as exc:
             raise VmListUnavailableError(repr(exc)) from exc
+        return self._newest
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -25,6 +25,7 @@
         self._vms: dict[str, Vm] = {}
         self._shown: list[Vm] = []
         self._switches = Switches()
+        self._version = 0
 
     def app(self) -> web.Application:
         """Returns the HTTP application."""
@@ -40,10 +41,13 @@
         return app
 
     async def _get(self, request: web.Request) -> web.Response:
-        del request
         if self._switches.down:
             raise web.HTTPServiceUnavailable
-        return web.Response(body=msgspec.json.encode({"vms": self._shown}))
+        etag = f'"{self._version}"'
+        if request.headers.get("If-None-Match") == etag:
+            return web.Response(status=304, headers={"ETag": etag})
+        body = msgspec.json.encode({"vms": self._shown})
+        return web.Response(body=body, headers={"ETag": etag})
 
     async def _put(self, request: web.Request) -> web.Response:
         vms = msgspec.json.decode(await request.read(), type=list[Vm])
@@ -65,6 +69,7 @@
     def _show(self) -> web.Response:
         if not self._switches.stale:
             self._shown = list(self._vms.values())
+            self._version += 1
         return web.Response()
 
 
