--- a/src/limpetyard/_settings.py
+++ b/src/limpetyard/_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import ipaddress
+from pathlib import Path
 from typing import Annotated
 from urllib.parse import urlsplit
 
@@ -49,6 +50,7 @@
         platform_timeout_ms: Longest wait for the log, the VM list or a worker.
         drain_ms: How long a leaving daemon goes on accepting after it has
             told the balancer.
+        record_dir: Folder for traces of what came in, or "" for none.
         log_level: Lowest level of events that are logged.
     """
 
@@ -93,6 +95,9 @@
     drain_ms: Annotated[
         int, _setting("drain-ms", 1000, "accepting while leaving, ms")
     ]
+    record_dir: Annotated[
+        str, _setting("record-dir", "", "folder for traces; none if empty")
+    ]
     log_level: Annotated[
         str, _setting("log-level", "INFO", "DEBUG, INFO, WARNING or ERROR")
     ]
@@ -111,6 +116,8 @@
             _check_url(name, getattr(self, name))
         for name, (low, high) in _RANGES.items():
             _check_range(name, getattr(self, name), low, high)
+        if self.record_dir and not Path(self.record_dir).is_dir():
+            raise SettingError("record_dir", self.record_dir, "a folder")
         _check_one_of("policy", self.policy, _policies())
         _check_one_of("slot_policy", self.slot_policy, _slot_policies())
         _check_one_of("log_level", self.log_level, _LEVELS)
--- a/src/limpetyard/daemon.py
+++ b/src/limpetyard/daemon.py
@@ -5,6 +5,8 @@
 import signal
 import sys
 import uuid
+from pathlib import Path
+from typing import TextIO
 
 import aiohttp
 import cappa
@@ -28,10 +30,12 @@
 from limpetyard.platform import HttpVmList, HttpWorkers, Role, VmService
 from limpetyard.requests import SLOT_POLICIES, RequestService
 from limpetyard.scheduler import (
+    Begun,
     CellController,
     CellService,
     ControlTerms,
     DecisionTail,
+    Recorder,
 )
 
 REFRESH_MS = 100
@@ -68,6 +72,7 @@
         self._owner = f"{cfg.node}#{uuid.uuid4().hex[:8]}"
         self._terms = _control_terms(cfg)
         self._sessions: list[aiohttp.ClientSession] = []
+        self._files: list[TextIO] = []
 
     async def on_start(self) -> None:
         """Builds the services and starts them."""
@@ -126,6 +131,8 @@
         """Closes the connections to the platform."""
         for session in self._sessions:
             await session.close()
+        for file in self._files:
+            file.close()
 
     @Service.task
     async def _refresh(self) -> None:
@@ -174,9 +181,8 @@
             if service is None:
                 continue
             service.claim_extra_ms = rank * self.cfg.lease_ms / 4
-            controller = service.controller
-            controller.set_config(state, self.config.confirmed_ms)
-            controller.set_vms(
+            service.told.set_config(state, self.config.confirmed_ms)
+            service.told.set_vms(
                 vm for vm in workers if cell_of(vm.id, count) == number
             )
         owned = sum(s.controller.ownership.owning for s in self.cells.values())
@@ -208,8 +214,20 @@
             self.clock,
             self._terms,
             self.tail,
+            self._recorder(controller),
         )
 
+    def _recorder(self, controller: CellController) -> Recorder | None:
+        if not self.cfg.record_dir:
+            return None
+        path = Path(self.cfg.record_dir) / f"{controller.name}.jsonl"
+        file = path.open("a", encoding="utf-8", buffering=1)
+        self._files.append(file)
+        begun = Begun(
+            controller.name, self._owner, self.cfg.policy, self._terms
+        )
+        return Recorder(controller, begun, lambda line: file.write(line + "\n"))
+
     async def _give_up(self, service: CellService) -> None:
         wait_s = self.cfg.lease_ms / MS_PER_SECOND
         try:
--- a/src/limpetyard/log/_fold.py
+++ b/src/limpetyard/log/_fold.py
@@ -7,6 +7,7 @@
 read every record after `as_of`; it then folds these.
 """
 
+from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
 import msgspec
@@ -46,6 +47,7 @@
         based: Whether the state is that of the whole stream so far.
         snapshot_offset: Offset of the newest snapshot that was read, or -1.
         snapshot_as_of: The newest `as_of` of any snapshot read, or -1.
+        tap: Called with each record before it is folded.
     """
 
     __slots__ = (
@@ -58,10 +60,18 @@
         "next_offset",
         "snapshot_as_of",
         "snapshot_offset",
+        "tap",
     )
 
-    def __init__(self, fold: F, record_type: type, snapshot_type: type):
+    def __init__(
+        self,
+        fold: F,
+        record_type: type,
+        snapshot_type: type,
+        tap: Callable[[Record], None] | None = None,
+    ):
         self.fold = fold
+        self.tap = tap
         self._decoder = msgspec.json.Decoder(record_type)
         self._snapshot_type = snapshot_type
         self.restart(0)
@@ -87,6 +97,8 @@
                 f"record {raw.offset} where {self.next_offset} was due"
             )
         self.next_offset = raw.offset + 1
+        if self.tap is not None:
+            self.tap(raw)
         try:
             record = self._decoder.decode(raw.data)
         except msgspec.MsgspecError:
--- a/src/limpetyard/membership/_service.py
+++ b/src/limpetyard/membership/_service.py
@@ -128,6 +128,8 @@
         address: tuple[str, int],
         subject: str = "",
     ) -> None:
+        if self._transport.is_closing():
+            return
         view = self.view
         news = [
             News(view.me, view.incarnation, self._state, view.free_slots),
--- a/src/limpetyard/scheduler/__init__.py
+++ b/src/limpetyard/scheduler/__init__.py
@@ -12,17 +12,22 @@
 )
 from limpetyard.scheduler._service import CellService
 from limpetyard.scheduler._terms import ControlTerms
+from limpetyard.scheduler._trace import Begun, Recorder, Replayed, replay
 
 __all__ = [
     "Append",
+    "Begun",
     "CellController",
     "CellService",
     "ControlTerms",
     "Decision",
     "DecisionTail",
     "Effect",
+    "Recorder",
+    "Replayed",
     "StartRuns",
     "StopRuns",
     "SyncWorker",
     "ThrottleRuns",
+    "replay",
 ]
--- a/src/limpetyard/scheduler/_service.py
+++ b/src/limpetyard/scheduler/_service.py
@@ -26,6 +26,7 @@
     ThrottleRuns,
 )
 from limpetyard.scheduler._terms import ControlTerms
+from limpetyard.scheduler._trace import Recorder
 
 STEP_MS = 50
 FOLLOW_WAIT_MS = 500
@@ -39,6 +40,7 @@
 
     Attributes:
         controller: Decides; fed by this service's tasks.
+        told: The controller, or a recorder of what it is told.
         reader: Keeps the state level with the stream.
         claim_extra_ms: Wait on top of the lease before claiming.
         appends: Count of append calls.
@@ -52,9 +54,12 @@
         clock: Clock,
         terms: ControlTerms,
         tail: DecisionTail,
+        recorder: Recorder | None = None,
     ):
         super().__init__()
         self.controller = controller
+        self.told = recorder or controller
+        self._tap = recorder.tap if recorder else None
         self.claim_extra_ms = 0.0
         self.appends = 0
         self._log = log
@@ -104,7 +109,7 @@
         if self.reader.folder is None:
             return
         status = self.controller.ownership.status
-        effects = self.controller.step(
+        effects = self.told.step(
             self._clock.now_ms(), self.reader.confirmed_ms, self.claim_extra_ms
         )
         self._note_status(status)
@@ -132,7 +137,7 @@
 
     def _new_folder(self) -> StreamFolder:
         state = CellState(self._note_change)
-        return StreamFolder(state, CellRecord, CellSnapshot)
+        return StreamFolder(state, CellRecord, CellSnapshot, self._tap)
 
     def _note_change(self, change: Change) -> None:
         if change.epoch == self.controller.ownership.epoch:
@@ -166,7 +171,7 @@
         except WorkerUnavailableError as exc:
             event("worker_silent", "DEBUG", worker=effect.worker, reason=exc)
             return
-        self.controller.heard_sync(
+        self.told.heard_sync(
             effect.worker, effect.order, reply, self._clock.now_ms()
         )
 
@@ -176,7 +181,7 @@
         except WorkerUnavailableError as exc:
             event("start_unanswered", worker=effect.worker, reason=exc)
             return
-        self.controller.heard_start(effect.worker, effect.orders, reply)
+        self.told.heard_start(effect.worker, effect.orders, reply)
 
     async def _do_stop(self, effect: StopRuns) -> None:
         try:
