--- a/src/limpetyard/_metrics.py
+++ b/src/limpetyard/_metrics.py
@@ -12,7 +12,7 @@
 
     __slots__ = (
         "_decisions",
-        "_outcomes",
+        "_runs",
         "_requests",
         "cells_owned",
         "config_age",
@@ -24,7 +24,7 @@
         self._requests = prom.Histogram(
             "limpetyard_request_seconds",
             "Time from a request's arrival to its answer.",
-            ("partner", "service", "outcome"),
+            ("partner", "service", "class", "outcome"),
             buckets=_SECONDS,
             registry=self.registry,
         )
@@ -34,10 +34,10 @@
             ("cell", "kind"),
             registry=self.registry,
         )
-        self._outcomes = prom.Histogram(
+        self._runs = prom.Histogram(
             "limpetyard_run_seconds",
             "Length of ended runs.",
-            ("outcome",),
+            ("partner", "class", "outcome"),
             buckets=(1, 5, 15, 60, 300, 1800, 7200),
             registry=self.registry,
         )
@@ -53,20 +53,28 @@
         )
 
     def request(
-        self, partner: str, service: str, outcome: str, took_ms: float
+        self,
+        partner: str,
+        service: str,
+        batch: bool,
+        outcome: str,
+        took_ms: float,
     ) -> None:
         """Takes in one answered request."""
-        self._requests.labels(partner, service, outcome).observe(
-            took_ms / MS_PER_SECOND
-        )
+        class_name = "batch" if batch else "urgent"
+        labels = self._requests.labels(partner, service, class_name, outcome)
+        labels.observe(took_ms / MS_PER_SECOND)
 
     def decision(self, cell: str, kind: str) -> None:
         """Takes in one decision."""
         self._decisions.labels(cell, kind).inc()
 
-    def run(self, outcome: str, ran_ms: float) -> None:
+    def run(
+        self, partner: str, class_name: str, outcome: str, ran_ms: float
+    ) -> None:
         """Takes in one ended run."""
-        self._outcomes.labels(outcome).observe(ran_ms / MS_PER_SECOND)
+        labels = self._runs.labels(partner, class_name, outcome)
+        labels.observe(ran_ms / MS_PER_SECOND)
 
     def text(self) -> bytes:
         """Returns all metrics in Prometheus' text format."""
--- a/src/limpetyard/cell/_state.py
+++ b/src/limpetyard/cell/_state.py
@@ -107,12 +107,19 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Change:
-    """Something that a valid record of the stream did to a task."""
+    """Something that a valid record of the stream did to a task or job.
+
+    Attributes:
+        offset: Place of the record in the stream.
+        epoch: Ownership under which it was written.
+        entry: What was decided.
+        spec: The job that it belongs to.
+    """
 
     offset: int
-    owner: str
     epoch: int
     entry: Entry
+    spec: JobSpec
 
 
 class CellState:
@@ -259,8 +266,12 @@
         self.last_seq = record.seq
         self.owner_offset = offset
         for entry in record.entries:
-            if self._APPLY_ENTRY[type(entry)](self, entry) and self.listener:
-                self.listener(Change(offset, record.owner, record.epoch, entry))
+            job = self.jobs.get(_job_id(entry))
+            if job is None:
+                continue
+            valid = self._APPLY_ENTRY[type(entry)](self, entry)
+            if valid and self.listener:
+                self.listener(Change(offset, record.epoch, entry, job.spec))
 
     def _is_owners(self, record: Write | Release) -> bool:
         return record.owner == self.owner and record.epoch == self.epoch
@@ -359,3 +370,9 @@
         Ended: _apply_ended,
         Rejected: _apply_rejected,
     }
+
+
+def _job_id(entry: Entry) -> str:
+    if isinstance(entry, Rejected):
+        return entry.job
+    return entry.task.rpartition("/")[0]
--- a/src/limpetyard/daemon.py
+++ b/src/limpetyard/daemon.py
@@ -214,6 +214,7 @@
             self.clock,
             self._terms,
             self.tail,
+            self.metrics,
             self._recorder(controller),
         )
 
--- a/src/limpetyard/requests/_service.py
+++ b/src/limpetyard/requests/_service.py
@@ -160,10 +160,11 @@
     async def _handle(self, request: web.Request) -> web.Response:
         self.in_flight += 1
         started_ms = self._clock.now_ms()
-        partner, name, kind = "", "", "ok"
+        partner, name, batch, kind = "", "", False, "ok"
         try:
             terms = self._terms(request)
             partner, name = terms.partner, terms.service_name
+            batch = terms.batch
             attempt = await self._serve(request, terms)
             resp = _answer(attempt)
         except RequestError as exc:
@@ -172,7 +173,7 @@
         finally:
             self.in_flight -= 1
         took_ms = self._clock.now_ms() - started_ms
-        self._metrics.request(partner, name, kind, took_ms)
+        self._metrics.request(partner, name, batch, kind, took_ms)
         if self.draining:
             resp.force_close()
         return resp
--- a/src/limpetyard/scheduler/_service.py
+++ b/src/limpetyard/scheduler/_service.py
@@ -7,7 +7,8 @@
 
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
-from limpetyard.cell import CellRecord, CellSnapshot, CellState, Change
+from limpetyard._metrics import Metrics
+from limpetyard.cell import CellRecord, CellSnapshot, CellState, Change, Ended
 from limpetyard.errors import (
     LogUnavailableError,
     StreamBrokenError,
@@ -54,6 +55,7 @@
         clock: Clock,
         terms: ControlTerms,
         tail: DecisionTail,
+        metrics: Metrics,
         recorder: Recorder | None = None,
     ):
         super().__init__()
@@ -67,6 +69,7 @@
         self._clock = clock
         self._terms = terms
         self._tail = tail
+        self._metrics = metrics
         self._snapshot_sent = -1
         self.reader = StreamReader(
             log, controller.name, self._new_folder, clock
@@ -140,8 +143,20 @@
         return StreamFolder(state, CellRecord, CellSnapshot, self._tap)
 
     def _note_change(self, change: Change) -> None:
-        if change.epoch == self.controller.ownership.epoch:
-            self._tail.note(self.controller.name, change, self._clock.now_ms())
+        ownership = self.controller.ownership
+        if not ownership.owning or change.epoch != ownership.epoch:
+            return
+        name = self.controller.name
+        entry = change.entry
+        self._tail.note(name, change, self._clock.now_ms())
+        self._metrics.decision(name, type(entry).__name__.lower())
+        if isinstance(entry, Ended):
+            self._metrics.run(
+                change.spec.partner,
+                change.spec.class_name,
+                entry.outcome.value,
+                entry.ran_ms,
+            )
 
     def _snapshot(self) -> list[Effect]:
         folder = self.reader.folder
