--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,282 @@
+"""Slopes of memory, time, counts and bytes over the size of a part."""
+
+import asyncio
+import gc
+import resource
+import subprocess
+import sys
+import tracemalloc
+from pathlib import Path
+
+import msgspec
+
+from bench.recovery import appends_at
+from bench.scale import CELL_WORKERS, decision_ms
+from limpetyard._clock import BootClock
+from limpetyard.cell import (
+    CellState,
+    Claim,
+    JobSpec,
+    LeaseTerms,
+    Placed,
+    Size,
+    Submit,
+    Write,
+)
+from limpetyard.config import Publish
+from limpetyard.membership import (
+    MembershipService,
+    MembershipView,
+    MemberState,
+    News,
+    Packet,
+    encode,
+)
+from limpetyard.membership._service import PROBE_MS
+from limpetyard.membership._wire import PacketKind
+from limpetyard.platform import (
+    Role,
+    Run,
+    RunState,
+    StartOrder,
+    StartReply,
+    StartResult,
+    SyncOrder,
+    SyncReply,
+    Usage,
+    Vm,
+)
+from limpetyard.scheduler import ControlTerms
+from standins.driven import Stage
+
+ROOT = Path(__file__).resolve().parent.parent
+HTTP_HEAD_BYTES = 230
+
+# Settings for the size of the next two years: --lease-ms and --commit-ms.
+LARGE_TERMS = ControlTerms(
+    lease=LeaseTerms(lease_ms=6000), commit_ms=1250, sync_ms=3000
+)
+
+
+def counts() -> dict[str, float]:
+    """Returns slopes that do not depend on the machine: counts and bytes."""
+    run = Run(
+        "a-job-of-some-name/123", 1, RunState.RUNNING, "", 5000, 0.91, 1e6
+    )
+    idle = SyncReply(
+        1_764_819_000, 123456.789, 42, usage=Usage(1e6, 24.0, 90_000)
+    )
+    order = SyncOrder("cell-17", 12, 42, 1_764_819_000, 123456.789)
+    size = Size(1.0, 500)
+    start = StartOrder(
+        "cell-17", 12, 1, run.task, 1, 123456.7, 123456.7, size, 60_000, "class"
+    )
+    placed = Placed(run.task, 1, "worker-123", 1, size, "cost 0.123")
+    packet = Packet(PacketKind.PING, 1, "entry-12", "", [_NEWS] * 3)
+    idle_a_second, _, _ = appends_at(0, 60, LARGE_TERMS)
+    peak_a_second, peak_a_start, _ = appends_at(8, 60, LARGE_TERMS)
+    small_a_second, _, _ = appends_at(5)
+    return {
+        "sync: bytes sent and received": 2 * HTTP_HEAD_BYTES
+        + _bytes(order)
+        + _bytes(idle),
+        "sync: bytes more for a run with news": _bytes(run),
+        "start: bytes of order and answer": _bytes(start)
+        + _bytes(StartReply([StartResult(run.task, 1)])),
+        "placement: bytes in the stream": _bytes(placed),
+        "renewal: bytes in the stream": _bytes(Write("entry-12#abcd", 12, 99)),
+        "claim: bytes in the stream": _bytes(Claim("entry-12#abcd", 12, 999)),
+        "snapshot: bytes a task": _snapshot_slope(),
+        "probe: bytes of a datagram": len(encode(packet)) + 28,
+        "probe: datagrams a second": 2 * 1000 / PROBE_MS,
+        "poll: bytes of a read without news": 2 * HTTP_HEAD_BYTES + 40,
+        "configuration: bytes for 570 partners": _bytes(
+            Publish("id" * 16, 1, "operator", "", _partners_text(570))
+        ),
+        "VM list: bytes a VM": _bytes(_VM),
+        "cell: appends a second, idle": idle_a_second,
+        "cell: appends a second, today at 5 starts/s": small_a_second,
+        "cell: appends a second, at its part of the peak": peak_a_second,
+        "cell: appends a start, at its part of the peak": peak_a_start,
+    }
+
+
+_NEWS = News("entry-12", 1_764_819_000_000_000_000, MemberState.ALIVE, 24)
+
+
+_VM = Vm(
+    "worker-1234",
+    Role.WORKER,
+    "zone-12",
+    "http://10.20.30.40:8000",
+    rack="zone-12-rack-3",
+    size=Size(32.0, 125_000),
+)
+
+
+def _bytes(value: object) -> int:
+    return len(msgspec.json.encode(value))
+
+
+def _state(tasks: int) -> CellState:
+    state = CellState()
+    state.apply(0, Claim("entry-12#abcd", 1, -1))
+    jobs = max(1, tasks // 20)
+    offset = 1
+    for number in range(jobs):
+        spec = JobSpec(
+            f"job-{number}", "north", "class", 20, Size(1.0, 500), 60_000
+        )
+        state.apply(offset, Submit(spec))
+        offset += 1
+    entries = [
+        Placed(task, 1, f"worker-{n % CELL_WORKERS}", 1, Size(1.0, 500))
+        for n, task in enumerate(list(state.tasks)[:tasks])
+    ]
+    state.apply(offset, Write("entry-12#abcd", 1, 1, entries))
+    return state
+
+
+def _snapshot_slope() -> float:
+    small, large = (len(_state(n).dump()) for n in (200, 600))
+    return (large - small) / 400
+
+
+def times() -> dict[str, float]:
+    """Returns slopes of memory and processor time on this machine."""
+    terms = ControlTerms(lease=LeaseTerms(lease_ms=600_000))
+    return {
+        "memory: interpreter, MiB": _resident("pass"),
+        "memory: and the libraries, MiB": _resident(_LIBRARIES),
+        "memory: and limpetyard, MiB": _resident("import limpetyard.daemon"),
+        "memory: a placed task, bytes": _memory(
+            lambda: _state(2000), lambda: _state(1000), 1000
+        ),
+        "memory: a worker, bytes": _memory(
+            lambda: _stage(300, terms), lambda: _stage(100, terms), 200
+        ),
+        "memory: a peer, bytes": _memory(
+            lambda: _view(1000), lambda: _view(10), 990
+        ),
+        "memory: a partner, bytes": _memory(
+            lambda: _config(600), lambda: _config(10), 590
+        ),
+        "time: a sync at the owner, ms": asyncio.run(_sync_ms()),
+        "time: a decision, ms": decision_ms(1300, 41),
+        "time: a probe, ms": asyncio.run(_probe_ms()),
+    }
+
+
+_LIBRARIES = (
+    "import aiohttp, aiohttp.web, mode, capnp, cappa, loguru, msgspec,"
+    " prometheus_client, xxhash"
+)
+
+
+def _resident(code: str) -> float:
+    tail = (
+        "\nprint(next(x.split()[1] for x in open('/proc/self/status')"
+        " if x.startswith('VmRSS')))"
+    )
+    out = subprocess.run(
+        [sys.executable, "-c", code + tail],
+        capture_output=True,
+        check=True,
+        cwd=ROOT,
+    )
+    return int(out.stdout) / 1024
+
+
+def _memory(large, small, count: int) -> float:
+    sizes = []
+    for make in (large, small):
+        gc.collect()
+        tracemalloc.start()
+        kept = make()
+        gc.collect()
+        sizes.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+        del kept
+    return (sizes[0] - sizes[1]) / count
+
+
+def _stage(workers: int, terms: ControlTerms):
+    stage = Stage(workers, Size(32.0, 125_000), terms)
+    daemon = stage.daemon("d0")
+    daemon.run(500)
+    return daemon.controller
+
+
+def _view(peers: int) -> MembershipView:
+    view = MembershipView("me", 1)
+    view.set_listed({f"entry-{n}": ("127.0.0.1", n) for n in range(peers)}, 0)
+    return view
+
+
+def _config(partners: int):
+    from limpetyard.config import ConfigState
+
+    state = ConfigState()
+    state.apply(0, Publish("id", 0, "bench", "", _partners_text(partners)))
+    return state
+
+
+def _partners_text(count: int) -> str:
+    return "".join(
+        f"[partner.team-{n}]\nquota_cores = 50.0\n" for n in range(count)
+    )
+
+
+async def _sync_ms() -> float:
+    """Processor time of one sync over HTTP at the asking side."""
+    import tempfile
+
+    import aiohttp
+
+    from limpetyard.platform import HttpWorkers
+    from standins.site import Site
+
+    count = 600
+    with tempfile.TemporaryDirectory() as folder:
+        async with Site(Path(folder)) as site:
+            await site.add_workers(8)
+            async with aiohttp.ClientSession() as http:
+                workers = HttpWorkers(http, 2000)
+                url = next(iter(site.workers.values())).url
+                order = SyncOrder("cell-0", 1, 0, 1, 0.0)
+                await workers.sync(f"{url}/w/worker-0", order)
+                before = resource.getrusage(resource.RUSAGE_SELF)
+                for number in range(count):
+                    address = f"{url}/w/worker-{number % 8}"
+                    await workers.sync(address, order)
+                after = resource.getrusage(resource.RUSAGE_SELF)
+    spent_s = after.ru_utime - before.ru_utime
+    spent_s += after.ru_stime - before.ru_stime
+    return spent_s * 1000 / count
+
+
+async def _probe_ms() -> float:
+    """Processor time of one probe and its answer at one daemon."""
+    from standins.site import free_port
+
+    clock = BootClock()
+    ports = [free_port(), free_port()]
+    services = [
+        MembershipService(f"entry-{n}", "127.0.0.1", port, clock)
+        for n, port in enumerate(ports)
+    ]
+    listed = {f"entry-{n}": ("127.0.0.1", p) for n, p in enumerate(ports)}
+    for service in services:
+        await service.start()
+        service.view.set_listed(listed, clock.now_ms())
+    count = 500
+    member = services[0].view.members["entry-1"]
+    before = resource.getrusage(resource.RUSAGE_SELF)
+    for _ in range(count):
+        await services[0]._probe_one(member)
+    after = resource.getrusage(resource.RUSAGE_SELF)
+    for service in services:
+        await service.stop()
+    spent_s = after.ru_utime - before.ru_utime
+    spent_s += after.ru_stime - before.ru_stime
+    return spent_s * 1000 / count / 2
--- a/src/limpetyard/config/_service.py
+++ b/src/limpetyard/config/_service.py
@@ -102,10 +102,7 @@
     async def _follow(self) -> None:
         while not self.should_stop:
             try:
-                if self.reader.folder is None:
-                    await self.reader.begin()
-                else:
-                    await self.reader.follow(FOLLOW_WAIT_MS)
+                await self.reader.advance(FOLLOW_WAIT_MS)
                 await self._snapshot()
             except (LogUnavailableError, StreamBrokenError) as exc:
                 event("config_read_failed", "WARNING", reason=exc)
--- a/src/limpetyard/log/_reader.py
+++ b/src/limpetyard/log/_reader.py
@@ -80,6 +80,18 @@
                     return
         raise StreamBrokenError(f"{self._stream}: nothing usable in {bounds}")
 
+    async def advance(self, wait_ms: int) -> None:
+        """Begins, or follows what is new once there is a state.
+
+        Raises:
+            LogUnavailableError: If the log does not answer.
+            StreamBrokenError: If no snapshot replaces what is trimmed away.
+        """
+        if self.folder is None:
+            await self.begin()
+        else:
+            await self.follow(wait_ms)
+
     async def follow(self, wait_ms: int) -> None:
         """Reads what is new, waiting up to `wait_ms` for it.
 
--- a/src/limpetyard/scheduler/_service.py
+++ b/src/limpetyard/scheduler/_service.py
@@ -91,10 +91,7 @@
     async def _follow(self) -> None:
         while not self.should_stop:
             try:
-                if self.reader.folder is None:
-                    await self.reader.begin()
-                else:
-                    await self.reader.follow(FOLLOW_WAIT_MS)
+                await self.reader.advance(FOLLOW_WAIT_MS)
                 self.controller.set_state(self.reader.folder.fold)
             except (LogUnavailableError, StreamBrokenError) as exc:
                 event("cell_read_failed", "WARNING", reason=exc)
--- a/tests/exploring/node.py
+++ b/tests/exploring/node.py
@@ -132,10 +132,7 @@
         clock = self.world.clock
         while self._lives_on(life):
             try:
-                if reader.folder is None:
-                    await reader.begin()
-                else:
-                    await reader.follow(0)
+                await reader.advance(0)
             except (LogUnavailableError, StreamBrokenError):
                 await _Sleep(clock.now_ms() + 200)
             await _Sleep(clock.now_ms() + 100)
