--- a/src/limpetyard/admin/_jobs.py
+++ b/src/limpetyard/admin/_jobs.py
@@ -1,6 +1,7 @@
 """Submitting, cancelling and inspecting jobs through the cells' streams."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -35,7 +36,12 @@
 
     __slots__ = ("_clock", "_log", "_open_readers")
 
-    def __init__(self, log: Log, clock: Clock, open_readers):
+    def __init__(
+        self,
+        log: Log,
+        clock: Clock,
+        open_readers: Callable[[str], StreamReader | None],
+    ):
         self._log = log
         self._clock = clock
         self._open_readers = open_readers
--- a/src/limpetyard/admin/_views.py
+++ b/src/limpetyard/admin/_views.py
@@ -1,18 +1,23 @@
 """What one daemon shows operators of itself."""
 
+from typing import TYPE_CHECKING
+
 from limpetyard.admin._messages import CellRow, Status, TargetRow, WorkerRow
 from limpetyard.cell import CellState, Size, Task, cell_of, stream_of
 from limpetyard.config import ConfigState
 from limpetyard.platform import Role, Vm
 from limpetyard.scheduler import CellService, Decision
 
+if TYPE_CHECKING:
+    from limpetyard.daemon import Daemon
+
 
 class Views:
     """Reads the daemon's services; changes nothing."""
 
     __slots__ = ("_daemon",)
 
-    def __init__(self, daemon):
+    def __init__(self, daemon: "Daemon"):
         self._daemon = daemon
 
     def config_age_ms(self) -> float:
--- a/src/limpetyard/cell/_ownership.py
+++ b/src/limpetyard/cell/_ownership.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+from typing import TypeVar
 
 from limpetyard._chart import Chart, Machine
 from limpetyard.cell._records import Claim, Entry, Release, Write
@@ -14,6 +15,8 @@
 
 _CHART = Chart.load("ownership")
 
+R = TypeVar("R", Claim, Write, Release)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LeaseTerms:
@@ -159,7 +162,7 @@
         pending.sent_ms = now_ms
         return pending.record
 
-    def _send(self, record, now_ms: float):
+    def _send(self, record: R, now_ms: float) -> R:
         self._pending = _Pending(record, now_ms, now_ms)
         return record
 
--- a/src/limpetyard/membership/_service.py
+++ b/src/limpetyard/membership/_service.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import time
+from collections.abc import Callable
 
 from mode import Service
 
@@ -188,7 +189,7 @@
 
 
 class _Protocol(asyncio.DatagramProtocol):
-    def __init__(self, receive):
+    def __init__(self, receive: Callable[[bytes, tuple[str, int]], None]):
         self._receive = receive
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
--- a/src/limpetyard/requests/_service.py
+++ b/src/limpetyard/requests/_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from aiohttp import ClientError, web
 from mode import Service as ModeService
@@ -75,7 +75,7 @@
         policy: SlotPolicy,
         clock: Clock,
         metrics: Metrics,
-        ready,
+        ready: Callable[[], bool],
     ):
         super().__init__()
         self.dispatchers: dict[str, Dispatcher] = {}
