--- a/standins/target.py
+++ b/standins/target.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import contextlib
 
 import msgspec
 from aiohttp import web
@@ -146,8 +147,9 @@
             self._switches.cut_answers -= 1
             resp = web.StreamResponse()
             resp.content_length = len(text) + 10
-            await resp.prepare(request)
-            await resp.write(text)
+            with contextlib.suppress(ConnectionError):
+                await resp.prepare(request)
+                await resp.write(text)
             self._abort(request)
             return resp
         return web.Response(body=text)
