--- /dev/null
+++ b/tests/test_record.py
@@ -0,0 +1,39 @@
+"""A daemon's own recording can be replayed."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from limpetyard.scheduler import replay
+from tests.sites import SiteTest
+
+
+class RecordTest(SiteTest):
+    """One daemon that records what it is told."""
+
+    daemon_count = 1
+    worker_count = 2
+    target_count = 0
+
+    async def asyncSetUp(self):
+        """Starts the daemon with a folder for traces."""
+        folder = tempfile.TemporaryDirectory(prefix="limpetyard-traces-")
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.flags = (*self.flags, f"--record-dir={folder.name}")
+        await super().asyncSetUp()
+
+    async def test_replay_decides_the_same(self):
+        """The replay places and ends what the daemon did."""
+        await self.submit("job", count=4)
+        await self.job_over("job")
+        lines = (self.folder / "cell-0.jsonl").read_text().splitlines()
+        found = replay(lines)
+        self.assertEqual(len(found.placed), 4)
+        self.assertEqual(
+            sorted(found.ended), [f"job/{n}@1 finish" for n in range(4)]
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
