--- a/src/limpetyard/_settings.py
+++ b/src/limpetyard/_settings.py
@@ -48,6 +48,8 @@
         commit_ms: Shortest time between two appends of decisions.
         sync_ms: How often a worker is asked for news.
         platform_timeout_ms: Longest wait for the log, the VM list or a worker.
+        snapshot_ms: Longest time between two snapshots of a stream; less than
+            half of the log's retention.
         drain_ms: How long a leaving daemon goes on accepting after it has
             told the balancer.
         record_dir: Folder for traces of what came in, or "" for none.
@@ -92,6 +94,9 @@
     platform_timeout_ms: Annotated[
         int, _setting("platform-timeout-ms", 1000, "wait for the platform, ms")
     ]
+    snapshot_ms: Annotated[
+        int, _setting("snapshot-ms", 600_000, "pause between snapshots, ms")
+    ]
     drain_ms: Annotated[
         int, _setting("drain-ms", 1000, "accepting while leaving, ms")
     ]
@@ -131,6 +136,7 @@
     "commit_ms": (10, 2000),
     "sync_ms": (50, 10_000),
     "platform_timeout_ms": (50, 30_000),
+    "snapshot_ms": (1000, 86_400_000),
     "drain_ms": (0, 600_000),
 }
 
--- a/src/limpetyard/config/_service.py
+++ b/src/limpetyard/config/_service.py
@@ -24,7 +24,7 @@
     RequestError,
     StreamBrokenError,
 )
-from limpetyard.log import Log, StreamFolder, StreamReader
+from limpetyard.log import Log, SnapshotPlan, StreamFolder, StreamReader
 
 FOLLOW_WAIT_MS = 800
 RETRY_MS = 200
@@ -45,7 +45,7 @@
         snapshot_rank: This daemon's place in the order of snapshot writers.
     """
 
-    def __init__(self, log: Log, clock: Clock):
+    def __init__(self, log: Log, clock: Clock, snapshot_ms: float):
         super().__init__()
         self.snapshot_rank = 0
         self._log = log
@@ -55,7 +55,7 @@
         )
         self.changed = asyncio.Event()
         self._waiting: dict[str, asyncio.Event] = {}
-        self._snapshot_sent = -1
+        self._plan = SnapshotPlan(SNAPSHOT_RECORDS, snapshot_ms)
         self.reader = StreamReader(log, CONFIG_STREAM, self._new_folder, clock)
 
     @property
@@ -122,12 +122,10 @@
 
     async def _snapshot(self) -> None:
         folder = self.reader.folder
-        as_of = folder.next_offset - 1
-        newest = max(folder.snapshot_as_of, self._snapshot_sent)
-        if as_of - newest < SNAPSHOT_RECORDS * (1 + self.snapshot_rank):
+        now_ms = self._clock.now_ms()
+        if not self._plan.due(folder, now_ms, self.snapshot_rank):
             return
-        self._snapshot_sent = as_of
-        record = ConfigSnapshot(as_of, folder.fold.dump())
+        record = ConfigSnapshot(folder.next_offset - 1, folder.fold.dump())
         await self._log.append(CONFIG_STREAM, _ENCODER.encode(record).decode())
 
     def _new_folder(self) -> StreamFolder:
--- a/src/limpetyard/daemon.py
+++ b/src/limpetyard/daemon.py
@@ -80,7 +80,9 @@
         timeout_ms = cfg.platform_timeout_ms
         self.platform_log = HttpLog(self._session(), cfg.log_url, timeout_ms)
         self.workers = HttpWorkers(self._session(), timeout_ms)
-        self.config = ConfigService(self.platform_log, self.clock)
+        self.config = ConfigService(
+            self.platform_log, self.clock, cfg.snapshot_ms
+        )
         self.vms = VmService(
             HttpVmList(self._session(), cfg.vms_url, timeout_ms), self.clock
         )
@@ -267,6 +269,7 @@
         outage_ms=cfg.outage_ms,
         sync_ms=cfg.sync_ms,
         commit_ms=cfg.commit_ms,
+        snapshot_ms=cfg.snapshot_ms,
     )
 
 
--- a/src/limpetyard/scheduler/_service.py
+++ b/src/limpetyard/scheduler/_service.py
@@ -14,7 +14,7 @@
     StreamBrokenError,
     WorkerUnavailableError,
 )
-from limpetyard.log import Log, StreamFolder, StreamReader
+from limpetyard.log import Log, SnapshotPlan, StreamFolder, StreamReader
 from limpetyard.platform import Workers
 from limpetyard.scheduler._controller import CellController
 from limpetyard.scheduler._decisions import DecisionTail
@@ -70,7 +70,7 @@
         self._terms = terms
         self._tail = tail
         self._metrics = metrics
-        self._snapshot_sent = -1
+        self._plan = SnapshotPlan(terms.snapshot_records, terms.snapshot_ms)
         self.reader = StreamReader(
             log, controller.name, self._new_folder, clock
         )
@@ -157,13 +157,11 @@
 
     def _snapshot(self) -> list[Effect]:
         folder = self.reader.folder
-        if not self.controller.ownership.owning or not folder.based:
+        now_ms = self._clock.now_ms()
+        owning = self.controller.ownership.owning
+        if not owning or not self._plan.due(folder, now_ms, rank=0):
             return []
         as_of = folder.next_offset - 1
-        newest = max(folder.snapshot_as_of, self._snapshot_sent)
-        if as_of - newest < self._terms.snapshot_records:
-            return []
-        self._snapshot_sent = as_of
         return [Append(CellSnapshot(as_of, folder.fold.dump()))]
 
     def _perform(self, effect: Effect) -> None:
--- a/src/limpetyard/scheduler/_terms.py
+++ b/src/limpetyard/scheduler/_terms.py
@@ -23,6 +23,7 @@
         silent_ms: A worker not heard for this long gets no starts.
         starts_per_commit: Largest number of placements in one append.
         snapshot_records: A snapshot is due after this many records.
+        snapshot_ms: It is due after this long in any case.
     """
 
     lease: LeaseTerms = LeaseTerms()
@@ -36,3 +37,4 @@
     silent_ms: int = 2000
     starts_per_commit: int = 200
     snapshot_records: int = 200
+    snapshot_ms: int = 600_000
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -259,6 +259,46 @@
             await asyncio.sleep(0.02)
 
 
+class RetentionTest(FailureTest):
+    """A log that has dropped the only act there ever was."""
+
+    daemon_count = 2
+    worker_count = 0
+    target_count = 0
+    flags = (*FLAGS, "--snapshot-ms=1000")
+
+    # Records younger than the retention: a snapshot was written lately.
+    kept = 1
+
+    async def test_newcomer_finds_an_old_configuration(self):
+        """A daemon that starts long after the last act has it."""
+        self.assertTrue(await self._newcomer_is_ready())
+
+    async def _newcomer_is_ready(self) -> bool:
+        await asyncio.sleep(3)
+        await self.site.switch_log(trim=self.kept)
+        self.site.daemons["entry-1"].kill()
+        self.site.start_daemon("entry-1")
+        try:
+            async with asyncio.timeout(6):
+                await self.site.ready("entry-1")
+                await self.in_force(1)
+        except TimeoutError:
+            return False
+        return True
+
+
+class RareSnapshotTest(RetentionTest):
+    """The same with snapshots that come too late."""
+
+    flags = FLAGS
+    kept = 0
+
+    async def test_newcomer_finds_an_old_configuration(self):
+        """The check sees a newcomer that cannot begin."""
+        self.assertFalse(await self._newcomer_is_ready())
+
+
 class LeavingTest(FailureTest):
     """Daemons and targets that leave."""
 
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -14,7 +14,7 @@
     SetZone,
 )
 from limpetyard.errors import OffsetTrimmedError, StreamBrokenError
-from limpetyard.log import StreamFolder, StreamReader
+from limpetyard.log import SnapshotPlan, StreamFolder, StreamReader
 from standins.log_model import LogModel
 
 
@@ -138,6 +138,48 @@
         self.assertEqual(caught.exception.first, 2)
 
 
+class SnapshotPlanTest(unittest.TestCase):
+    """When snapshots are written."""
+
+    def setUp(self):
+        """Makes a plan of 10 records or a minute."""
+        self.plan = SnapshotPlan(10, 60_000)
+        self.folder = StreamFolder(ConfigState(), ConfigRecord, ConfigSnapshot)
+
+    def at(self, next_offset: int, snapshot: int = -1) -> None:
+        """Moves the folder on; a snapshot may stand at an offset."""
+        self.folder.next_offset = next_offset
+        self.folder.snapshot_offset = snapshot
+        self.folder.snapshot_as_of = snapshot - 1 if snapshot >= 0 else -1
+
+    def test_empty_stream_needs_none(self):
+        """There is nothing to keep."""
+        self.assertFalse(self.plan.due(self.folder, 1e9, 0))
+
+    def test_due_after_records_once(self):
+        """It is due after enough records, and not again at once."""
+        self.at(10)
+        self.assertTrue(self.plan.due(self.folder, 0.0, 0))
+        self.assertFalse(self.plan.due(self.folder, 1.0, 0))
+
+    def test_due_after_time_without_records(self):
+        """A snapshot that grows old is written anew."""
+        self.at(3, snapshot=2)
+        self.assertFalse(self.plan.due(self.folder, 0.0, 0))
+        self.assertFalse(self.plan.due(self.folder, 59_999.0, 0))
+        self.assertTrue(self.plan.due(self.folder, 60_000.0, 0))
+
+    def test_higher_rank_leaves_it_to_the_first(self):
+        """The second writer waits, and not in vain if the first writes."""
+        self.at(3, snapshot=2)
+        self.plan.due(self.folder, 0.0, 1)
+        self.assertFalse(self.plan.due(self.folder, 60_000.0, 1))
+        self.at(4, snapshot=3)
+        self.assertFalse(self.plan.due(self.folder, 70_000.0, 1))
+        self.assertFalse(self.plan.due(self.folder, 120_000.0, 1))
+        self.assertTrue(self.plan.due(self.folder, 190_000.0, 1))
+
+
 def zone(expected: int) -> SetZone:
     """Returns the act that follows a version."""
     return SetZone(f"id-{expected}", expected, "test", "zone-0", True)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -23,6 +23,7 @@
     "commit_ms": 100,
     "sync_ms": 500,
     "platform_timeout_ms": 1000,
+    "snapshot_ms": 600_000,
     "drain_ms": 1000,
     "record_dir": "",
     "log_level": "INFO",
