Tell at once that no target serves, and keep retries off tried targets

Cause: with no target listed a request waited for its deadline; a retry that had to wait for a slot could go to the target that it had failed at. Change: kind no_target; a freed slot is matched with the waiting request.

--- a/src/limpetyard/requests/_dispatch.py
+++ b/src/limpetyard/requests/_dispatch.py
@@ -182,6 +182,8 @@
         )
 
     async def _slot(self, req: Request, avoid: frozenset[str]) -> TargetState:
+        if not self.pool.targets:
+            raise RequestError(ErrorKind.NO_TARGET, self.name)
         now_ms = self._clock.now_ms()
         if not len(self._queue):
             target = self.pool.take(now_ms, avoid)
@@ -251,10 +253,11 @@
     def _serve_waiting(self) -> None:
         now_ms = self._clock.now_ms()
         while len(self._queue):
-            target = self.pool.take(now_ms, frozenset())
+            waiter = self._queue.first()
+            target = self.pool.take(now_ms, waiter.avoid)
             if target is None:
                 return
-            waiter = self._queue.pop()
+            self._queue.pop()
             if waiter.fut.done():
                 target.in_flight -= 1
                 continue
--- a/src/limpetyard/requests/_queue.py
+++ b/src/limpetyard/requests/_queue.py
@@ -36,6 +36,10 @@
             return None
         return self._entries.pop()[1]
 
+    def first(self) -> T | None:
+        """Returns the most urgent request and leaves it in place."""
+        return self._entries[0][1] if self._entries else None
+
     def pop(self) -> T | None:
         """Takes out the most urgent request."""
         return self._entries.pop(0)[1] if self._entries else None
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -344,6 +344,20 @@
         self.assertEqual((await self.ask("after"))[0], 200)
 
 
+class NoTargetTest(FrontendTest):
+    """A service that no target serves."""
+
+    target_count = 0
+
+    async def test_is_told_at_once(self):
+        """The caller does not wait for its deadline."""
+        async with self.http.post(
+            f"{self.urls[0]}/v1/tally/x", headers=HEADERS
+        ) as resp:
+            self.assertEqual(resp.headers["X-Limpetyard-Error"], "no_target")
+            self.assertEqual(resp.headers["X-Limpetyard-Ran"], "no")
+
+
 class ShedTest(FrontendTest):
     """Queues by deadline with a bound."""
 
