Rename the product's own clients package to fleet

The users ask for their platform's adapter in a folder named platform. The clients that speak the product's own wire forms keep their job as the default and move to limpetyard.fleet; nothing else changes.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,17 +24,7 @@
     Write,
 )
 from limpetyard.config import Publish
-from limpetyard.membership import (
-    MembershipService,
-    MembershipView,
-    MemberState,
-    News,
-    Packet,
-    encode,
-)
-from limpetyard.membership._service import PROBE_MS
-from limpetyard.membership._wire import PacketKind
-from limpetyard.platform import (
+from limpetyard.fleet import (
     Role,
     Run,
     RunState,
@@ -46,6 +36,16 @@
     Usage,
     Vm,
 )
+from limpetyard.membership import (
+    MembershipService,
+    MembershipView,
+    MemberState,
+    News,
+    Packet,
+    encode,
+)
+from limpetyard.membership._service import PROBE_MS
+from limpetyard.membership._wire import PacketKind
 from limpetyard.scheduler import ControlTerms
 from standins.driven import Stage
 
@@ -233,7 +233,7 @@
 
     import aiohttp
 
-    from limpetyard.platform import HttpWorkers
+    from limpetyard.fleet import HttpWorkers
     from standins.site import Site
 
     count = 600
--- a/bench/slots.py
+++ b/bench/slots.py
@@ -11,8 +11,8 @@
 import random
 
 from bench.report import Bound, Section, table
+from limpetyard.fleet import Role, Vm
 from limpetyard.membership import ranked
-from limpetyard.platform import Role, Vm
 from limpetyard.requests import SLOT_POLICIES, DeadlineQueue, TargetPool
 
 ENTRIES = 8
--- a/bench/workspace.py
+++ b/bench/workspace.py
@@ -22,9 +22,9 @@
     Write,
 )
 from limpetyard.config import ConfigState, Publish, SetZone
+from limpetyard.fleet import Role, Vm
 from limpetyard.log import StreamFolder
 from limpetyard.placement import PlacementPolicy
-from limpetyard.platform import Role, Vm
 from limpetyard.scheduler import (
     Append,
     CellController,
--- a/src/limpetyard/admin/_messages.py
+++ b/src/limpetyard/admin/_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from limpetyard.cell import Size, Use
-from limpetyard.platform import Vm
+from limpetyard.fleet import Vm
 from limpetyard.scheduler import Decision
 
 
--- a/src/limpetyard/admin/_views.py
+++ b/src/limpetyard/admin/_views.py
@@ -5,7 +5,7 @@
 from limpetyard.admin._messages import CellRow, Status, TargetRow, WorkerRow
 from limpetyard.cell import CellState, Size, Task, cell_of, stream_of
 from limpetyard.config import ConfigState
-from limpetyard.platform import Role, Vm
+from limpetyard.fleet import Role, Vm
 from limpetyard.scheduler import CellService, Decision
 
 if TYPE_CHECKING:
--- a/src/limpetyard/daemon.py
+++ b/src/limpetyard/daemon.py
@@ -24,10 +24,10 @@
 from limpetyard.cell import LeaseTerms, cell_of, cell_streams
 from limpetyard.config import CONFIG_STREAM, ConfigService
 from limpetyard.errors import SettingError
+from limpetyard.fleet import HttpVmList, HttpWorkers, Role, VmService
 from limpetyard.log import HttpLog, StreamReader
 from limpetyard.membership import MembershipService, rank_of
 from limpetyard.placement import new_policy
-from limpetyard.platform import HttpVmList, HttpWorkers, Role, VmService
 from limpetyard.requests import SLOT_POLICIES, RequestService
 from limpetyard.scheduler import (
     Begun,
--- a/src/limpetyard/platform/__init__.py
+++ b/src/limpetyard/fleet/__init__.py
@@ -1,8 +1,8 @@
 """Workers, targets and the VM list, as the platform gives them."""
 
-from limpetyard.platform._vm_service import VmService
-from limpetyard.platform._vms import HttpVmList, Role, Vm, VmList, VmState
-from limpetyard.platform._workers import (
+from limpetyard.fleet._vm_service import VmService
+from limpetyard.fleet._vms import HttpVmList, Role, Vm, VmList, VmState
+from limpetyard.fleet._workers import (
     HttpWorkers,
     Refusal,
     Run,
--- a/src/limpetyard/platform/_vm_service.py
+++ b/src/limpetyard/fleet/_vm_service.py
@@ -5,7 +5,7 @@
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
 from limpetyard.errors import VmListUnavailableError
-from limpetyard.platform._vms import Role, Vm, VmList, VmState
+from limpetyard.fleet._vms import Role, Vm, VmList, VmState
 
 POLL_MS = 1000
 
--- a/src/limpetyard/requests/_dispatch.py
+++ b/src/limpetyard/requests/_dispatch.py
@@ -10,7 +10,7 @@
 from limpetyard._kinds import ANSWERS, ErrorKind, Ran
 from limpetyard.config import Limits, Service
 from limpetyard.errors import RequestError
-from limpetyard.platform import Vm
+from limpetyard.fleet import Vm
 from limpetyard.requests._budget import RetryBudget
 from limpetyard.requests._client import Attempt, Call, TargetClient
 from limpetyard.requests._fate import Fate, verdict_of
--- a/src/limpetyard/requests/_service.py
+++ b/src/limpetyard/requests/_service.py
@@ -13,7 +13,7 @@
 from limpetyard._metrics import Metrics
 from limpetyard.config import ConfigState, Service
 from limpetyard.errors import RequestError
-from limpetyard.platform import Role, Vm
+from limpetyard.fleet import Role, Vm
 from limpetyard.requests._client import Attempt, Call
 from limpetyard.requests._dispatch import Dispatcher, Request
 from limpetyard.requests._slots import SlotPolicy
--- a/src/limpetyard/requests/_targets.py
+++ b/src/limpetyard/requests/_targets.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Iterable
 
-from limpetyard.platform import Vm, VmState
+from limpetyard.fleet import Vm, VmState
 from limpetyard.requests._slots import SlotPolicy
 
 FAILURES_TO_EJECT = 3
--- a/src/limpetyard/scheduler/_commits.py
+++ b/src/limpetyard/scheduler/_commits.py
@@ -9,7 +9,7 @@
     Size,
     Task,
 )
-from limpetyard.platform import Run, RunState
+from limpetyard.fleet import Run, RunState
 from limpetyard.scheduler._context import CellContext
 from limpetyard.scheduler._planner import Planner
 from limpetyard.scheduler._workers import ENDED_STATES, KnownWorker
--- a/src/limpetyard/scheduler/_context.py
+++ b/src/limpetyard/scheduler/_context.py
@@ -2,7 +2,7 @@
 
 from limpetyard.cell import CellState, Ownership, Task
 from limpetyard.config import ConfigState
-from limpetyard.platform import Run
+from limpetyard.fleet import Run
 from limpetyard.scheduler._terms import ControlTerms
 from limpetyard.scheduler._workers import KnownWorker
 
--- a/src/limpetyard/scheduler/_controller.py
+++ b/src/limpetyard/scheduler/_controller.py
@@ -10,8 +10,8 @@
 
 from limpetyard.cell import CellState, Ownership
 from limpetyard.config import ConfigState
+from limpetyard.fleet import StartOrder, StartReply, SyncOrder, SyncReply, Vm
 from limpetyard.placement import PlacementPolicy, SizeBook
-from limpetyard.platform import StartOrder, StartReply, SyncOrder, SyncReply, Vm
 from limpetyard.scheduler._commits import Commits
 from limpetyard.scheduler._context import CellContext
 from limpetyard.scheduler._easing import Easing
--- a/src/limpetyard/scheduler/_easing.py
+++ b/src/limpetyard/scheduler/_easing.py
@@ -1,5 +1,6 @@
 """Relief of latency-critical tasks, carried out on a cell's workers."""
 
+from limpetyard.fleet import Run, ThrottleOrder
 from limpetyard.placement import (
     FULL_SPEED,
     PlacementPolicy,
@@ -8,7 +9,6 @@
     StepKind,
     Suspect,
 )
-from limpetyard.platform import Run, ThrottleOrder
 from limpetyard.scheduler._context import CellContext
 from limpetyard.scheduler._effects import Effect, ThrottleRuns
 from limpetyard.scheduler._rates import note_stay, sample_of
--- a/src/limpetyard/scheduler/_effects.py
+++ b/src/limpetyard/scheduler/_effects.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from limpetyard.cell import CellSnapshot, Claim, Release, Write
-from limpetyard.platform import (
+from limpetyard.fleet import (
     StartOrder,
     StopOrder,
     SyncOrder,
--- a/src/limpetyard/scheduler/_planner.py
+++ b/src/limpetyard/scheduler/_planner.py
@@ -4,6 +4,7 @@
 
 from limpetyard.cell import CellState, Job, Size, Task
 from limpetyard.config import Partner
+from limpetyard.fleet import VmState
 from limpetyard.placement import (
     FULL_SPEED,
     PartnerView,
@@ -16,7 +17,6 @@
     plan_placements,
     plan_preemption,
 )
-from limpetyard.platform import VmState
 from limpetyard.scheduler._context import CellContext
 from limpetyard.scheduler._workers import KnownWorker
 from limpetyard.scheduler._zones import ZoneHold
--- a/src/limpetyard/scheduler/_rates.py
+++ b/src/limpetyard/scheduler/_rates.py
@@ -1,8 +1,8 @@
 """Turning workers' lagging reports into samples for the policy."""
 
 from limpetyard.cell import CellState
+from limpetyard.fleet import Run, RunState
 from limpetyard.placement import RateSample
-from limpetyard.platform import Run, RunState
 from limpetyard.scheduler._workers import KnownWorker
 
 
--- a/src/limpetyard/scheduler/_service.py
+++ b/src/limpetyard/scheduler/_service.py
@@ -14,8 +14,8 @@
     StreamBrokenError,
     WorkerUnavailableError,
 )
+from limpetyard.fleet import Workers
 from limpetyard.log import Log, SnapshotPlan, StreamFolder, StreamReader
-from limpetyard.platform import Workers
 from limpetyard.scheduler._controller import CellController
 from limpetyard.scheduler._decisions import DecisionTail
 from limpetyard.scheduler._effects import (
--- a/src/limpetyard/scheduler/_tending.py
+++ b/src/limpetyard/scheduler/_tending.py
@@ -1,7 +1,7 @@
 """Orders to workers: news and leases, starts, stops and throttling."""
 
 from limpetyard.cell import Task
-from limpetyard.platform import (
+from limpetyard.fleet import (
     Refusal,
     Run,
     RunState,
--- a/src/limpetyard/scheduler/_trace.py
+++ b/src/limpetyard/scheduler/_trace.py
@@ -19,9 +19,9 @@
     Write,
 )
 from limpetyard.config import ConfigState
+from limpetyard.fleet import StartOrder, StartReply, SyncOrder, SyncReply, Vm
 from limpetyard.log import Page, Record, StreamFolder
 from limpetyard.placement import new_policy
-from limpetyard.platform import StartOrder, StartReply, SyncOrder, SyncReply, Vm
 from limpetyard.scheduler._controller import CellController
 from limpetyard.scheduler._effects import (
     Append,
--- a/src/limpetyard/scheduler/_workers.py
+++ b/src/limpetyard/scheduler/_workers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from limpetyard.platform import (
+from limpetyard.fleet import (
     Run,
     RunState,
     SyncReply,
--- a/standins/driven.py
+++ b/standins/driven.py
@@ -12,9 +12,9 @@
     Submit,
 )
 from limpetyard.config import ConfigState, SetZone
+from limpetyard.fleet import Role, Vm, VmState
 from limpetyard.log import StreamFolder
 from limpetyard.placement import new_policy
-from limpetyard.platform import Role, Vm, VmState
 from limpetyard.scheduler import (
     Append,
     Begun,
--- a/standins/site.py
+++ b/standins/site.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from limpetyard.cell import Size
-from limpetyard.platform import Role, Vm
+from limpetyard.fleet import Role, Vm
 from standins.target import TargetRecord
 from standins.worker import Described
 from standins.worker_model import Happening
--- a/standins/vms.py
+++ b/standins/vms.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from limpetyard.platform import Vm, VmState
+from limpetyard.fleet import Vm, VmState
 from standins.process import serve
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -12,7 +12,7 @@
 
 from limpetyard._clock import MS_PER_SECOND, BootClock
 from limpetyard.cell import Size
-from limpetyard.platform import (
+from limpetyard.fleet import (
     StartOrder,
     StopOrder,
     SyncOrder,
--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -5,7 +5,7 @@
 
 from limpetyard._clock import Clock
 from limpetyard.cell import Size
-from limpetyard.platform import (
+from limpetyard.fleet import (
     Refusal,
     Run,
     RunState,
--- a/tests/exploring/world.py
+++ b/tests/exploring/world.py
@@ -20,7 +20,7 @@
     Publish,
     SetZone,
 )
-from limpetyard.platform import Role, Vm, VmState
+from limpetyard.fleet import Role, Vm, VmState
 from limpetyard.scheduler import (
     ControlTerms,
 )
--- a/tests/frontends.py
+++ b/tests/frontends.py
@@ -9,7 +9,7 @@
 from limpetyard._clock import BootClock
 from limpetyard._metrics import Metrics
 from limpetyard.config import ConfigState, Publish
-from limpetyard.platform import Role, Vm, VmState
+from limpetyard.fleet import Role, Vm, VmState
 from limpetyard.requests import SLOT_POLICIES, RequestService
 from standins.site import free_port
 from standins.target import Switches, TargetProcess
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -9,8 +9,8 @@
 
 from limpetyard._registry import Registry
 from limpetyard.cell import CellState, Claim, Ownership
+from limpetyard.fleet import Refusal
 from limpetyard.log import StreamFolder, StreamReader
-from limpetyard.platform import Refusal
 from limpetyard.scheduler._context import CellContext
 from limpetyard.scheduler._tending import Tending
 from limpetyard.scheduler._workers import KnownWorker
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -3,7 +3,7 @@
 import unittest
 
 from limpetyard.cell import Cancel, Claim, LeaseTerms, Size
-from limpetyard.platform import RunState, VmState
+from limpetyard.fleet import RunState, VmState
 from limpetyard.scheduler import (
     Append,
     ControlTerms,
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from limpetyard.platform import VmState
+from limpetyard.fleet import VmState
 from limpetyard.requests import Fate, TargetPool, Verdict
 from limpetyard.requests import _client as client
 from limpetyard.requests import _fate as fate
