--- /dev/null
+++ b/src/limpetyard/_calls.py
@@ -0,0 +1,116 @@
+"""HTTP calls whose failures tell whether the call may have been carried out."""
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from limpetyard._clock import MS_PER_SECOND
+
+# A connection that is not established by then counts as unreachable; several
+# times the round trip between availability zones.
+CONNECT_MS = 500
+
+# Idle connections are kept longer than the pause between any two calls.
+KEEP_ALIVE_S = 120
+
+
+class NotSentError(Exception):
+    """No connection was established, so nothing was carried out.
+
+    Attributes:
+        refused: Whether the peer's VM answered that nobody listens there.
+    """
+
+    def __init__(self, url: str, refused: bool):
+        super().__init__(f"{url}: not connected")
+        self.refused = refused
+
+
+class SilentError(Exception):
+    """The call may have been carried out, or may be later."""
+
+
+class Reply(msgspec.Struct):
+    """An answer.
+
+    Attributes:
+        status: HTTP status code.
+        body: Its body.
+    """
+
+    status: int
+    body: bytes
+
+
+class HttpCaller:
+    """Calls to one kind of peer over kept connections."""
+
+    __slots__ = ("_per_host", "_session")
+
+    def __init__(self, per_host: int):
+        """Makes a caller.
+
+        Args:
+            per_host: Most connections to one address.
+        """
+        self._per_host = per_host
+        self._session: aiohttp.ClientSession | None = None
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        timeout_ms: float,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Makes one call.
+
+        Raises:
+            NotSentError: If no connection was established.
+            SilentError: If no whole answer came in time.
+        """
+        session = self._open()
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_ms / MS_PER_SECOND,
+            sock_connect=CONNECT_MS / MS_PER_SECOND,
+        )
+        try:
+            async with session.request(
+                method,
+                URL(url, encoded=True),
+                data=body,
+                headers=headers,
+                timeout=timeout,
+            ) as resp:
+                return Reply(resp.status, await resp.read())
+        except aiohttp.ClientConnectorError as exc:
+            refused = isinstance(exc.os_error, ConnectionRefusedError)
+            raise NotSentError(url, refused) from exc
+        except aiohttp.ConnectionTimeoutError as exc:
+            raise NotSentError(url, refused=False) from exc
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise SilentError(f"{url}: {exc!r}") from exc
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=self._per_host,
+                keepalive_timeout=KEEP_ALIVE_S,
+                use_dns_cache=False,
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                headers={"Content-Type": "application/json"},
+                skip_auto_headers=("User-Agent", "Accept-Encoding"),
+            )
+        return self._session
--- a/src/limpetyard/_kinds.py
+++ b/src/limpetyard/_kinds.py
@@ -23,6 +23,10 @@
     VERSION_CONFLICT = "version_conflict"
     LOG_UNAVAILABLE = "log_unavailable"
     NOT_FOUND = "not_found"
+    JOB_GONE = "job_gone"
+    STORE_REFUSED = "store_refused"
+    STORE_SILENT = "store_silent"
+    OWNER_AWAY = "owner_away"
     INTERNAL = "internal"
 
 
@@ -63,5 +67,9 @@
     ErrorKind.VERSION_CONFLICT: Answer(409, Ran.NO),
     ErrorKind.LOG_UNAVAILABLE: Answer(503, Ran.UNKNOWN),
     ErrorKind.NOT_FOUND: Answer(404, Ran.NO),
+    ErrorKind.JOB_GONE: Answer(410, Ran.NO),
+    ErrorKind.STORE_REFUSED: Answer(503, Ran.NO),
+    ErrorKind.STORE_SILENT: Answer(504, Ran.UNKNOWN),
+    ErrorKind.OWNER_AWAY: Answer(503, Ran.NO),
     ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN),
 }
--- a/src/limpetyard/_settings.py
+++ b/src/limpetyard/_settings.py
@@ -1,13 +1,13 @@
 """Settings of the daemon: flags and environment variables, all checked."""
 
 import dataclasses
-import ipaddress
 from pathlib import Path
 from typing import Annotated
 from urllib.parse import urlsplit
 
 import cappa
 
+from limpetyard._addresses import host_port
 from limpetyard.errors import SettingError
 
 _PREFIX = "LIMPETYARD_"
@@ -141,23 +141,6 @@
 }
 
 
-def host_port(name: str, value: str) -> tuple[str, int]:
-    """Returns the parts of an IP:port setting.
-
-    Raises:
-        SettingError: If it is not of that form.
-    """
-    host, _, port = value.rpartition(":")
-    allowed = "an IP number, a colon and a port from 0 to 65535"
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError as exc:
-        raise SettingError(name, value, allowed) from exc
-    if not port.isascii() or not port.isdigit() or int(port) > 65_535:
-        raise SettingError(name, value, allowed)
-    return host.strip("[]"), int(port)
-
-
 def _check_filled(name: str, value: str) -> None:
     if not value or not value.isprintable() or " " in value:
         raise SettingError(name, value, "a text without spaces")
--- a/src/limpetyard/daemon.py
+++ b/src/limpetyard/daemon.py
@@ -13,11 +13,12 @@
 from mode import Service
 
 from limpetyard import _events
+from limpetyard._addresses import host_port
 from limpetyard._chart import Chart, Machine
 from limpetyard._clock import MS_PER_SECOND, BootClock
 from limpetyard._events import event
 from limpetyard._metrics import Metrics
-from limpetyard._settings import Settings, host_port
+from limpetyard._settings import Settings
 from limpetyard.admin import AdminService
 from limpetyard.admin._jobs import Jobs
 from limpetyard.admin._views import Views
--- /dev/null
+++ b/src/limpetyard/engine/__init__.py
@@ -0,0 +1,52 @@
+"""Decides which task of a step runs where, and keeps what is known of it."""
+
+from limpetyard.engine._effects import Ask, Effect, Pace, Start, Stop
+from limpetyard.engine._engine import Engine, StoredBatch
+from limpetyard.engine._interface import (
+    Advice,
+    EndKind,
+    EndRow,
+    LookOrder,
+    LookReply,
+    OtherLifeError,
+    PaceOrder,
+    RunRow,
+    StaleTokenError,
+    StartOrder,
+    StartResult,
+    StepWorkers,
+    Ticket,
+    WorkerEntry,
+    WorkerSilentError,
+)
+from limpetyard.engine._terms import EngineTerms
+from limpetyard.engine._worker import RunState, Worker, WorkerRun
+
+__all__ = [
+    "Advice",
+    "Ask",
+    "Effect",
+    "EndKind",
+    "EndRow",
+    "Engine",
+    "EngineTerms",
+    "LookOrder",
+    "LookReply",
+    "OtherLifeError",
+    "Pace",
+    "PaceOrder",
+    "RunRow",
+    "RunState",
+    "StaleTokenError",
+    "Start",
+    "StartOrder",
+    "StartResult",
+    "StepWorkers",
+    "Stop",
+    "StoredBatch",
+    "Ticket",
+    "Worker",
+    "WorkerEntry",
+    "WorkerRun",
+    "WorkerSilentError",
+]
--- /dev/null
+++ b/src/limpetyard/engine/_engine.py
@@ -0,0 +1,513 @@
+"""The owner's state: jobs, workers, and what follows from news of them.
+
+Nothing is written before a start: the workers are the record of what runs.
+A new owner raises the fencing token at every worker, which shuts the last
+owner's orders out and lists what runs. Only tasks that may be on a worker that
+does not answer wait, for that worker's lease.
+"""
+
+from limpetyard._events import event
+from limpetyard.engine._effects import Effect, Stop
+from limpetyard.engine._interface import (
+    EndKind,
+    EndRow,
+    LookReply,
+    RunRow,
+    StartResult,
+    Ticket,
+    WorkerEntry,
+)
+from limpetyard.engine._pacing import pace
+from limpetyard.engine._planner import Planner
+from limpetyard.engine._tails import TailModel
+from limpetyard.engine._terms import EngineTerms
+from limpetyard.engine._worker import RunState, Worker, WorkerRun
+from limpetyard.jobs import (
+    Job,
+    JobSpec,
+    Resources,
+    StepSpec,
+    Task,
+    TaskKey,
+)
+
+# Stands for the step of a run that no known job has: the worker counts as
+# full until the run has ended.
+UNKNOWN_STEP = StepSpec(1, Resources(1 << 40, 1 << 40, 0))
+
+# A stop without an answer is repeated after this.
+STOP_REPEAT_MS = 500
+
+# After a refusal for want of room or health a worker gets nothing for this
+# long; its next list shows what it has.
+REFUSED_PAUSE_MS = 500
+
+# A failed task waits this long, so that a worker that fails everything does
+# not use up its attempts before it is recognized.
+FAILED_PAUSE_MS = 100
+
+# An entry that is missing longer than this is gone: entries are back within
+# two seconds of the store's return.
+MISSING_MS = 2500
+
+
+class StoredBatch:
+    """What one append to the store covers.
+
+    Attributes:
+        jobs: States of jobs, as written.
+        seen: Number of the last end taken in, by worker and its life.
+    """
+
+    __slots__ = ("jobs", "seen")
+
+    def __init__(self, jobs: dict[str, str], seen: dict[str, tuple[int, int]]):
+        self.jobs = jobs
+        self.seen = seen
+
+
+class Engine:
+    """All that one owner knows and decides of one cell.
+
+    Attributes:
+        epoch: Term of the ownership.
+        jobs: Jobs by id, ended ones included until they are forgotten.
+        open: Jobs that are not over.
+        workers: Workers by id.
+        zones_out: Availability zones out of service.
+    """
+
+    __slots__ = (
+        "_planner",
+        "dirty_workers",
+        "epoch",
+        "jobs",
+        "open",
+        "tails",
+        "terms",
+        "workers",
+        "zones_out",
+    )
+
+    def __init__(self, epoch: int, terms: EngineTerms):
+        self.epoch = epoch
+        self.terms = terms
+        self.jobs: dict[str, Job] = {}
+        self.open: dict[str, Job] = {}
+        self.workers: dict[str, Worker] = {}
+        self.zones_out: frozenset[str] = frozenset()
+        self.dirty_workers = False
+        self.tails = TailModel()
+        self._planner = Planner(self)
+
+    def add_job(self, spec: JobSpec, now_ms: float, loaded: bool) -> Job:
+        """Takes in an accepted job; a known id changes nothing.
+
+        Args:
+            spec: The job.
+            now_ms: When it was accepted, on this process's clock.
+            loaded: Whether an earlier owner may have started it.
+        """
+        job = self.jobs.get(spec.id)
+        if job is not None:
+            return job
+        job = Job(spec, now_ms)
+        self.jobs[spec.id] = job
+        self.open[spec.id] = job
+        if loaded:
+            self.make_unsure(job)
+        return job
+
+    def make_unsure(self, job: Job) -> None:
+        """Notes that an earlier owner may have started the job's tasks."""
+        for task in job.tasks.values():
+            task.unsure = True
+
+    def cancel(self, job_id: str, now_ms: float) -> None:
+        """Cancels a job; one that is over stays as it is."""
+        job = self.open.get(job_id)
+        if job is not None:
+            self._end_job(job, "cancel", now_ms)
+
+    def forget(self, job_id: str) -> None:
+        """Drops a job that is over."""
+        self.jobs.pop(job_id, None)
+        self.open.pop(job_id, None)
+
+    def set_entry(self, entry: WorkerEntry, now_ms: float) -> Worker:
+        """Takes in what a worker says of itself."""
+        worker = self.workers.get(entry.id)
+        if worker is None:
+            worker = Worker(entry, self.epoch)
+            worker.begin_life(entry.born)
+            self.workers[entry.id] = worker
+            return worker
+        if entry.born < worker.born:
+            return worker
+        worker.entry = entry
+        worker.missing_since_ms = None
+        if entry.born > worker.born:
+            self._begin_life(worker, entry.born, now_ms)
+        return worker
+
+    def set_recorded(self, recorded: dict[str, int]) -> None:
+        """Notes which lives of workers a later owner will know of.
+
+        Args:
+            recorded: Life of each recorded worker, by its id.
+        """
+        for worker in self.workers.values():
+            worker.recorded = recorded.get(worker.id) == worker.born
+
+    def add_tickets(
+        self, job: str, occurrence: int, step: int, tickets: list[Ticket]
+    ) -> None:
+        """Takes in which workers may run a step; see `Planner`."""
+        self._planner.add_tickets(job, occurrence, step, tickets)
+
+    def entry_missing(self, worker_id: str, now_ms: float) -> None:
+        """Notes that no entry names a worker any more."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.missing_since_ms is None:
+            worker.missing_since_ms = now_ms
+
+    def gone_workers(self, now_ms: float) -> list[str]:
+        """Drops and returns workers that are gone and can run nothing."""
+        gone = [
+            worker.id
+            for worker in self.workers.values()
+            if worker.missing_since_ms is not None
+            and now_ms - worker.missing_since_ms > MISSING_MS
+            and not worker.runs
+            and now_ms > max(worker.unsure_until_ms, worker.lease_end_ms)
+        ]
+        for worker_id in gone:
+            del self.workers[worker_id]
+        return gone
+
+    def on_look(
+        self, worker: Worker, sent_ms: float, reply: LookReply, now_ms: float
+    ) -> bool:
+        """Takes in a worker's lists.
+
+        Args:
+            worker: The worker, which has answered to its present token.
+            sent_ms: When the lists were asked for.
+            reply: The lists.
+            now_ms: When they arrived.
+
+        Returns:
+            Whether anything ended, or is news of another life.
+        """
+        if reply.born != worker.born:
+            if reply.born > worker.born:
+                self._begin_life(worker, reply.born, now_ms)
+            return True
+        worker.set_clock(reply.clock_ms, now_ms)
+        worker.replied_ms = now_ms
+        if not worker.sounded:
+            worker.sounded = True
+            event(
+                "worker_sounded",
+                worker=worker.id,
+                token=worker.token,
+                runs=len(reply.runs),
+                ends=len(reply.ends),
+            )
+        news = self._take_ends(worker, reply.ends, now_ms)
+        self._take_runs(worker, reply.runs, sent_ms, now_ms)
+        return news
+
+    def _take_ends(
+        self, worker: Worker, ends: list[EndRow], now_ms: float
+    ) -> bool:
+        news = False
+        for end in ends:
+            if end.number <= worker.seen:
+                continue
+            worker.seen = end.number
+            news = True
+            self._take_end(worker, end, now_ms)
+        self.dirty_workers |= news
+        return news
+
+    def _take_end(self, worker: Worker, end: EndRow, now_ms: float) -> None:
+        run = worker.runs.pop((end.task, end.run), None)
+        job = self.jobs.get(end.task.job)
+        task = job.task(*end.task[1:]) if job is not None else None
+        if task is None or end.run <= task.ended_run:
+            return
+        elsewhere = task.worker not in ("", worker.id)
+        if elsewhere or end.run < task.run and not task.unsure:
+            event("end_outdated", task=_name(end.task), run=end.run)
+            return
+        task.ended_run = end.run
+        task.run = max(task.run, end.run)
+        task.checkpoint = end.checkpoint or task.checkpoint
+        job.dirty = True
+        if run is not None and run.state is not RunState.STOPPING:
+            event(
+                "run_ended",
+                task=_name(end.task),
+                run=end.run,
+                worker=worker.id,
+                how=end.how.value,
+                age_ms=now_ms - run.placed_ms,
+            )
+        if end.how is EndKind.DONE and not task.step.long_running:
+            worker.failures = 0
+            self._finish(job, task, now_ms)
+            return
+        if end.how is EndKind.FAILED:
+            self._count_failure(worker, job, task, now_ms)
+        self._release(task, now_ms)
+
+    def _finish(self, job: Job, task: Task, now_ms: float) -> None:
+        gang = task.step.gang
+        if not job.over:
+            job.finish(task)
+            if gang:
+                self._finish_gang(job, task)
+            if job.all_done:
+                self._end_job(job, "complete", now_ms)
+
+    def _finish_gang(self, job: Job, task: Task) -> None:
+        _, occurrence, step, _ = task.key
+        for other in job.step_tasks(occurrence, step):
+            job.finish(other)
+
+    def _count_failure(
+        self, worker: Worker, job: Job, task: Task, now_ms: float
+    ) -> None:
+        worker.failures += 1
+        if task.step.long_running:
+            return
+        task.failed += 1
+        task.failed_on = worker.id
+        task.retry_at_ms = now_ms + FAILED_PAUSE_MS
+        if task.failed >= job.spec.queue.max_attempts and not job.over:
+            self._end_job(job, "fail", now_ms)
+
+    def _end_job(self, job: Job, how: str, now_ms: float) -> None:
+        job.end(how, now_ms)
+        self.open.pop(job.spec.id, None)
+        event(
+            "job_ended",
+            job=job.spec.id,
+            state=job.state,
+            age_ms=now_ms - job.seen_ms,
+        )
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                if run.task.job == job.spec.id:
+                    run.state = RunState.STOPPING
+
+    def _take_runs(
+        self,
+        worker: Worker,
+        rows: list[RunRow],
+        sent_ms: float,
+        now_ms: float,
+    ) -> None:
+        listed = set()
+        for row in rows:
+            listed.add((row.task, row.run))
+            run = worker.runs.get((row.task, row.run))
+            if run is None:
+                run = self._adopt(worker, row, now_ms)
+            run.refresh(row)
+        absent = [key for key in worker.runs if key not in listed]
+        for key in absent:
+            run = worker.runs[key]
+            if run.settled_ms is not None and run.settled_ms < sent_ms:
+                del worker.runs[key]
+                self._release_run(worker, run, now_ms)
+
+    def _adopt(self, worker: Worker, row: RunRow, now_ms: float) -> WorkerRun:
+        """Takes in a run that this owner did not order."""
+        job = self.jobs.get(row.task.job)
+        task = job.task(*row.task[1:]) if job is not None else None
+        if task is None:
+            run = WorkerRun(row.task, row.run, UNKNOWN_STEP, now_ms)
+            run.state = RunState.STOPPING
+        else:
+            run = WorkerRun(row.task, row.run, task.step, now_ms)
+            wanted = (
+                not job.over
+                and task.state == "waiting"
+                and row.run > task.ended_run
+                and row.run >= task.run
+            )
+            if wanted:
+                task.fire("place")
+                task.run = row.run
+                task.worker = worker.id
+                job.begin()
+            else:
+                run.state = RunState.STOPPING
+        run.settled_ms = now_ms
+        worker.runs[row.task, row.run] = run
+        event(
+            "run_found",
+            task=_name(row.task),
+            run=row.run,
+            worker=worker.id,
+            state=run.state.value,
+        )
+        return run
+
+    def _release_run(
+        self, worker: Worker, run: WorkerRun, now_ms: float
+    ) -> None:
+        job = self.jobs.get(run.task.job)
+        task = job.task(*run.task[1:]) if job is not None else None
+        if task is None or task.worker != worker.id or task.run != run.run:
+            return
+        task.checkpoint = run.checkpoint or task.checkpoint
+        event(
+            "run_lost",
+            task=_name(run.task),
+            run=run.run,
+            worker=worker.id,
+            state=run.state.value,
+        )
+        self._release(task, now_ms)
+
+    def _release(self, task: Task, now_ms: float) -> None:
+        if task.state == "placed":
+            task.fire("release")
+            task.worker = ""
+            task.idle_since_ms = now_ms
+
+    def _begin_life(self, worker: Worker, born: int, now_ms: float) -> None:
+        event("worker_reborn", worker=worker.id, born=born)
+        runs = list(worker.runs.values())
+        held_until_ms = worker.lease_end_ms
+        worker.begin_life(born)
+        for run in runs:
+            self._release_run(worker, run, now_ms)
+            task = self.find_task(run.task)
+            if task is not None:
+                task.unsure = True
+        if runs:
+            worker.unsure_until_ms = max(worker.unsure_until_ms, held_until_ms)
+
+    def find_task(self, key: TaskKey) -> Task | None:
+        """Returns a task, or None if there is none of that name."""
+        job = self.jobs.get(key.job)
+        return job.task(*key[1:]) if job is not None else None
+
+    def on_start(
+        self, effect: "object", result: StartResult | None, now_ms: float
+    ) -> None:
+        """Takes in the outcome of a start.
+
+        Args:
+            effect: The `Start` that was carried out.
+            result: What the worker said, or None if it gave no answer.
+            now_ms: Now.
+        """
+        worker = self.workers.get(effect.worker)
+        run = worker and worker.runs.get((effect.task, effect.run))
+        if not run:
+            return
+        if result is StartResult.STARTED:
+            run.settled_ms = now_ms
+            if run.state is RunState.ORDERED:
+                run.state = RunState.RUNNING
+            return
+        if result is None:
+            if run.state is RunState.ORDERED:
+                run.state = RunState.STOPPING
+            return
+        del worker.runs[effect.task, effect.run]
+        event(
+            "start_refused",
+            task=_name(effect.task),
+            run=effect.run,
+            worker=worker.id,
+            reason=result.value,
+        )
+        worker.refused_until_ms = now_ms + REFUSED_PAUSE_MS
+        task = self.find_task(effect.task)
+        if task is not None and task.worker == worker.id:
+            self._release(task, now_ms)
+            task.retry_at_ms = now_ms + FAILED_PAUSE_MS
+
+    def on_stop(self, effect: Stop, now_ms: float) -> None:
+        """Takes in that a worker answered a stop."""
+        worker = self.workers.get(effect.worker)
+        run = worker and worker.runs.get((effect.task, effect.run))
+        if run:
+            run.settled_ms = now_ms
+
+    def plan(self, now_ms: float, wall_ms: float) -> list[Effect]:
+        """Decides what to do now."""
+        self._lapse(now_ms)
+        effects: list[Effect] = self._stops(now_ms)
+        effects += self._planner.place(now_ms, wall_ms)
+        return effects
+
+    def pace(self, worker: Worker, now_ms: float) -> list[Effect]:
+        """Decides on the speed of filling tasks after a worker's list."""
+        return pace(worker, self.tails, now_ms)
+
+    def _lapse(self, now_ms: float) -> None:
+        for worker in self.workers.values():
+            if not worker.runs or now_ms <= worker.lease_end_ms:
+                continue
+            event(
+                "worker_lapsed",
+                worker=worker.id,
+                runs=len(worker.runs),
+                replied_ms=worker.replied_ms,
+            )
+            runs = list(worker.runs.values())
+            worker.runs.clear()
+            worker.sounded = False
+            for run in runs:
+                self._release_run(worker, run, now_ms)
+
+    def _stops(self, now_ms: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                due = now_ms - run.order_ms >= STOP_REPEAT_MS
+                if run.state is RunState.STOPPING and due:
+                    run.order_ms = now_ms
+                    effects.append(Stop(worker.id, run.task, run.run))
+        return effects
+
+    def take_dirty(self) -> tuple[list[Job], StoredBatch]:
+        """Returns the jobs to store next, and what that will cover."""
+        jobs = [job for job in self.jobs.values() if job.dirty]
+        seen = {
+            worker.id: (worker.born, worker.seen)
+            for worker in self.workers.values()
+            if worker.seen > worker.noted
+        }
+        self.dirty_workers = False
+        for job in jobs:
+            job.dirty = False
+        return jobs, StoredBatch({j.spec.id: j.state for j in jobs}, seen)
+
+    def stored(self, batch: StoredBatch) -> None:
+        """Takes in that a batch is stored."""
+        for job_id, state in batch.jobs.items():
+            if job_id in self.jobs:
+                self.jobs[job_id].shown = state
+        for worker_id, (born, seen) in batch.seen.items():
+            worker = self.workers.get(worker_id)
+            if worker is not None and worker.born == born:
+                worker.noted = max(worker.noted, seen)
+
+    def not_stored(self, batch: StoredBatch) -> None:
+        """Takes in that a batch was refused."""
+        for job_id in batch.jobs:
+            if job_id in self.jobs:
+                self.jobs[job_id].dirty = True
+        self.dirty_workers = True
+
+
+def _name(key: TaskKey) -> str:
+    return ".".join(map(str, key))
--- /dev/null
+++ b/src/limpetyard/engine/_urgency.py
@@ -0,0 +1,47 @@
+"""Which steps go first."""
+
+import functools
+
+from limpetyard.jobs import Job, JobSpec
+
+# A job earns a part of its worth up to this multiple of its objective.
+LATE_FACTOR = 3.0
+
+# Groups of jobs, first to last: what runs until it is cancelled, what can be
+# on time, what can still be late, what has no chance.
+LASTING, IN_TIME, LATE, HOPELESS = range(4)
+
+
+@functools.lru_cache(maxsize=4096)
+def chains_ms(spec: JobSpec) -> tuple[float, ...]:
+    """Returns, for each step, the longest run time from its start on."""
+    steps = spec.steps
+    chains = [float(step.run_ms) for step in steps]
+    for number in range(len(steps) - 1, -1, -1):
+        for before in steps[number].after:
+            longer = steps[before].run_ms + chains[number]
+            chains[before] = max(chains[before], longer)
+    return tuple(chains)
+
+
+def objective_ms(spec: JobSpec) -> float:
+    """Returns the time within which a job is to be completed."""
+    longest = max(chains_ms(spec))
+    return spec.queue.stretch * longest + spec.queue.objective_ms
+
+
+def urgency(job: Job, step: int, now_ms: float) -> tuple:
+    """Returns a key that sorts steps, the most urgent first."""
+    spec = job.spec
+    if spec.steps[step].long_running:
+        return (LASTING, spec.queue.priority, job.seen_ms)
+    objective = objective_ms(spec)
+    remaining = chains_ms(spec)[step]
+    slack = job.seen_ms + objective - now_ms - remaining
+    if slack >= 0:
+        group = IN_TIME
+    elif slack >= -(LATE_FACTOR - 1) * objective:
+        group = LATE
+    else:
+        group = HOPELESS
+    return (group, spec.queue.priority, slack)
--- /dev/null
+++ b/src/limpetyard/engine/_worker.py
@@ -0,0 +1,218 @@
+"""What the owner believes of one worker."""
+
+import enum
+
+from limpetyard.engine._interface import RunRow, WorkerEntry
+from limpetyard.jobs import Resources, StepSpec, TaskKey
+
+# Lives of a worker that one ownership can tell apart by token.
+LIVES = 1 << 12
+
+# A worker's steady clock may be this much slow.
+SLOWEST_CLOCK = 0.98
+
+# Added to every bound on a worker's lease, for the time that a reply's clock
+# reading is older than its arrival.
+LEASE_SLACK_MS = 100
+
+# Failed runs without a finished one after which a worker is on probation.
+PROBATION_FAILURES = 2
+
+
+class RunState(enum.Enum):
+    """What is known of a run at its worker."""
+
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class WorkerRun:
+    """One run that may exist at a worker.
+
+    Attributes:
+        task: Its task.
+        run: Its number.
+        step: What the task was asked for.
+        state: What is known of it.
+        settled_ms: When the worker last answered an order on it; a list asked
+            for later tells whether it is there. None without an answer.
+        checkpoint: Newest progress seen.
+        wanted_percent: Share of its speed that it was last given.
+        working: Whether its last row showed it at full work.
+        figure: Newest figure of its row.
+        beside: Cores that filling tasks used beside it then, by image.
+        placed_ms: When it was ordered.
+        order_ms: When its last stop or pace order was sent.
+    """
+
+    __slots__ = (
+        "beside",
+        "checkpoint",
+        "figure",
+        "order_ms",
+        "placed_ms",
+        "run",
+        "settled_ms",
+        "state",
+        "step",
+        "task",
+        "wanted_percent",
+        "working",
+    )
+
+    def __init__(self, task: TaskKey, run: int, step: StepSpec, now_ms: float):
+        self.task = task
+        self.run = run
+        self.step = step
+        self.state = RunState.ORDERED
+        self.settled_ms: float | None = None
+        self.checkpoint = ""
+        self.wanted_percent = 100
+        self.working = False
+        self.figure = 0.0
+        self.beside: dict[str, float] = {}
+        self.placed_ms = now_ms
+        self.order_ms = float("-inf")
+
+    def refresh(self, row: RunRow) -> None:
+        """Takes a row of the worker's list in."""
+        if self.state is RunState.ORDERED:
+            self.state = RunState.RUNNING
+        self.checkpoint = row.checkpoint or self.checkpoint
+        self.working = row.percent >= 100
+        self.figure = row.figure
+
+
+class Worker:
+    """One worker.
+
+    Attributes:
+        entry: What it last said of itself.
+        token: Fencing token of orders to its present life.
+        born: Life that was last looked at, or 0.
+        sounded: Whether its present life answered a look under `token`.
+        runs: Runs that may exist there, by task and number.
+        seen: Number of the last end that was taken in.
+        noted: Number of the last end that is stored.
+        lease_end_ms: When everything there has surely lapsed, on this
+            process's clock; 0 if nothing was ordered.
+        unsure_until_ms: Until then a run of an earlier owner may exist there.
+        replied_ms: When it last answered, or None.
+        missing_since_ms: Since when no entry names it, or None.
+        failures: Failed runs since the last finished one.
+        recorded: Whether a later owner will know of its present life.
+        refused_until_ms: Gets no new work until then.
+    """
+
+    __slots__ = (
+        "_clock_at_ms",
+        "_clock_ms",
+        "_epoch",
+        "_lives",
+        "born",
+        "entry",
+        "failures",
+        "lease_end_ms",
+        "missing_since_ms",
+        "noted",
+        "recorded",
+        "refused_until_ms",
+        "replied_ms",
+        "runs",
+        "seen",
+        "sounded",
+        "unsure_until_ms",
+    )
+
+    def __init__(self, entry: WorkerEntry, epoch: int):
+        self.entry = entry
+        self._epoch = epoch
+        self._lives = 0
+        self.born = 0
+        self.sounded = False
+        self.recorded = False
+        self.runs: dict[tuple[TaskKey, int], WorkerRun] = {}
+        self.seen = 0
+        self.noted = 0
+        self.lease_end_ms = 0.0
+        self.unsure_until_ms = 0.0
+        self.replied_ms: float | None = None
+        self.missing_since_ms: float | None = None
+        self.failures = 0
+        self.refused_until_ms = 0.0
+        self._clock_ms = 0.0
+        self._clock_at_ms: float | None = None
+
+    @property
+    def id(self) -> str:
+        """Id of the worker."""
+        return self.entry.id
+
+    @property
+    def token(self) -> int:
+        """Fencing token of orders to its present life."""
+        return self._epoch * LIVES + min(self._lives, LIVES - 1)
+
+    @property
+    def on_probation(self) -> bool:
+        """Whether it failed too often to be trusted with much work."""
+        return self.failures >= PROBATION_FAILURES
+
+    def begin_life(self, born: int) -> None:
+        """Forgets all that was known of an earlier life."""
+        self.born = born
+        self._lives += 1
+        self.sounded = False
+        self.recorded = False
+        self.runs.clear()
+        self.seen = 0
+        self.noted = 0
+        self.lease_end_ms = 0.0
+        self.failures = 0
+        self._clock_at_ms = None
+
+    def set_clock(self, clock_ms: float, at_ms: float) -> None:
+        """Takes in a reading of its clock that arrived at `at_ms`."""
+        newer = self._clock_at_ms is None or at_ms > self._clock_at_ms
+        if newer:
+            self._clock_ms = clock_ms
+            self._clock_at_ms = at_ms
+
+    def lease_until(self, now_ms: float, lease_ms: float) -> int | None:
+        """Returns the end of a lease that begins now, on its clock.
+
+        Accounts for the lease as granted, since the order may arrive.
+
+        Returns:
+            A reading of its clock, or None if its clock is not known.
+        """
+        if self._clock_at_ms is None:
+            return None
+        until = int(self._clock_ms + (now_ms - self._clock_at_ms) + lease_ms)
+        left_ms = (until - self._clock_ms) / SLOWEST_CLOCK
+        self.lease_end_ms = max(
+            self.lease_end_ms, self._clock_at_ms + left_ms + LEASE_SLACK_MS
+        )
+        return until
+
+    def room(self) -> Resources:
+        """Returns what is not set aside."""
+        has = self.entry.capacity
+        cores, memory, accelerators = 0, 0, 0
+        for run in self.runs.values():
+            reserved = run.step.reserved
+            cores += reserved.cores_milli
+            memory += reserved.memory_mb
+            accelerators += reserved.accelerators
+        return Resources(
+            has.cores_milli - cores,
+            has.memory_mb - memory,
+            has.accelerators - accelerators,
+        )
+
+    def count_of(self, job: str, occurrence: int, step: int) -> int:
+        """Returns how many runs of one step may exist there."""
+        return sum(
+            1 for key, _ in self.runs if key[:3] == (job, occurrence, step)
+        )
--- a/src/limpetyard/errors.py
+++ b/src/limpetyard/errors.py
@@ -57,9 +57,18 @@
 
 
 class RequestError(LimpetyardError):
-    """A caller's request ends with one of the closed list of error kinds."""
+    """A caller's request ends with one of the closed list of error kinds.
 
-    def __init__(self, kind: ErrorKind, detail: str):
+    Attributes:
+        kind: The kind.
+        detail: What was wrong.
+        retry_after_s: When the caller may come back, or None.
+    """
+
+    def __init__(
+        self, kind: ErrorKind, detail: str, retry_after_s: int | None = None
+    ):
         super().__init__(f"{kind.value}: {detail}")
         self.kind = kind
         self.detail = detail
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/src/limpetyard/node/__init__.py
@@ -0,0 +1,32 @@
+"""One VM of the system: takes jobs in, and owns the cells dealt to it."""
+
+from limpetyard.node._desk import Inbox, JobDesk
+from limpetyard.node._member import GroupMember
+from limpetyard.node._node import Node, Ports
+from limpetyard.node._owner import CellOwner
+from limpetyard.node._peers import (
+    JobGoneError,
+    PeerAwayError,
+    Peers,
+    PeerServer,
+)
+from limpetyard.node._settings import NodeSettings
+from limpetyard.node._site import Queue, QueueTable, SiteConfig, SiteView
+
+__all__ = [
+    "CellOwner",
+    "GroupMember",
+    "Inbox",
+    "JobDesk",
+    "JobGoneError",
+    "Node",
+    "NodeSettings",
+    "PeerAwayError",
+    "PeerServer",
+    "Peers",
+    "Ports",
+    "Queue",
+    "QueueTable",
+    "SiteConfig",
+    "SiteView",
+]
--- /dev/null
+++ b/src/limpetyard/node/_node.py
@@ -0,0 +1,245 @@
+"""Everything that one VM runs."""
+
+import asyncio
+import uuid
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+from mode import Service
+
+from limpetyard._addresses import host_port
+from limpetyard._clock import MS_PER_SECOND, Clock
+from limpetyard._events import event
+from limpetyard.engine import Advice, EngineTerms, StepWorkers, WorkerEntry
+from limpetyard.node._desk import Inbox, JobDesk
+from limpetyard.node._member import GroupMember
+from limpetyard.node._names import (
+    OPERATORS_TOPIC,
+    OTHERS_PART,
+    member_name,
+)
+from limpetyard.node._owner import CellOwner
+from limpetyard.node._peers import (
+    JobGoneError,
+    PeerAwayError,
+    Peers,
+    PeerServer,
+)
+from limpetyard.node._settings import NodeSettings
+from limpetyard.node._site import SiteView
+from limpetyard.store import KeyFollower, Store, StoredRecord
+
+# Cells that jobs and workers are spread over.
+CELLS = 1
+
+# Longest lease asked for: outlives the replacement of an owner, and is the
+# time that a task waits whose worker is lost.
+LEASE_MS = 5000
+
+# An owner that has not heard from the group for this long gives no orders.
+SELF_FENCE_MS = 5000
+
+# A node is not ready for callers while the store has not answered for this
+# long: a join is due three times a second.
+READY_MS = 1500
+
+# A node that leaves tells the balancer, which takes two misses, one second
+# each, to notice.
+LEAVE_MS = 2500
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
+
+
+class Ports(msgspec.Struct, frozen=True):
+    """The platform as a node sees it.
+
+    Attributes:
+        store: The store.
+        workers: Orders to workers.
+        advice: The advice service, or None.
+        read_entry: Reads a worker's entry.
+        operators: Takes operators' records in.
+        operators_reset: Told which of them exist.
+        callers: Makes the handler of callers' requests, and what asks callers
+            to connect elsewhere.
+    """
+
+    store: Store
+    workers: StepWorkers
+    advice: Advice | None
+    read_entry: Callable[[StoredRecord], WorkerEntry | None]
+    operators: Callable[[list[StoredRecord]], None]
+    operators_reset: Callable[[set[str]], None]
+    callers: Callable[[JobDesk], tuple[Handler, Callable[[], None]]]
+
+
+class Node(Service):
+    """All services of one VM.
+
+    Attributes:
+        view: The newest configuration.
+        member: Membership in the group that deals cells out.
+    """
+
+    def __init__(
+        self,
+        cfg: NodeSettings,
+        ports: Ports,
+        view: SiteView,
+        clock: Clock,
+        wall_ms: Callable[[], float],
+    ):
+        super().__init__()
+        self.view = view
+        self._cfg = cfg
+        self._ports = ports
+        self._clock = clock
+        self._wall_ms = wall_ms
+        self._nonce = uuid.uuid4().hex[:12]
+        self._peers = Peers()
+        self._owners: dict[int, CellOwner] = {}
+        self._leaving = False
+        self._in_flight = 0
+        self._terms = EngineTerms(
+            min(LEASE_MS, cfg.longest_lease_ms),
+            SELF_FENCE_MS,
+            cfg.remote_factor,
+            cfg.gang_timeout_ms,
+        )
+        name = member_name(cfg.node, cfg.peers, self._nonce)
+        self.member = GroupMember(
+            name, ports.store, clock, cfg.group_ttl_ms, self._on_dealt
+        )
+        self._inbox = Inbox(ports.store, clock, 0, f"inbox-{self._nonce}")
+        self._desk = JobDesk(
+            self._inbox, lambda: self.member, self._peers, self, clock
+        )
+        self._operators = KeyFollower(
+            ports.store,
+            clock,
+            OPERATORS_TOPIC,
+            OTHERS_PART,
+            ports.operators,
+            ports.operators_reset,
+        )
+
+    async def on_start(self) -> None:
+        """Opens the sockets and joins the group."""
+        cfg = self._cfg
+        self._callers, self._drain_callers = self._ports.callers(self._desk)
+        await self._listen("callers", cfg.callers, self._serve_caller)
+        await self._listen("readiness", cfg.readiness, self._serve_readiness)
+        await self._listen("peers", cfg.peers, PeerServer(self).handle)
+        self.add_future(self._operators.follow())
+        self.add_future(self._inbox.run())
+        await self.add_runtime_dependency(self.member)
+        event("node_started", node=cfg.node, zone=cfg.availability_zone)
+
+    async def leave(self) -> None:
+        """Leaves without cutting a request off."""
+        self._leaving = True
+        event("node_leaving", cells=len(self._owners))
+        self._drain_callers()
+        await self.member.stop()
+        for owner in list(self._owners.values()):
+            await owner.release("leaving")
+        await self.member.leave()
+        await asyncio.sleep(LEAVE_MS / MS_PER_SECOND)
+        while self._in_flight:
+            await asyncio.sleep(0.02)
+        event("node_left")
+
+    async def _listen(self, name: str, address: str, handler: Handler) -> None:
+        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        await runner.setup()
+        site = web.TCPSite(
+            runner, *host_port(name, address), reuse_address=True
+        )
+        await site.start()
+
+    async def _serve_caller(self, req: web.BaseRequest) -> web.Response:
+        self._in_flight += 1
+        try:
+            return await self._callers(req)
+        finally:
+            self._in_flight -= 1
+
+    async def _serve_readiness(self, req: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self.ready else 503)
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers are served well here."""
+        confirmed_ms = self.member.confirmed_ms
+        return (
+            not self._leaving
+            and self.view.config is not None
+            and confirmed_ms is not None
+            and self._clock.now_ms() - confirmed_ms < READY_MS
+        )
+
+    async def _on_dealt(self, cells: frozenset[int]) -> None:
+        """Begins and ends ownerships after a join."""
+        for cell, owner in list(self._owners.items()):
+            if cell not in cells and not owner.ended:
+                await owner.release("dealt to another node")
+            if owner.ended or owner.crashed:
+                del self._owners[cell]
+                await owner.stop()
+        if self._leaving:
+            return
+        for cell in cells:
+            if cell < CELLS and cell not in self._owners:
+                self._owners[cell] = self._new_owner(cell)
+                await self.add_runtime_dependency(self._owners[cell])
+
+    def _new_owner(self, cell: int) -> CellOwner:
+        ports = self._ports
+        return CellOwner(
+            cell,
+            self.member,
+            ports.store,
+            ports.workers,
+            ports.advice,
+            self._peers,
+            self.view,
+            ports.read_entry,
+            self._clock,
+            self._wall_ms,
+            self._terms,
+            self._cfg.state_kept_ms,
+        )
+
+    def _owner(self) -> CellOwner:
+        owner = self._owners.get(0)
+        if owner is None or not owner.deciding:
+            raise PeerAwayError("this node does not own the cell")
+        return owner
+
+    def job_state(self, job_id: str) -> str:
+        """See `LocalCells.job_state`."""
+        owner = self._owner()
+        job = owner.engine.jobs.get(job_id)
+        if job is None:
+            if not owner.fresh:
+                raise PeerAwayError("the end of the jobs has not been read")
+            raise JobGoneError(job_id)
+        return job.shown if job.over else job.state
+
+    def queue_pending(self, queue: str) -> int:
+        """See `LocalCells.queue_pending`."""
+        jobs = self._owner().engine.open.values()
+        return sum(
+            job.state == "queued"
+            and not job.spec.timed
+            and job.spec.queue.name == queue
+            for job in jobs
+        )
+
+    def fence(self, cell: int, epoch: int) -> None:
+        """See `LocalCells.fence`."""
+        owner = self._owners.get(cell)
+        engine = owner.engine if owner is not None else None
+        if engine is not None and engine.epoch < epoch:
+            owner.lose(f"epoch {epoch} has taken over")
--- /dev/null
+++ b/src/limpetyard/node/_owner.py
@@ -0,0 +1,658 @@
+"""Owns one cell: takes it over, decides, orders and stores.
+
+A group of the store names the owner; the offset of its claim is its epoch. The
+epoch fences its appends in the store and its orders at the workers, so a wrong
+or doubled assignment costs time and nothing else.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import msgspec
+from mode import Service
+
+from limpetyard._chart import Chart, Machine
+from limpetyard._clock import MS_PER_SECOND, Clock
+from limpetyard._events import event
+from limpetyard.engine import (
+    Advice,
+    Ask,
+    Effect,
+    Engine,
+    EngineTerms,
+    LookOrder,
+    OtherLifeError,
+    Pace,
+    PaceOrder,
+    StaleTokenError,
+    Start,
+    StartOrder,
+    StepWorkers,
+    Stop,
+    Ticket,
+    Worker,
+    WorkerEntry,
+    WorkerSilentError,
+)
+from limpetyard.jobs import (
+    ACCEPTED,
+    CANCELLED,
+    PROGRESS,
+    apply_progress,
+    decode_spec,
+    encode_progress,
+)
+from limpetyard.node._member import GroupMember
+from limpetyard.node._names import (
+    CLAIM_KEY,
+    JOBS_TOPIC,
+    OTHERS_PART,
+    OWNER_PRODUCER,
+    OWNERS_TOPIC,
+    WORKER_KEY,
+    WORKERS_TOPIC,
+)
+from limpetyard.node._peers import Peers
+from limpetyard.node._site import SiteView
+from limpetyard.store import (
+    FencedError,
+    KeyedRecord,
+    KeyFollower,
+    SequenceError,
+    Store,
+    StoredRecord,
+    StoreError,
+    StoreRefusedError,
+    Writer,
+)
+
+# How long a worker waits with its lists for an end: beside tasks that serve
+# as long as their figures cover, else twice that.
+LOOK_SERVING_MS = 500
+LOOK_MS = 1000
+
+# Longest wait for the answer of a look beyond what the worker may wait.
+LOOK_TIMEOUT_MS = 600
+
+# Pause after a look that failed.
+LOOK_RETRY_MS = 150
+
+# Ends of a worker that come within this time are stored by one append.
+GATHER_MS = 15
+
+# Longest time without planning, for what only the passing of time changes.
+PLAN_MS = 100
+
+# Shortest time between two rounds of planning.
+PLAN_PAUSE_MS = 10
+
+# Pause between two readings of the workers' entries, which come all the time;
+# an eighth of the two seconds within which a leaving worker is spared.
+ENTRIES_PAUSE_MS = 250
+
+# Pause after a refused append.
+STORE_RETRY_MS = 100
+
+# The owner says what it does not know only as long as it has read the end of
+# the jobs within this time.
+FRESH_MS = 2000
+
+# Time between two rounds of forgetting.
+FORGET_MS = 5000
+
+# A start without an answer is sent this often before it is given up.
+START_SENDINGS = 2
+
+
+class CellOwner(Service):
+    """One ownership of one cell.
+
+    Attributes:
+        cell: Number of the cell.
+        machine: Where it is in the owner chart.
+        engine: What is known and decided; None before the claim.
+    """
+
+    def __init__(
+        self,
+        cell: int,
+        member: GroupMember,
+        store: Store,
+        workers: StepWorkers,
+        advice: Advice | None,
+        peers: Peers,
+        view: SiteView,
+        read_entry: Callable[[StoredRecord], WorkerEntry | None],
+        clock: Clock,
+        wall_ms: Callable[[], float],
+        terms: EngineTerms,
+        kept_ms: float,
+    ):
+        super().__init__()
+        self.cell = cell
+        self.machine = Machine(Chart.load("owner"))
+        self.engine: Engine | None = None
+        self._member = member
+        self._store = store
+        self._workers = workers
+        self._advice = advice
+        self._peers = peers
+        self._view = view
+        self._read_entry = read_entry
+        self._clock = clock
+        self._wall_ms = wall_ms
+        self._terms = terms
+        self._kept_ms = kept_ms
+        self._writer: Writer | None = None
+        self._jobs: KeyFollower | None = None
+        self._entries: KeyFollower | None = None
+        self._collected: list[StoredRecord] | None = None
+        self._wake = asyncio.Event()
+        self._dirty = asyncio.Event()
+        self._stored = asyncio.Event()
+        self._recorded: dict[str, int] = {}
+        self._looking: dict[str, asyncio.Task] = {}
+        self._forgot_ms = 0.0
+        self._held_back = False
+
+    @property
+    def deciding(self) -> bool:
+        """Whether the cell's state is loaded and in use."""
+        return self.machine.state == "deciding"
+
+    @property
+    def ended(self) -> bool:
+        """Whether this ownership is over."""
+        return self.machine.state == "ended"
+
+    @property
+    def fresh(self) -> bool:
+        """Whether all jobs accepted some time ago are known."""
+        confirmed_ms = self._jobs and self._jobs.confirmed_ms
+        if not confirmed_ms:
+            return False
+        return self._clock.now_ms() - confirmed_ms < FRESH_MS
+
+    @Service.task
+    async def _own(self) -> None:
+        while not self.ended and not self.should_stop:
+            try:
+                await self._take_over()
+                break
+            except (FencedError, SequenceError) as exc:
+                self.lose(f"fenced: {exc}")
+                return
+            except StoreError as exc:
+                event("takeover_failed", cell=self.cell, reason=exc)
+                await asyncio.sleep(STORE_RETRY_MS / MS_PER_SECOND)
+        if self.ended or self.should_stop:
+            return
+        for loop in (
+            self._jobs.follow(),
+            self._entries.follow(),
+            self._persist_loop(),
+            self._plan_loop(),
+        ):
+            self.add_future(loop)
+
+    async def _take_over(self) -> None:
+        begun_ms = self._clock.now_ms()
+        if self.machine.state == "claiming":
+            previous = await self._previous_owner()
+            await self._claim()
+            self.machine.fire("claimed")
+            silenced = await self._peers.silence(
+                previous, self._member.name, self.cell, self.engine.epoch
+            )
+            self._unsure_ms = 0.0 if silenced else self._terms.self_fence_ms
+        await self._writer.fence()
+        await self._load()
+        self._begin()
+        self.machine.fire("loaded")
+        event(
+            "cell_taken_over",
+            cell=self.cell,
+            epoch=self.engine.epoch,
+            jobs=len(self.engine.open),
+            workers=len(self.engine.workers),
+            took_ms=self._clock.now_ms() - begun_ms,
+        )
+
+    async def _previous_owner(self) -> str:
+        page = await self._store.newest(OWNERS_TOPIC, self.cell, "")
+        for record in page.records:
+            if record.key == CLAIM_KEY:
+                return record.value.decode(errors="replace")
+        return ""
+
+    async def _claim(self) -> None:
+        record = KeyedRecord(CLAIM_KEY, self._member.name.encode())
+        offset = await self._store.append(OWNERS_TOPIC, self.cell, [record])
+        epoch = offset + 1
+        event("cell_claimed", cell=self.cell, epoch=epoch)
+        self.engine = Engine(epoch, self._terms)
+        self._writer = Writer(
+            self._store,
+            self._clock,
+            JOBS_TOPIC,
+            self.cell,
+            OWNER_PRODUCER,
+            epoch,
+        )
+
+    async def _load(self) -> None:
+        self._collected = []
+        self._jobs = KeyFollower(
+            self._store, self._clock, JOBS_TOPIC, self.cell, self._take_records
+        )
+        self._entries = KeyFollower(
+            self._store,
+            self._clock,
+            WORKERS_TOPIC,
+            OTHERS_PART,
+            self._take_entries,
+            self._reset_entries,
+            ENTRIES_PAUSE_MS,
+        )
+        await asyncio.gather(self._jobs.load(), self._entries.load())
+
+    def _begin(self) -> None:
+        """Builds the state from what was loaded."""
+        records, self._collected = self._collected, None
+        newest = {record.key: record for record in records}
+        for prefix in (WORKER_KEY, ACCEPTED, PROGRESS, CANCELLED):
+            for key, record in newest.items():
+                if key.startswith(prefix) and record.value is not None:
+                    self._take(record, loaded=True)
+        now_ms = self._clock.now_ms()
+        for job in self.engine.open.values():
+            self.engine.make_unsure(job)
+        lease_ms = self._terms.lease_ms * 1.1
+        for worker in self.engine.workers.values():
+            worker.unsure_until_ms = now_ms + self._unsure_ms + lease_ms
+        self._tend_workers()
+
+    def _take_records(self, records: list[StoredRecord]) -> None:
+        if self._collected is not None:
+            self._collected += records
+            return
+        for record in records:
+            if record.value is not None:
+                self._take(record, loaded=False)
+        if records:
+            self._wake.set()
+
+    def _take(self, record: StoredRecord, loaded: bool) -> None:
+        try:
+            for prefix, take in _RECORD_KINDS.items():
+                if record.key.startswith(prefix):
+                    take(self, record, loaded)
+        except msgspec.MsgspecError as exc:
+            event("record_unreadable", "ERROR", key=record.key, reason=exc)
+
+    def _take_accepted(self, record: StoredRecord, loaded: bool) -> None:
+        spec = decode_spec(record.value)
+        now_ms = self._clock.now_ms()
+        age_ms = max(0.0, self._wall_ms() - spec.accepted_ms)
+        known = spec.id in self.engine.jobs
+        seen_ms = now_ms - age_ms if loaded else now_ms
+        self.engine.add_job(spec, seen_ms, loaded)
+        if not known and not loaded:
+            event("job_read", job=spec.id, queue=spec.queue.name, age_ms=age_ms)
+
+    def _take_progress(self, record: StoredRecord, loaded: bool) -> None:
+        job = self.engine.jobs.get(record.key.removeprefix(PROGRESS))
+        if loaded and job is not None:
+            apply_progress(job, record.value, self._clock.now_ms())
+            if job.over:
+                self.engine.open.pop(job.spec.id, None)
+
+    def _take_cancelled(self, record: StoredRecord, loaded: bool) -> None:
+        job_id = record.key.removeprefix(CANCELLED)
+        self.engine.cancel(job_id, self._clock.now_ms())
+        self._dirty.set()
+
+    def _take_worker(self, record: StoredRecord, loaded: bool) -> None:
+        if not loaded:
+            return
+        entry = msgspec.msgpack.decode(record.value, type=WorkerEntry)
+        self._recorded[entry.id] = entry.born
+        now_ms = self._clock.now_ms()
+        if entry.id not in self.engine.workers:
+            self.engine.set_entry(entry, now_ms)
+            self.engine.entry_missing(entry.id, now_ms)
+
+    def _take_entries(self, records: list[StoredRecord]) -> None:
+        now_ms = self._clock.now_ms()
+        for record in records:
+            entry = None
+            if record.value is not None:
+                entry = self._read_entry(record)
+            if entry is None:
+                self.engine.entry_missing(record.key, now_ms)
+                continue
+            known = self.engine.workers.get(entry.id)
+            if known is None or known.entry.draining != entry.draining:
+                event(
+                    "worker_listed",
+                    worker=entry.id,
+                    draining=entry.draining,
+                    zone=entry.availability_zone,
+                )
+            self.engine.set_entry(entry, now_ms)
+        if self.deciding:
+            self._tend_workers()
+
+    def _reset_entries(self, keys: set[str]) -> None:
+        now_ms = self._clock.now_ms()
+        for worker_id in self.engine.workers:
+            if worker_id not in keys:
+                self.engine.entry_missing(worker_id, now_ms)
+
+    def _tend_workers(self) -> None:
+        """Looks at each worker and has each recorded."""
+        for worker_id in self.engine.workers:
+            if worker_id not in self._looking:
+                self._looking[worker_id] = self.add_future(
+                    self._look_loop(worker_id)
+                )
+        if self._unrecorded():
+            self._dirty.set()
+
+    def _unrecorded(self) -> list[Worker]:
+        return [
+            worker
+            for worker in self.engine.workers.values()
+            if self._recorded.get(worker.id) != worker.born
+        ]
+
+    def _may_order(self) -> bool:
+        """Whether this node is still the owner as far as it can know."""
+        if self.ended:
+            return False
+        confirmed_ms = self._member.confirmed_ms
+        age_ms = self._clock.now_ms() - confirmed_ms
+        may = age_ms < self._terms.self_fence_ms
+        if may == self._held_back:
+            self._held_back = not may
+            event("orders_held_back", held_back=not may, age_ms=age_ms)
+        return may
+
+    async def _look_loop(self, worker_id: str) -> None:
+        while not self.ended:
+            worker = self.engine.workers.get(worker_id)
+            if worker is None:
+                break
+            if not self._may_order():
+                await asyncio.sleep(LOOK_RETRY_MS / MS_PER_SECOND)
+                continue
+            try:
+                await self._look(worker)
+            except StaleTokenError:
+                self.lose(f"worker {worker_id} has seen a higher token")
+            except (WorkerSilentError, OtherLifeError) as exc:
+                event("look_failed", worker=worker_id, reason=exc)
+                await asyncio.sleep(LOOK_RETRY_MS / MS_PER_SECOND)
+        self._looking.pop(worker_id, None)
+
+    async def _look(self, worker: Worker) -> None:
+        now_ms = self._clock.now_ms()
+        token = worker.token
+        lease_until_ms = worker.lease_until(now_ms, self._terms.lease_ms)
+        wait_ms = self._look_wait_ms(worker, lease_until_ms)
+        order = LookOrder(token, worker.noted, lease_until_ms, wait_ms)
+        reply = await self._workers.look(
+            worker.entry, order, wait_ms + LOOK_TIMEOUT_MS
+        )
+        if worker.token != token or self.ended:
+            return
+        arrived_ms = self._clock.now_ms()
+        sounded = worker.sounded
+        news = self.engine.on_look(worker, now_ms, reply, arrived_ms)
+        self._execute(self.engine.pace(worker, arrived_ms))
+        if news or not sounded:
+            self._dirty.set()
+            self._wake.set()
+        if worker.seen > worker.noted:
+            await self._wait_stored()
+
+    def _look_wait_ms(self, worker: Worker, lease_until_ms: int | None) -> int:
+        """Returns how long the worker may hold its answer back."""
+        known = worker.sounded and lease_until_ms is not None
+        if not known or worker.seen > worker.noted:
+            return 0
+        serves = any(run.step.target_ms for run in worker.runs.values())
+        return LOOK_SERVING_MS if serves else LOOK_MS
+
+    async def _wait_stored(self) -> None:
+        """Waits for the next append, since ends repeat until it is noted."""
+        try:
+            await asyncio.wait_for(
+                self._stored.wait(), LOOK_RETRY_MS / MS_PER_SECOND
+            )
+        except TimeoutError:
+            return
+
+    async def _persist_loop(self) -> None:
+        while not self.ended:
+            await self._dirty.wait()
+            await asyncio.sleep(GATHER_MS / MS_PER_SECOND)
+            self._dirty.clear()
+            try:
+                await self._persist()
+            except (FencedError, SequenceError) as exc:
+                self.lose(f"fenced: {exc}")
+            except StoreRefusedError as exc:
+                event("store_refused", cell=self.cell, reason=exc)
+                self._dirty.set()
+                await asyncio.sleep(STORE_RETRY_MS / MS_PER_SECOND)
+
+    async def _persist(self) -> None:
+        jobs, batch = self.engine.take_dirty()
+        wall_ms = self._wall_ms()
+        records = [
+            KeyedRecord(PROGRESS + job.spec.id, encode_progress(job, wall_ms))
+            for job in jobs
+        ]
+        workers = self._unrecorded()
+        records += [
+            KeyedRecord(
+                WORKER_KEY + worker.id, msgspec.msgpack.encode(worker.entry)
+            )
+            for worker in workers
+        ]
+        born = {worker.id: worker.born for worker in workers}
+        if records:
+            try:
+                await self._writer.append(records)
+            except StoreError:
+                self.engine.not_stored(batch)
+                raise
+        self._recorded.update(born)
+        self.engine.stored(batch)
+        self.engine.set_recorded(self._recorded)
+        self._stored.set()
+        self._stored.clear()
+        self._wake.set()
+
+    async def _plan_loop(self) -> None:
+        while not self.ended:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._wake.wait(), PLAN_MS / MS_PER_SECOND
+                )
+            self._wake.clear()
+            now_ms = self._clock.now_ms()
+            self.engine.zones_out = self._view.zones_out
+            if self._may_order():
+                effects = self.engine.plan(now_ms, self._wall_ms())
+                self._execute(effects)
+            if any(job.dirty for job in self.engine.open.values()):
+                self._dirty.set()
+            if now_ms - self._forgot_ms > FORGET_MS:
+                self._forgot_ms = now_ms
+                await self._forget(now_ms)
+            await asyncio.sleep(PLAN_PAUSE_MS / MS_PER_SECOND)
+
+    async def _forget(self, now_ms: float) -> None:
+        """Drops jobs that ended long ago and workers that are gone."""
+        old = [
+            job.spec.id
+            for job in self.engine.jobs.values()
+            if job.over
+            and job.shown == job.state
+            and now_ms - job.ended_ms > self._kept_ms
+        ]
+        gone = self.engine.gone_workers(now_ms)
+        records = [KeyedRecord(WORKER_KEY + worker, None) for worker in gone]
+        for job_id in old:
+            for prefix in (PROGRESS, CANCELLED, ACCEPTED):
+                records.append(KeyedRecord(prefix + job_id, None))
+        if not records:
+            return
+        try:
+            await self._writer.append(records)
+        except StoreError as exc:
+            event("forget_failed", reason=exc)
+            return
+        for job_id in old:
+            self.engine.forget(job_id)
+        for worker in gone:
+            self._recorded.pop(worker, None)
+
+    def _execute(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            self.add_future(_EXECUTORS[type(effect)](self, effect))
+
+    async def _start(self, effect: Start) -> None:
+        worker = self.engine.workers.get(effect.worker)
+        if worker is None:
+            return
+        token = worker.token
+        result = None
+        for _ in range(START_SENDINGS):
+            now_ms = self._clock.now_ms()
+            until_ms = worker.lease_until(now_ms, self._terms.lease_ms)
+            if until_ms is None or worker.token != token:
+                return
+            if not self._may_order():
+                break
+            order = StartOrder(
+                effect.task,
+                effect.run,
+                effect.payload,
+                until_ms,
+                token,
+                effect.checkpoint,
+                effect.ticket,
+            )
+            try:
+                result = await self._workers.start(worker.entry, order)
+                break
+            except (WorkerSilentError, OtherLifeError) as exc:
+                event("order_failed", order="start", reason=exc)
+            except StaleTokenError:
+                if worker.token == token:
+                    self.lose(f"worker {worker.id} has seen a higher token")
+                return
+        event(
+            "task_started",
+            task=".".join(map(str, effect.task)),
+            run=effect.run,
+            worker=effect.worker,
+            kind=effect.reason,
+            result=result.value if result is not None else "silent",
+        )
+        self.engine.on_start(effect, result, self._clock.now_ms())
+        self._wake.set()
+
+    async def _stop(self, effect: Stop) -> None:
+        worker = self.engine.workers.get(effect.worker)
+        if worker is None or not self._may_order():
+            return
+        token = worker.token
+        try:
+            await self._workers.stop(
+                worker.entry, effect.task, effect.run, token
+            )
+        except (WorkerSilentError, OtherLifeError) as exc:
+            event("order_failed", order="stop", reason=exc)
+            return
+        except StaleTokenError:
+            if worker.token == token:
+                self.lose(f"worker {worker.id} has seen a higher token")
+            return
+        if worker.token == token:
+            self.engine.on_stop(effect, self._clock.now_ms())
+
+    async def _pace(self, effect: Pace) -> None:
+        worker = self.engine.workers.get(effect.worker)
+        if worker is None or not self._may_order():
+            return
+        order = PaceOrder(effect.task, effect.run, effect.percent, worker.token)
+        try:
+            await self._workers.pace(worker.entry, order)
+        except (WorkerSilentError, OtherLifeError, StaleTokenError) as exc:
+            event("order_failed", order="pace", reason=exc)
+            return
+        event(
+            "task_paced",
+            task=".".join(map(str, effect.task)),
+            worker=effect.worker,
+            percent=effect.percent,
+        )
+
+    async def _ask(self, effect: Ask) -> None:
+        if self._advice is None:
+            event("advice_missing", job=effect.job)
+            return
+        try:
+            tickets = await self._advice.advise(
+                effect.job, effect.occurrence, effect.step, list(effect.workers)
+            )
+        except WorkerSilentError as exc:
+            event("advice_failed", job=effect.job, reason=exc)
+            return
+        now_ms = self._clock.now_ms()
+        self.engine.add_tickets(
+            effect.job,
+            effect.occurrence,
+            effect.step,
+            [Ticket(t.worker, t.ticket, now_ms + t.valid_ms) for t in tickets],
+        )
+        self._wake.set()
+
+    def lose(self, reason: str) -> None:
+        """Ends the ownership at once; no order is given after this."""
+        if self.ended:
+            return
+        self.machine.fire("lost")
+        event("cell_lost", cell=self.cell, reason=reason)
+        for task in self._looking.values():
+            task.cancel()
+
+    async def release(self, reason: str) -> None:
+        """Stores what is known and ends the ownership."""
+        if self.deciding:
+            try:
+                await asyncio.wait_for(
+                    self._persist(), LOOK_RETRY_MS / MS_PER_SECOND
+                )
+            except (StoreError, TimeoutError) as exc:
+                event("release_unstored", cell=self.cell, reason=repr(exc))
+        self.lose(reason)
+
+
+_RECORD_KINDS = {
+    ACCEPTED: CellOwner._take_accepted,
+    PROGRESS: CellOwner._take_progress,
+    CANCELLED: CellOwner._take_cancelled,
+    WORKER_KEY: CellOwner._take_worker,
+}
+_EXECUTORS = {
+    Start: CellOwner._start,
+    Stop: CellOwner._stop,
+    Pace: CellOwner._pace,
+    Ask: CellOwner._ask,
+}
--- /dev/null
+++ b/src/limpetyard/node/_peers.py
@@ -0,0 +1,158 @@
+"""What nodes ask each other."""
+
+from typing import Protocol
+
+import msgspec
+from aiohttp import web
+
+from limpetyard._calls import HttpCaller, NotSentError, Reply, SilentError
+from limpetyard._events import event
+from limpetyard.node._names import member_address
+
+# Longest wait for another node: several round trips and a turn of its loop.
+PEER_TIMEOUT_MS = 400
+
+# Connections to one node; calls beyond them wait.
+CONNECTIONS = 4
+
+_GONE = 410
+
+
+class PeerAwayError(Exception):
+    """Another node gave no answer, or is not the owner."""
+
+
+class JobGoneError(Exception):
+    """The owner knows no such job."""
+
+
+class _State(msgspec.Struct):
+    state: str
+
+
+class _Pending(msgspec.Struct):
+    pending: int
+
+
+class LocalCells(Protocol):
+    """What a node answers for the cells that it owns.
+
+    Every method raises `PeerAwayError` if this node is not the owner or does
+    not know yet, `JobGoneError` if it knows that there is no such job.
+    """
+
+    def job_state(self, job_id: str) -> str:
+        """Returns the state of a job."""
+
+    def queue_pending(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not begun."""
+
+    def fence(self, cell: int, epoch: int) -> None:
+        """Ends ownerships of a cell below `epoch`."""
+
+
+class Peers:
+    """Calls to other nodes."""
+
+    __slots__ = ("_caller",)
+
+    def __init__(self):
+        self._caller = HttpCaller(CONNECTIONS)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._caller.close()
+
+    async def job_state(self, member: str, job_id: str) -> str:
+        """Asks the owner for the state of a job.
+
+        Raises:
+            JobGoneError: If the owner knows no such job.
+            PeerAwayError: If it gave no answer.
+        """
+        reply = await self._get(member, f"/v1/jobs/{job_id}")
+        return msgspec.json.decode(reply.body, type=_State).state
+
+    async def queue_pending(self, member: str, queue: str) -> int:
+        """Asks the owner how many jobs of a queue have not begun.
+
+        Raises:
+            PeerAwayError: If it gave no answer.
+        """
+        reply = await self._get(member, f"/v1/queues/{queue}")
+        return msgspec.json.decode(reply.body, type=_Pending).pending
+
+    async def silence(
+        self, member: str, me: str, cell: int, epoch: int
+    ) -> bool:
+        """Has the last owner of a cell stop giving orders.
+
+        Returns:
+            Whether it surely gives no more orders.
+        """
+        address = member_address(member)
+        if not address or member == me:
+            return True
+        url = f"http://{address}/v1/cells/{cell}/fence/{epoch}"
+        try:
+            reply = await self._caller.call("POST", url, b"", PEER_TIMEOUT_MS)
+            silenced = reply.status == 200
+        except NotSentError as exc:
+            silenced = exc.refused
+        except SilentError:
+            silenced = False
+        event("owner_silenced", owner=member, epoch=epoch, silenced=silenced)
+        return silenced
+
+    async def _get(self, member: str, path: str) -> Reply:
+        address = member_address(member)
+        if not address:
+            raise PeerAwayError("no owner is known")
+        url = f"http://{address}{path}"
+        try:
+            reply = await self._caller.call("GET", url, None, PEER_TIMEOUT_MS)
+        except (NotSentError, SilentError) as exc:
+            raise PeerAwayError(str(exc)) from exc
+        if reply.status == _GONE:
+            raise JobGoneError(path)
+        if reply.status != 200:
+            raise PeerAwayError(f"{url}: status {reply.status}")
+        return reply
+
+
+class PeerServer:
+    """Answers other nodes."""
+
+    __slots__ = ("_cells",)
+
+    def __init__(self, cells: LocalCells):
+        self._cells = cells
+
+    async def handle(self, req: web.BaseRequest) -> web.Response:
+        """Answers one call."""
+        parts = req.path.strip("/").split("/")
+        try:
+            return self._answer(parts)
+        except JobGoneError:
+            return web.Response(status=_GONE)
+        except PeerAwayError as exc:
+            return web.Response(status=503, text=str(exc))
+        except (IndexError, ValueError):
+            return web.Response(status=404)
+
+    def _answer(self, parts: list[str]) -> web.Response:
+        what = parts[1]
+        if what == "jobs":
+            return _json(_State(self._cells.job_state(parts[2])))
+        if what == "queues":
+            return _json(_Pending(self._cells.queue_pending(parts[2])))
+        if what == "cells":
+            self._cells.fence(int(parts[2]), int(parts[4]))
+            return web.Response()
+        raise ValueError(what)
+
+
+def _json(data: msgspec.Struct) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(data), content_type="application/json"
+    )
--- /dev/null
+++ b/src/limpetyard/noded.py
@@ -0,0 +1,89 @@
+"""limpetyard-node, the daemon of a VM on the users' platform."""
+
+import asyncio
+import os
+import signal
+import sys
+import time
+
+from limpetyard import _events
+from limpetyard._clock import MS_PER_SECOND, BootClock
+from limpetyard._events import event
+from limpetyard.errors import SettingError
+from limpetyard.node import Node, NodeSettings, Ports, SiteView
+from limpetyard.platform._config import OperatorRecords
+from limpetyard.platform._ingress import Ingress
+from limpetyard.platform._settings import SETTINGS_ENV, load_settings
+from limpetyard.platform._store import PlatformStore
+from limpetyard.platform._workers import (
+    PlatformAdvice,
+    PlatformWorkers,
+    parse_entry,
+)
+
+ADVICE_TIMEOUT_MS = 2000
+
+
+def wall_ms() -> float:
+    """Returns the time of day, Unix milliseconds."""
+    return time.time() * MS_PER_SECOND
+
+
+def new_node(cfg: NodeSettings) -> Node:
+    """Puts a node together with the platform's adapter."""
+    view = SiteView()
+    records = OperatorRecords(view)
+    advice = None
+    if cfg.advice:
+        advice = PlatformAdvice(cfg.advice, ADVICE_TIMEOUT_MS)
+
+    def callers(desk):
+        ingress = Ingress(view, desk, wall_ms)
+        return ingress.handle, ingress.drain
+
+    ports = Ports(
+        PlatformStore(cfg.store),
+        PlatformWorkers(),
+        advice,
+        parse_entry,
+        records.apply,
+        records.reset,
+        callers,
+    )
+    return Node(cfg, ports, view, BootClock(), wall_ms)
+
+
+async def run(cfg: NodeSettings) -> int:
+    """Runs a node until a signal asks it to leave; returns the exit code."""
+    node = new_node(cfg)
+    leave = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, leave.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: event("settings_changed"))
+    await node.start()
+    crashed = asyncio.ensure_future(node.wait_until_stopped())
+    left = asyncio.ensure_future(leave.wait())
+    await asyncio.wait({crashed, left}, return_when=asyncio.FIRST_COMPLETED)
+    if node.crashed:
+        event("node_crashed", "ERROR", reason=repr(node.crash_reason))
+        return 1
+    await node.leave()
+    return 0
+
+
+def main() -> None:
+    """Entry point of limpetyard-node."""
+    try:
+        cfg = load_settings(os.environ.get(SETTINGS_ENV, ""))
+    except SettingError as exc:
+        print(f"limpetyard-node: {exc}", file=sys.stderr)
+        sys.exit(2)
+    _events.configure("INFO", cfg.node)
+    code = asyncio.run(run(cfg))
+    sys.stdout.flush()
+    os._exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/limpetyard/platform/_ingress.py
@@ -0,0 +1,229 @@
+"""Serves callers in the platform's form."""
+
+import msgspec
+from aiohttp import web
+
+from limpetyard._events import event
+from limpetyard._kinds import ANSWERS, ErrorKind
+from limpetyard.errors import RequestError
+from limpetyard.jobs import (
+    JobError,
+    JobSpec,
+    QueueTerms,
+    Resources,
+    StepSpec,
+    check_id,
+    check_spec,
+)
+from limpetyard.node import JobDesk, Queue, SiteView
+
+# How long a caller waits that does not say so.
+DEFAULT_DEADLINE_MS = 3000.0
+
+
+class _Step(msgspec.Struct, rename="camel"):
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+    estimated_ms: float = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    # A label that the minion must have.
+    requires: str = ""
+    # The rack that holds the data.
+    affinity: str = ""
+    # At most this many tasks of the step on one minion.
+    anti_affinity: int = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    max_unavailable: int = 0
+
+    def spec(self) -> StepSpec:
+        return StepSpec(
+            self.count,
+            Resources(self.cpu, self.mem_mb, self.gpus),
+            int(self.estimated_ms),
+            self.after,
+            self.checkpointing,
+            self.gang,
+            self.same_rack,
+            self.requires,
+            self.affinity,
+            self.anti_affinity,
+            self.allow_duplicates,
+            self.long_running,
+            self.image,
+            self.target_ms,
+            self.fills,
+            self.max_unavailable,
+        )
+
+
+class _Job(msgspec.Struct, rename="camel"):
+    # Handed to each task unchanged.
+    spec: str
+    steps: list[_Step]
+    repeat_count: int = 0
+    initial_delay_ms: float = 0
+    interval_ms: float = 0
+
+
+_job_decoder = msgspec.json.Decoder(_Job)
+
+
+def parse_job(
+    job_id: str, queue: QueueTerms, body: bytes, now_ms: float
+) -> JobSpec:
+    """Reads and checks a job.
+
+    Args:
+        job_id: Its id.
+        queue: Terms of its queue.
+        body: As the caller sent it.
+        now_ms: Time of day, Unix milliseconds.
+
+    Raises:
+        JobError: Names the value that is not allowed.
+    """
+    try:
+        job = _job_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise JobError(f"body: {exc}") from exc
+    spec = JobSpec(
+        job_id,
+        queue,
+        job.spec,
+        tuple(step.spec() for step in job.steps),
+        now_ms,
+        max(1, job.repeat_count),
+        job.initial_delay_ms if job.repeat_count > 0 else 0.0,
+        job.interval_ms,
+    )
+    check_spec(spec)
+    return spec
+
+
+class Ingress:
+    """Translates callers' requests for the desk."""
+
+    __slots__ = ("_desk", "_draining", "_view", "_wall_ms")
+
+    def __init__(self, view: SiteView, desk: JobDesk, wall_ms):
+        self._view = view
+        self._desk = desk
+        self._wall_ms = wall_ms
+        self._draining = False
+
+    def drain(self) -> None:
+        """Asks callers from now on to connect elsewhere."""
+        self._draining = True
+
+    async def handle(self, req: web.BaseRequest) -> web.Response:
+        """Answers one request."""
+        try:
+            resp = await self._answer(req)
+        except RequestError as exc:
+            resp = _error(exc)
+            event(
+                "request_refused",
+                path=req.path,
+                method=req.method,
+                kind=exc.kind.value,
+                detail=exc.detail,
+            )
+        if self._draining:
+            resp.force_close()
+        return resp
+
+    async def _answer(self, req: web.BaseRequest) -> web.Response:
+        if self._view.config is None:
+            raise RequestError(ErrorKind.NOT_READY, "no configuration yet")
+        host = req.headers.get("Host", "").partition(":")[0]
+        queue = self._view.queues.find(host, req.path)
+        if queue is None:
+            raise RequestError(
+                ErrorKind.UNKNOWN_SERVICE, f"no queue {host}{req.path}"
+            )
+        rest = req.path[len(queue.prefix) :]
+        if not rest and req.method == "GET":
+            number = await self._desk.pending(queue.terms.name)
+            return _json({"pending": number})
+        method = _METHODS.get(req.method)
+        if method is None:
+            return web.Response(status=405)
+        try:
+            check_id(rest)
+            return await method(self, req, queue, rest)
+        except JobError as exc:
+            raise RequestError(ErrorKind.BAD_REQUEST, str(exc)) from exc
+
+    async def _submit(
+        self, req: web.BaseRequest, queue: Queue, job_id: str
+    ) -> web.Response:
+        limit = self._view.config.max_body_bytes
+        if (req.content_length or 0) > limit:
+            raise RequestError(
+                ErrorKind.BODY_TOO_LARGE, f"{req.content_length} of {limit}"
+            )
+        body = await req.read()
+        if len(body) > limit:
+            raise RequestError(
+                ErrorKind.BODY_TOO_LARGE, f"{len(body)} of {limit}"
+            )
+        spec = parse_job(job_id, queue.terms, body, self._wall_ms())
+        await self._desk.submit(spec, _deadline_ms(req))
+        return _json({})
+
+    async def _state(
+        self, req: web.BaseRequest, queue: Queue, job_id: str
+    ) -> web.Response:
+        state = await self._desk.state(job_id, _deadline_ms(req))
+        return _json({"state": state})
+
+    async def _cancel(
+        self, req: web.BaseRequest, queue: Queue, job_id: str
+    ) -> web.Response:
+        await self._desk.cancel(job_id, _deadline_ms(req))
+        return _json({})
+
+
+_METHODS = {
+    "POST": Ingress._submit,
+    "GET": Ingress._state,
+    "DELETE": Ingress._cancel,
+}
+
+
+def _deadline_ms(req: web.BaseRequest) -> float:
+    text = req.headers.get("Deadline-Ms", "")
+    try:
+        return max(0.0, float(text)) if text else DEFAULT_DEADLINE_MS
+    except ValueError:
+        event("deadline_unreadable", value=text)
+        return DEFAULT_DEADLINE_MS
+
+
+def _json(data: dict) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(data), content_type="application/json"
+    )
+
+
+def _error(exc: RequestError) -> web.Response:
+    answer = ANSWERS[exc.kind]
+    resp = web.Response(
+        status=answer.status,
+        body=msgspec.json.encode(
+            {"kind": exc.kind.value, "detail": exc.detail}
+        ),
+        content_type="application/json",
+    )
+    if exc.retry_after_s is not None:
+        resp.headers["Retry-After"] = str(exc.retry_after_s)
+    return resp
