Stand-in of the platform on virtual time, and storms against it

Found and mended with it: ends noted before their job was stored when two appends of an owner overlapped (a start after a noted end); a worker that takes orders but whose answers do not come back kept its lease for ever (its tasks were never released).

--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -17,10 +17,6 @@
 # started, so that no number is used twice.
 RUNS_PER_EPOCH = 256
 
-# A worker that has not answered for this long gets no new work: two looks
-# have failed.
-ANSWERED_WITHIN_MS = 1500
-
 # Most workers that one call for advice names; each costs time in the answer.
 ADVICE_WORKERS = 30
 
@@ -116,7 +112,7 @@
             and worker.entry.availability_zone not in engine.zones_out
             and worker.missing_since_ms is None
             and now_ms >= worker.refused_until_ms
-            and now_ms - worker.replied_ms < ANSWERED_WITHIN_MS
+            and worker.answers(now_ms)
             and not (worker.on_probation and worker.runs)
         ]
 
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -19,6 +19,11 @@
 PROBATION_FAILURES = 2
 
 
+# A worker that has not answered for this long gets no new work, and its lease
+# is left to run out, since orders may reach it whose answers do not come back.
+ANSWERS_WITHIN_MS = 1600
+
+
 class RunState(enum.Enum):
     """What is known of a run at its worker."""
 
@@ -179,6 +184,12 @@
             self._clock_ms = clock_ms
             self._clock_at_ms = at_ms
 
+    def answers(self, now_ms: float) -> bool:
+        """Returns whether it has answered lately."""
+        if self.replied_ms is None:
+            return False
+        return now_ms - self.replied_ms < ANSWERS_WITHIN_MS
+
     def lease_until(self, now_ms: float, lease_ms: float) -> int | None:
         """Returns the end of a lease that begins now, on its clock.
 
--- a/src/limpetyard/node/__init__.py
+++ b/src/limpetyard/node/__init__.py
@@ -2,11 +2,12 @@
 
 from limpetyard.node._desk import Inbox, JobDesk
 from limpetyard.node._member import GroupMember
-from limpetyard.node._node import Node, Ports
+from limpetyard.node._node import Node, Ports, listen
 from limpetyard.node._owner import CellOwner
 from limpetyard.node._peers import (
     JobGoneError,
     PeerAwayError,
+    PeerCalls,
     Peers,
     PeerServer,
 )
@@ -22,6 +23,7 @@
     "Node",
     "NodeSettings",
     "PeerAwayError",
+    "PeerCalls",
     "PeerServer",
     "Peers",
     "Ports",
@@ -29,4 +31,5 @@
     "QueueTable",
     "SiteConfig",
     "SiteView",
+    "listen",
 ]
--- a/src/limpetyard/node/_desk.py
+++ b/src/limpetyard/node/_desk.py
@@ -25,7 +25,7 @@
     JobGoneError,
     LocalCells,
     PeerAwayError,
-    Peers,
+    PeerCalls,
 )
 from limpetyard.store import (
     KeyedRecord,
@@ -138,7 +138,7 @@
         self,
         inbox: Inbox,
         member: Callable[[], GroupMember],
-        peers: Peers,
+        peers: PeerCalls,
         cells: LocalCells,
         clock: Clock,
     ):
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -23,7 +23,7 @@
 from limpetyard.node._peers import (
     JobGoneError,
     PeerAwayError,
-    Peers,
+    PeerCalls,
     PeerServer,
 )
 from limpetyard.node._settings import NodeSettings
@@ -51,6 +51,20 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
 
+async def listen(name: str, address: str, handler: Handler) -> None:
+    """Opens a listening socket.
+
+    Args:
+        name: Name of the setting that gives the address.
+        address: IP:port.
+        handler: Answers requests.
+    """
+    runner = web.ServerRunner(web.Server(handler, access_log=None))
+    await runner.setup()
+    site = web.TCPSite(runner, *host_port(name, address), reuse_address=True)
+    await site.start()
+
+
 class Ports(msgspec.Struct, frozen=True):
     """The platform as a node sees it.
 
@@ -63,6 +77,8 @@
         operators_reset: Told which of them exist.
         callers: Makes the handler of callers' requests, and what asks callers
             to connect elsewhere.
+        peers: Calls to other nodes.
+        listen: Opens a listening socket: name, IP:port, handler.
     """
 
     store: Store
@@ -72,6 +88,8 @@
     operators: Callable[[list[StoredRecord]], None]
     operators_reset: Callable[[set[str]], None]
     callers: Callable[[JobDesk], tuple[Handler, Callable[[], None]]]
+    peers: PeerCalls
+    listen: Callable[[str, str, Handler], Awaitable[None]]
 
 
 class Node(Service):
@@ -97,7 +115,6 @@
         self._clock = clock
         self._wall_ms = wall_ms
         self._nonce = uuid.uuid4().hex[:12]
-        self._peers = Peers()
         self._owners: dict[int, CellOwner] = {}
         self._leaving = False
         self._in_flight = 0
@@ -113,7 +130,7 @@
         )
         self._inbox = Inbox(ports.store, clock, 0, f"inbox-{self._nonce}")
         self._desk = JobDesk(
-            self._inbox, lambda: self.member, self._peers, self, clock
+            self._inbox, lambda: self.member, ports.peers, self, clock
         )
         self._operators = KeyFollower(
             ports.store,
@@ -128,9 +145,10 @@
         """Opens the sockets and joins the group."""
         cfg = self._cfg
         self._callers, self._drain_callers = self._ports.callers(self._desk)
-        await self._listen("callers", cfg.callers, self._serve_caller)
-        await self._listen("readiness", cfg.readiness, self._serve_readiness)
-        await self._listen("peers", cfg.peers, PeerServer(self).handle)
+        listen = self._ports.listen
+        await listen("callers", cfg.callers, self._serve_caller)
+        await listen("readiness", cfg.readiness, self._serve_readiness)
+        await listen("peers", cfg.peers, PeerServer(self).handle)
         self.add_future(self._operators.follow())
         self.add_future(self._inbox.run())
         await self.add_runtime_dependency(self.member)
@@ -150,14 +168,6 @@
             await asyncio.sleep(0.02)
         event("node_left")
 
-    async def _listen(self, name: str, address: str, handler: Handler) -> None:
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
-        await runner.setup()
-        site = web.TCPSite(
-            runner, *host_port(name, address), reuse_address=True
-        )
-        await site.start()
-
     async def _serve_caller(self, req: web.BaseRequest) -> web.Response:
         self._in_flight += 1
         try:
@@ -202,7 +212,7 @@
             ports.store,
             ports.workers,
             ports.advice,
-            self._peers,
+            ports.peers,
             self.view,
             ports.read_entry,
             self._clock,
@@ -211,6 +221,11 @@
             self._cfg.state_kept_ms,
         )
 
+    def owns(self) -> bool:
+        """Whether this node decides for the cell."""
+        owner = self._owners.get(0)
+        return owner is not None and owner.deciding
+
     def _owner(self) -> CellOwner:
         owner = self._owners.get(0)
         if owner is None or not owner.deciding:
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -53,7 +53,7 @@
     WORKER_KEY,
     WORKERS_TOPIC,
 )
-from limpetyard.node._peers import Peers
+from limpetyard.node._peers import PeerCalls
 from limpetyard.node._site import SiteView
 from limpetyard.store import (
     FencedError,
@@ -121,7 +121,7 @@
         store: Store,
         workers: StepWorkers,
         advice: Advice | None,
-        peers: Peers,
+        peers: PeerCalls,
         view: SiteView,
         read_entry: Callable[[StoredRecord], WorkerEntry | None],
         clock: Clock,
@@ -148,6 +148,7 @@
         self._jobs: KeyFollower | None = None
         self._entries: KeyFollower | None = None
         self._collected: list[StoredRecord] | None = None
+        self._storing = asyncio.Lock()
         self._wake = asyncio.Event()
         self._dirty = asyncio.Event()
         self._stored = asyncio.Event()
@@ -399,7 +400,9 @@
     async def _look(self, worker: Worker) -> None:
         now_ms = self._clock.now_ms()
         token = worker.token
-        lease_until_ms = worker.lease_until(now_ms, self._terms.lease_ms)
+        lease_until_ms = None
+        if worker.answers(now_ms):
+            lease_until_ms = worker.lease_until(now_ms, self._terms.lease_ms)
         wait_ms = self._look_wait_ms(worker, lease_until_ms)
         order = LookOrder(token, worker.noted, lease_until_ms, wait_ms)
         reply = await self._workers.look(
@@ -449,6 +452,15 @@
                 await asyncio.sleep(STORE_RETRY_MS / MS_PER_SECOND)
 
     async def _persist(self) -> None:
+        """Stores what has changed, after what is being stored already.
+
+        An end counts as stored only together with its job, so that two
+        batches must not overtake each other.
+        """
+        async with self._storing:
+            await self._persist_changes()
+
+    async def _persist_changes(self) -> None:
         jobs, batch = self.engine.take_dirty()
         wall_ms = self._wall_ms()
         records = [
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -51,8 +51,23 @@
         """Ends ownerships of a cell below `epoch`."""
 
 
+class PeerCalls(Protocol):
+    """What a node asks of other nodes; see `Peers`."""
+
+    async def job_state(self, member: str, job_id: str) -> str:
+        """Asks the owner for the state of a job."""
+
+    async def queue_pending(self, member: str, queue: str) -> int:
+        """Asks the owner how many jobs of a queue have not begun."""
+
+    async def silence(
+        self, member: str, me: str, cell: int, epoch: int
+    ) -> bool:
+        """Has the last owner of a cell stop giving orders."""
+
+
 class Peers:
-    """Calls to other nodes."""
+    """Calls to other nodes over HTTP."""
 
     __slots__ = ("_caller",)
 
--- a/src/limpetyard/noded.py
+++ b/src/limpetyard/noded.py
@@ -10,7 +10,14 @@
 from limpetyard._clock import MS_PER_SECOND, BootClock
 from limpetyard._events import event
 from limpetyard.errors import SettingError
-from limpetyard.node import Node, NodeSettings, Ports, SiteView
+from limpetyard.node import (
+    Node,
+    NodeSettings,
+    Peers,
+    Ports,
+    SiteView,
+    listen,
+)
 from limpetyard.platform._config import OperatorRecords
 from limpetyard.platform._ingress import Ingress
 from limpetyard.platform._settings import SETTINGS_ENV, load_settings
@@ -49,6 +56,8 @@
         records.apply,
         records.reset,
         callers,
+        Peers(),
+        listen,
     )
     return Node(cfg, ports, view, BootClock(), wall_ms)
 
--- /dev/null
+++ b/standins/yard/_checks.py
@@ -0,0 +1,199 @@
+"""Counts broken promises from the record of what workers did."""
+
+import collections
+
+from limpetyard.jobs import FINAL_STATES, TaskKey
+from standins.yard._record import (
+    Accepted,
+    Cancelled,
+    Ended,
+    Lapsed,
+    Noted,
+    Record,
+    Shown,
+    Started,
+)
+
+# A job may still be unknown for this long after its acceptance.
+VISIBLE_MS = 3000
+
+# A cancelled job's tasks may still be started for this long.
+CANCEL_MS = 3000
+
+
+def violations(record: Record, finished: bool = True) -> list[str]:
+    """Returns every broken promise.
+
+    Args:
+        record: What happened.
+        finished: Whether all jobs had time to be completed.
+    """
+    found = []
+    for check in (_twice, _limit, _order, _budget, _unasked, _shown):
+        found += check(record)
+    if finished:
+        found += _lost(record)
+    return found
+
+
+def _noted_ends(record: Record) -> set[tuple[str, int, int]]:
+    """Ends that were noted while the worker's lease had not lapsed between."""
+    noted: set[tuple[str, int, int]] = set()
+    lapses: dict[tuple[str, int], float] = {}
+    ends: dict[tuple[str, int], list[Ended]] = collections.defaultdict(list)
+    for entry in record.entries:
+        if isinstance(entry, Ended):
+            ends[entry.worker, entry.born].append(entry)
+        elif isinstance(entry, Lapsed):
+            lapses[entry.worker, entry.born] = entry.at_ms
+        elif isinstance(entry, Noted):
+            life = (entry.worker, entry.born)
+            for end in ends[life]:
+                lapsed_ms = lapses.get(life, -1.0)
+                if end.number <= entry.number and end.at_ms >= lapsed_ms:
+                    noted.add((*life, end.number))
+    return noted
+
+
+def _twice(record: Record) -> list[str]:
+    found = []
+    running: dict[TaskKey, set[tuple[str, int, int]]] = collections.defaultdict(
+        set
+    )
+    noted = _noted_ends(record)
+    done: set[TaskKey] = set()
+    for entry in record.entries:
+        if isinstance(entry, Started):
+            if running[entry.task]:
+                found.append(
+                    f"TWICE {entry.task} on {entry.worker} at"
+                    f" {entry.at_ms:.0f}: also {running[entry.task]}"
+                )
+            if entry.task in done:
+                found.append(
+                    f"TWICE {entry.task} at {entry.at_ms:.0f}: was done"
+                )
+            running[entry.task].add((entry.worker, entry.born, entry.run))
+        elif isinstance(entry, Ended):
+            place = (entry.worker, entry.born, entry.run)
+            running[entry.task].discard(place)
+            end = (entry.worker, entry.born, entry.number)
+            if entry.how == "done" and end in noted:
+                done.add(entry.task)
+    return found
+
+
+def _limit(record: Record) -> list[str]:
+    return [
+        f"LIMIT {entry.worker} at {entry.at_ms:.0f}"
+        for entry in record.of(Started)
+        if entry.over
+    ]
+
+
+def _order(record: Record) -> list[str]:
+    found = []
+    done: dict[tuple, set[int]] = collections.defaultdict(set)
+    for entry in record.entries:
+        if isinstance(entry, Ended) and entry.how == "done":
+            done[entry.task[:3]].add(entry.task.index)
+        elif isinstance(entry, Started):
+            spec = record.sent.get(entry.task.job)
+            if spec is None:
+                continue
+            for before in spec.steps[entry.task.step].after:
+                place = (entry.task.job, entry.task.occurrence, before)
+                if len(done[place]) < spec.steps[before].count:
+                    found.append(f"ORDER {entry.task} at {entry.at_ms:.0f}")
+    return found
+
+
+def _budget(record: Record) -> list[str]:
+    found = []
+    noted = _noted_ends(record)
+    failed: collections.Counter = collections.Counter()
+    for entry in record.entries:
+        if isinstance(entry, Ended):
+            end = (entry.worker, entry.born, entry.number)
+            if entry.how == "failed" and end in noted:
+                failed[entry.task] += 1
+        elif isinstance(entry, Started):
+            spec = record.sent.get(entry.task.job)
+            lasting = spec and spec.steps[entry.task.step].long_running
+            limit = spec.queue.max_attempts if spec else 1
+            if not lasting and failed[entry.task] >= limit:
+                found.append(f"BUDGET {entry.task} at {entry.at_ms:.0f}")
+    return found
+
+
+def _unasked(record: Record) -> list[str]:
+    found = []
+    cancelled: dict[str, float] = {}
+    for entry in record.entries:
+        if isinstance(entry, Cancelled):
+            cancelled.setdefault(entry.job, entry.at_ms)
+        elif isinstance(entry, Started):
+            job = entry.task.job
+            if job not in record.sent:
+                found.append(f"UNASKED {entry.task}")
+            if job in record.refused:
+                found.append(f"REFUSED {entry.task} at {entry.at_ms:.0f}")
+            late_ms = entry.at_ms - cancelled.get(job, entry.at_ms)
+            if late_ms > CANCEL_MS:
+                found.append(
+                    f"UNASKED {entry.task} {late_ms:.0f} ms after its cancel"
+                )
+    return found
+
+
+def _shown(record: Record) -> list[str]:
+    found = []
+    done: dict[str, set[TaskKey]] = collections.defaultdict(set)
+    accepted: dict[str, float] = {}
+    cancelled: set[str] = set()
+    for entry in record.entries:
+        if isinstance(entry, Ended) and entry.how == "done":
+            done[entry.task.job].add(entry.task)
+        elif isinstance(entry, Accepted):
+            accepted[entry.spec.id] = entry.at_ms
+        elif isinstance(entry, Cancelled):
+            cancelled.add(entry.job)
+        elif isinstance(entry, Shown):
+            found += _shown_wrongly(record, entry, done, accepted, cancelled)
+    return found
+
+
+def _shown_wrongly(
+    record: Record,
+    entry: Shown,
+    done: dict[str, set[TaskKey]],
+    accepted: dict[str, float],
+    cancelled: set[str],
+) -> list[str]:
+    spec = record.sent.get(entry.job)
+    known_ms = entry.at_ms - accepted.get(entry.job, entry.at_ms)
+    gone = entry.state == "" and entry.job not in cancelled
+    if gone and known_ms > VISIBLE_MS:
+        return [f"LOST {entry.job} is unknown at {entry.at_ms:.0f}"]
+    if entry.state == "cancelled" and entry.job not in cancelled:
+        return [f"LOST {entry.job} shown as cancelled"]
+    if entry.state != "completed":
+        return []
+    wanted = sum(step.count for step in spec.steps) * spec.occurrences
+    if len(done[entry.job]) < wanted:
+        return [f"MIXED {entry.job} shown as completed"]
+    return []
+
+
+def _lost(record: Record) -> list[str]:
+    last: dict[str, str] = {}
+    for entry in record.of(Shown):
+        last[entry.job] = entry.state
+    cancelled = {entry.job for entry in record.of(Cancelled)}
+    return [
+        f"LOST {entry.spec.id} is {last.get(entry.spec.id)!r} at the end"
+        for entry in record.of(Accepted)
+        if entry.spec.id not in cancelled
+        and last.get(entry.spec.id) not in FINAL_STATES
+        and not any(step.long_running for step in entry.spec.steps)
+    ]
--- /dev/null
+++ b/standins/yard/_record.py
@@ -0,0 +1,93 @@
+"""What workers did, in order."""
+
+import msgspec
+
+from limpetyard.jobs import JobSpec, TaskKey
+
+
+class Started(msgspec.Struct, frozen=True):
+    """A worker began a run."""
+
+    at_ms: float
+    worker: str
+    born: int
+    task: TaskKey
+    run: int
+    over: bool
+
+
+class Ended(msgspec.Struct, frozen=True):
+    """A run ended."""
+
+    at_ms: float
+    worker: str
+    born: int
+    number: int
+    task: TaskKey
+    run: int
+    how: str
+
+
+class Noted(msgspec.Struct, frozen=True):
+    """A worker was told to forget its ends up to `number`."""
+
+    at_ms: float
+    worker: str
+    born: int
+    number: int
+
+
+class Lapsed(msgspec.Struct, frozen=True):
+    """A worker's lease ran out."""
+
+    at_ms: float
+    worker: str
+    born: int
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """A client was told that its job is stored."""
+
+    at_ms: float
+    spec: JobSpec
+
+
+class Cancelled(msgspec.Struct, frozen=True):
+    """A client was told that its job is cancelled."""
+
+    at_ms: float
+    job: str
+
+
+class Shown(msgspec.Struct, frozen=True):
+    """A client was told the state of a job; "" for one that is gone."""
+
+    at_ms: float
+    job: str
+    state: str
+
+
+Entry = Started | Ended | Noted | Lapsed | Accepted | Cancelled | Shown
+
+
+class Record:
+    """Everything that checks count from.
+
+    Attributes:
+        entries: What happened, in order.
+        sent: Jobs that clients sent, accepted or not.
+        refused: Jobs whose every sending was refused as "not accepted".
+    """
+
+    def __init__(self):
+        self.entries: list[Entry] = []
+        self.sent: dict[str, JobSpec] = {}
+        self.refused: set[str] = set()
+
+    def add(self, entry: Entry) -> None:
+        """Adds an entry."""
+        self.entries.append(entry)
+
+    def of(self, kind: type) -> list:
+        """Returns the entries of one kind."""
+        return [entry for entry in self.entries if isinstance(entry, kind)]
--- /dev/null
+++ b/standins/yard/_worker.py
@@ -0,0 +1,317 @@
+"""A worker in the platform's form: leases, tokens, ends, late orders."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from limpetyard._clock import MS_PER_SECOND, Clock
+from limpetyard.engine import (
+    EndKind,
+    EndRow,
+    LookOrder,
+    LookReply,
+    PaceOrder,
+    RunRow,
+    StaleTokenError,
+    StartOrder,
+    StartResult,
+    WorkerEntry,
+    WorkerSilentError,
+)
+from limpetyard.jobs import JobSpec, StepSpec, TaskKey
+from standins.yard._faults import Link, RefusedPathError, SilentPathError
+from standins.yard._record import Ended, Lapsed, Noted, Record, Started
+
+LONGEST_LEASE_MS = 6000
+STOP_MS = 100
+ORDER_TIMEOUT_MS = 500
+ENDS_PER_REPLY = 500
+
+
+class _Run:
+    def __init__(self, order: StartOrder, step: StepSpec):
+        self.task = order.task
+        self.run = order.run
+        self.step = step
+        self.checkpoint = order.checkpoint
+        self.percent = 100
+        self.stopping = False
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class WorkerModel:
+    """One worker.
+
+    Attributes:
+        entry: What it says of itself.
+        up: Whether it answers and runs anything.
+        failing: Share of its runs that fail.
+        hanging: Whether its runs never end.
+        clock_rate: Speed of its clock.
+    """
+
+    def __init__(
+        self,
+        entry: WorkerEntry,
+        clock: Clock,
+        record: Record,
+        specs: Callable[[str], JobSpec | None],
+        rng: random.Random,
+    ):
+        self.entry = entry
+        self.up = True
+        self.failing = 0.0
+        self.hanging = False
+        self.clock_rate = 1.0
+        self._clock = clock
+        self._record = record
+        self._specs = specs
+        self._rng = rng
+        self._begin_life()
+
+    def _begin_life(self) -> None:
+        self._since_ms = self._clock.now_ms()
+        self._runs: dict[TaskKey, _Run] = {}
+        self._ends: list[EndRow] = []
+        self._number = 0
+        self._token = 0
+        self._lease_ms = 0.0
+        self._closed: dict[TaskKey, int] = {}
+        self._lapse_timer: asyncio.TimerHandle | None = None
+        self._news = asyncio.Event()
+
+    def clock_ms(self) -> float:
+        """Returns a reading of its own clock."""
+        return (self._clock.now_ms() - self._since_ms) * self.clock_rate
+
+    def running(self) -> list[TaskKey]:
+        """Returns what it runs."""
+        return list(self._runs)
+
+    def crash(self) -> None:
+        """Ends its life; what runs ends without a trace."""
+        for run in list(self._runs.values()):
+            self._end(run, "crashed")
+        self.up = False
+
+    def restart(self) -> None:
+        """Begins another life under the same id."""
+        self.entry = _reborn(self.entry)
+        self._begin_life()
+        self.up = True
+
+    async def look(self, order: LookOrder) -> LookReply:
+        """See `limpetyard.engine.StepWorkers.look`."""
+        self._check(order.token)
+        if order.lease_until_ms is not None:
+            self._extend(order.lease_until_ms)
+        if order.noted:
+            self._forget(order.noted)
+        if not self._ends and order.wait_ms:
+            self._news = asyncio.Event()
+            try:
+                await asyncio.wait_for(
+                    self._news.wait(), order.wait_ms / MS_PER_SECOND
+                )
+            except TimeoutError:
+                pass
+            self._check(order.token)
+        rows = [
+            RunRow(run.task, run.run, run.checkpoint, run.percent, 0.0)
+            for run in self._runs.values()
+        ]
+        return LookReply(
+            self.entry.born,
+            self.clock_ms(),
+            rows,
+            self._ends[:ENDS_PER_REPLY],
+        )
+
+    async def start(self, order: StartOrder) -> StartResult:
+        """See `limpetyard.engine.StepWorkers.start`."""
+        self._check(order.token)
+        running = self._runs.get(order.task)
+        if running is not None and running.run == order.run:
+            self._extend(order.lease_until_ms)
+            return StartResult.STARTED
+        if order.run <= self._closed.get(order.task, 0):
+            self._extend(order.lease_until_ms)
+            return StartResult.STALE_RUN
+        if order.lease_until_ms <= self.clock_ms():
+            return StartResult.EXPIRED
+        self._extend(order.lease_until_ms)
+        spec = self._specs(order.task.job)
+        step = spec.steps[order.task.step] if spec else StepSpec(1)
+        run = _Run(order, step)
+        self._runs[order.task] = run
+        self._record.add(
+            Started(
+                self._clock.now_ms(),
+                self.entry.id,
+                self.entry.born,
+                order.task,
+                order.run,
+                self._over(),
+            )
+        )
+        self._schedule(run)
+        return StartResult.STARTED
+
+    async def stop(self, task: TaskKey, run: int, token: int) -> None:
+        """See `limpetyard.engine.StepWorkers.stop`."""
+        self._check(token)
+        self._closed[task] = max(run, self._closed.get(task, 0))
+        running = self._runs.get(task)
+        if running is None or running.run != run or running.stopping:
+            return
+        running.stopping = True
+        if running.timer is not None:
+            running.timer.cancel()
+        loop = asyncio.get_running_loop()
+        running.timer = loop.call_later(
+            STOP_MS / MS_PER_SECOND, self._end, running, EndKind.STOPPED.value
+        )
+
+    async def pace(self, order: PaceOrder) -> None:
+        """See `limpetyard.engine.StepWorkers.pace`."""
+        self._check(order.token)
+        run = self._runs.get(order.task)
+        if run is not None and run.run == order.run:
+            run.percent = order.percent
+
+    def _check(self, token: int) -> None:
+        if not self.up:
+            raise SilentPathError
+        if token < self._token:
+            raise StaleTokenError(self.entry.id)
+        self._token = token
+
+    def _over(self) -> bool:
+        cores = sum(r.step.reserved.cores_milli for r in self._runs.values())
+        memory = sum(r.step.reserved.memory_mb for r in self._runs.values())
+        has = self.entry.capacity
+        return cores > has.cores_milli or memory > has.memory_mb
+
+    def _schedule(self, run: _Run) -> None:
+        if run.step.long_running or self.hanging:
+            return
+        how = EndKind.DONE.value
+        if self._rng.random() < self.failing:
+            how = EndKind.FAILED.value
+        loop = asyncio.get_running_loop()
+        run.timer = loop.call_later(
+            max(run.step.run_ms, 1) / MS_PER_SECOND, self._end, run, how
+        )
+
+    def _end(self, run: _Run, how: str) -> None:
+        if self._runs.get(run.task) is not run:
+            return
+        del self._runs[run.task]
+        if run.timer is not None:
+            run.timer.cancel()
+        self._closed[run.task] = max(run.run, self._closed.get(run.task, 0))
+        self._number += 1
+        self._record.add(
+            Ended(
+                self._clock.now_ms(),
+                self.entry.id,
+                self.entry.born,
+                self._number,
+                run.task,
+                run.run,
+                how,
+            )
+        )
+        if how != "crashed":
+            self._ends.append(
+                EndRow(self._number, run.task, run.run, EndKind(how), "saved")
+            )
+        self._news.set()
+
+    def _extend(self, until_ms: float) -> None:
+        longest = self.clock_ms() + LONGEST_LEASE_MS
+        self._lease_ms = max(self._lease_ms, min(until_ms, longest))
+        if self._lapse_timer is not None:
+            self._lapse_timer.cancel()
+        left_ms = (self._lease_ms - self.clock_ms()) / self.clock_rate
+        self._lapse_timer = asyncio.get_running_loop().call_later(
+            max(0.0, left_ms) / MS_PER_SECOND, self._lapse
+        )
+
+    def _lapse(self) -> None:
+        self._record.add(
+            Lapsed(self._clock.now_ms(), self.entry.id, self.entry.born)
+        )
+        for run in list(self._runs.values()):
+            self._end(run, EndKind.LAPSED.value)
+
+    def _forget(self, number: int) -> None:
+        self._ends = [end for end in self._ends if end.number > number]
+        self._record.add(
+            Noted(
+                self._clock.now_ms(),
+                self.entry.id,
+                self.entry.born,
+                number,
+            )
+        )
+
+
+def _reborn(entry: WorkerEntry) -> WorkerEntry:
+    return WorkerEntry(
+        entry.id,
+        entry.service,
+        entry.address,
+        entry.availability_zone,
+        entry.rack,
+        entry.labels,
+        entry.capacity,
+        entry.born + 1,
+    )
+
+
+class LinkedWorkers:
+    """All workers as one node reaches them.
+
+    Attributes:
+        links: Path to each worker, by its id.
+    """
+
+    def __init__(self, models: dict[str, WorkerModel], links: dict[str, Link]):
+        self._models = models
+        self.links = links
+
+    async def _call(self, entry: WorkerEntry, act, timeout_ms: float):
+        model = self._models.get(entry.id)
+        if model is None:
+            raise WorkerSilentError(f"{entry.id} is gone")
+        try:
+            return await self.links[entry.id].carry(
+                lambda: act(model), timeout_ms
+            )
+        except (SilentPathError, RefusedPathError):
+            raise WorkerSilentError(entry.id) from None
+
+    async def look(
+        self, entry: WorkerEntry, order: LookOrder, timeout_ms: float
+    ) -> LookReply:
+        """See `limpetyard.engine.StepWorkers.look`."""
+        return await self._call(entry, lambda m: m.look(order), timeout_ms)
+
+    async def start(self, entry: WorkerEntry, order: StartOrder) -> StartResult:
+        """See `limpetyard.engine.StepWorkers.start`."""
+        return await self._call(
+            entry, lambda m: m.start(order), ORDER_TIMEOUT_MS
+        )
+
+    async def stop(
+        self, entry: WorkerEntry, task: TaskKey, run: int, token: int
+    ) -> None:
+        """See `limpetyard.engine.StepWorkers.stop`."""
+        await self._call(
+            entry, lambda m: m.stop(task, run, token), ORDER_TIMEOUT_MS
+        )
+
+    async def pace(self, entry: WorkerEntry, order: PaceOrder) -> None:
+        """See `limpetyard.engine.StepWorkers.pace`."""
+        await self._call(entry, lambda m: m.pace(order), ORDER_TIMEOUT_MS)
