--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -6,6 +6,8 @@
 does not answer wait, for that worker's lease.
 """
 
+import math
+
 from limpetyard._events import event
 from limpetyard.engine._effects import Effect, Stop
 from limpetyard.engine._interface import (
@@ -439,7 +441,9 @@
         worker = self.workers.get(effect.worker)
         run = worker and worker.runs.get((effect.task, effect.run))
         if run:
-            run.settled_ms = now_ms
+            run.order_ms = math.inf
+            if run.settled_ms is None:
+                run.settled_ms = now_ms
 
     def plan(self, now_ms: float, wall_ms: float) -> list[Effect]:
         """Decides what to do now."""
--- a/standins/yard/_record.py
+++ b/standins/yard/_record.py
@@ -77,12 +77,14 @@
         entries: What happened, in order.
         sent: Jobs that clients sent, accepted or not.
         refused: Jobs whose every sending was refused as "not accepted".
+        store_troubles: When the store was disturbed: first and last moment.
     """
 
     def __init__(self):
         self.entries: list[Entry] = []
         self.sent: dict[str, JobSpec] = {}
         self.refused: set[str] = set()
+        self.store_troubles: list[tuple[float, float]] = []
 
     def add(self, entry: Entry) -> None:
         """Adds an entry."""
@@ -91,3 +93,11 @@
     def of(self, kind: type) -> list:
         """Returns the entries of one kind."""
         return [entry for entry in self.entries if isinstance(entry, kind)]
+
+    def calm_for_ms(self, at_ms: float) -> float:
+        """Returns how long before `at_ms` the store was undisturbed."""
+        calm_ms = at_ms
+        for begun_ms, ended_ms in self.store_troubles:
+            if begun_ms <= at_ms:
+                calm_ms = min(calm_ms, max(0.0, at_ms - ended_ms))
+        return calm_ms
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -20,6 +20,20 @@
 TROUBLES: Registry[Trouble] = Registry("trouble")
 
 
+def _disturbs_store(trouble: Trouble) -> Trouble:
+    """Notes in the record when a trouble of the store begins and ends."""
+
+    async def noted(world: World, rng: random.Random) -> None:
+        begun_ms = world.clock.now_ms()
+        troubles = world.record.store_troubles
+        troubles.append((begun_ms, float("inf")))
+        await trouble(world, rng)
+        troubles.remove((begun_ms, float("inf")))
+        troubles.append((begun_ms, world.clock.now_ms()))
+
+    return noted
+
+
 def _host(world: World, rng: random.Random):
     """Returns the owner's VM half of the time, else any."""
     return (rng.random() < 0.5 and world.owner()) or rng.choice(world.hosts)
@@ -63,6 +77,7 @@
 
 
 @TROUBLES.register("cut_store")
+@_disturbs_store
 async def _cut_store(world: World, rng: random.Random) -> None:
     link = _host(world, rng).store_link
     link.cut = True
@@ -92,6 +107,7 @@
 
 
 @TROUBLES.register("store_out")
+@_disturbs_store
 async def _store_out(world: World, rng: random.Random) -> None:
     how = rng.choice(["cut", "refusing"])
     for host in world.hosts:
@@ -104,6 +120,7 @@
 
 
 @TROUBLES.register("store_slow")
+@_disturbs_store
 async def _store_slow(world: World, rng: random.Random) -> None:
     for host in world.hosts:
         host.store_link.delay_ms = rng.uniform(50, 300)
@@ -113,6 +130,7 @@
 
 
 @TROUBLES.register("store_answers")
+@_disturbs_store
 async def _store_answers(world: World, rng: random.Random) -> None:
     for host in world.hosts:
         host.store_link.lost = 0.3
