Learn headroom: the level of a job and the weight of a pair of images

Cause: filling tasks were thought loud that were not, since the swing of the serving tasks' own load was taken for their neighbours' doing, and tasks held at no speed stayed where they were.

Change: a filter with a level for each job and a weight for each pair; filling tasks go where they press less than others would; held ones are stopped and go on elsewhere from their checkpoint.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -293,6 +293,7 @@
     def _end_job(self, job: Job, how: str, now_ms: float) -> None:
         job.end(how, now_ms)
         self.open.pop(job.spec.id, None)
+        self.tails.forget(job.spec.id)
         event(
             "job_ended",
             job=job.spec.id,
--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -1,46 +1,45 @@
 """Slows filling tasks down beside tails that come near their targets."""
 
-import math
-
 from limpetyard.engine._effects import Effect, Pace
-from limpetyard.engine._placing import (
-    expected_tail,
-    filling_cores,
-    serving_runs,
-)
-from limpetyard.engine._tails import TailModel, log_ratio
+from limpetyard.engine._placing import filling_cores, serving_runs
+from limpetyard.engine._tails import AT_TARGET, TailModel, headroom_of
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 
-# Filling tasks are slowed once a tail is expected over this part of its target,
-# down to the second; their speed is given back under the third.
-SLOW_ABOVE = math.log(0.95)
-SLOW_TO = math.log(0.8)
-RESTORE_BELOW = math.log(0.7)
+# Filling tasks are slowed once a headroom is expected below the first, until it
+# is above the second; their speed is given back down to the third.
+SLOW_BELOW = 1.05 * AT_TARGET
+SLOW_TO = 1.15 * AT_TARGET
+RESTORE_DOWN_TO = 1.25 * AT_TARGET
 
 # A figure covers half a second, so that a change shows in it after that.
 FIGURE_MS = 500
 
-# A filling task slowed below this is stopped in effect.
+# A filling task slowed below this is held entirely.
 LEAST_PERCENT = 10
 
-# Speed given back in one step.
-RESTORE_STEP = 25
+# A filling task that was held for this long is stopped, so that it goes on
+# elsewhere from its checkpoint.
+HELD_MS = 1000
 
 
 def learn(worker: Worker, tails: TailModel, now_ms: float) -> None:
     """Takes in the figures of a worker's newest list."""
     cores: dict[str, float] = {}
     for run in worker.runs.values():
-        if run.step.fills:
+        if run.step.fills and run.figure > 0:
             used = cores.get(run.step.image, 0.0)
             cores[run.step.image] = used + run.figure / 1000
     for run in serving_runs(worker):
-        if run.figure <= 0 or not run.working:
-            continue
-        run.beside = dict(cores)
-        if now_ms - run.placed_ms > 2 * FIGURE_MS:
-            measured = log_ratio(run.figure, run.step.target_ms)
-            tails.learn(run.step.image, measured, cores)
+        settled = now_ms - run.placed_ms > 2 * FIGURE_MS
+        if run.figure > 0 and run.working and settled:
+            tails.learn(
+                run.task.job,
+                run.step.image,
+                headroom_of(run.figure, run.step.target_ms),
+                run.step.target_ms,
+                cores,
+                now_ms,
+            )
 
 
 def pace(worker: Worker, tails: TailModel, now_ms: float) -> list[Effect]:
@@ -53,25 +52,42 @@
     fills = [
         run
         for run in worker.runs.values()
-        if run.step.fills
-        and run.state is RunState.RUNNING
-        and now_ms - run.order_ms >= FIGURE_MS
+        if run.step.fills and run.state is RunState.RUNNING
     ]
     if not fills:
         return []
+    lowest, victim = _lowest_headroom(worker, tails, now_ms)
+    effects: list[Effect] = []
+    if victim is not None and lowest < SLOW_BELOW:
+        effects = _slow(worker, victim, fills, SLOW_TO - lowest, tails)
+    else:
+        effects = _restore(
+            worker, victim, fills, lowest - RESTORE_DOWN_TO, tails
+        )
+    for run in fills:
+        if run.wanted_percent > 0:
+            run.held_since_ms = None
+        elif run.held_since_ms is None:
+            run.held_since_ms = now_ms
+        elif now_ms - run.held_since_ms > HELD_MS:
+            run.state = RunState.STOPPING
+    return effects
+
+
+def _lowest_headroom(
+    worker: Worker, tails: TailModel, now_ms: float
+) -> tuple[float, WorkerRun | None]:
+    """Returns the lowest headroom expected soon, and whose it is."""
     cores = filling_cores(worker)
-    worst, victim = -math.inf, None
+    lowest, victim = float("inf"), None
     for run in serving_runs(worker):
-        expected = expected_tail(run, cores, tails)
-        if expected > worst:
-            worst, victim = expected, run
-    if victim is not None and worst > SLOW_ABOVE:
-        return _slow(worker, victim, fills, worst - SLOW_TO, tails, now_ms)
-    if worst < RESTORE_BELOW:
-        return _restore(
-            worker, victim, fills, RESTORE_BELOW - worst, tails, now_ms
+        headroom = tails.level_ahead(run.task.job, now_ms) - sum(
+            tails.weight(run.step.image, image) * used
+            for image, used in cores.items()
         )
-    return []
+        if headroom < lowest:
+            lowest, victim = headroom, run
+    return lowest, victim
 
 
 def _weight(
@@ -86,24 +102,21 @@
     worker: Worker,
     victim: WorkerRun,
     fills: list[WorkerRun],
-    excess: float,
+    missing: float,
     tails: TailModel,
-    now_ms: float,
 ) -> list[Effect]:
+    """Slows the loudest tasks until `missing` headroom is won back."""
     effects: list[Effect] = []
-    fills.sort(key=lambda run: -_weight(victim, run, tails))
+    fills = sorted(fills, key=lambda run: -_weight(victim, run, tails))
     for run in fills:
-        if excess <= 0:
-            break
-        if run.wanted_percent == 0:
-            continue
         cores = run.step.need.cores_milli / 1000 * run.wanted_percent / 100
-        share = _weight(victim, run, tails) * cores
-        left = 1 - excess / share if share > 0 else 0.0
-        percent = int(run.wanted_percent * max(0.0, left))
+        taken = _weight(victim, run, tails) * cores
+        if missing <= 0 or taken <= 0:
+            continue
+        percent = int(run.wanted_percent * max(0.0, 1 - missing / taken))
         percent = percent if percent >= LEAST_PERCENT else 0
-        excess -= share * (1 - percent / run.wanted_percent)
-        effects.append(_order(worker, run, percent, now_ms))
+        missing -= taken * (1 - percent / run.wanted_percent)
+        effects.append(_order(worker, run, percent))
     return effects
 
 
@@ -113,21 +126,24 @@
     fills: list[WorkerRun],
     spare: float,
     tails: TailModel,
-    now_ms: float,
 ) -> list[Effect]:
-    slowed = [run for run in fills if run.wanted_percent < 100]
-    if not slowed:
-        return []
-    run = min(slowed, key=lambda run: _weight(victim, run, tails))
-    percent = min(100, run.wanted_percent + RESTORE_STEP)
-    cores = run.step.need.cores_milli / 1000
-    more = (percent - run.wanted_percent) / 100 * cores
-    if _weight(victim, run, tails) * more > spare:
-        return []
-    return [_order(worker, run, percent, now_ms)]
+    """Gives speed back to the quietest tasks while headroom is spare."""
+    effects: list[Effect] = []
+    for run in sorted(fills, key=lambda run: _weight(victim, run, tails)):
+        if run.wanted_percent == 100 or spare <= 0:
+            continue
+        full = _weight(victim, run, tails) * run.step.need.cores_milli / 1000
+        more = 100 - run.wanted_percent
+        if full > 0:
+            more = min(more, int(100 * spare / full))
+        percent = run.wanted_percent + more
+        if percent < 100 and more < LEAST_PERCENT:
+            continue
+        spare -= full * more / 100
+        effects.append(_order(worker, run, percent))
+    return effects
 
 
-def _order(worker: Worker, run: WorkerRun, percent: int, now_ms: float) -> Pace:
+def _order(worker: Worker, run: WorkerRun, percent: int) -> Pace:
     run.wanted_percent = percent
-    run.order_ms = now_ms
     return Pace(worker.id, run.task, run.run, percent)
--- a/src/limpetyard/engine/_placing.py
+++ b/src/limpetyard/engine/_placing.py
@@ -1,10 +1,9 @@
 """Chooses the worker of one task, by the kind of its step."""
 
-import math
 from collections.abc import Callable
 
 from limpetyard._registry import Registry
-from limpetyard.engine._tails import TailModel, log_ratio
+from limpetyard.engine._tails import AT_TARGET, TailModel
 from limpetyard.engine._worker import Worker, WorkerRun
 from limpetyard.jobs import Resources, StepSpec, Task
 
@@ -12,9 +11,9 @@
 # better is known: their load swings around less than half.
 SERVING_USE = 0.5
 
-# A filling task is placed only where every tail beside it is expected to stay
-# under this part of its target, which leaves room for a swing of the load.
-PLACE_BELOW = math.log(0.85)
+# A filling task is placed only where every tail beside it is expected to keep
+# this headroom, so that it is not slowed down at once.
+PLACE_ABOVE = 1.2 * AT_TARGET
 
 
 class Candidate:
@@ -26,10 +25,20 @@
         idle_cores: Cores expected to be left for one more filling task.
     """
 
-    __slots__ = ("_fills", "_tails", "idle_cores", "room", "worker")
+    __slots__ = (
+        "_fills",
+        "_lowest",
+        "_now_ms",
+        "_tails",
+        "idle_cores",
+        "room",
+        "worker",
+    )
 
-    def __init__(self, worker: Worker, tails: TailModel):
+    def __init__(self, worker: Worker, tails: TailModel, now_ms: float):
         self.worker = worker
+        self._now_ms = now_ms
+        self._lowest: list[tuple[str, float]] | None = None
         self.room = worker.room()
         self._tails = tails
         self._fills = filling_cores(worker)
@@ -49,6 +58,7 @@
             self.room.accelerators - need.accelerators,
         )
         self.idle_cores -= _used_cores(run)
+        self._lowest = None
         if run.step.fills:
             added = self._fills.get(run.step.image, 0.0)
             self._fills[run.step.image] = added + _used_cores(run)
@@ -69,19 +79,46 @@
         limit = step.per_worker
         return not limit or self.worker.count_of(*place) < limit
 
-    def worst_tail(self, image: str, cores: float) -> float:
-        """Returns the log of the worst tail over its target.
+    def headroom_with(self, image: str, cores: float) -> float:
+        """Returns the lowest headroom of a tail here.
 
         Args:
             image: Image of a filling task to be added.
             cores: Cores that it would use.
         """
-        worst = -math.inf
-        for run in serving_runs(self.worker):
-            expected = expected_tail(run, self._fills, self._tails)
-            expected += self._tails.weight(run.step.image, image) * cores
-            worst = max(worst, expected)
-        return worst
+        return min(
+            (
+                level - self._tails.weight(serving, image) * cores
+                for serving, level in self._headrooms()
+            ),
+            default=float("inf"),
+        )
+
+    def advantage(self, image: str, cores: float) -> float:
+        """Returns how much less an image presses here than others do."""
+        return max(
+            (
+                (self._tails.weight(s, image) - self._tails.mean_weight(s))
+                * cores
+                for s, _ in self._headrooms()
+            ),
+            default=0.0,
+        )
+
+    def _headrooms(self) -> list[tuple[str, float]]:
+        """Lowest headroom of each serving image with what fills here."""
+        if self._lowest is None:
+            lowest: dict[str, float] = {}
+            for run in serving_runs(self.worker):
+                image = run.step.image
+                level = self._tails.level_ahead(run.task.job, self._now_ms)
+                level -= sum(
+                    self._tails.weight(image, other) * used
+                    for other, used in self._fills.items()
+                )
+                lowest[image] = min(level, lowest.get(image, level))
+            self._lowest = list(lowest.items())
+        return self._lowest
 
 
 def serving_runs(worker: Worker) -> list[WorkerRun]:
@@ -89,27 +126,6 @@
     return [run for run in worker.runs.values() if run.step.target_ms]
 
 
-def expected_tail(
-    run: WorkerRun, fills: dict[str, float], tails: TailModel
-) -> float:
-    """Returns the log of a tail over its target, as it will be soon.
-
-    Starts from the newest figure and adds what has changed beside it since.
-    """
-    if run.figure <= 0:
-        measured, before = tails.base(run.step.image), {}
-    else:
-        measured = log_ratio(run.figure, run.step.target_ms)
-        before = run.beside
-    image = run.step.image
-    change = sum(
-        tails.weight(image, other)
-        * (fills.get(other, 0.0) - before.get(other, 0.0))
-        for other in fills.keys() | before.keys()
-    )
-    return measured + change
-
-
 def filling_cores(worker: Worker) -> dict[str, float]:
     """Returns the cores that filling tasks use or may use, by image."""
     cores: dict[str, float] = {}
@@ -207,16 +223,20 @@
     candidates: list[Candidate],
     place: tuple[str, int, int],
 ) -> Candidate | None:
-    """Chooses where the worst tail is expected to stay the shortest."""
+    """Chooses where the image presses least, against what others would."""
     cores = step.need.cores_milli / 1000
     best, best_key = None, None
     for candidate in _allowed(task, step, candidates, place):
         if candidate.idle_cores < cores:
             continue
-        worst = candidate.worst_tail(step.image, cores)
-        if worst > PLACE_BELOW:
+        headroom = candidate.headroom_with(step.image, cores)
+        if headroom < PLACE_ABOVE:
             continue
-        key = (worst, -candidate.idle_cores)
+        key = (
+            round(candidate.advantage(step.image, cores), 1),
+            -headroom,
+            -candidate.idle_cores,
+        )
         if best_key is None or key < best_key:
             best, best_key = candidate, key
     return best
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -103,7 +103,7 @@
     def _usable(self, service: str, now_ms: float) -> list[Candidate]:
         engine = self._engine
         return [
-            Candidate(worker, engine.tails)
+            Candidate(worker, engine.tails, now_ms)
             for worker in engine.workers.values()
             if worker.entry.service == service
             and worker.sounded
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -46,15 +46,15 @@
         wanted_percent: Share of its speed that it was last given.
         working: Whether its last row showed it at full work.
         figure: Newest figure of its row.
-        beside: Cores that filling tasks used beside it then, by image.
+        held_since_ms: Since when it was given no speed, or None.
         placed_ms: When it was ordered.
         order_ms: When its last stop or pace order was sent.
     """
 
     __slots__ = (
-        "beside",
         "checkpoint",
         "figure",
+        "held_since_ms",
         "order_ms",
         "placed_ms",
         "run",
@@ -76,7 +76,7 @@
         self.wanted_percent = 100
         self.working = False
         self.figure = 0.0
-        self.beside: dict[str, float] = {}
+        self.held_since_ms: float | None = None
         self.placed_ms = now_ms
         self.order_ms = float("-inf")
 
