--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -19,7 +19,7 @@
     Ticket,
     WorkerEntry,
 )
-from limpetyard.engine._pacing import pace
+from limpetyard.engine._pacing import learn, pace
 from limpetyard.engine._planner import Planner
 from limpetyard.engine._tails import TailModel
 from limpetyard.engine._terms import EngineTerms
@@ -218,6 +218,7 @@
             )
         news = self._take_ends(worker, reply.ends, now_ms)
         self._take_runs(worker, reply.runs, sent_ms, now_ms)
+        learn(worker, self.tails, now_ms)
         return news
 
     def _take_ends(
@@ -451,12 +452,10 @@
         self._lapse(now_ms)
         effects: list[Effect] = self._stops(now_ms)
         effects += self._planner.place(now_ms, wall_ms)
+        for worker in self.workers.values():
+            effects += pace(worker, self.tails, now_ms)
         return effects
 
-    def pace(self, worker: Worker, now_ms: float) -> list[Effect]:
-        """Decides on the speed of filling tasks after a worker's list."""
-        return pace(worker, self.tails, now_ms)
-
     def _lapse(self, now_ms: float) -> None:
         for worker in self.workers.values():
             if not worker.runs or now_ms <= worker.lease_end_ms:
--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -48,7 +48,6 @@
     Returns:
         Orders for those whose speed changes.
     """
-    learn(worker, tails, now_ms)
     fills = [
         run
         for run in worker.runs.values()
--- a/src/limpetyard/engine/_tails.py
+++ b/src/limpetyard/engine/_tails.py
@@ -23,7 +23,7 @@
 
 # Growth of a level's variance a second, from a load that swings by half within
 # some seconds.
-LEVEL_DRIFT = 0.3
+LEVEL_DRIFT = 0.1
 
 # Growth of a weight's variance a measurement, so that it can change.
 WEIGHT_DRIFT = 1e-6
@@ -35,16 +35,22 @@
 # Tails shorter than this are rounded to nothing.
 SHORTEST_TAIL_MS = 0.5
 
+# A level counts as known once its variance is below this.
+SETTLED_VARIANCE = 0.05
+
 # The lowest level of a job is forgotten at this rate a second, so that it
 # lasts over more than a swing of the load.
 LOWEST_RISE = 0.02
 
+# A level may be lower than it is thought to be by this.
+LEVEL_MARGIN = 0.1
+
 # A level is predicted this far ahead, the time in which a pace takes effect
 # and shows.
 AHEAD_S = 1.0
 
 # Share of a correction of the level that goes into its trend, a second.
-TREND_GAIN = 0.5
+TREND_GAIN = 0.1
 
 
 class _Level:
@@ -67,7 +73,9 @@
             self.trend = 0.0
         self.value += self.trend * passed_s
         self.variance += LEVEL_DRIFT * passed_s
-        self.lowest = min(self.lowest + LOWEST_RISE * passed_s, self.value)
+        self.lowest += LOWEST_RISE * passed_s
+        if self.variance < SETTLED_VARIANCE:
+            self.lowest = min(self.lowest, self.value)
 
     def correct(self, change: float) -> None:
         """Takes in a correction of the filter."""
@@ -108,7 +116,7 @@
         if level is None:
             return UNKNOWN_LEVEL
         level.advance(now_ms)
-        falling = min(0.0, level.trend * AHEAD_S)
+        falling = min(0.0, level.trend * AHEAD_S) - LEVEL_MARGIN
         return max(min(level.lowest, level.value), level.value + falling)
 
     def learn(
--- a/src/limpetyard/engine/_urgency.py
+++ b/src/limpetyard/engine/_urgency.py
@@ -24,6 +24,19 @@
     return tuple(chains)
 
 
+@functools.lru_cache(maxsize=4096)
+def work(spec: JobSpec) -> float:
+    """Returns the work of a job in core-milliseconds.
+
+    What fills gets less than it asks for, so that not all of it can be on
+    time; the shortest first lets the most be.
+    """
+    return sum(
+        step.count * step.run_ms * step.need.cores_milli / 1000
+        for step in spec.steps
+    )
+
+
 def objective_ms(spec: JobSpec) -> float:
     """Returns the time within which a job is to be completed."""
     longest = max(chains_ms(spec))
@@ -44,4 +57,6 @@
         group = LATE
     else:
         group = HOPELESS
+    if spec.steps[step].fills:
+        return (group, spec.queue.priority, work(spec))
     return (group, spec.queue.priority, slack)
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -413,7 +413,6 @@
         arrived_ms = self._clock.now_ms()
         sounded = worker.sounded
         news = self.engine.on_look(worker, now_ms, reply, arrived_ms)
-        self._execute(self.engine.pace(worker, arrived_ms))
         if news or not sounded:
             self._dirty.set()
             self._wake.set()
