--- /dev/null
+++ b/standins/yard/_http.py
@@ -0,0 +1,255 @@
+"""The stand-in's store and workers in the platform's wire form, over HTTP."""
+
+import base64
+import json
+import struct
+
+from aiohttp import web
+
+from limpetyard.engine import (
+    LookOrder,
+    PaceOrder,
+    StaleTokenError,
+    StartOrder,
+    StartResult,
+)
+from limpetyard.jobs import TaskKey
+from limpetyard.store import (
+    FencedError,
+    HistoryLostError,
+    KeyedRecord,
+    Producer,
+    SequenceError,
+)
+from standins.yard._faults import SilentPathError
+from standins.yard._store import StoreModel
+from standins.yard._worker import WorkerModel
+
+REASONS = {
+    StartResult.STALE_RUN: "old",
+    StartResult.EXPIRED: "late",
+    StartResult.NO_ROOM: "room",
+    StartResult.BAD_TICKET: "ticket",
+}
+
+
+def _topic(name: str) -> str:
+    return name.removeprefix("keyed.")
+
+
+def _split(body: bytes) -> list[KeyedRecord]:
+    records = []
+    at = 0
+    while at < len(body):
+        (size,) = struct.unpack_from(">I", body, at)
+        content = body[at + 4 : at + 4 + size]
+        key = content[1 : 1 + content[0]].decode()
+        value = content[1 + content[0] :] or None
+        records.append(KeyedRecord(key, value))
+        at += 4 + size
+    return records
+
+
+def _join(records: list) -> bytes:
+    parts = []
+    for record in records:
+        key = record.key.encode()
+        content = bytes([len(key)]) + key + (record.value or b"")
+        parts.append(struct.pack(">I", len(content)) + content)
+    return b"".join(parts)
+
+
+class StoreServer:
+    """Serves the store.
+
+    Attributes:
+        status: Answer every call with this status instead, if it is not 0.
+        raw: Bytes that the next read answers as records, if not empty.
+    """
+
+    def __init__(self, model: StoreModel):
+        self._model = model
+        self.status = 0
+        self.raw = b""
+
+    async def handle(self, req: web.BaseRequest) -> web.Response:
+        """Answers one call."""
+        if self.status:
+            return web.Response(status=self.status)
+        call = getattr(self, req.path.strip("/").replace("-", "_"))
+        return await call(req)
+
+    async def log_append(self, req: web.BaseRequest) -> web.Response:
+        """Appends records."""
+        query = req.query
+        producer = None
+        if "producerId" in query:
+            producer = Producer(
+                query["producerId"],
+                int(query["epoch"]),
+                int(query.get("seq", 0)),
+            )
+        records = _split(await req.read())
+        part = int(query["part"])
+        try:
+            offset = await self._model.append(
+                _topic(query["topic"]), part, records, producer
+            )
+        except FencedError:
+            return _json({"reason": "fenced"}, 409)
+        except SequenceError as exc:
+            return _json({"reason": "seq", "seq": exc.expected}, 409)
+        return _json({"offset": offset, "endOffset": offset + len(records)})
+
+    async def log_read(self, req: web.BaseRequest) -> web.Response:
+        """Reads records."""
+        query = req.query
+        topic, part = _topic(query["topic"]), int(query["part"])
+        try:
+            page = await self._model.read(
+                topic, part, int(query["from"]), int(query.get("waitMs", 0))
+            )
+        except HistoryLostError:
+            return _json({"startOffset": 0}, 410)
+        first = self._model.partition(topic, part).first
+        body = struct.pack(">QQ", page.end, first)
+        return web.Response(body=body + (self.raw or _join(page.records)))
+
+    async def log_newest(self, req: web.BaseRequest) -> web.Response:
+        """Returns the newest record of each key."""
+        query = req.query
+        page = await self._model.newest(
+            _topic(query["topic"]), int(query["part"]), query.get("after", "")
+        )
+        items = [
+            {
+                "key": record.key,
+                "value": base64.b64encode(record.value).decode(),
+                "offset": record.offset,
+            }
+            for record in page.records
+        ]
+        return _json(
+            {"items": items, "hasMore": page.more, "endOffset": page.end}
+        )
+
+    async def log_join(self, req: web.BaseRequest) -> web.Response:
+        """Joins a group."""
+        body = json.loads(await req.read())
+        view = await self._model.join(
+            body["group"], body["memberId"], body["ttlMs"], body["generation"]
+        )
+        rows = [[body["topics"][0], part, 0] for part in view.partitions]
+        return _json({"generation": view.generation, "parts": rows})
+
+    async def log_leave(self, req: web.BaseRequest) -> web.Response:
+        """Leaves a group."""
+        body = json.loads(await req.read())
+        await self._model.leave(body["group"], body["memberId"])
+        return _json({})
+
+    async def log_owners(self, req: web.BaseRequest) -> web.Response:
+        """Tells who holds which partition."""
+        holders = await self._model.holders(req.query["group"])
+        rows = [["keyed.jobs", part, name, 0] for part, name in holders.items()]
+        return _json({"owners": rows})
+
+
+class WorkerServer:
+    """Serves one worker.
+
+    Attributes:
+        id: Id that callers must name.
+        last: Body of the newest call.
+    """
+
+    def __init__(self, model: WorkerModel):
+        self._model = model
+        self.id = model.entry.id
+        self.last: dict = {}
+
+    async def handle(self, req: web.BaseRequest) -> web.Response:
+        """Answers one call."""
+        if req.headers["Expected-Instance"] != self.id:
+            return web.Response(status=421)
+        self.last = body = json.loads(await req.read())
+        call = getattr(self, req.path.strip("/").replace("-", "_"))
+        try:
+            return await call(body)
+        except StaleTokenError:
+            return self._reply({"reason": "fence"}, 409)
+        except SilentPathError:
+            return web.Response(status=503)
+
+    async def hold(self, body: dict) -> web.Response:
+        """Extends the lease and returns the lists."""
+        reply = await self._model.look(
+            LookOrder(
+                body["fencingToken"],
+                body.get("lastSeen", 0),
+                body.get("expiresMs"),
+                body.get("waitMs", 0),
+            )
+        )
+        rows = [
+            [_name(row.task), row.run, row.checkpoint, row.percent, row.figure]
+            for row in reply.runs
+        ]
+        ends = [
+            [end.number, _name(end.task), end.run, end.how.value, "saved"]
+            for end in reply.ends
+        ]
+        lists = {"born": reply.born, "running": rows, "endedRuns": ends}
+        return self._reply(lists)
+
+    async def run_start(self, body: dict) -> web.Response:
+        """Starts a run."""
+        order = StartOrder(
+            _key(body["task"]),
+            body["runId"],
+            body["spec"],
+            body["expiresMs"],
+            body["fencingToken"],
+            body.get("checkpoint", ""),
+        )
+        result = await self._model.start(order)
+        if result is StartResult.STARTED:
+            return self._reply({})
+        return self._reply({"reason": REASONS[result]}, 409)
+
+    async def run_stop(self, body: dict) -> web.Response:
+        """Stops a run."""
+        task = _key(body["task"])
+        await self._model.stop(task, body["runId"], body["fencingToken"])
+        return self._reply({})
+
+    async def pace(self, body: dict) -> web.Response:
+        """Limits a run's speed."""
+        order = PaceOrder(
+            _key(body["task"]),
+            body["runId"],
+            body["percent"],
+            body["fencingToken"],
+        )
+        await self._model.pace(order)
+        return self._reply({})
+
+    def _reply(self, data: dict, status: int = 200) -> web.Response:
+        return _json({"clockMs": int(self._model.clock_ms()), **data}, status)
+
+
+def _name(task: TaskKey) -> str:
+    return ".".join(map(str, task))
+
+
+def _key(name: str) -> TaskKey:
+    job, *numbers = name.split(".")
+    return TaskKey(job, *map(int, numbers))
+
+
+def _json(data: dict, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status,
+        body=json.dumps(data).encode(),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,226 @@
+"""Callers' requests and operators' records in the platform's form."""
+
+import unittest
+
+from aiohttp.test_utils import make_mocked_request
+
+from limpetyard._kinds import ErrorKind
+from limpetyard.errors import RequestError, SettingError
+from limpetyard.jobs import JobError, QueueTerms, Resources
+from limpetyard.node import SiteView
+from limpetyard.platform._config import OperatorRecords
+from limpetyard.platform._ingress import Ingress, parse_job
+from limpetyard.platform._settings import load_settings
+from limpetyard.store import StoredRecord
+
+ID = "5c0e7a21d94b36f8"
+TERMS = QueueTerms("q", "s")
+CONFIG = (
+    b'{"version":%d,"routes":[{"name":"r","host":"a.example",'
+    b'"pathPrefix":"/p/","service":"s","kind":"k","priority":2,'
+    b'"maxAttempts":4,"stretch":2.2,"targetLatencyMs":250},'
+    b'{"name":"r2","host":"a.example","pathPrefix":"/p/q/","service":"s"}]}'
+)
+
+
+class ParseJobTest(unittest.TestCase):
+    """Bodies of jobs."""
+
+    def test_all_fields(self):
+        """Each field becomes what it means."""
+        body = (
+            b'{"spec":"x","steps":[{"count":2,"cpu":500,"memMb":256,"gpus":1,'
+            b'"estimatedMs":900,"affinity":"r1"},{"count":3,"after":[0],'
+            b'"checkpointing":true,"gang":true,"sameRack":true,'
+            b'"requires":"a","antiAffinity":2,"allowDuplicates":true,'
+            b'"longRunning":true,"image":"i","targetMs":9,"fills":true,'
+            b'"maxUnavailable":1,"news":1}]}'
+        )
+        first, second = parse_job(ID, TERMS, body, 5.0).steps
+        self.assertEqual(first.need, Resources(500, 256, 1))
+        self.assertEqual(first.data_rack, "r1")
+        self.assertEqual(second.after, (0,))
+        self.assertEqual(second.per_worker, 2)
+        self.assertEqual(second.label, "a")
+        self.assertTrue(second.copies and second.long_running)
+        self.assertEqual(second.reserved.cores_milli, 0)
+
+    def test_occurrences(self):
+        """A repeated job waits for its times."""
+        body = (
+            b'{"spec":"x","steps":[{"count":1}],"repeatCount":3,'
+            b'"initialDelayMs":1000,"intervalMs":500}'
+        )
+        spec = parse_job(ID, TERMS, body, 5.0)
+        self.assertTrue(spec.timed)
+        self.assertEqual(spec.occurrences, 3)
+
+    def test_malformed(self):
+        """The error names the value."""
+        bad = {
+            b"": "body",
+            b"[]": "body",
+            b'{"spec":"x"}': "steps",
+            b'{"spec":"x","steps":[]}': "0 steps",
+            b'{"spec":"x","steps":[{"count":-1}]}': "count -1",
+            b'{"spec":"x","steps":[{"count":1,"after":[0]}]}': "after 0",
+            b'{"spec":"x","steps":[{"count":1,"cpu":-5}]}': "cores_milli -5",
+            b'{"spec":"x","steps":[{"count":99999}]}': "99999 tasks",
+            b'{"spec":3,"steps":[{"count":1}]}': "spec",
+            b'{"spec":"' + b"y" * 4001 + b'","steps":[{}]}': "4001 bytes",
+        }
+        for body, named in bad.items():
+            with self.assertRaises(JobError) as caught:
+                parse_job(ID, TERMS, body, 5.0)
+            self.assertIn(named, str(caught.exception))
+
+    def test_bad_id(self):
+        """An id is 16 hexadecimal digits."""
+        for job_id in ("", "xyz", ID + "0", "g" * 16):
+            with self.assertRaises(JobError):
+                parse_job(job_id, TERMS, b'{"spec":"x","steps":[{}]}', 5.0)
+
+
+class _Desk:
+    """A desk that notes what it was asked."""
+
+    def __init__(self):
+        self.asked: list[tuple] = []
+
+    async def submit(self, spec, deadline_ms):
+        self.asked.append(("submit", spec.id, deadline_ms))
+
+    async def state(self, job_id, deadline_ms):
+        raise RequestError(ErrorKind.JOB_GONE, job_id)
+
+    async def cancel(self, job_id, deadline_ms):
+        raise RequestError(ErrorKind.STORE_REFUSED, "busy", 1)
+
+    async def pending(self, queue):
+        return 12
+
+
+class IngressTest(unittest.IsolatedAsyncioTestCase):
+    """Requests and their answers."""
+
+    def setUp(self):
+        """Makes an ingress with one configuration."""
+        self.view = SiteView()
+        self.records = OperatorRecords(self.view)
+        self.desk = _Desk()
+        self.ingress = Ingress(self.view, self.desk, lambda: 0.0)
+
+    def configure(self, version: int = 7) -> None:
+        """Publishes a configuration."""
+        record = StoredRecord(0, "config", CONFIG % version)
+        self.records.apply([record])
+
+    async def ask(self, method: str, path: str, host: str = "a.example"):
+        """Returns the answer of one request without a body."""
+        req = make_mocked_request(
+            method, path, headers={"Host": host, "Deadline-Ms": "900"}
+        )
+        return await self.ingress.handle(req)
+
+    async def test_no_configuration(self):
+        """Without a configuration nothing is served."""
+        self.assertEqual((await self.ask("GET", "/p/")).status, 503)
+
+    async def test_statuses(self):
+        """Each outcome has its status."""
+        self.configure()
+        self.assertEqual((await self.ask("GET", "/p/" + ID)).status, 410)
+        self.assertEqual((await self.ask("GET", "/x/" + ID)).status, 404)
+        self.assertEqual((await self.ask("GET", "/p/", "b")).status, 404)
+        self.assertEqual((await self.ask("GET", "/p/nohex")).status, 400)
+        self.assertEqual((await self.ask("PUT", "/p/" + ID)).status, 405)
+        pending = await self.ask("GET", "/p/")
+        self.assertEqual(pending.body, b'{"pending":12}')
+
+    async def test_refused(self):
+        """A refusal says when to come back."""
+        self.configure()
+        resp = await self.ask("DELETE", "/p/" + ID)
+        self.assertEqual(resp.status, 503)
+        self.assertEqual(resp.headers["Retry-After"], "1")
+
+    async def test_longest_prefix(self):
+        """The longest prefix that fits names the queue."""
+        self.configure()
+        queue = self.view.queues.find("A.example", "/p/q/" + ID)
+        self.assertEqual(queue.terms.name, "r2")
+
+    def test_versions_never_go_back(self):
+        """An older or unreadable version changes nothing."""
+        self.configure(7)
+        self.configure(6)
+        self.records.apply([StoredRecord(1, "config", b"\xff")])
+        self.records.apply([StoredRecord(2, "config", None)])
+        self.assertEqual(self.view.config.version, 7)
+
+    def test_zones(self):
+        """Zones go out, come back, and follow a complete reading."""
+        self.records.apply([StoredRecord(0, "evacuate/z1", b"{}")])
+        self.assertEqual(self.view.zones_out, {"z1"})
+        self.records.apply([StoredRecord(1, "evacuate/z1", None)])
+        self.assertEqual(self.view.zones_out, frozenset())
+        self.records.reset({"config", "evacuate/z2"})
+        self.assertEqual(self.view.zones_out, {"z2"})
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file."""
+
+    def load(self, text: str):
+        """Reads a file with this text."""
+        import tempfile
+
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(text)
+            file.flush()
+            return load_settings(file.name)
+
+    GOOD = """
+        nodeName = "n"
+        zone = "z"
+        newField = 1
+        [listenAddrs]
+        frontend = "127.0.0.1:1"
+        readiness = "127.0.0.1:2"
+        controlPlane = "127.0.0.1:3"
+        [bounds]
+        maxHoldMs = 4000
+        status_s = 90
+        graceS = 5
+        [platform]
+        address = "127.0.0.1:4"
+    """
+
+    def test_good(self):
+        """Values arrive with the project's names and units."""
+        cfg = self.load(self.GOOD)
+        self.assertEqual(cfg.longest_lease_ms, 4000)
+        self.assertEqual(cfg.state_kept_ms, 90_000)
+        self.assertEqual(cfg.leave_ms, 5000)
+
+    def test_bad(self):
+        """An error names what is wrong."""
+        bad = {
+            self.GOOD.replace("127.0.0.1:2", "here"): "readiness",
+            self.GOOD.replace("maxHoldMs = 4000", "maxHoldMs = 0"): "longest",
+            self.GOOD.replace('zone = "z"', ""): "zone",
+            self.GOOD + "\n[": "LIMPETYARD_SETTINGS",
+        }
+        for text, named in bad.items():
+            with self.assertRaises(SettingError) as caught:
+                self.load(text)
+            self.assertIn(named, str(caught.exception))
+
+    def test_missing(self):
+        """A missing file is named."""
+        with self.assertRaises(SettingError):
+            load_settings("/nowhere/at/all.toml")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_workers.py
@@ -0,0 +1,167 @@
+"""The workers' client against the stand-in's wire form."""
+
+import random
+import unittest
+
+import msgspec
+from aiohttp import web
+
+from limpetyard._clock import BootClock
+from limpetyard.engine import (
+    LookOrder,
+    OtherLifeError,
+    PaceOrder,
+    StaleTokenError,
+    StartOrder,
+    StartResult,
+    WorkerEntry,
+    WorkerSilentError,
+)
+from limpetyard.jobs import Resources, TaskKey
+from limpetyard.platform._workers import (
+    PlatformWorkers,
+    parse_entry,
+    parse_task,
+    task_name,
+)
+from limpetyard.store import StoredRecord
+from standins.yard._http import WorkerServer
+from standins.yard._record import Record
+from standins.yard._worker import WorkerModel
+
+TASK = TaskKey("0123456789abcdef", 0, 1, 2)
+
+
+def entry(address: str, worker_id: str = "w-1") -> WorkerEntry:
+    """Returns an entry."""
+    return WorkerEntry(
+        worker_id, "pool", address, "z", "r", (), Resources(8000, 8000), 7
+    )
+
+
+class PlatformWorkersTest(unittest.IsolatedAsyncioTestCase):
+    """Orders and their answers."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts a worker."""
+        self.model = WorkerModel(
+            entry(""), BootClock(), Record(), lambda job: None, random.Random(0)
+        )
+        self.model.hanging = True
+        self.server = WorkerServer(self.model)
+        self.runner = web.ServerRunner(web.Server(self.server.handle))
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.entry = entry(f"127.0.0.1:{port}")
+        self.workers = PlatformWorkers()
+
+    async def asyncTearDown(self) -> None:
+        """Stops it."""
+        await self.workers.close()
+        await self.runner.cleanup()
+
+    def order(self, run: int = 1, token: int = 1) -> StartOrder:
+        """Returns a start."""
+        return StartOrder(TASK, run, "payload", 60_000, token, "saved")
+
+    async def test_start_and_look(self):
+        """What was started is listed, with the worker's life and clock."""
+        result = await self.workers.start(self.entry, self.order())
+        look = LookOrder(1, 0, 60_000, 0)
+        reply = await self.workers.look(self.entry, look, 500)
+        self.assertIs(result, StartResult.STARTED)
+        self.assertEqual(reply.born, 7)
+        self.assertEqual([(r.task, r.run) for r in reply.runs], [(TASK, 1)])
+
+    async def test_stop_ends_and_closes(self):
+        """A stopped run may not start again, only a later one."""
+        await self.workers.stop(self.entry, TASK, 3, 1)
+        again = await self.workers.start(self.entry, self.order(run=3))
+        later = await self.workers.start(self.entry, self.order(run=4))
+        self.assertIs(again, StartResult.STALE_RUN)
+        self.assertIs(later, StartResult.STARTED)
+
+    async def test_fenced(self):
+        """A lower token is refused everywhere."""
+        await self.workers.start(self.entry, self.order(token=9))
+        with self.assertRaises(StaleTokenError):
+            await self.workers.start(self.entry, self.order(token=8))
+        with self.assertRaises(StaleTokenError):
+            await self.workers.stop(self.entry, TASK, 1, 8)
+        with self.assertRaises(StaleTokenError):
+            await self.workers.look(self.entry, LookOrder(8, 0, None, 0), 500)
+
+    async def test_expired(self):
+        """A start whose time is over does nothing."""
+        order = msgspec.structs.replace(self.order(), lease_until_ms=-1)
+        result = await self.workers.start(self.entry, order)
+        self.assertIs(result, StartResult.EXPIRED)
+
+    async def test_pace(self):
+        """A pace is listed with the run."""
+        await self.workers.start(self.entry, self.order())
+        await self.workers.pace(self.entry, PaceOrder(TASK, 1, 40, 1))
+        reply = await self.workers.look(
+            self.entry, LookOrder(1, 0, None, 0), 500
+        )
+        self.assertEqual(reply.runs[0].percent, 40)
+
+    async def test_other_life(self):
+        """Another worker at the address is told apart."""
+        other = entry(self.entry.address, "w-2")
+        with self.assertRaises(OtherLifeError):
+            await self.workers.start(other, self.order())
+
+    async def test_unhealthy(self):
+        """An unhealthy worker has done nothing."""
+        self.model.up = False
+        result = await self.workers.start(self.entry, self.order())
+        self.assertIs(result, StartResult.UNHEALTHY)
+
+    async def test_silent(self):
+        """No connection is no answer."""
+        with self.assertRaises(WorkerSilentError):
+            await self.workers.start(entry("127.0.0.1:1"), self.order())
+
+
+class NamesTest(unittest.TestCase):
+    """Names and entries on the wire."""
+
+    def test_task_name(self):
+        """A name is read back."""
+        self.assertEqual(parse_task(task_name(TASK)), TASK)
+
+    def test_bad_name(self):
+        """A name of another form is an error."""
+        with self.assertRaises(ValueError):
+            parse_task("abc.1")
+
+    def test_entry(self):
+        """An entry is decoded into the project's words."""
+        value = (
+            b'{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",'
+            b'"slots":8,"state":"draining","born":5,"remainingMs":700,'
+            b'"capacity":{"cpu":16000,"memMb":32768,"gpus":1},'
+            b'"labels":["a","r1-3"],"seq":4}'
+        )
+        got = parse_entry(StoredRecord(0, "i-1", value))
+        self.assertEqual(got.rack, "r1-3")
+        self.assertTrue(got.draining)
+        self.assertEqual(got.capacity, Resources(16000, 32768, 1))
+
+    def test_entry_of_another_writer(self):
+        """Unreadable entries and unknown states name no worker."""
+        for value in (
+            b"\xff",
+            b"{}",
+            b'{"service":3}',
+            b'{"service":"s","address":"a","zone":"z","state":"odd","born":1,'
+            b'"capacity":{}}',
+        ):
+            self.assertIsNone(parse_entry(StoredRecord(0, "i-1", value)))
+
+
+if __name__ == "__main__":
+    unittest.main()
