--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -1,7 +1,6 @@
 """Places ready tasks on workers."""
 
 import itertools
-import math
 from typing import TYPE_CHECKING
 
 from limpetyard.engine._effects import Ask, Effect, Start
@@ -24,41 +23,19 @@
 # Time of a ticket that must be left when it is used.
 TICKET_MARGIN_MS = 300
 
-# The peak demand of short tasks fades with this time; they come in waves of
-# some seconds.
-DEMAND_MS = 10_000
-
 # An unanswered question for advice is asked again after this.
 ASK_REPEAT_MS = 2000
 
 
-class ShortDemand:
-    """Cores that short tasks of a service needed lately."""
-
-    __slots__ = ("_at_ms", "cores_milli")
-
-    def __init__(self):
-        self.cores_milli = 0.0
-        self._at_ms = 0.0
-
-    def take(self, cores_milli: float, now_ms: float) -> None:
-        """Takes in what they hold and wait for now."""
-        passed_ms = now_ms - self._at_ms
-        self._at_ms = now_ms
-        faded = self.cores_milli * math.exp(-passed_ms / DEMAND_MS)
-        self.cores_milli = max(faded, cores_milli)
-
-
 class Planner:
     """Decides which tasks start where."""
 
-    __slots__ = ("_asked", "_demand", "_engine", "_tickets")
+    __slots__ = ("_asked", "_engine", "_tickets")
 
     def __init__(self, engine: "Engine"):
         self._engine = engine
         self._tickets: dict[tuple, dict[str, tuple[str, float]]] = {}
         self._asked: dict[tuple, float] = {}
-        self._demand: dict[str, ShortDemand] = {}
 
     def place(self, now_ms: float, wall_ms: float) -> list[Effect]:
         """Returns what to start, and what to ask before starting."""
@@ -81,7 +58,6 @@
                     key = urgency(job, step, now_ms)
                     steps.append((key, job, occurrence, step, waiting))
         steps.sort(key=lambda entry: entry[0])
-        self._measure_demand(steps, now_ms)
         effects: list[Effect] = []
         for _, job, occurrence, step, waiting in steps:
             service = job.spec.queue.service
@@ -93,27 +69,6 @@
                 )
         return effects
 
-    def _measure_demand(self, steps: list[tuple], now_ms: float) -> None:
-        """Takes in the cores that short tasks hold or wait for."""
-        cores: dict[str, int] = {}
-        for worker in self._engine.workers.values():
-            service = worker.entry.service
-            held = cores.get(service, 0)
-            cores[service] = held + sum(
-                run.step.need.cores_milli
-                for run in worker.runs.values()
-                if kind_of(run.step) == "plain"
-            )
-        for _, job, _, number, waiting in steps:
-            step = job.spec.steps[number]
-            if kind_of(step) == "plain":
-                service = job.spec.queue.service
-                asked = len(waiting) * step.need.cores_milli
-                cores[service] = cores.get(service, 0) + asked
-        for service, held in cores.items():
-            demand = self._demand.setdefault(service, ShortDemand())
-            demand.take(held, now_ms)
-
     def add_tickets(
         self, job: str, occurrence: int, step: int, tickets: list[Ticket]
     ) -> None:
@@ -186,8 +141,6 @@
             if ask is not None:
                 return [ask]
             fitting = [c for c in fitting if c.worker.id in known]
-        if step.long_running:
-            waiting = self._lasting(job, step, waiting, candidates)
         if step.gang:
             return self._place_gang(job, place, fitting, now_ms)
         placer = PLACERS.get(kind_of(step))
@@ -200,24 +153,6 @@
             effects.append(self._start(job, task, run, chosen, now_ms))
         return effects
 
-    def _lasting(
-        self,
-        job: Job,
-        step: StepSpec,
-        waiting: list[Task],
-        candidates: list[Candidate],
-    ) -> list[Task]:
-        """Returns the lasting tasks that leave room for short ones.
-
-        A lasting task holds its room for good, so that short ones would have
-        to wait for ever.
-        """
-        demand = self._demand.get(job.spec.queue.service)
-        room = sum(max(0, c.room.cores_milli) for c in candidates)
-        room -= demand.cores_milli if demand is not None else 0.0
-        need = max(1, step.reserved.cores_milli)
-        return waiting[: max(0, int(room / need))]
-
     def _place_gang(
         self,
         job: Job,
