Count every failed run, in whatever order workers tell of them

Both ends were unnoted when the owner changed; the new one saw run 769 first and then took 768 for counted, since it kept only the highest run whose end it had counted. It now keeps the numbers. The test fails without the change.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -238,15 +238,13 @@
         run = worker.runs.pop((end.task, end.run), None)
         job = self.jobs.get(end.task.job)
         task = job.task(*end.task[1:]) if job is not None else None
-        if task is None or end.run <= task.ended_run:
+        if task is None or end.run in task.ended:
             return
         elsewhere = task.worker not in ("", worker.id)
         if elsewhere or end.run < task.run and not task.unsure:
             event("end_outdated", task=_name(end.task), run=end.run)
             return
-        task.ended_run = end.run
-        task.run = max(task.run, end.run)
-        task.checkpoint = end.checkpoint or task.checkpoint
+        self._note_end(task, end)
         job.dirty = True
         if run is not None and run.state is not RunState.STOPPING:
             event(
@@ -265,6 +263,15 @@
             self._count_failure(worker, job, task, now_ms)
         self._release(task, now_ms)
 
+    def _note_end(self, task: Task, end: EndRow) -> None:
+        """Notes an end; ends on several workers come in any order."""
+        if task.step.long_running:
+            task.ended.clear()
+        task.ended.add(end.run)
+        if end.run >= task.run:
+            task.run = end.run
+            task.checkpoint = end.checkpoint or task.checkpoint
+
     def _finish(self, job: Job, task: Task, now_ms: float) -> None:
         gang = task.step.gang
         if not job.over:
@@ -339,7 +346,7 @@
             wanted = (
                 not job.over
                 and task.state == "waiting"
-                and row.run > task.ended_run
+                and row.run not in task.ended
                 and row.run >= task.run
             )
             if wanted:
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -35,7 +35,7 @@
         step: What it was asked for.
         state: State in the task chart.
         run: Number of its newest run; 0 before the first.
-        ended_run: Highest run whose end is taken in.
+        ended: Numbers of the runs whose ends are taken in.
         failed: Failed runs.
         failed_on: Worker of the last failed run, or "".
         checkpoint: Progress to resume from, or "".
@@ -47,7 +47,7 @@
 
     __slots__ = (
         "checkpoint",
-        "ended_run",
+        "ended",
         "failed",
         "failed_on",
         "idle_since_ms",
@@ -65,7 +65,7 @@
         self.step = step
         self.state = TASK_CHART.initial
         self.run = 0
-        self.ended_run = 0
+        self.ended: set[int] = set()
         self.failed = 0
         self.failed_on = ""
         self.checkpoint = ""
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -24,7 +24,7 @@
         index: Number in the step.
         done: Whether it is done.
         run: Number of its newest run.
-        ended_run: Highest run whose end is counted here.
+        ended: Numbers of the runs whose ends are counted here.
         failed: Failed runs.
         checkpoint: Progress to resume from.
     """
@@ -34,7 +34,7 @@
     index: int
     done: bool
     run: int
-    ended_run: int
+    ended: list[int]
     failed: int
     checkpoint: str
 
@@ -87,7 +87,7 @@
             task.key.index,
             task.state == "done",
             task.run,
-            task.ended_run,
+            sorted(task.ended),
             task.failed,
             task.checkpoint,
         )
@@ -110,7 +110,7 @@
             event("mark_unknown", job=job.spec.id, mark=mark)
             continue
         task.run = max(task.run, mark.run)
-        task.ended_run = mark.ended_run
+        task.ended = set(mark.ended)
         task.failed = max(task.failed, mark.failed)
         task.checkpoint = mark.checkpoint
         if mark.done:
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -451,6 +451,17 @@
         (start,) = self.plan(Start)
         self.assertEqual(start.task.index, 0)
 
+    def test_failures_in_any_order(self):
+        """Failed runs on two workers count, whichever is seen first."""
+        spec = job(1, StepSpec(1, ONE), max_attempts=2)
+        self.engine.set_entry(entry(5), self.now_ms)
+        got = self.submit(spec, loaded=True)
+        key = TaskKey(spec.id, 0, 0, 0)
+        self.look("w-0", ((key, 769, EndKind.FAILED),))
+        self.look("w-5", ((key, 768, EndKind.FAILED),))
+        self.assertEqual(got.state, "failed")
+        self.assertEqual(self.plan(Start), [])
+
     def test_run_of_an_unknown_job(self):
         """It is stopped, and its worker counts as full until it ended."""
         row = RunRow(TaskKey("f" * 16, 0, 0, 0), 1, "", 100, 0.0)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -92,7 +92,7 @@
         job = Job(spec(StepSpec(2), StepSpec(1, after=(0,))), 0.0)
         first, second = job.task(0, 0, 0), job.task(0, 0, 1)
         first.run = second.run = 3
-        second.failed, second.ended_run = 1, 3
+        second.failed, second.ended = 1, {2, 3}
         second.checkpoint = "half"
         job.finish(first)
         job.begin()
@@ -102,8 +102,8 @@
         self.assertEqual(again.state, "running")
         self.assertEqual(again.task(0, 0, 0).state, "done")
         self.assertEqual(
-            (task.run, task.failed, task.ended_run, task.checkpoint),
-            (3, 1, 3, "half"),
+            (task.run, task.failed, task.ended, task.checkpoint),
+            (3, 1, {2, 3}, "half"),
         )
 
     def test_final(self):
