--- a/src/limpetyard/noded.py
+++ b/src/limpetyard/noded.py
@@ -62,6 +62,25 @@
     return Node(cfg, ports, view, BootClock(), wall_ms)
 
 
+def check_settings(cfg: NodeSettings) -> None:
+    """Reads the settings again and tells what has changed.
+
+    All of them are fixed while a process lives; changed ones, and a file that
+    is not valid, leave the old values in force.
+    """
+    try:
+        new = load_settings(os.environ.get(SETTINGS_ENV, ""))
+    except SettingError as exc:
+        event("settings_invalid", "ERROR", reason=exc)
+        return
+    changed = [
+        name
+        for name in NodeSettings.__struct_fields__
+        if getattr(new, name) != getattr(cfg, name)
+    ]
+    event("settings_read", changed=",".join(changed), in_force="old")
+
+
 async def run(cfg: NodeSettings) -> int:
     """Runs a node until a signal asks it to leave; returns the exit code."""
     node = new_node(cfg)
@@ -69,7 +88,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, leave.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: event("settings_changed"))
+    loop.add_signal_handler(signal.SIGHUP, check_settings, cfg)
     await node.start()
     crashed = asyncio.ensure_future(node.wait_until_stopped())
     left = asyncio.ensure_future(leave.wait())
--- a/standins/yard/_record.py
+++ b/standins/yard/_record.py
@@ -77,6 +77,7 @@
         entries: What happened, in order.
         sent: Jobs that clients sent, accepted or not.
         refused: Jobs whose every sending was refused as "not accepted".
+        cancels_sent: Jobs that clients asked to cancel, answered or not.
         store_troubles: When the store was disturbed: first and last moment.
     """
 
@@ -84,6 +85,7 @@
         self.entries: list[Entry] = []
         self.sent: dict[str, JobSpec] = {}
         self.refused: set[str] = set()
+        self.cancels_sent: set[str] = set()
         self.store_troubles: list[tuple[float, float]] = []
 
     def add(self, entry: Entry) -> None:
--- a/standins/yard/_world.py
+++ b/standins/yard/_world.py
@@ -266,6 +266,7 @@
 
     async def cancel(self, job_id: str) -> bool:
         """Cancels a job as a client does; returns whether it was answered."""
+        self.record.cancels_sent.add(job_id)
         for _ in range(8):
             desk = self.rng.choice(self.hosts).desk
             if desk is not None:
--- /dev/null
+++ b/tests/exploring/test_storms.py
@@ -0,0 +1,103 @@
+"""Fixed seeds of random troubles, and proofs that the checks would cry.
+
+Each seed in `ONCE_BROKEN` broke something before its cause was mended.
+"""
+
+import unittest
+from unittest import mock
+
+from loguru import logger
+
+from limpetyard.engine import Engine, Worker
+from limpetyard.engine._planner import Planner
+from limpetyard.engine._worker import LIVES
+from limpetyard.node import CellOwner
+from tests.exploring import storms
+
+# 12, 26, 64, 80: ends noted before their job was stored.
+# 52, 74, 84: a silent worker's lease was extended for ever.
+# 54, 96: a repeated stop kept its run for ever.
+ONCE_BROKEN = (12, 26, 52, 54, 64, 74, 80, 84, 96)
+OTHERS = range(1000, 1004)
+
+# A guard that is taken out must be missed within these seeds.
+SEARCHED = range(1, 80)
+
+
+class StormTest(unittest.TestCase):
+    """Random troubles break no promise."""
+
+    def setUp(self):
+        """Keeps the log quiet."""
+        logger.remove()
+
+    def test_once_broken(self):
+        """Seeds that found faults."""
+        for seed in ONCE_BROKEN:
+            with self.subTest(seed=seed):
+                self.assertEqual(storms.play(seed), [])
+
+    def test_others(self):
+        """A few more."""
+        for seed in OTHERS:
+            with self.subTest(seed=seed):
+                self.assertEqual(storms.play(seed), [])
+
+
+class GuardTest(unittest.TestCase):
+    """Without a guard, a check cries."""
+
+    def setUp(self):
+        """Keeps the log quiet."""
+        logger.remove()
+
+    def assert_cries(self, rule: str) -> None:
+        """Searches for a schedule that breaks a rule."""
+        for seed in SEARCHED:
+            if any(found.startswith(rule) for found in storms.play(seed)):
+                return
+        self.fail(f"{rule} was never broken without its guard")
+
+    def test_token(self):
+        """A token that does not rise lets two owners order: TWICE."""
+        with (
+            mock.patch.object(Worker, "token", property(lambda w: LIVES)),
+            mock.patch.object(
+                CellOwner, "_may_order", lambda owner: not owner.ended
+            ),
+        ):
+            self.assert_cries("TWICE")
+
+    def test_unsure(self):
+        """An owner that does not wait for silent workers: TWICE."""
+        with mock.patch.object(
+            Planner, "_unsure_services", lambda planner, now_ms: set()
+        ):
+            self.assert_cries("TWICE")
+
+    def test_noted_after_stored(self):
+        """Ends that are noted before they are stored: TWICE."""
+        taken = Engine.take_dirty
+
+        def note_first(engine: Engine):
+            jobs, batch = taken(engine)
+            engine.stored(batch)
+            return jobs, batch
+
+        with mock.patch.object(Engine, "take_dirty", note_first):
+            self.assert_cries("TWICE")
+
+    def test_room(self):
+        """What is being stopped does not count: LIMIT."""
+
+        def release_now(engine: Engine, effect, now_ms: float) -> None:
+            worker = engine.workers.get(effect.worker)
+            if worker is not None:
+                worker.runs.pop((effect.task, effect.run), None)
+
+        with mock.patch.object(Engine, "on_stop", release_now):
+            self.assert_cries("LIMIT")
+
+
+if __name__ == "__main__":
+    unittest.main()
