Run test classes side by side, each process with ports of its own

One run of the modules side by side failed in LeavingTest: a daemon did not come up within 20 s. A port that was free when asked for could be taken by another process, or by a connection, before it was bound.

--- a/standins/site.py
+++ b/standins/site.py
@@ -1,6 +1,7 @@
 """Starts stand-ins and daemons as processes on loopback, and ends them."""
 
 import asyncio
+import itertools
 import os
 import signal
 import socket
@@ -20,14 +21,36 @@
 TOKEN = "bench-token"
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20
+PORT_RANGES = 60
+PORTS_OF_A_PROCESS = 200
 WORKER_SIZE = Size(32.0, 128_000)
 
 
 def free_port() -> int:
-    """Returns a port of loopback that is free for TCP and UDP now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port of loopback that is free for TCP and UDP now.
+
+    Each process takes ports from a range of its own, below those that the
+    system gives to connections, so that nobody else takes them before use.
+    """
+    for port in _ports:
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(
+            port, socket.SOCK_DGRAM
+        ):
+            return port
+    raise RuntimeError("no free port is left")
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+_FIRST_PORT = 20_000 + os.getpid() % PORT_RANGES * PORTS_OF_A_PROCESS
+_ports = itertools.cycle(range(_FIRST_PORT, _FIRST_PORT + PORTS_OF_A_PROCESS))
 
 
 class Process:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,6 +1,6 @@
 """Runs all tests and lets known failures pass, printing them.
 
-Modules run side by side, each in a process of its own. KNOWN-RED.txt names one
+Classes run side by side, each in a process of its own. KNOWN-RED.txt names one
 test id a line, before the first blank. Lines that start with "#" are comments,
 those with "bench:" belong to the benchmarks. A listed test that passes is
 reported as well.
@@ -9,17 +9,19 @@
 import concurrent.futures
 import multiprocessing
 import sys
+import unittest
+from collections.abc import Iterator
 from pathlib import Path
 
-from tests.running import run_module
+from tests.running import run_tests
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
-# Modules that run at the same time; their processes wait most of the time.
+# Classes that run at the same time; their processes wait most of the time.
 SIDE_BY_SIDE = 4
 
-# Modules that take longest, which begin first.
+# Classes that take longest, which begin first.
 LONGEST_FIRST = (
     "tests.test_failures",
     "tests.test_schedules",
@@ -28,14 +30,21 @@
 )
 
 
-def modules() -> list[str]:
-    """Returns the names of all test modules, the longest first."""
-    names = [
-        ".".join(path.relative_to(ROOT).with_suffix("").parts)
-        for path in sorted((ROOT / "tests").rglob("test_*.py"))
-    ]
-    first = [name for name in LONGEST_FIRST if name in names]
-    return first + [name for name in names if name not in first]
+def classes() -> list[str]:
+    """Returns the names of all test classes, the longest first."""
+    suite = unittest.defaultTestLoader.discover(
+        str(ROOT / "tests"), top_level_dir=str(ROOT)
+    )
+    names = sorted({test.id().rpartition(".")[0] for test in _flat(suite)})
+    return sorted(names, key=lambda name: not name.startswith(LONGEST_FIRST))
+
+
+def _flat(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            yield from _flat(test)
+        else:
+            yield test
 
 
 def main() -> int:
@@ -44,7 +53,7 @@
     with concurrent.futures.ProcessPoolExecutor(
         SIDE_BY_SIDE, mp_context=context, max_tasks_per_child=1
     ) as pool:
-        outcomes = list(pool.map(run_module, modules()))
+        outcomes = list(pool.map(run_tests, classes()))
     red = frozenset().union(*(outcome.red for outcome in outcomes))
     known = _known()
     for outcome in outcomes:
--- a/tests/running.py
+++ b/tests/running.py
@@ -1,4 +1,4 @@
-"""Runs the tests of one module, in whatever process."""
+"""Runs the tests of one class, in whatever process."""
 
 import io
 import unittest
@@ -6,7 +6,7 @@
 
 
 class Outcome(NamedTuple):
-    """What one module's tests came to.
+    """What one class's tests came to.
 
     Attributes:
         run: Number of tests.
@@ -19,8 +19,8 @@
     text: str
 
 
-def run_module(name: str) -> Outcome:
-    """Runs the tests of one module."""
+def run_tests(name: str) -> Outcome:
+    """Runs the tests of one class."""
     suite = unittest.defaultTestLoader.loadTestsFromName(name)
     printed = io.StringIO()
     result = unittest.TextTestRunner(printed, verbosity=1).run(suite)
