--- a/src/limpetyard/node/_names.py
+++ b/src/limpetyard/node/_names.py
@@ -11,8 +11,8 @@
 CELLS_GROUP = "cells"
 
 # Topics that others write.
-OPERATORS_TOPIC = "op"
-WORKERS_TOPIC = "servers"
+OPERATORS_TOPIC = "operators"
+WORKERS_TOPIC = "workers"
 OTHERS_PART = 0
 
 # Producer of all owners of a cell; a higher epoch shuts out a lower one.
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -17,30 +17,22 @@
 from limpetyard._events import event
 from limpetyard.engine import (
     Advice,
-    Ask,
     Effect,
     Engine,
     EngineTerms,
     LookOrder,
     OtherLifeError,
-    Pace,
-    PaceOrder,
     StaleTokenError,
-    Start,
-    StartOrder,
     StepWorkers,
-    Stop,
-    Ticket,
     Worker,
     WorkerEntry,
     WorkerSilentError,
 )
+from limpetyard.engine._worker import LEASE_SLACK_MS, SLOWEST_CLOCK
 from limpetyard.jobs import (
     ACCEPTED,
     CANCELLED,
     PROGRESS,
-    apply_progress,
-    decode_spec,
     encode_progress,
 )
 from limpetyard.node._member import GroupMember
@@ -53,7 +45,9 @@
     WORKER_KEY,
     WORKERS_TOPIC,
 )
+from limpetyard.node._orders import Orders
 from limpetyard.node._peers import PeerCalls
+from limpetyard.node._records import CellRecords
 from limpetyard.node._site import SiteView
 from limpetyard.store import (
     FencedError,
@@ -101,9 +95,6 @@
 # Time between two rounds of forgetting.
 FORGET_MS = 5000
 
-# A start without an answer is sent this often before it is given up.
-START_SENDINGS = 2
-
 
 class CellOwner(Service):
     """One ownership of one cell.
@@ -144,10 +135,12 @@
         self._wall_ms = wall_ms
         self._terms = terms
         self._kept_ms = kept_ms
+        self._orders: Orders | None = None
         self._writer: Writer | None = None
         self._jobs: KeyFollower | None = None
         self._entries: KeyFollower | None = None
-        self._collected: list[StoredRecord] | None = None
+        self._records: CellRecords | None = None
+        self._unsure_ms = 0.0
         self._storing = asyncio.Lock()
         self._wake = asyncio.Event()
         self._dirty = asyncio.Event()
@@ -233,6 +226,16 @@
         epoch = offset + 1
         event("cell_claimed", cell=self.cell, epoch=epoch)
         self.engine = Engine(epoch, self._terms)
+        self._orders = Orders(
+            self.engine,
+            self._workers,
+            self._advice,
+            self._clock,
+            self._terms.lease_ms,
+            self._may_order,
+            self.lose,
+            self._wake.set,
+        )
         self._writer = Writer(
             self._store,
             self._clock,
@@ -243,113 +246,48 @@
         )
 
     async def _load(self) -> None:
-        self._collected = []
+        self._records = CellRecords(
+            self.engine,
+            self._read_entry,
+            self._clock,
+            self._wall_ms,
+            self._on_records,
+        )
         self._jobs = KeyFollower(
-            self._store, self._clock, JOBS_TOPIC, self.cell, self._take_records
+            self._store,
+            self._clock,
+            JOBS_TOPIC,
+            self.cell,
+            self._records.take_jobs,
         )
         self._entries = KeyFollower(
             self._store,
             self._clock,
             WORKERS_TOPIC,
             OTHERS_PART,
-            self._take_entries,
-            self._reset_entries,
+            self._records.take_entries,
+            self._records.reset_entries,
             ENTRIES_PAUSE_MS,
         )
         await asyncio.gather(self._jobs.load(), self._entries.load())
 
     def _begin(self) -> None:
         """Builds the state from what was loaded."""
-        records, self._collected = self._collected, None
-        newest = {record.key: record for record in records}
-        for prefix in (WORKER_KEY, ACCEPTED, PROGRESS, CANCELLED):
-            for key, record in newest.items():
-                if key.startswith(prefix) and record.value is not None:
-                    self._take(record, loaded=True)
+        self._recorded = self._records.begin()
         now_ms = self._clock.now_ms()
         for job in self.engine.open.values():
             self.engine.make_unsure(job)
-        lease_ms = self._terms.lease_ms * 1.1
+        lease_ms = self._terms.lease_ms / SLOWEST_CLOCK + LEASE_SLACK_MS
         for worker in self.engine.workers.values():
             worker.unsure_until_ms = now_ms + self._unsure_ms + lease_ms
         self._tend_workers()
 
-    def _take_records(self, records: list[StoredRecord]) -> None:
-        if self._collected is not None:
-            self._collected += records
-            return
-        for record in records:
-            if record.value is not None:
-                self._take(record, loaded=False)
-        if records:
-            self._wake.set()
-
-    def _take(self, record: StoredRecord, loaded: bool) -> None:
-        try:
-            for prefix, take in _RECORD_KINDS.items():
-                if record.key.startswith(prefix):
-                    take(self, record, loaded)
-        except msgspec.MsgspecError as exc:
-            event("record_unreadable", "ERROR", key=record.key, reason=exc)
-
-    def _take_accepted(self, record: StoredRecord, loaded: bool) -> None:
-        spec = decode_spec(record.value)
-        now_ms = self._clock.now_ms()
-        age_ms = max(0.0, self._wall_ms() - spec.accepted_ms)
-        known = spec.id in self.engine.jobs
-        seen_ms = now_ms - age_ms if loaded else now_ms
-        self.engine.add_job(spec, seen_ms, loaded)
-        if not known and not loaded:
-            event("job_read", job=spec.id, queue=spec.queue.name, age_ms=age_ms)
-
-    def _take_progress(self, record: StoredRecord, loaded: bool) -> None:
-        job = self.engine.jobs.get(record.key.removeprefix(PROGRESS))
-        if loaded and job is not None:
-            apply_progress(job, record.value, self._clock.now_ms())
-            if job.over:
-                self.engine.open.pop(job.spec.id, None)
-
-    def _take_cancelled(self, record: StoredRecord, loaded: bool) -> None:
-        job_id = record.key.removeprefix(CANCELLED)
-        self.engine.cancel(job_id, self._clock.now_ms())
-        self._dirty.set()
-
-    def _take_worker(self, record: StoredRecord, loaded: bool) -> None:
-        if not loaded:
-            return
-        entry = msgspec.msgpack.decode(record.value, type=WorkerEntry)
-        self._recorded[entry.id] = entry.born
-        now_ms = self._clock.now_ms()
-        if entry.id not in self.engine.workers:
-            self.engine.set_entry(entry, now_ms)
-            self.engine.entry_missing(entry.id, now_ms)
-
-    def _take_entries(self, records: list[StoredRecord]) -> None:
-        now_ms = self._clock.now_ms()
-        for record in records:
-            entry = None
-            if record.value is not None:
-                entry = self._read_entry(record)
-            if entry is None:
-                self.engine.entry_missing(record.key, now_ms)
-                continue
-            known = self.engine.workers.get(entry.id)
-            if known is None or known.entry.draining != entry.draining:
-                event(
-                    "worker_listed",
-                    worker=entry.id,
-                    draining=entry.draining,
-                    zone=entry.availability_zone,
-                )
-            self.engine.set_entry(entry, now_ms)
+    def _on_records(self) -> None:
+        """Has what was read taken into account."""
         if self.deciding:
             self._tend_workers()
-
-    def _reset_entries(self, keys: set[str]) -> None:
-        now_ms = self._clock.now_ms()
-        for worker_id in self.engine.workers:
-            if worker_id not in keys:
-                self.engine.entry_missing(worker_id, now_ms)
+            self._dirty.set()
+            self._wake.set()
 
     def _tend_workers(self) -> None:
         """Looks at each worker and has each recorded."""
@@ -532,105 +470,7 @@
 
     def _execute(self, effects: list[Effect]) -> None:
         for effect in effects:
-            self.add_future(_EXECUTORS[type(effect)](self, effect))
-
-    async def _start(self, effect: Start) -> None:
-        worker = self.engine.workers.get(effect.worker)
-        if worker is None:
-            return
-        token = worker.token
-        result = None
-        for _ in range(START_SENDINGS):
-            now_ms = self._clock.now_ms()
-            until_ms = worker.lease_until(now_ms, self._terms.lease_ms)
-            if until_ms is None or worker.token != token:
-                return
-            if not self._may_order():
-                break
-            order = StartOrder(
-                effect.task,
-                effect.run,
-                effect.payload,
-                until_ms,
-                token,
-                effect.checkpoint,
-                effect.ticket,
-            )
-            try:
-                result = await self._workers.start(worker.entry, order)
-                break
-            except (WorkerSilentError, OtherLifeError) as exc:
-                event("order_failed", order="start", reason=exc)
-            except StaleTokenError:
-                if worker.token == token:
-                    self.lose(f"worker {worker.id} has seen a higher token")
-                return
-        event(
-            "task_started",
-            task=".".join(map(str, effect.task)),
-            run=effect.run,
-            worker=effect.worker,
-            kind=effect.reason,
-            result=result.value if result is not None else "silent",
-        )
-        self.engine.on_start(effect, result, self._clock.now_ms())
-        self._wake.set()
-
-    async def _stop(self, effect: Stop) -> None:
-        worker = self.engine.workers.get(effect.worker)
-        if worker is None or not self._may_order():
-            return
-        token = worker.token
-        try:
-            await self._workers.stop(
-                worker.entry, effect.task, effect.run, token
-            )
-        except (WorkerSilentError, OtherLifeError) as exc:
-            event("order_failed", order="stop", reason=exc)
-            return
-        except StaleTokenError:
-            if worker.token == token:
-                self.lose(f"worker {worker.id} has seen a higher token")
-            return
-        if worker.token == token:
-            self.engine.on_stop(effect, self._clock.now_ms())
-
-    async def _pace(self, effect: Pace) -> None:
-        worker = self.engine.workers.get(effect.worker)
-        if worker is None or not self._may_order():
-            return
-        order = PaceOrder(effect.task, effect.run, effect.percent, worker.token)
-        try:
-            await self._workers.pace(worker.entry, order)
-        except (WorkerSilentError, OtherLifeError, StaleTokenError) as exc:
-            event("order_failed", order="pace", reason=exc)
-            return
-        event(
-            "task_paced",
-            task=".".join(map(str, effect.task)),
-            worker=effect.worker,
-            percent=effect.percent,
-        )
-
-    async def _ask(self, effect: Ask) -> None:
-        if self._advice is None:
-            event("advice_missing", job=effect.job)
-            return
-        try:
-            tickets = await self._advice.advise(
-                effect.job, effect.occurrence, effect.step, list(effect.workers)
-            )
-        except WorkerSilentError as exc:
-            event("advice_failed", job=effect.job, reason=exc)
-            return
-        now_ms = self._clock.now_ms()
-        self.engine.add_tickets(
-            effect.job,
-            effect.occurrence,
-            effect.step,
-            [Ticket(t.worker, t.ticket, now_ms + t.valid_ms) for t in tickets],
-        )
-        self._wake.set()
+            self.add_future(self._orders.carry_out(effect))
 
     def lose(self, reason: str) -> None:
         """Ends the ownership at once; no order is given after this."""
@@ -650,17 +490,3 @@
             except (StoreError, TimeoutError) as exc:
                 event("release_unstored", cell=self.cell, reason=repr(exc))
         self.lose(reason)
-
-
-_RECORD_KINDS = {
-    ACCEPTED: CellOwner._take_accepted,
-    PROGRESS: CellOwner._take_progress,
-    CANCELLED: CellOwner._take_cancelled,
-    WORKER_KEY: CellOwner._take_worker,
-}
-_EXECUTORS = {
-    Start: CellOwner._start,
-    Stop: CellOwner._stop,
-    Pace: CellOwner._pace,
-    Ask: CellOwner._ask,
-}
--- a/src/limpetyard/platform/_store.py
+++ b/src/limpetyard/platform/_store.py
@@ -32,6 +32,9 @@
 # The store keeps the newest record of each key in topics of this name.
 _KEYED = "keyed."
 
+# Topics that others write.
+_OTHERS = {"operators": "op", "workers": "servers"}
+
 # A call without an answer for this long counts as silent: the store refuses
 # appends that would wait longer than two seconds, and usually takes 4 ms.
 CALL_TIMEOUT_MS = 1500
@@ -117,7 +120,7 @@
         producer: Producer | None = None,
     ) -> int:
         """See `limpetyard.store.Store.append`."""
-        path = f"/log-append?topic={_KEYED}{topic}&part={part}"
+        path = f"/log-append?topic={_wire_topic(topic)}&part={part}"
         if producer is not None:
             path += f"&producerId={producer.id}&epoch={producer.epoch}"
             if records:
@@ -134,7 +137,7 @@
     ) -> TailPage:
         """See `limpetyard.store.Store.read`."""
         path = (
-            f"/log-read?topic={_KEYED}{topic}&part={part}"
+            f"/log-read?topic={_wire_topic(topic)}&part={part}"
             f"&from={offset}&waitMs={wait_ms}"
         )
         reply = await self._call("GET", path, None, wait_ms)
@@ -145,7 +148,7 @@
 
     async def newest(self, topic: str, part: int, after: str) -> NewestPage:
         """See `limpetyard.store.Store.newest`."""
-        path = f"/log-newest?topic={_KEYED}{topic}&part={part}"
+        path = f"/log-newest?topic={_wire_topic(topic)}&part={part}"
         if after:
             path += f"&after={after}"
         reply = await self._call("GET", path, None)
@@ -161,7 +164,7 @@
         self, group: str, member: str, topic: str, ttl_ms: int, generation: int
     ) -> GroupView:
         """See `limpetyard.store.Store.join`."""
-        order = _Join(group, member, [_KEYED + topic], ttl_ms, generation)
+        order = _Join(group, member, [_wire_topic(topic)], ttl_ms, generation)
         reply = await self._post("/log-join", order)
         joined = msgspec.json.decode(reply.body, type=_Joined)
         parts = frozenset(part for _, part, _ in joined.parts)
@@ -195,6 +198,10 @@
             raise StoreSilentError(str(exc)) from exc
 
 
+def _wire_topic(topic: str) -> str:
+    return _KEYED + _OTHERS.get(topic, topic)
+
+
 def _owner_rows(body: bytes) -> list[tuple[str, int, str]]:
     """Reads the table of a group's owners, whatever its rows are called."""
     data = msgspec.json.decode(body)
--- a/standins/yard/_http.py
+++ b/standins/yard/_http.py
@@ -34,7 +34,8 @@
 
 
 def _topic(name: str) -> str:
-    return name.removeprefix("keyed.")
+    name = name.removeprefix("keyed.")
+    return {"op": "operators", "servers": "workers"}.get(name, name)
 
 
 def _split(body: bytes) -> list[KeyedRecord]:
--- a/standins/yard/_world.py
+++ b/standins/yard/_world.py
@@ -163,11 +163,13 @@
         self._version += 1
         queue = Queue("host", "/queue/", QUEUE)
         config = SiteConfig(self._version, (queue,), 1 << 18)
-        self.store.write("op", "config", msgspec.msgpack.encode(config))
+        self.store.write("operators", "config", msgspec.msgpack.encode(config))
 
     def set_zone(self, zone: str, out: bool) -> None:
         """Takes a zone out of service, or back."""
-        self.store.write("op", f"evacuate/{zone}", b"{}" if out else None)
+        self.store.write(
+            "operators", f"evacuate/{zone}", b"{}" if out else None
+        )
 
     async def start_node(self, host: _Host) -> None:
         """Starts a node, with nothing of its earlier lives."""
@@ -313,9 +315,9 @@
                 key = worker.entry.id
                 if worker.up:
                     entry = msgspec.msgpack.encode(worker.entry)
-                    self.store.write("servers", key, entry)
-                elif key in self.store.partition("servers", 0).newest:
-                    self.store.write("servers", key, None)
+                    self.store.write("workers", key, entry)
+                elif key in self.store.partition("workers", 0).newest:
+                    self.store.write("workers", key, None)
             await asyncio.sleep(HEARTBEAT_MS / MS_PER_SECOND)
 
 
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -185,7 +185,7 @@
 
 @TROUBLES.register("forget")
 async def _forget(world: World, rng: random.Random) -> None:
-    world.store.forget_history(rng.choice([(), ("servers",)]))
+    world.store.forget_history(rng.choice([(), ("workers",)]))
 
 
 @TROUBLES.register("zone_out")
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -298,7 +298,7 @@
 
         async def story(world: World) -> None:
             await self.submit(world, range(3))
-            world.store.forget_history(("servers",))
+            world.store.forget_history(("workers",))
             await self.submit(world, range(3, 6))
             await self.complete(world, range(6))
 
