--- a/standins/yard/_checks.py
+++ b/standins/yard/_checks.py
@@ -6,6 +6,7 @@
 from standins.yard._record import (
     Accepted,
     Cancelled,
+    Draining,
     Ended,
     Lapsed,
     Noted,
@@ -20,6 +21,9 @@
 # Bounds in time hold again after the store was calm for this long.
 CONTACT_MS = 3000
 
+# A leaving worker may still be given work for this long.
+DRAIN_MS = 2000
+
 # A cancelled job's tasks may still be started for this long.
 CANCEL_MS = 3000
 
@@ -32,7 +36,7 @@
         finished: Whether all jobs had time to be completed.
     """
     found = []
-    for check in (_twice, _limit, _order, _budget, _unasked, _shown):
+    for check in (_twice, _limit, _order, _budget, _unasked, _shown, _drain):
         found += check(record)
     if finished:
         found += _lost(record)
@@ -150,6 +154,21 @@
     return found
 
 
+def _drain(record: Record) -> list[str]:
+    found = []
+    draining: dict[tuple[str, int], float] = {}
+    for entry in record.entries:
+        if isinstance(entry, Draining):
+            draining[entry.worker, entry.born] = entry.at_ms
+        elif isinstance(entry, Started):
+            since_ms = draining.get((entry.worker, entry.born), entry.at_ms)
+            late_ms = entry.at_ms - since_ms
+            calm_ms = record.calm_for_ms(entry.at_ms)
+            if late_ms > DRAIN_MS and calm_ms > CONTACT_MS and not entry.late:
+                found.append(f"DRAIN {entry.task} after {late_ms:.0f} ms")
+    return found
+
+
 def _shown(record: Record) -> list[str]:
     found = []
     done: dict[str, set[TaskKey]] = collections.defaultdict(set)
--- a/standins/yard/_record.py
+++ b/standins/yard/_record.py
@@ -6,7 +6,7 @@
 
 
 class Started(msgspec.Struct, frozen=True):
-    """A worker began a run."""
+    """A worker began a run; `over` its capacity, or on a `late` order."""
 
     at_ms: float
     worker: str
@@ -14,6 +14,7 @@
     task: TaskKey
     run: int
     over: bool
+    late: bool = False
 
 
 class Ended(msgspec.Struct, frozen=True):
@@ -45,6 +46,14 @@
     born: int
 
 
+class Draining(msgspec.Struct, frozen=True):
+    """A worker has told the store that it is about to leave."""
+
+    at_ms: float
+    worker: str
+    born: int
+
+
 class Accepted(msgspec.Struct, frozen=True):
     """A client was told that its job is stored."""
 
@@ -67,7 +76,11 @@
     state: str
 
 
-Entry = Started | Ended | Noted | Lapsed | Accepted | Cancelled | Shown
+Entry = (
+    Started | Ended | Noted | Lapsed | Draining | Accepted | Cancelled | Shown
+)
+    Started | Ended | Noted | Lapsed | Draining | Accepted | Cancelled | Shown
+)
 
 
 class Record:
--- a/standins/yard/_worker.py
+++ b/standins/yard/_worker.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard.engine import (
     EndKind,
@@ -21,7 +23,14 @@
 )
 from limpetyard.jobs import JobSpec, StepSpec, TaskKey
 from standins.yard._faults import Link, RefusedPathError, SilentPathError
-from standins.yard._record import Ended, Lapsed, Noted, Record, Started
+from standins.yard._record import (
+    Draining,
+    Ended,
+    Lapsed,
+    Noted,
+    Record,
+    Started,
+)
 
 LONGEST_LEASE_MS = 6000
 STOP_MS = 100
@@ -49,6 +58,7 @@
         failing: Share of its runs that fail.
         hanging: Whether its runs never end.
         clock_rate: Speed of its clock.
+        carrying_late: Whether it carries out an order that was held back.
     """
 
     def __init__(
@@ -64,6 +74,7 @@
         self.failing = 0.0
         self.hanging = False
         self.clock_rate = 1.0
+        self.carrying_late = False
         self._clock = clock
         self._record = record
         self._specs = specs
@@ -81,6 +92,17 @@
         self._lapse_timer: asyncio.TimerHandle | None = None
         self._news = asyncio.Event()
 
+    def now_ms(self) -> float:
+        """Returns the time of the world."""
+        return self._clock.now_ms()
+
+    def drain(self) -> None:
+        """Says that it is about to leave."""
+        self.entry = msgspec.structs.replace(self.entry, draining=True)
+        self._record.add(
+            Draining(self._clock.now_ms(), self.entry.id, self.entry.born)
+        )
+
     def clock_ms(self) -> float:
         """Returns a reading of its own clock."""
         return (self._clock.now_ms() - self._since_ms) * self.clock_rate
@@ -150,6 +172,7 @@
                 order.task,
                 order.run,
                 self._over(),
+                self.carrying_late,
             )
         )
         self._schedule(run)
@@ -256,16 +279,7 @@
 
 
 def _reborn(entry: WorkerEntry) -> WorkerEntry:
-    return WorkerEntry(
-        entry.id,
-        entry.service,
-        entry.address,
-        entry.availability_zone,
-        entry.rack,
-        entry.labels,
-        entry.capacity,
-        entry.born + 1,
-    )
+    return msgspec.structs.replace(entry, born=entry.born + 1, draining=False)
 
 
 class LinkedWorkers:
@@ -288,12 +302,18 @@
         if model is None:
             raise WorkerSilentError(f"{entry.id} is gone")
         born = model.entry.born
+        sent_ms = model.now_ms()
 
         async def carry_out():
             """An order dies with the life of the worker that received it."""
             if model.entry.born != born and not self.outlive:
                 raise SilentPathError
-            return await act(model)
+            waited_ms = model.now_ms() - sent_ms
+            model.carrying_late = waited_ms > timeout_ms
+            try:
+                return await act(model)
+            finally:
+                model.carrying_late = False
 
         try:
             return await self.links[entry.id].carry(carry_out, timeout_ms)
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -8,6 +8,8 @@
 import sys
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from limpetyard._registry import Registry
 from limpetyard.jobs import JobSpec, Resources, StepSpec
 from standins.yard import World, run_virtual, violations
@@ -170,6 +172,19 @@
         rng.choice(up).crash()
 
 
+@TROUBLES.register("worker_leaves")
+async def _worker_leaves(world: World, rng: random.Random) -> None:
+    up = [worker for worker in world.workers.values() if worker.up]
+    if len(up) <= 3:
+        return
+    worker = rng.choice(up)
+    worker.drain()
+    entry = msgspec.msgpack.encode(worker.entry)
+    world.store.write("workers", worker.entry.id, entry)
+    await asyncio.sleep(rng.uniform(2, 6))
+    worker.crash()
+
+
 @TROUBLES.register("worker_fails")
 async def _worker_fails(world: World, rng: random.Random) -> None:
     worker = rng.choice(list(world.workers.values()))
@@ -215,6 +230,10 @@
                 checkpoints=rng.random() < 0.5,
             )
         )
+    if rng.random() < 0.15:
+        need = Resources(rng.randint(200, 2000), 500, 0)
+        count = rng.randint(1, 3)
+        steps = [StepSpec(count, need, long_running=True, per_worker=1)]
     return JobSpec(f"{number:016x}", QUEUE, "payload", tuple(steps))
 
 
@@ -223,8 +242,9 @@
     await asyncio.sleep(rng.uniform(0, STORM_S))
     if not await world.submit(spec):
         return
-    if rng.random() < 0.15:
-        await asyncio.sleep(rng.uniform(0, 3))
+    lasting = spec.steps[0].long_running
+    if lasting or rng.random() < 0.15:
+        await asyncio.sleep(rng.uniform(0, 20 if lasting else 3))
         await world.cancel(spec.id)
     for _ in range(4):
         await asyncio.sleep(rng.uniform(0.2, 6))
