--- a/standins/yard/_record.py
+++ b/standins/yard/_record.py
@@ -79,8 +79,6 @@
 Entry = (
     Started | Ended | Noted | Lapsed | Draining | Accepted | Cancelled | Shown
 )
-    Started | Ended | Noted | Lapsed | Draining | Accepted | Cancelled | Shown
-)
 
 
 class Record:
