--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -9,7 +9,7 @@
 import math
 
 from limpetyard._events import event
-from limpetyard.engine._effects import Effect, Stop
+from limpetyard.engine._effects import Effect, Start, Stop
 from limpetyard.engine._interface import (
     EndKind,
     EndRow,
@@ -409,7 +409,7 @@
         return job.task(*key[1:]) if job is not None else None
 
     def on_start(
-        self, effect: "object", result: StartResult | None, now_ms: float
+        self, effect: Start, result: StartResult | None, now_ms: float
     ) -> None:
         """Takes in the outcome of a start.
 
