Take a start that is refused when repeated as one that may have run

The owner was slowed; its first sending was not answered within 500 ms but carried out, the run ended, and the second sending was refused as stale. The run was dropped as never started and the task placed again; its end came later. Ruled out: the list lacking the run (ends are taken first). Any refusal of a repeated start now counts as no answer: stop, then the list decides.

--- a/src/limpetyard/node/_orders.py
+++ b/src/limpetyard/node/_orders.py
@@ -15,6 +15,7 @@
     StaleTokenError,
     Start,
     StartOrder,
+    StartResult,
     StepWorkers,
     Stop,
     Ticket,
@@ -81,7 +82,7 @@
             return
         token = worker.token
         result = None
-        for _ in range(START_SENDINGS):
+        for sending in range(START_SENDINGS):
             now_ms = self._clock.now_ms()
             until_ms = worker.lease_until(now_ms, self._lease_ms)
             if until_ms is None or worker.token != token:
@@ -99,6 +100,9 @@
             )
             try:
                 result = await self._workers.start(worker.entry, order)
+                if sending and result is not StartResult.STARTED:
+                    # The first sending may have run, and ended, already.
+                    result = None
                 break
             except (WorkerSilentError, OtherLifeError) as exc:
                 event("order_failed", order="start", reason=exc)
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -155,6 +155,18 @@
         link.late = 0.0
 
 
+@TROUBLES.register("order_answers")
+async def _order_answers(world: World, rng: random.Random) -> None:
+    links = [
+        link for host in world.hosts for link in host.worker_links.values()
+    ]
+    for link in links:
+        link.lost = 0.3
+    await asyncio.sleep(rng.uniform(1, 6))
+    for link in links:
+        link.lost = 0.0
+
+
 @TROUBLES.register("worker_reborn")
 async def _worker_reborn(world: World, rng: random.Random) -> None:
     worker = rng.choice(list(world.workers.values()))
--- a/tests/exploring/test_storms.py
+++ b/tests/exploring/test_storms.py
@@ -17,7 +17,8 @@
 # 12, 26, 64, 80: ends noted before their job was stored.
 # 52, 74, 84: a silent worker's lease was extended for ever.
 # 54, 96: a repeated stop kept its run for ever.
-ONCE_BROKEN = (12, 26, 52, 54, 64, 74, 80, 84, 96)
+# 13, 37: a start that was refused when repeated had run before.
+ONCE_BROKEN = (12, 13, 26, 37, 52, 54, 64, 74, 80, 84, 96)
 OTHERS = range(1000, 1004)
 
 # A guard that is taken out must be missed within these seeds.
--- /dev/null
+++ b/tests/node/test_orders.py
@@ -0,0 +1,86 @@
+"""Orders whose answers are lost."""
+
+import unittest
+
+from limpetyard._clock import ManualClock
+from limpetyard.engine import (
+    Engine,
+    EngineTerms,
+    LookReply,
+    RunState,
+    Start,
+    StartResult,
+    WorkerEntry,
+    WorkerSilentError,
+)
+from limpetyard.jobs import JobSpec, QueueTerms, Resources, StepSpec
+from limpetyard.node._orders import Orders
+
+
+class _Workers:
+    """Answers starts from a list; None is no answer."""
+
+    def __init__(self, answers: list[StartResult | None]):
+        self.answers = answers
+
+    async def start(self, entry, order) -> StartResult:
+        answer = self.answers.pop(0)
+        if answer is None:
+            raise WorkerSilentError(entry.id)
+        return answer
+
+
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    """What is believed of a run after its start."""
+
+    async def start(self, *answers: StartResult | None):
+        """Carries one start out; returns the worker's run, if it has one."""
+        clock = ManualClock(1000.0)
+        engine = Engine(1, EngineTerms(4000, 5000))
+        entry = WorkerEntry(
+            "w", "pool", "", "z", "r", (), Resources(4000, 4000), 1
+        )
+        worker = engine.set_entry(entry, 0.0)
+        engine.on_look(worker, 0.0, LookReply(1, 0.0, [], []), 1000.0)
+        engine.set_recorded({"w": 1})
+        spec = JobSpec("0" * 16, QueueTerms("q", "pool"), "", (StepSpec(1),))
+        engine.add_job(spec, 0.0, loaded=False)
+        (effect,) = engine.plan(1000.0, 0.0)
+        self.assertIsInstance(effect, Start)
+        orders = Orders(
+            engine,
+            _Workers(list(answers)),
+            None,
+            clock,
+            4000,
+            lambda: True,
+            self.fail,
+            lambda: None,
+        )
+        await orders.carry_out(effect)
+        return worker.runs.get((effect.task, effect.run))
+
+    async def test_answered(self):
+        """A started run runs, a refused one is not there."""
+        run = await self.start(StartResult.STARTED)
+        self.assertIs(run.state, RunState.RUNNING)
+        self.assertIsNone(await self.start(StartResult.NO_ROOM))
+
+    async def test_started_by_the_second_sending(self):
+        """Repeating a start changes nothing."""
+        run = await self.start(None, StartResult.STARTED)
+        self.assertIs(run.state, RunState.RUNNING)
+
+    async def test_refused_after_an_unanswered_sending(self):
+        """The first sending may have run, and ended, already."""
+        for result in StartResult:
+            if result is StartResult.STARTED:
+                continue
+            with self.subTest(result=result):
+                run = await self.start(None, result)
+                self.assertIsNotNone(run)
+                self.assertIs(run.state, RunState.STOPPING)
+
+
+if __name__ == "__main__":
+    unittest.main()
