Hand leases over from owner to owner

Ruled out: an owner that counts as silent (each was silenced), drains that were not recorded (they were), a lease that was extended after the exit. Change: the call that silences the last owner answers with what is left of its leases, by worker. It counts only if that owner's claim is the one just before; otherwise, and where claims overtook each other, the owner before counts as not silenced. A claim that was read before a lost answer stays the one to silence.

--- a/src/limpetyard/engine/__init__.py
+++ b/src/limpetyard/engine/__init__.py
@@ -21,9 +21,16 @@
     WorkerSilentError,
 )
 from limpetyard.engine._terms import EngineTerms
-from limpetyard.engine._worker import RunState, Worker, WorkerRun
+from limpetyard.engine._worker import (
+    SLOWEST_CLOCK,
+    RunState,
+    Worker,
+    WorkerRun,
+    lease_bound_ms,
+)
 
 __all__ = [
+    "SLOWEST_CLOCK",
     "Advice",
     "Ask",
     "Effect",
@@ -51,4 +58,5 @@
     "WorkerEntry",
     "WorkerRun",
     "WorkerSilentError",
+    "lease_bound_ms",
 ]
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -23,7 +23,12 @@
 from limpetyard.engine._planner import Planner
 from limpetyard.engine._tails import TailModel
 from limpetyard.engine._terms import EngineTerms
-from limpetyard.engine._worker import RunState, Worker, WorkerRun
+from limpetyard.engine._worker import (
+    RunState,
+    Worker,
+    WorkerRun,
+    lease_bound_ms,
+)
 from limpetyard.jobs import (
     Job,
     JobSpec,
@@ -201,7 +206,7 @@
             if worker.missing_since_ms is not None
             and now_ms - worker.missing_since_ms > MISSING_MS
             and not worker.runs
-            and now_ms > max(worker.unsure_until_ms, worker.lease_end_ms)
+            and now_ms > worker.runs_until_ms
         ]
         for worker_id in gone:
             del self.workers[worker_id]
@@ -228,7 +233,7 @@
         worker.set_clock(reply.clock_ms, now_ms)
         worker.replied_ms = now_ms
         if not worker.sounded:
-            worker.sounded = True
+            self._sound(worker, now_ms)
             event(
                 "worker_sounded",
                 worker=worker.id,
@@ -241,6 +246,14 @@
         learn(worker, self.tails, now_ms)
         return news
 
+    def _sound(self, worker: Worker, now_ms: float) -> None:
+        """Notes that no other owner extends its lease any more."""
+        worker.sounded = True
+        worker.unsure_until_ms = min(
+            worker.unsure_until_ms,
+            now_ms + lease_bound_ms(self.terms.lease_ms),
+        )
+
     def _take_ends(
         self, worker: Worker, ends: list[EndRow], now_ms: float
     ) -> bool:
@@ -485,7 +498,7 @@
 
     def _lapse(self, now_ms: float) -> None:
         for worker in self.workers.values():
-            if not worker.runs or now_ms <= worker.lease_end_ms:
+            if not worker.runs or now_ms <= worker.runs_until_ms:
                 continue
             event(
                 "worker_lapsed",
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -24,6 +24,11 @@
 ANSWERS_WITHIN_MS = 1600
 
 
+def lease_bound_ms(lease_ms: float) -> float:
+    """Returns the longest time, by this process's clock, of such a lease."""
+    return lease_ms / SLOWEST_CLOCK + LEASE_SLACK_MS
+
+
 class RunState(enum.Enum):
     """What is known of a run at its worker."""
 
@@ -159,6 +164,11 @@
         """Fencing token of orders to its present life."""
         return self._epoch * LIVES + min(self._lives, LIVES - 1)
 
+    @property
+    def runs_until_ms(self) -> float:
+        """Until when a run may exist there, whoever ordered it."""
+        return max(self.lease_end_ms, self.unsure_until_ms)
+
     @property
     def on_probation(self) -> bool:
         """Whether it failed too often to be trusted with much work."""
--- a/src/limpetyard/node/__init__.py
+++ b/src/limpetyard/node/__init__.py
@@ -1,6 +1,7 @@
 """One VM of the system: takes jobs in, and owns the cells dealt to it."""
 
 from limpetyard.node._desk import Inbox, JobDesk
+from limpetyard.node._handover import LastLeases, Silenced
 from limpetyard.node._member import GroupMember
 from limpetyard.node._node import Node, Ports, listen
 from limpetyard.node._owner import CellOwner
@@ -20,6 +21,7 @@
     "Inbox",
     "JobDesk",
     "JobGoneError",
+    "LastLeases",
     "Node",
     "NodeSettings",
     "PeerAwayError",
@@ -29,6 +31,7 @@
     "Ports",
     "Queue",
     "QueueTable",
+    "Silenced",
     "SiteConfig",
     "SiteView",
     "listen",
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -13,6 +13,7 @@
 from limpetyard._events import event
 from limpetyard.engine import Advice, EngineTerms, StepWorkers, WorkerEntry
 from limpetyard.node._desk import Inbox, JobDesk
+from limpetyard.node._handover import LastLeases, LeaseRecord
 from limpetyard.node._member import GroupMember
 from limpetyard.node._names import (
     OPERATORS_TOPIC,
@@ -116,6 +117,7 @@
         self._wall_ms = wall_ms
         self._nonce = uuid.uuid4().hex[:12]
         self._owners: dict[int, CellOwner] = {}
+        self._last_leases: dict[int, LeaseRecord] = {}
         self._leaving = False
         self._in_flight = 0
         self._terms = EngineTerms(
@@ -162,6 +164,7 @@
         await self.member.stop()
         for owner in list(self._owners.values()):
             await owner.release("leaving")
+            self._keep_leases(owner)
         await self.member.leave()
         await asyncio.sleep(LEAVE_MS / MS_PER_SECOND)
         while self._in_flight:
@@ -195,6 +198,7 @@
             if cell not in cells and not owner.ended:
                 await owner.release("dealt to another node")
             if owner.ended or owner.crashed:
+                self._keep_leases(owner)
                 del self._owners[cell]
                 await owner.stop()
         if self._leaving:
@@ -252,9 +256,17 @@
             for job in jobs
         )
 
-    def fence(self, cell: int, epoch: int) -> None:
+    def fence(self, cell: int, epoch: int) -> LastLeases | None:
         """See `LocalCells.fence`."""
         owner = self._owners.get(cell)
         engine = owner.engine if owner is not None else None
         if engine is not None and engine.epoch < epoch:
             owner.lose(f"epoch {epoch} has taken over")
+            self._keep_leases(owner)
+        record = self._last_leases.get(cell)
+        return record.left(self._clock.now_ms()) if record else None
+
+    def _keep_leases(self, owner: CellOwner) -> None:
+        """Keeps what the next owner will ask for."""
+        if owner.begun:
+            self._last_leases[owner.cell] = LeaseRecord(owner.engine)
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -16,6 +16,7 @@
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
 from limpetyard.engine import (
+    SLOWEST_CLOCK,
     Advice,
     Effect,
     Engine,
@@ -28,14 +29,15 @@
     WorkerDownError,
     WorkerEntry,
     WorkerSilentError,
+    lease_bound_ms,
 )
-from limpetyard.engine._worker import LEASE_SLACK_MS, SLOWEST_CLOCK
 from limpetyard.jobs import (
     ACCEPTED,
     CANCELLED,
     PROGRESS,
     encode_progress,
 )
+from limpetyard.node._handover import Silenced
 from limpetyard.node._member import GroupMember
 from limpetyard.node._names import (
     CLAIM_KEY,
@@ -104,6 +106,8 @@
         cell: Number of the cell.
         machine: Where it is in the owner chart.
         engine: What is known and decided; None before the claim.
+        begun: Whether it has ever had the cell's state, and may have given
+            orders.
     """
 
     def __init__(
@@ -125,6 +129,7 @@
         self.cell = cell
         self.machine = Machine(Chart.load("owner"))
         self.engine: Engine | None = None
+        self.begun = False
         self._member = member
         self._store = store
         self._workers = workers
@@ -141,7 +146,9 @@
         self._jobs: KeyFollower | None = None
         self._entries: KeyFollower | None = None
         self._records: CellRecords | None = None
-        self._unsure_ms = 0.0
+        self._previous: StoredRecord | None = None
+        self._silenced = Silenced(False)
+        self._silenced_ms = 0.0
         self._storing = asyncio.Lock()
         self._wake = asyncio.Event()
         self._dirty = asyncio.Event()
@@ -194,13 +201,11 @@
     async def _take_over(self) -> None:
         begun_ms = self._clock.now_ms()
         if self.machine.state == "claiming":
-            previous = await self._previous_owner()
+            if self._previous is None:
+                self._previous = await self._previous_claim()
             await self._claim()
             self.machine.fire("claimed")
-            silenced = await self._peers.silence(
-                previous, self._member.name, self.cell, self.engine.epoch
-            )
-            self._unsure_ms = 0.0 if silenced else self._terms.self_fence_ms
+            await self._silence()
         await self._writer.fence()
         await self._load()
         self._begin()
@@ -214,12 +219,54 @@
             took_ms=self._clock.now_ms() - begun_ms,
         )
 
-    async def _previous_owner(self) -> str:
+    async def _previous_claim(self) -> StoredRecord | None:
         page = await self._store.newest(OWNERS_TOPIC, self.cell, "")
         for record in page.records:
             if record.key == CLAIM_KEY:
-                return record.value.decode(errors="replace")
-        return ""
+                return record
+        return None
+
+    async def _silence(self) -> None:
+        """Has the owner before this one stop, and asks for its leases.
+
+        Another claim between the one that was read and this one is of an
+        owner that nobody has silenced.
+        """
+        epoch = self.engine.epoch
+        previous = self._previous
+        member, last_epoch = "", 0
+        if previous is not None:
+            member = (previous.value or b"").decode(errors="replace")
+            last_epoch = previous.offset + 1
+        silenced = Silenced(True)
+        if member:
+            silenced = await self._peers.silence(member, self.cell, epoch)
+        leases = silenced.leases
+        if last_epoch != epoch - 1:
+            silenced = Silenced(False)
+        elif leases is not None and leases.epoch != last_epoch:
+            silenced = Silenced(silenced.surely)
+        self._silenced = silenced
+        self._silenced_ms = self._clock.now_ms()
+        event(
+            "owner_silenced",
+            owner=member,
+            last_epoch=last_epoch,
+            epoch=epoch,
+            silenced=silenced.surely,
+            leases_known=silenced.leases is not None,
+        )
+
+    def _unsure_until(self, worker: Worker) -> float:
+        """Returns until when a run of an earlier owner may exist there."""
+        leases = self._silenced.leases
+        if leases is not None and worker.id in leases.left_ms:
+            left_ms = leases.left_ms[worker.id]
+            return self._silenced_ms + left_ms / SLOWEST_CLOCK
+        until_ms = self._clock.now_ms() + lease_bound_ms(self._terms.lease_ms)
+        if not self._silenced.surely:
+            until_ms += self._terms.self_fence_ms
+        return until_ms
 
     async def _claim(self) -> None:
         record = KeyedRecord(CLAIM_KEY, self._member.name.encode())
@@ -275,12 +322,11 @@
     def _begin(self) -> None:
         """Builds the state from what was loaded."""
         self._recorded = self._records.begin()
-        now_ms = self._clock.now_ms()
         for job in self.engine.open.values():
             self.engine.make_unsure(job)
-        lease_ms = self._terms.lease_ms / SLOWEST_CLOCK + LEASE_SLACK_MS
         for worker in self.engine.workers.values():
-            worker.unsure_until_ms = now_ms + self._unsure_ms + lease_ms
+            worker.unsure_until_ms = self._unsure_until(worker)
+        self.begun = True
         self._tend_workers()
 
     def _on_records(self) -> None:
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from limpetyard._calls import HttpCaller, NotSentError, Reply, SilentError
-from limpetyard._events import event
+from limpetyard.node._handover import LastLeases, Silenced
 from limpetyard.node._names import member_address
 
 # Longest wait for another node: several round trips and a turn of its loop.
@@ -47,8 +47,12 @@
     def queue_pending(self, queue: str) -> int:
         """Returns how many jobs of a queue have not begun."""
 
-    def fence(self, cell: int, epoch: int) -> None:
-        """Ends ownerships of a cell below `epoch`."""
+    def fence(self, cell: int, epoch: int) -> LastLeases | None:
+        """Ends ownerships of a cell below `epoch`.
+
+        Returns:
+            What is left of the leases of the newest of them, if it is known.
+        """
 
 
 class PeerCalls(Protocol):
@@ -60,9 +64,7 @@
     async def queue_pending(self, member: str, queue: str) -> int:
         """Asks the owner how many jobs of a queue have not begun."""
 
-    async def silence(
-        self, member: str, me: str, cell: int, epoch: int
-    ) -> bool:
+    async def silence(self, member: str, cell: int, epoch: int) -> Silenced:
         """Has the last owner of a cell stop giving orders."""
 
 
@@ -97,27 +99,23 @@
         reply = await self._get(member, f"/v1/queues/{queue}")
         return msgspec.json.decode(reply.body, type=_Pending).pending
 
-    async def silence(
-        self, member: str, me: str, cell: int, epoch: int
-    ) -> bool:
+    async def silence(self, member: str, cell: int, epoch: int) -> Silenced:
         """Has the last owner of a cell stop giving orders.
 
-        Returns:
-            Whether it surely gives no more orders.
+        Where nobody listens at its address, or another process does, it is no
+        more.
         """
         address = member_address(member)
-        if not address or member == me:
-            return True
+        if not address:
+            return Silenced(False)
         url = f"http://{address}/v1/cells/{cell}/fence/{epoch}"
         try:
             reply = await self._caller.call("POST", url, b"", PEER_TIMEOUT_MS)
-            silenced = reply.status == 200
+            return _read_silenced(reply)
         except NotSentError as exc:
-            silenced = exc.refused
-        except SilentError:
-            silenced = False
-        event("owner_silenced", owner=member, epoch=epoch, silenced=silenced)
-        return silenced
+            return Silenced(exc.refused)
+        except (SilentError, msgspec.MsgspecError):
+            return Silenced(False)
 
     async def _get(self, member: str, path: str) -> Reply:
         address = member_address(member)
@@ -162,12 +160,18 @@
         if what == "queues":
             return _json(_Pending(self._cells.queue_pending(parts[2])))
         if what == "cells":
-            self._cells.fence(int(parts[2]), int(parts[4]))
-            return web.Response()
+            return _json(self._cells.fence(int(parts[2]), int(parts[4])))
         raise ValueError(what)
 
 
-def _json(data: msgspec.Struct) -> web.Response:
+def _read_silenced(reply: Reply) -> Silenced:
+    if reply.status != 200:
+        return Silenced(False)
+    leases = msgspec.json.decode(reply.body, type=LastLeases | None)
+    return Silenced(True, leases)
+
+
+def _json(data: msgspec.Struct | None) -> web.Response:
     return web.Response(
         body=msgspec.json.encode(data), content_type="application/json"
     )
--- a/standins/yard/_world.py
+++ b/standins/yard/_world.py
@@ -16,6 +16,7 @@
     PeerAwayError,
     Ports,
     Queue,
+    Silenced,
     SiteConfig,
     SiteView,
 )
@@ -84,19 +85,17 @@
     async def queue_pending(self, member: str, queue: str) -> int:
         return await self._call(member, lambda node: node.queue_pending(queue))
 
-    async def silence(
-        self, member: str, me: str, cell: int, epoch: int
-    ) -> bool:
-        if not member or member == me:
-            return True
+    async def silence(self, member: str, cell: int, epoch: int) -> Silenced:
         target = self._world.host_of(member)
         if target is None or target.node is None:
-            return True
+            return Silenced(True)
         try:
-            await self._call(member, lambda node: node.fence(cell, epoch))
+            leases = await self._call(
+                member, lambda node: node.fence(cell, epoch)
+            )
         except PeerAwayError:
-            return False
-        return True
+            return Silenced(False)
+        return Silenced(True, leases)
 
 
 class World:
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -450,6 +450,18 @@
         (start,) = self.plan(Start)
         self.assertEqual(start.task.index, 1)
 
+    def test_found_runs_outlive_the_first_round(self):
+        """A found run whose lease is not extended yet is not taken as lost."""
+        worker = self.engine.workers["w-0"]
+        got = self.submit(job(1, StepSpec(1, ONE)), loaded=True)
+        worker.unsure_until_ms = self.now_ms + LEASE_MS
+        row = RunRow(TaskKey(got.spec.id, 0, 0, 0), 4, "", 100, 0.0)
+        reply = LookReply(1, self.now_ms, [row], [])
+        worker.lease_end_ms = 0.0
+        self.engine.on_look(worker, self.now_ms, reply, self.now_ms)
+        self.assertEqual(self.plan(), [])
+        self.assertEqual(list(worker.runs), [(row.task, row.run)])
+
     def test_run_numbers_rise(self):
         """Runs of this epoch have numbers that no earlier one used."""
         self.take_over()
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -17,6 +17,9 @@
 ONE_LOST_MS = 1500
 ALL_LOST_MS = 3000
 
+# A worker that is lost costs its lease.
+LEASE_MS = 5000
+
 
 def job(number: int, count: int = 4, run_ms: int = 500) -> JobSpec:
     """Returns a job of two steps."""
@@ -353,6 +356,36 @@
 
         self.play(story)
 
+    def test_left_before_several_takeovers(self):
+        """The lease of a worker that left is waited for once."""
+
+        async def story(world: World) -> None:
+            spec = JobSpec(
+                f"{7:016x}",
+                QUEUE,
+                "payload",
+                (StepSpec(6, SMALL, long_running=True, per_worker=2),),
+            )
+            await world.submit(spec)
+            await asyncio.sleep(2)
+            victim = next(w for w in world.workers.values() if w.running())
+            lost = set(victim.running())
+            victim.crash()
+            at_ms = world.clock.now_ms()
+            for _ in range(3):
+                await asyncio.sleep(1.5)
+                world.store.deal_anew()
+            await asyncio.sleep(3)
+            again = {
+                entry.task: entry.at_ms - at_ms
+                for entry in world.record.of(Started)
+                if entry.at_ms > at_ms and entry.task in lost
+            }
+            self.assertEqual(set(again), lost)
+            self.assertLess(max(again.values()), LEASE_MS + ONE_LOST_MS)
+
+        self.play(story)
+
 
 class ZoneTest(WholeSiteCase):
     """Zones that are taken out."""
