Take work off workers that leave

Cause: a worker that leaves exits silently, so that what it ran waits the whole lease, 5 s, although it said two seconds before that it would go. Change: on a draining worker lasting tasks are stopped as soon as there is room elsewhere; what saves its progress if it would not end in time; the rest in the last half second. The same placers say whether there is room.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -147,11 +147,12 @@
         if worker is None:
             worker = Worker(entry, self.epoch)
             worker.begin_life(entry.born)
+            worker.set_entry(entry, now_ms)
             self.workers[entry.id] = worker
             return worker
         if entry.born < worker.born:
             return worker
-        worker.entry = entry
+        worker.set_entry(entry, now_ms)
         worker.missing_since_ms = None
         if entry.born > worker.born:
             self._begin_life(worker, entry.born, now_ms)
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -5,6 +5,7 @@
 
 from limpetyard.engine._effects import Ask, Effect, Start
 from limpetyard.engine._interface import Ticket
+from limpetyard.engine._leaving import vacate
 from limpetyard.engine._placing import PLACERS, Candidate, kind_of
 from limpetyard.engine._urgency import urgency
 from limpetyard.engine._worker import Worker, WorkerRun
@@ -67,8 +68,21 @@
                 effects += self._place_step(
                     job, occurrence, step, waiting, usable[service], now_ms
                 )
+        self._vacate(usable, now_ms)
         return effects
 
+    def _vacate(
+        self, usable: dict[str, list[Candidate]], now_ms: float
+    ) -> None:
+        """Takes work off workers that leave, as far as there is room."""
+        for worker in self._engine.workers.values():
+            if not worker.entry.draining or not worker.answers(now_ms):
+                continue
+            service = worker.entry.service
+            if service not in usable:
+                usable[service] = self._usable(service, now_ms)
+            vacate(worker, self._engine.find_task, usable[service], now_ms)
+
     def add_tickets(
         self, job: str, occurrence: int, step: int, tickets: list[Ticket]
     ) -> None:
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -113,6 +113,7 @@
         failures: Failed runs since the last finished one.
         recorded: Whether a later owner will know of its present life.
         refused_until_ms: Gets no new work until then.
+        leaves_ms: When it leaves at the earliest, on this process's clock.
     """
 
     __slots__ = (
@@ -124,6 +125,7 @@
         "entry",
         "failures",
         "lease_end_ms",
+        "leaves_ms",
         "missing_since_ms",
         "noted",
         "recorded",
@@ -151,6 +153,7 @@
         self.missing_since_ms: float | None = None
         self.failures = 0
         self.refused_until_ms = 0.0
+        self.leaves_ms = float("inf")
         self._clock_ms = 0.0
         self._clock_at_ms: float | None = None
 
@@ -187,6 +190,13 @@
         self.failures = 0
         self._clock_at_ms = None
 
+    def set_entry(self, entry: WorkerEntry, now_ms: float) -> None:
+        """Takes in what it says of itself."""
+        self.entry = entry
+        self.leaves_ms = float("inf")
+        if entry.draining:
+            self.leaves_ms = now_ms + entry.remaining_ms
+
     def set_clock(self, clock_ms: float, at_ms: float) -> None:
         """Takes in a reading of its clock that arrived at `at_ms`."""
         newer = self._clock_at_ms is None or at_ms > self._clock_at_ms
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -315,6 +315,64 @@
         self.assertEqual({(s.worker, s.ticket) for s in starts}, {("w-1", "t")})
 
 
+class LeavingTest(EngineCase):
+    """Work on a worker that is about to leave."""
+
+    def drain(self, worker: str, left_ms: float) -> None:
+        """Has a worker say that it leaves."""
+        number = int(worker.removeprefix("w-"))
+        leaving = entry(number, draining=True, remaining_ms=left_ms)
+        self.engine.set_entry(leaving, self.now_ms)
+
+    def stops(self) -> list[Stop]:
+        """Returns what two rounds of planning stop."""
+        return self.plan(Stop) + self.plan(Stop)
+
+    def test_lasting_moves(self):
+        """A lasting task goes elsewhere while there is time."""
+        self.submit(job(1, StepSpec(1, ONE, long_running=True)))
+        (start,) = self.start_all()
+        self.drain(start.worker, 2000)
+        (stop,) = self.stops()
+        self.assertEqual(stop.task, start.task)
+        self.end(start, EndKind.STOPPED)
+        (again,) = self.plan(Start)
+        self.assertNotEqual(again.worker, start.worker)
+
+    def test_lasting_stays_without_room(self):
+        """A lasting task stays as long as it has no other place."""
+        self.submit(job(1, StepSpec(2, ONE, long_running=True, per_worker=1)))
+        start, _ = self.start_all()
+        self.drain(start.worker, 2000)
+        self.assertEqual(self.stops(), [])
+        self.drain(start.worker, 400)
+        self.assertEqual(len(self.stops()), 1)
+
+    def test_nearly_done_stays(self):
+        """What ends in time is left to its end."""
+        self.submit(job(1, StepSpec(1, ONE, 1500, checkpoints=True)))
+        (start,) = self.start_all()
+        self.drain(start.worker, 2000)
+        self.assertEqual(self.stops(), [])
+
+    def test_saved_work_moves(self):
+        """What saves its progress and would not end in time moves at once."""
+        self.submit(job(1, StepSpec(1, ONE, 9000, checkpoints=True)))
+        (start,) = self.start_all()
+        self.drain(start.worker, 2000)
+        self.assertEqual(len(self.stops()), 1)
+
+    def test_unsaved_work_moves_last(self):
+        """What would be lost by a stop stays until the last call."""
+        self.submit(job(1, StepSpec(1, ONE, 9000)))
+        (start,) = self.start_all()
+        self.drain(start.worker, 2000)
+        self.assertEqual(self.stops(), [])
+        self.now_ms += 1600
+        self.look(start.worker)
+        self.assertEqual(len(self.stops()), 1)
+
+
 class UnknownOutcomeTest(EngineCase):
     """Orders without an answer, and workers without one."""
 
