Metrics of a node, a closed list of events, explain and report

limpetyard-node serves metrics on the port that deploy/system.toml tells it and the platform: histograms of hand-in, first start, jobs, runs, takeovers and calls, counters of refusals, starts and events, gauges of what is believed and its age. They follow from the events by one table.

--- a/src/limpetyard/_calls.py
+++ b/src/limpetyard/_calls.py
@@ -4,7 +4,8 @@
 import msgspec
 from yarl import URL
 
-from limpetyard._clock import MS_PER_SECOND
+from limpetyard._clock import MS_PER_SECOND, BootClock
+from limpetyard._events import note
 
 # A connection that is not established by then counts as unreachable; several
 # times the round trip between availability zones.
@@ -42,18 +43,23 @@
     body: bytes
 
 
+_clock = BootClock()
+
+
 class HttpCaller:
     """Calls to one kind of peer over kept connections."""
 
-    __slots__ = ("_per_host", "_session")
+    __slots__ = ("_per_host", "_session", "_to")
 
-    def __init__(self, per_host: int):
+    def __init__(self, per_host: int, to: str):
         """Makes a caller.
 
         Args:
             per_host: Most connections to one address.
+            to: Kind of peer, for the metrics.
         """
         self._per_host = per_host
+        self._to = to
         self._session: aiohttp.ClientSession | None = None
 
     async def call(
@@ -70,6 +76,32 @@
             NotSentError: If no connection was established.
             SilentError: If no whole answer came in time.
         """
+        begun_ms = _clock.now_ms()
+        outcome = "silent"
+        try:
+            reply = await self._call(method, url, body, timeout_ms, headers)
+            outcome = str(reply.status)
+            return reply
+        except NotSentError:
+            outcome = "not_sent"
+            raise
+        finally:
+            note(
+                "call_done",
+                to=self._to,
+                call=_call_name(url),
+                outcome=outcome,
+                took_ms=_clock.now_ms() - begun_ms,
+            )
+
+    async def _call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        timeout_ms: float,
+        headers: dict[str, str] | None,
+    ) -> Reply:
         session = self._open()
         timeout = aiohttp.ClientTimeout(
             total=timeout_ms / MS_PER_SECOND,
@@ -114,3 +146,10 @@
                 skip_auto_headers=("User-Agent", "Accept-Encoding"),
             )
         return self._session
+
+
+def _call_name(url: str) -> str:
+    """Returns the first word of a path that is not a version."""
+    path = url.split("/", 3)[-1].partition("?")[0]
+    words = [word for word in path.split("/") if word != "v1"]
+    return words[0] if words else ""
--- a/src/limpetyard/_events.py
+++ b/src/limpetyard/_events.py
@@ -8,13 +8,15 @@
 import collections
 import os
 import sys
+from collections.abc import Callable
 
 from loguru import logger
 
 from limpetyard._clock import MS_PER_SECOND, BootClock
 
 _FORMAT = (
-    "ts={time:YYYY-MM-DDTHH:mm:ss.SSS} level={level} {message}{extra[pairs]}"
+    "ts={time:YYYY-MM-DDTHH:mm:ss.SSS} level={level} node={extra[node]}"
+    " {message}{extra[pairs]}"
 )
 
 # Lines kept for a reader that is slow: a few seconds of a busy node.
@@ -101,6 +103,22 @@
 
 
 _budget = Budget(BootClock())
+_listeners: list[Callable[[str, dict[str, object]], None]] = []
+
+
+def listen(take: Callable[[str, dict[str, object]], None]) -> None:
+    """Has every event told, also those that are not logged.
+
+    Args:
+        take: Called with the name and the fields of each.
+    """
+    _listeners.append(take)
+
+
+def note(name: str, **fields: object) -> None:
+    """Tells listeners of something that is counted and not logged."""
+    for take in _listeners:
+        take(name, fields)
 
 
 def configure(level: str, node: str, fd: int | None = None) -> None:
@@ -125,6 +143,7 @@
         level: Name of a loguru level.
         **fields: Values of the event, written in the order given.
     """
+    note(name, **fields)
     for other, number in _budget.over().items():
         _log("events_left_out", "WARNING", {"of": other, "number": number})
     if _budget.allows(name):
--- a/src/limpetyard/config/_service.py
+++ b/src/limpetyard/config/_service.py
@@ -114,7 +114,12 @@
             try:
                 await self._log.append(CONFIG_STREAM, text)
             except LogUnavailableError as exc:
-                event("append_unanswered", "WARNING", reason=exc)
+                event(
+                    "append_unanswered",
+                    "WARNING",
+                    topic="config",
+                    reason=exc,
+                )
             try:
                 await asyncio.wait_for(read.wait(), REPEAT_MS / MS_PER_SECOND)
             except TimeoutError:
--- a/src/limpetyard/ctl/_main.py
+++ b/src/limpetyard/ctl/_main.py
@@ -9,6 +9,7 @@
 from limpetyard.ctl._api import CallError, Exit
 from limpetyard.ctl._config_commands import Diff, Publish, Validate, Zone
 from limpetyard.ctl._job_commands import Cancel, Inspect, Submit
+from limpetyard.ctl._log_commands import Explain, Report
 from limpetyard.ctl._tool import Tool
 from limpetyard.ctl._view_commands import (
     Decisions,
@@ -34,6 +35,8 @@
     | Tasks
     | Shares
     | Decisions
+    | Explain
+    | Report
 )
 
 
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -280,7 +280,7 @@
             return
         self._note_end(task, end)
         job.dirty = True
-        if run is not None and run.state is not RunState.STOPPING:
+        if run is not None:
             event(
                 "run_ended",
                 task=_name(end.task),
@@ -339,6 +339,7 @@
         event(
             "job_ended",
             job=job.spec.id,
+            queue=job.spec.queue.name,
             state=job.state,
             age_ms=now_ms - job.seen_ms,
         )
@@ -388,6 +389,7 @@
                 task.run = row.run
                 task.worker = worker.id
                 job.begin()
+                job.begun_ms = now_ms
             else:
                 run.state = RunState.STOPPING
         run.settled_ms = now_ms
@@ -460,6 +462,7 @@
             run.settled_ms = now_ms
             if run.state is RunState.ORDERED:
                 run.state = RunState.RUNNING
+            self._note_begun(effect.task.job, now_ms)
             return
         if result is None:
             if run.state is RunState.ORDERED:
@@ -479,6 +482,18 @@
             self._release(task, now_ms)
             task.retry_at_ms = now_ms + FAILED_PAUSE_MS
 
+    def _note_begun(self, job_id: str, now_ms: float) -> None:
+        job = self.jobs.get(job_id)
+        if job is None or job.begun_ms is not None:
+            return
+        job.begun_ms = now_ms
+        event(
+            "job_begun",
+            job=job_id,
+            queue=job.spec.queue.name,
+            wait_ms=now_ms - job.seen_ms,
+        )
+
     def on_stop(self, effect: Stop, now_ms: float) -> None:
         """Takes in that a worker answered a stop."""
         worker = self.workers.get(effect.worker)
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -88,12 +88,15 @@
         shown: Newest state that is stored, or implied by a stored one.
         tasks: All tasks of the occurrences that have become due.
         seen_ms: When this process first read of it, on its clock.
+        begun_ms: When its first task ran, or None; for jobs that an earlier
+            owner began, when they were read.
         ended_ms: When it reached a final state.
         dirty: Whether something of it is not stored yet.
     """
 
     __slots__ = (
         "_remaining",
+        "begun_ms",
         "dirty",
         "due",
         "ended_ms",
@@ -111,6 +114,7 @@
         self.tasks: dict[tuple[int, int, int], Task] = {}
         self.due = 0
         self.seen_ms = seen_ms
+        self.begun_ms: float | None = None
         self.ended_ms: float | None = None
         self.dirty = False
         self._remaining: dict[tuple[int, int], int] = {}
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -115,6 +115,8 @@
         task.checkpoint = mark.checkpoint
         if mark.done:
             job.finish(task)
+    if progress.state != job.state:
+        job.begun_ms = now_ms
     job.state = progress.state
     job.shown = progress.state
     if progress.state in FINAL_STATES:
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -12,9 +12,11 @@
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
 from limpetyard.engine import Advice, EngineTerms, StepWorkers, WorkerEntry
+from limpetyard.node._beliefs import cell_beliefs, site_beliefs
 from limpetyard.node._desk import Inbox, JobDesk
 from limpetyard.node._handover import LastLeases, LeaseRecord
 from limpetyard.node._member import GroupMember
+from limpetyard.node._metrics import Belief, NodeMetrics
 from limpetyard.node._names import (
     OPERATORS_TOPIC,
     OTHERS_PART,
@@ -99,6 +101,7 @@
     Attributes:
         view: The newest configuration.
         member: Membership in the group that deals cells out.
+        metrics: Counts events and tells what is believed.
     """
 
     def __init__(
@@ -134,6 +137,7 @@
         self._desk = JobDesk(
             self._inbox, lambda: self.member, ports.peers, self, clock
         )
+        self.metrics = NodeMetrics(self._beliefs)
         self._operators = KeyFollower(
             ports.store,
             clock,
@@ -151,6 +155,8 @@
         await listen("callers", cfg.callers, self._serve_caller)
         await listen("readiness", cfg.readiness, self._serve_readiness)
         await listen("peers", cfg.peers, PeerServer(self).handle)
+        if cfg.metrics:
+            await listen("metrics", cfg.metrics, self.metrics.handle)
         self.add_future(self._operators.follow())
         self.add_future(self._inbox.run())
         await self.add_runtime_dependency(self.member)
@@ -225,6 +231,21 @@
             self._cfg.state_kept_ms,
         )
 
+    def _beliefs(self) -> list[Belief]:
+        """Returns what this node believes, for the metrics."""
+        now_ms = self._clock.now_ms()
+        config = self.view.config
+        found = site_beliefs(
+            config.version if config else 0,
+            len(self.view.zones_out),
+            now_ms - (self._operators.confirmed_ms or now_ms),
+            now_ms - (self.member.confirmed_ms or now_ms),
+        )
+        owner = self._owners.get(0)
+        if owner is not None and owner.deciding:
+            found += cell_beliefs(owner.engine, now_ms)
+        return found
+
     def owns(self) -> bool:
         """Whether this node decides for the cell."""
         owner = self._owners.get(0)
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -74,7 +74,7 @@
     __slots__ = ("_caller",)
 
     def __init__(self):
-        self._caller = HttpCaller(CONNECTIONS)
+        self._caller = HttpCaller(CONNECTIONS, "node")
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/src/limpetyard/node/_settings.py
+++ b/src/limpetyard/node/_settings.py
@@ -23,6 +23,7 @@
         gang_timeout_ms: How long a member of a gang waits for the others.
         state_kept_ms: How long the state of an ended job is told.
         leave_ms: Time between the order to leave and the kill.
+        metrics: IP:port for metrics, or "".
     """
 
     node: str
@@ -38,6 +39,7 @@
     gang_timeout_ms: float = 3000.0
     state_kept_ms: float = 120_000.0
     leave_ms: float = 6000.0
+    metrics: str = ""
 
     def check(self) -> None:
         """Checks every setting.
@@ -47,8 +49,9 @@
         """
         for name in ("callers", "readiness", "peers", "store"):
             host_port(name, getattr(self, name))
-        if self.advice:
-            host_port("advice", self.advice)
+        for name in ("advice", "metrics"):
+            if getattr(self, name):
+                host_port(name, getattr(self, name))
         if not self.node:
             raise SettingError("node", self.node, "a name")
         positive = (
--- a/src/limpetyard/noded.py
+++ b/src/limpetyard/noded.py
@@ -20,7 +20,11 @@
 )
 from limpetyard.platform._config import OperatorRecords
 from limpetyard.platform._ingress import Ingress
-from limpetyard.platform._settings import SETTINGS_ENV, load_settings
+from limpetyard.platform._settings import (
+    METRICS_ENV,
+    SETTINGS_ENV,
+    load_settings,
+)
 from limpetyard.platform._store import PlatformStore
 from limpetyard.platform._workers import (
     PlatformAdvice,
@@ -59,7 +63,17 @@
         Peers(),
         listen,
     )
-    return Node(cfg, ports, view, BootClock(), wall_ms)
+    node = Node(cfg, ports, view, BootClock(), wall_ms)
+    if cfg.metrics:
+        _events.listen(node.metrics.take)
+    return node
+
+
+def read_settings() -> NodeSettings:
+    """Reads the settings that the environment names."""
+    return load_settings(
+        os.environ.get(SETTINGS_ENV, ""), os.environ.get(METRICS_ENV, "")
+    )
 
 
 def check_settings(cfg: NodeSettings) -> None:
@@ -69,7 +83,7 @@
     is not valid, leave the old values in force.
     """
     try:
-        new = load_settings(os.environ.get(SETTINGS_ENV, ""))
+        new = read_settings()
     except SettingError as exc:
         event("settings_invalid", "ERROR", reason=exc)
         return
@@ -103,7 +117,7 @@
 def main() -> None:
     """Entry point of limpetyard-node."""
     try:
-        cfg = load_settings(os.environ.get(SETTINGS_ENV, ""))
+        cfg = read_settings()
     except SettingError as exc:
         print(f"limpetyard-node: {exc}", file=sys.stderr)
         sys.exit(2)
--- a/src/limpetyard/platform/_settings.py
+++ b/src/limpetyard/platform/_settings.py
@@ -11,6 +11,9 @@
 # Names the settings file.
 SETTINGS_ENV = "LIMPETYARD_SETTINGS"
 
+# Names the port for metrics, which the settings file does not tell.
+METRICS_ENV = "LIMPETYARD_METRICS_PORT"
+
 
 class _Addresses(msgspec.Struct, rename="camel"):
     frontend: str
@@ -42,9 +45,13 @@
     advice: str = ""
 
 
-def load_settings(path: str) -> NodeSettings:
+def load_settings(path: str, metrics_port: str = "") -> NodeSettings:
     """Reads and checks a settings file.
 
+    Args:
+        path: Where it is.
+        metrics_port: Port for metrics, or "" for none.
+
     Raises:
         SettingError: Names the setting, its value and what is allowed.
     """
@@ -60,12 +67,13 @@
         raise SettingError(
             SETTINGS_ENV, path, f"valid settings ({exc})"
         ) from exc
-    cfg = _settings(file)
+    cfg = _settings(file, metrics_port)
     cfg.check()
     return cfg
 
 
-def _settings(file: _File) -> NodeSettings:
+def _settings(file: _File, metrics_port: str) -> NodeSettings:
+    ip = file.listen_addrs.control_plane.rpartition(":")[0]
     return NodeSettings(
         file.node_name,
         file.zone,
@@ -80,4 +88,5 @@
         file.bounds.gang_timeout_ms,
         file.bounds.status_s * 1000,
         file.bounds.grace_s * 1000,
+        f"{ip}:{metrics_port}" if metrics_port else "",
     )
--- a/src/limpetyard/platform/_store.py
+++ b/src/limpetyard/platform/_store.py
@@ -106,7 +106,7 @@
             address: IP:port of the store.
         """
         self._url = f"http://{address}"
-        self._caller = HttpCaller(CONNECTIONS)
+        self._caller = HttpCaller(CONNECTIONS, "store")
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/src/limpetyard/platform/_workers.py
+++ b/src/limpetyard/platform/_workers.py
@@ -166,7 +166,7 @@
     __slots__ = ("_caller",)
 
     def __init__(self):
-        self._caller = HttpCaller(CONNECTIONS)
+        self._caller = HttpCaller(CONNECTIONS, "worker")
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -259,7 +259,7 @@
     def __init__(self, address: str, timeout_ms: float):
         self._url = f"http://{address}/advise"
         self._timeout_ms = timeout_ms
-        self._caller = HttpCaller(1)
+        self._caller = HttpCaller(1, "advice")
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/src/limpetyard/scheduler/_service.py
+++ b/src/limpetyard/scheduler/_service.py
@@ -173,7 +173,7 @@
         try:
             await self._log.append(self.controller.name, text)
         except LogUnavailableError as exc:
-            event("append_unanswered", "WARNING", reason=exc)
+            event("append_unanswered", "WARNING", topic="cells", reason=exc)
 
     async def _do_sync(self, effect: SyncWorker) -> None:
         try:
--- /dev/null
+++ b/tests/logbook/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of limpetyard.logbook."""
