Richer storms, and occurrences that only the last owner had found due

Storms now draw gangs, occurrences and limits a worker, and check GANG, ROUTE, EVAC, early starts and lasting tasks that stay idle with room. Change: a task that a worker lists makes its occurrence due; tasks of inherited jobs stay unsure, also those that fall due later. Reading the code for it: a job that comes while the last owner is not silenced may be started by that one too; it is now taken as inherited until that owner's own fence. Tests: three fail before and pass after. Guards for EVAC, DRAIN, ROUTE, GANG and ORDER cry.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -82,11 +82,14 @@
         open: Jobs that are not over.
         workers: Workers by id.
         zones_out: Availability zones out of service.
+        doubted_until_ms: Until then the last owner may still start tasks, also
+            of jobs that come now.
     """
 
     __slots__ = (
         "_planner",
         "dirty_workers",
+        "doubted_until_ms",
         "epoch",
         "jobs",
         "open",
@@ -104,6 +107,7 @@
         self.workers: dict[str, Worker] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.dirty_workers = False
+        self.doubted_until_ms = float("-inf")
         self.tails = TailModel()
         self._planner = Planner(self)
 
@@ -121,15 +125,10 @@
         job = Job(spec, now_ms)
         self.jobs[spec.id] = job
         self.open[spec.id] = job
-        if loaded:
-            self.make_unsure(job)
+        if loaded or now_ms < self.doubted_until_ms:
+            job.inherit()
         return job
 
-    def make_unsure(self, job: Job) -> None:
-        """Notes that an earlier owner may have started the job's tasks."""
-        for task in job.tasks.values():
-            task.unsure = True
-
     def cancel(self, job_id: str, now_ms: float) -> None:
         """Cancels a job; one that is over stays as it is."""
         job = self.open.get(job_id)
@@ -271,7 +270,7 @@
     def _take_end(self, worker: Worker, end: EndRow, now_ms: float) -> None:
         run = worker.runs.pop((end.task, end.run), None)
         job = self.jobs.get(end.task.job)
-        task = job.task(*end.task[1:]) if job is not None else None
+        task = self._started_task(end.task)
         if task is None or end.run in task.ended:
             return
         elsewhere = task.worker not in ("", worker.id)
@@ -372,7 +371,7 @@
     def _adopt(self, worker: Worker, row: RunRow, now_ms: float) -> WorkerRun:
         """Takes in a run that this owner did not order."""
         job = self.jobs.get(row.task.job)
-        task = job.task(*row.task[1:]) if job is not None else None
+        task = self._started_task(row.task)
         if task is None:
             run = WorkerRun(row.task, row.run, UNKNOWN_STEP, now_ms)
             run.state = RunState.STOPPING
@@ -444,6 +443,20 @@
         job = self.jobs.get(key.job)
         return job.task(*key[1:]) if job is not None else None
 
+    def _started_task(self, key: TaskKey) -> Task | None:
+        """Returns a task that a worker has, or None if there is none.
+
+        An owner whose clock was ahead may have found an occurrence due that
+        this one has not.
+        """
+        job = self.jobs.get(key.job)
+        if job is None:
+            return None
+        if job.due <= key.occurrence < job.spec.occurrences:
+            job.make_due(key.occurrence + 1)
+            job.dirty = True
+        return job.task(*key[1:])
+
     def on_start(
         self, effect: Start, result: StartResult | None, now_ms: float
     ) -> None:
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -92,6 +92,8 @@
             owner began, when they were read.
         ended_ms: When it reached a final state.
         dirty: Whether something of it is not stored yet.
+        inherited: Whether an earlier owner may have started its tasks, also
+            those of occurrences that it alone found due.
     """
 
     __slots__ = (
@@ -99,6 +101,7 @@
         "begun_ms",
         "dirty",
         "due",
+        "inherited",
         "ended_ms",
         "seen_ms",
         "shown",
@@ -117,6 +120,7 @@
         self.begun_ms: float | None = None
         self.ended_ms: float | None = None
         self.dirty = False
+        self.inherited = False
         self._remaining: dict[tuple[int, int], int] = {}
         if not spec.timed:
             self.make_due(spec.occurrences)
@@ -133,7 +137,9 @@
                 self._remaining[occurrence, number] = step.count
                 for index in range(step.count):
                     key = TaskKey(self.spec.id, occurrence, number, index)
-                    self.tasks[occurrence, number, index] = Task(key, step)
+                    task = Task(key, step)
+                    task.unsure = self.inherited
+                    self.tasks[occurrence, number, index] = task
         self.due = max(self.due, occurrences)
 
     def due_at_ms(self, occurrence: int) -> float:
@@ -145,6 +151,12 @@
         """Returns a task, or None if the job has no such task."""
         return self.tasks.get((occurrence, step, index))
 
+    def inherit(self) -> None:
+        """Notes that an earlier owner may have started any of its tasks."""
+        self.inherited = True
+        for task in self.tasks.values():
+            task.unsure = True
+
     def step_tasks(self, occurrence: int, step: int) -> Iterator[Task]:
         """Yields the tasks of one step of one occurrence."""
         for index in range(self.spec.steps[step].count):
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -323,9 +323,13 @@
         """Builds the state from what was loaded."""
         self._recorded = self._records.begin()
         for job in self.engine.open.values():
-            self.engine.make_unsure(job)
+            job.inherit()
         for worker in self.engine.workers.values():
             worker.unsure_until_ms = self._unsure_until(worker)
+        if not self._silenced.surely:
+            self.engine.doubted_until_ms = (
+                self._clock.now_ms() + self._terms.self_fence_ms
+            )
         self.begun = True
         self._tend_workers()
 
--- a/standins/yard/_checks.py
+++ b/standins/yard/_checks.py
@@ -13,7 +13,9 @@
     Record,
     Shown,
     Started,
+    ZoneSet,
 )
+from standins.yard._virtual import WORLD_BEGIN_MS
 
 # A job may still be unknown for this long after its acceptance.
 VISIBLE_MS = 3000
@@ -24,6 +26,17 @@
 # A leaving worker may still be given work for this long.
 DRAIN_MS = 2000
 
+# Nothing is started in a zone for longer than this after it was taken out.
+EVACUATE_MS = 5000
+
+# A start may come so much before its time, and clocks may be off by the other.
+EARLY_MS = 250
+CLOCKS_MS = 5000
+
+# An end counts as brought about by a trouble that was this near: the longest
+# lease, twice, and what a takeover takes.
+NEAR_MS = 15_000
+
 # A cancelled job's tasks may still be started for this long.
 CANCEL_MS = 3000
 
@@ -36,7 +49,7 @@
         finished: Whether all jobs had time to be completed.
     """
     found = []
-    for check in (_twice, _limit, _order, _budget, _unasked, _shown, _drain):
+    for check in _CHECKS:
         found += check(record)
     if finished:
         found += _lost(record)
@@ -205,6 +218,63 @@
     return []
 
 
+def _route(record: Record) -> list[str]:
+    found = []
+    running: dict[tuple, set] = collections.defaultdict(set)
+    for entry in record.entries:
+        if isinstance(entry, Ended):
+            running[(entry.worker, *entry.task[:3])].discard(entry.task)
+        elif isinstance(entry, Started) and entry.task.job in record.sent:
+            step = record.sent[entry.task.job].steps[entry.task.step]
+            here = running[(entry.worker, *entry.task[:3])]
+            here.add(entry.task)
+            if step.per_worker and len(here) > step.per_worker:
+                found.append(f"ROUTE {entry.task}: {len(here)} on one worker")
+            if step.label and step.label not in record.labels[entry.worker]:
+                found.append(f"ROUTE {entry.task} without {step.label}")
+    return found
+
+
+def _early(record: Record) -> list[str]:
+    found = []
+    for entry in record.of(Started):
+        spec = record.sent.get(entry.task.job)
+        if spec is None or not spec.timed:
+            continue
+        due_ms = spec.first_due_ms + entry.task.occurrence * spec.interval_ms
+        wall_ms = entry.at_ms + WORLD_BEGIN_MS
+        if wall_ms < due_ms - EARLY_MS - CLOCKS_MS:
+            found.append(f"ORDER {entry.task} before its time")
+    return found
+
+
+def _evacuated(record: Record) -> list[str]:
+    found = []
+    out: dict[str, float] = {}
+    for entry in record.entries:
+        if isinstance(entry, ZoneSet) and entry.out:
+            out.setdefault(entry.zone, entry.at_ms)
+        elif isinstance(entry, ZoneSet):
+            out.pop(entry.zone, None)
+        elif isinstance(entry, Started) and not entry.late:
+            zone = record.zones[entry.worker]
+            late_ms = entry.at_ms - out.get(zone, entry.at_ms)
+            calm_ms = record.calm_for_ms(entry.at_ms)
+            if late_ms > EVACUATE_MS and calm_ms > CONTACT_MS:
+                found.append(f"EVAC {entry.task} in {zone}")
+    return found
+
+
+def _gang(record: Record) -> list[str]:
+    return [
+        f"GANG {entry.task} was alone at {entry.at_ms:.0f}"
+        for entry in record.of(Ended)
+        if entry.how == "alone"
+        and entry.task.job not in record.cancels_sent
+        and record.untroubled_for_ms(entry.at_ms) > NEAR_MS
+    ]
+
+
 def _lost(record: Record) -> list[str]:
     last: dict[str, str] = {}
     for entry in record.of(Shown):
@@ -216,3 +286,18 @@
         and last.get(entry.spec.id) not in FINAL_STATES
         and not any(step.long_running for step in entry.spec.steps)
     ]
+
+
+_CHECKS = (
+    _twice,
+    _limit,
+    _order,
+    _early,
+    _budget,
+    _unasked,
+    _shown,
+    _drain,
+    _route,
+    _evacuated,
+    _gang,
+)
--- a/standins/yard/_record.py
+++ b/standins/yard/_record.py
@@ -54,6 +54,14 @@
     born: int
 
 
+class ZoneSet(msgspec.Struct, frozen=True):
+    """An availability zone was taken out, or back."""
+
+    at_ms: float
+    zone: str
+    out: bool
+
+
 class Accepted(msgspec.Struct, frozen=True):
     """A client was told that its job is stored."""
 
@@ -77,7 +85,15 @@
 
 
 Entry = (
-    Started | Ended | Noted | Lapsed | Draining | Accepted | Cancelled | Shown
+    Started
+    | Ended
+    | Noted
+    | Lapsed
+    | Draining
+    | ZoneSet
+    | Accepted
+    | Cancelled
+    | Shown
 )
 
 
@@ -89,6 +105,9 @@
         sent: Jobs that clients sent, accepted or not.
         refused: Jobs whose every sending was refused as "not accepted".
         cancels_sent: Jobs that clients asked to cancel, answered or not.
+        labels: Labels of workers, by id.
+        zones: Availability zones of workers, by id.
+        troubles: When anything was disturbed: first and last moment.
         store_troubles: When the store was disturbed: first and last moment.
     """
 
@@ -97,6 +116,9 @@
         self.sent: dict[str, JobSpec] = {}
         self.refused: set[str] = set()
         self.cancels_sent: set[str] = set()
+        self.labels: dict[str, tuple[str, ...]] = {}
+        self.zones: dict[str, str] = {}
+        self.troubles: list[tuple[float, float]] = []
         self.store_troubles: list[tuple[float, float]] = []
 
     def add(self, entry: Entry) -> None:
@@ -109,8 +131,16 @@
 
     def calm_for_ms(self, at_ms: float) -> float:
         """Returns how long before `at_ms` the store was undisturbed."""
-        calm_ms = at_ms
-        for begun_ms, ended_ms in self.store_troubles:
-            if begun_ms <= at_ms:
-                calm_ms = min(calm_ms, max(0.0, at_ms - ended_ms))
-        return calm_ms
+        return _calm_for_ms(self.store_troubles, at_ms)
+
+    def untroubled_for_ms(self, at_ms: float) -> float:
+        """Returns how long before `at_ms` nothing at all was disturbed."""
+        return _calm_for_ms(self.troubles, at_ms)
+
+
+def _calm_for_ms(troubles: list[tuple[float, float]], at_ms: float) -> float:
+    calm_ms = at_ms
+    for begun_ms, ended_ms in troubles:
+        if begun_ms <= at_ms:
+            calm_ms = min(calm_ms, max(0.0, at_ms - ended_ms))
+    return calm_ms
--- a/standins/yard/_virtual.py
+++ b/standins/yard/_virtual.py
@@ -10,6 +10,10 @@
 SMALLEST_STEP_S = 1e-6
 
 
+# Time of day at which a world begins, Unix milliseconds.
+WORLD_BEGIN_MS = 1e12
+
+
 class _JumpingSelector(selectors.SelectSelector):
     """Lets virtual time pass in place of waiting."""
 
@@ -53,7 +57,7 @@
 
     def wall_ms(self) -> float:
         """Returns the time of day, Unix milliseconds."""
-        return self.now_ms() + 1e12 + self.jump_ms
+        return self.now_ms() + WORLD_BEGIN_MS + self.jump_ms
 
 
 def run_virtual(main: Coroutine) -> object:
--- a/standins/yard/_worker.py
+++ b/standins/yard/_worker.py
@@ -24,6 +24,7 @@
 )
 from limpetyard.jobs import JobSpec, StepSpec, TaskKey
 from standins.yard._faults import Link, RefusedPathError, SilentPathError
+from standins.yard._gangs import Gangs
 from standins.yard._record import (
     Draining,
     Ended,
@@ -40,7 +41,13 @@
 
 
 class _Run:
-    def __init__(self, order: StartOrder, step: StepSpec):
+    def __init__(
+        self,
+        order: StartOrder,
+        step: StepSpec,
+        end: Callable[["_Run", str], None],
+    ):
+        self._end = end
         self.task = order.task
         self.run = order.run
         self.step = step
@@ -49,6 +56,10 @@
         self.stopping = False
         self.timer: asyncio.TimerHandle | None = None
 
+    def end(self, how: str) -> None:
+        """Ends the run at its worker."""
+        self._end(self, how)
+
 
 class WorkerModel:
     """One worker.
@@ -70,6 +81,7 @@
         record: Record,
         specs: Callable[[str], JobSpec | None],
         rng: random.Random,
+        gangs: Gangs,
     ):
         self.entry = entry
         self.up = True
@@ -82,6 +94,7 @@
         self._record = record
         self._specs = specs
         self._rng = rng
+        self._gangs = gangs
         self._begin_life()
 
     def _begin_life(self) -> None:
@@ -114,6 +127,23 @@
         """Returns what it runs."""
         return list(self._runs)
 
+    def has_room(self, spec: JobSpec, number: int) -> bool:
+        """Returns whether one more task of a step fits."""
+        step = spec.steps[number]
+        held = [run.step.reserved for run in self._runs.values()]
+        need = step.reserved
+        has = self.entry.capacity
+        same = sum(task[:3] == (spec.id, 0, number) for task in self._runs)
+        return (
+            self.up
+            and not self.entry.draining
+            and (not step.label or step.label in self.entry.labels)
+            and (not step.per_worker or same < step.per_worker)
+            and need.cores_milli + sum(r.cores_milli for r in held)
+            <= has.cores_milli
+            and need.memory_mb + sum(r.memory_mb for r in held) <= has.memory_mb
+        )
+
     def crash(self) -> None:
         """Ends its life; what runs ends without a trace."""
         for run in list(self._runs.values()):
@@ -170,7 +200,7 @@
         self._extend(order.lease_until_ms)
         spec = self._specs(order.task.job)
         step = spec.steps[order.task.step] if spec else StepSpec(1)
-        run = _Run(order, step)
+        run = _Run(order, step, self._end)
         self._runs[order.task] = run
         self._record.add(
             Started(
@@ -222,11 +252,14 @@
         return cores > has.cores_milli or memory > has.memory_mb
 
     def _schedule(self, run: _Run) -> None:
-        if run.step.long_running or self.hanging:
-            return
         how = EndKind.DONE.value
         if self._rng.random() < self.failing:
             how = EndKind.FAILED.value
+        if run.step.gang:
+            self._gangs.join(run, how)
+            return
+        if run.step.long_running or self.hanging:
+            return
         loop = asyncio.get_running_loop()
         run.timer = loop.call_later(
             max(run.step.run_ms, 1) / MS_PER_SECOND, self._end, run, how
@@ -256,6 +289,8 @@
                 EndRow(self._number, run.task, run.run, EndKind(how), "saved")
             )
         self._news.set()
+        if run.step.gang:
+            self._gangs.leave(run, how)
 
     def _extend(self, until_ms: float) -> None:
         longest = self.clock_ms() + LONGEST_LEASE_MS
--- a/standins/yard/_world.py
+++ b/standins/yard/_world.py
@@ -22,7 +22,14 @@
 )
 from limpetyard.store import StoredRecord
 from standins.yard._faults import Link, RefusedPathError, SilentPathError
-from standins.yard._record import Accepted, Cancelled, Record, Shown
+from standins.yard._gangs import Gangs
+from standins.yard._record import (
+    Accepted,
+    Cancelled,
+    Record,
+    Shown,
+    ZoneSet,
+)
 from standins.yard._store import LinkedStore, StoreModel
 from standins.yard._virtual import VirtualClock
 from standins.yard._worker import LinkedWorkers, WorkerModel
@@ -103,6 +110,7 @@
 
     Attributes:
         record: What workers and clients saw.
+        gangs: Runs that work only together.
         hosts: VMs of the system.
         workers: Workers by id.
         store: The store.
@@ -113,6 +121,7 @@
         self.rng = random.Random(seed)
         self.clock = VirtualClock()
         self.record = Record()
+        self.gangs = Gangs()
         self.store = StoreModel(self.clock)
         self.hosts = [
             _Host(f"node-{number}", number, self.rng) for number in range(nodes)
@@ -136,9 +145,16 @@
             1,
         )
         model = WorkerModel(
-            entry, self.clock, self.record, self.record.sent.get, self.rng
+            entry,
+            self.clock,
+            self.record,
+            self.record.sent.get,
+            self.rng,
+            self.gangs,
         )
         self.workers[entry.id] = model
+        self.record.labels[entry.id] = entry.labels
+        self.record.zones[entry.id] = entry.availability_zone
         for host in self.hosts:
             host.worker_links[entry.id] = Link(self.rng)
         return model
@@ -169,6 +185,7 @@
         self.store.write(
             "operators", f"evacuate/{zone}", b"{}" if out else None
         )
+        self.record.add(ZoneSet(self.clock.now_ms(), zone, out))
 
     async def start_node(self, host: _Host) -> None:
         """Starts a node, with nothing of its earlier lives."""
@@ -233,6 +250,23 @@
                 return host
         return None
 
+    def idle_lasting(self) -> list[str]:
+        """Returns lasting tasks that do not run although there is room."""
+        running = {t for w in self.workers.values() for t in w.running()}
+        accepted = [
+            entry.spec
+            for entry in self.record.of(Accepted)
+            if entry.spec.id not in self.record.cancels_sent
+            and entry.spec.steps[0].long_running
+        ]
+        return [
+            f"LOST {spec.id} task {index} does not run"
+            for spec in accepted
+            for index in range(spec.steps[0].count)
+            if (spec.id, 0, 0, index) not in running
+            and any(w.has_room(spec, 0) for w in self.workers.values())
+        ]
+
     def owner(self) -> _Host | None:
         """Returns the VM that decides now, if there is one."""
         for host in self.hosts:
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -476,11 +476,15 @@
 
     workers = 1
 
+    def silent(self, unsure_ms: float = 6000) -> None:
+        """Adds a worker that does not answer."""
+        silent = self.engine.set_entry(entry(5), self.now_ms)
+        silent.unsure_until_ms = self.now_ms + unsure_ms
+
     def take_over(self, unsure_ms: float = 6000) -> JobSpec:
         """Loads a job, with one worker that does not answer."""
         spec = job(1, StepSpec(2, ONE))
-        silent = self.engine.set_entry(entry(5), self.now_ms)
-        silent.unsure_until_ms = self.now_ms + unsure_ms
+        self.silent(unsure_ms)
         self.submit(spec, loaded=True)
         return spec
 
@@ -520,6 +524,42 @@
         self.assertEqual(self.plan(), [])
         self.assertEqual(list(worker.runs), [(row.task, row.run)])
 
+    def timed(self):
+        """Takes in a loaded job whose second occurrence is not due yet."""
+        spec = JobSpec(
+            f"{1:016x}",
+            QueueTerms("q", "pool"),
+            "payload",
+            (StepSpec(1, ONE),),
+            occurrences=2,
+            first_due_ms=1000.0,
+            interval_ms=1000.0,
+        )
+        return self.submit(spec, loaded=True)
+
+    def test_occurrence_that_the_last_owner_found_due(self):
+        """An end of an occurrence that is not due here is not lost."""
+        got = self.timed()
+        self.look(
+            "w-0", ends=((TaskKey(got.spec.id, 1, 0, 0), 1, EndKind.DONE),)
+        )
+        self.assertEqual(got.task(1, 0, 0).state, "done")
+        self.assertTrue(got.dirty)
+
+    def test_occurrence_that_falls_due_later(self):
+        """Its tasks wait for silent workers too."""
+        got = self.timed()
+        self.silent()
+        self.assertEqual(self.engine.plan(self.now_ms, 5000.0), [])
+        self.assertEqual(got.due, 2)
+
+    def test_job_read_while_the_last_owner_may_order(self):
+        """A new job waits too as long as the last owner is not silenced."""
+        self.engine.doubted_until_ms = self.now_ms + 5000
+        self.silent()
+        self.submit(job(1, StepSpec(1, ONE)))
+        self.assertEqual(self.plan(Start), [])
+
     def test_run_numbers_rise(self):
         """Runs of this epoch have numbers that no earlier one used."""
         self.take_over()
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -13,6 +13,7 @@
 from limpetyard._registry import Registry
 from limpetyard.jobs import JobSpec, Resources, StepSpec
 from standins.yard import World, run_virtual, violations
+from standins.yard._virtual import WORLD_BEGIN_MS
 from standins.yard._world import QUEUE
 
 JOBS = 25
@@ -240,13 +241,35 @@
                 rng.randint(50, 3000),
                 after=(step - 1,) if step else (),
                 checkpoints=rng.random() < 0.5,
+                per_worker=rng.choice([0, 0, 2]),
             )
         )
+    if rng.random() < 0.15:
+        need = Resources(rng.randint(200, 2000), 500, 0)
+        steps[-1] = StepSpec(
+            rng.randint(2, 4),
+            need,
+            rng.randint(50, 2000),
+            after=steps[-1].after,
+            checkpoints=rng.random() < 0.5,
+            gang=True,
+        )
     if rng.random() < 0.15:
         need = Resources(rng.randint(200, 2000), 500, 0)
         count = rng.randint(1, 3)
         steps = [StepSpec(count, need, long_running=True, per_worker=1)]
-    return JobSpec(f"{number:016x}", QUEUE, "payload", tuple(steps))
+    occurrences, first_due_ms = 1, 0.0
+    if rng.random() < 0.1:
+        occurrences, first_due_ms = 3, WORLD_BEGIN_MS + rng.uniform(0, 20_000)
+    return JobSpec(
+        f"{number:016x}",
+        QUEUE,
+        "payload",
+        tuple(steps),
+        occurrences=occurrences,
+        first_due_ms=first_due_ms,
+        interval_ms=2000.0,
+    )
 
 
 async def _client(world: World, number: int, rng: random.Random) -> None:
@@ -268,7 +291,11 @@
     names = list(TROUBLES)
     while asyncio.get_running_loop().time() < end:
         await asyncio.sleep(rng.expovariate(1.0))
+        begun_ms = world.clock.now_ms()
+        world.record.troubles.append((begun_ms, float("inf")))
         await TROUBLES.get(rng.choice(names))(world, rng)
+        world.record.troubles.remove((begun_ms, float("inf")))
+        world.record.troubles.append((begun_ms, world.clock.now_ms()))
 
 
 async def _play(seed: int) -> list[str]:
@@ -287,8 +314,9 @@
         await world.wait_for(
             job_id, ("completed", "failed", "cancelled", ""), 4000
         )
+    idle = world.idle_lasting()
     await world.stop()
-    return violations(world.record)
+    return violations(world.record) + idle
 
 
 def play(seed: int) -> list[str]:
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -25,6 +25,7 @@
     task_name,
 )
 from limpetyard.store import StoredRecord
+from standins.yard._gangs import Gangs
 from standins.yard._http import WorkerServer
 from standins.yard._record import Record
 from standins.yard._worker import WorkerModel
@@ -45,7 +46,12 @@
     async def asyncSetUp(self) -> None:
         """Starts a worker."""
         self.model = WorkerModel(
-            entry(""), BootClock(), Record(), lambda job: None, random.Random(0)
+            entry(""),
+            BootClock(),
+            Record(),
+            lambda job: None,
+            random.Random(0),
+            Gangs(),
         )
         self.model.hanging = True
         self.server = WorkerServer(self.model)
