Unreadable answers and unforeseen errors end no process

Answers that cannot be read are now silence, with the reason logged; an owner that fails inside gives the cell up, logs owner_failed and begins anew from what is stored.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -155,6 +155,10 @@
         ("held_back", "age_ms"),
         "The group has not confirmed this owner; whether it waits.",
     ),
+    "owner_failed": EventKind(
+        ("cell", "reason"),
+        "The owner met an error that nobody foresaw; it begins anew.",
+    ),
     "owner_silenced": EventKind(
         ("owner", "last_epoch", "epoch", "silenced", "leases_known"),
         "Whether the last owner surely stopped; what it leased.",
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 import msgspec
 from mode import Service
@@ -196,7 +196,23 @@
             self._persist_loop(),
             self._plan_loop(),
         ):
-            self.add_future(loop)
+            self._spawn(loop)
+
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
+        """Runs something as long as the ownership lasts."""
+        return self.add_future(self._guard(work))
+
+    async def _guard(self, work: Coroutine) -> None:
+        """Gives the cell up when something fails in a way nobody foresaw.
+
+        What is stored and what workers list is enough to begin anew; to go on
+        without the part that failed is not.
+        """
+        try:
+            await work
+        except Exception as exc:
+            event("owner_failed", "ERROR", cell=self.cell, reason=repr(exc))
+            self.lose("failed")
 
     async def _take_over(self) -> None:
         begun_ms = self._clock.now_ms()
@@ -344,7 +360,7 @@
         """Looks at each worker and has each recorded."""
         for worker_id in self.engine.workers:
             if worker_id not in self._looking:
-                self._looking[worker_id] = self.add_future(
+                self._looking[worker_id] = self._spawn(
                     self._look_loop(worker_id)
                 )
         if self._unrecorded():
@@ -527,7 +543,7 @@
 
     def _execute(self, effects: list[Effect]) -> None:
         for effect in effects:
-            self.add_future(self._orders.carry_out(effect))
+            self._spawn(self._orders.carry_out(effect))
 
     def lose(self, reason: str) -> None:
         """Ends the ownership at once; no order is given after this."""
--- a/src/limpetyard/platform/_store.py
+++ b/src/limpetyard/platform/_store.py
@@ -11,6 +11,7 @@
     Reply,
     SilentError,
 )
+from limpetyard.platform._answers import unreadable_is
 from limpetyard.store import (
     FencedError,
     GroupView,
@@ -112,6 +113,7 @@
         """Closes all connections."""
         await self._caller.close()
 
+    @unreadable_is(StoreSilentError)
     async def append(
         self,
         topic: str,
@@ -132,6 +134,7 @@
         _check(reply)
         return msgspec.json.decode(reply.body, type=_Appended).offset
 
+    @unreadable_is(StoreSilentError)
     async def read(
         self, topic: str, part: int, offset: int, wait_ms: int
     ) -> TailPage:
@@ -146,6 +149,7 @@
         _check(reply)
         return _decode_tail(reply.body, offset)
 
+    @unreadable_is(StoreSilentError)
     async def newest(self, topic: str, part: int, after: str) -> NewestPage:
         """See `limpetyard.store.Store.newest`."""
         path = f"/log-newest?topic={_wire_topic(topic)}&part={part}"
@@ -160,6 +164,7 @@
         ]
         return NewestPage(page.end_offset, records, page.has_more)
 
+    @unreadable_is(StoreSilentError)
     async def join(
         self, group: str, member: str, topic: str, ttl_ms: int, generation: int
     ) -> GroupView:
@@ -174,6 +179,7 @@
         """See `limpetyard.store.Store.leave`."""
         await self._post("/log-leave", _Leave(group, member))
 
+    @unreadable_is(StoreSilentError)
     async def holders(self, group: str) -> dict[int, str]:
         """See `limpetyard.store.Store.holders`."""
         reply = await self._call("GET", f"/log-owners?group={group}", None)
--- a/src/limpetyard/platform/_workers.py
+++ b/src/limpetyard/platform/_workers.py
@@ -28,6 +28,7 @@
     WorkerSilentError,
 )
 from limpetyard.jobs import Resources, TaskKey
+from limpetyard.platform._answers import unreadable_is
 from limpetyard.store import StoredRecord
 
 # One look and two orders at a time; connections to minions are dear.
@@ -172,6 +173,7 @@
         """Closes all connections."""
         await self._caller.close()
 
+    @unreadable_is(WorkerSilentError)
     async def look(
         self, entry: WorkerEntry, order: LookOrder, timeout_ms: float
     ) -> LookReply:
@@ -191,6 +193,7 @@
             [_end_row(row) for row in lists.ended_runs],
         )
 
+    @unreadable_is(WorkerSilentError)
     async def start(self, entry: WorkerEntry, order: StartOrder) -> StartResult:
         """See `limpetyard.engine.StepWorkers.start`."""
         body = _RunStart(
@@ -214,6 +217,7 @@
         _check_order(entry, reply)
         return StartResult.INVALID
 
+    @unreadable_is(WorkerSilentError)
     async def stop(
         self, entry: WorkerEntry, task: TaskKey, run: int, token: int
     ) -> None:
@@ -222,6 +226,7 @@
         reply = await self._call(entry, "/run-stop", body, ORDER_TIMEOUT_MS)
         _check_order(entry, reply)
 
+    @unreadable_is(WorkerSilentError)
     async def pace(self, entry: WorkerEntry, order: PaceOrder) -> None:
         """See `limpetyard.engine.StepWorkers.pace`."""
         body = _Pace(
@@ -265,6 +270,7 @@
         """Closes all connections."""
         await self._caller.close()
 
+    @unreadable_is(WorkerSilentError)
     async def advise(
         self, job: str, occurrence: int, step: int, workers: list[str]
     ) -> list[Ticket]:
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from limpetyard.errors import RequestError
 from limpetyard.jobs import JobSpec, Resources, StepSpec
@@ -216,6 +217,21 @@
 
         self.lose(trouble, ONE_LOST_MS)
 
+    def test_unforeseen_error(self):
+        """An owner that fails inside begins anew; its node stays."""
+
+        async def trouble(world: World) -> float:
+            owner = world.owner().node._owners[0]
+            with mock.patch.object(
+                type(owner.engine), "plan", side_effect=KeyError("x")
+            ):
+                await asyncio.sleep(0.2)
+            self.assertTrue(owner.ended)
+            self.assertFalse(any(h.node.crashed for h in world.hosts))
+            return world.clock.now_ms()
+
+        self.lose(trouble, ONE_LOST_MS)
+
     def test_leaving(self):
         """A node that is told to leave hands over first."""
 
