Load while the last owner is asked to stop; join at once when dealt a cell

Change: fencing and loading go on while the last owner is asked; who finds in the group's table that it holds a cell joins at once.

--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -1,6 +1,7 @@
 """Stays in the group that deals the cells out to nodes."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 from mode import Service
@@ -59,6 +60,7 @@
         self._holders: dict[int, str] = {}
         self._holders_ms = float("-inf")
         self._reading = asyncio.Lock()
+        self._dealt = asyncio.Event()
 
     @Service.task
     async def _stay(self) -> None:
@@ -76,8 +78,15 @@
                 event("store_regained", call="join")
             failed = False
             if not again:
-                pause_ms = self._ttl_ms / JOINS_PER_TTL
-                await asyncio.sleep(pause_ms / MS_PER_SECOND)
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Waits until the next join is due, or is known to bring a cell."""
+        pause_ms = self._ttl_ms / JOINS_PER_TTL
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_ms / MS_PER_SECOND):
+                await self._dealt.wait()
+        self._dealt.clear()
 
     async def _join(self) -> bool:
         """Joins once; returns whether to join again at once."""
@@ -125,3 +134,7 @@
             self._holders = await self._store.holders(CELLS_GROUP)
         except StoreError as exc:
             event("holders_unread", reason=exc)
+            return
+        mine = {c for c, name in self._holders.items() if name == self.name}
+        if mine - self.held:
+            self._dealt.set()
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -149,6 +149,7 @@
         self._previous: StoredRecord | None = None
         self._silenced = Silenced(False)
         self._silenced_ms = 0.0
+        self._silencing: asyncio.Future | None = None
         self._storing = asyncio.Lock()
         self._wake = asyncio.Event()
         self._dirty = asyncio.Event()
@@ -221,9 +222,10 @@
                 self._previous = await self._previous_claim()
             await self._claim()
             self.machine.fire("claimed")
-            await self._silence()
+            self._silencing = asyncio.ensure_future(self._silence())
         await self._writer.fence()
         await self._load()
+        await self._silencing
         self._begin()
         self.machine.fire("loaded")
         event(
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -9,7 +9,7 @@
 from limpetyard.node import CellOwner
 from standins.yard import LinkedWorkers, World, run_virtual, violations
 from standins.yard._record import Started
-from standins.yard._world import QUEUE
+from standins.yard._world import PEER_TIMEOUT_MS, QUEUE
 
 SMALL = Resources(1000, 1000, 0)
 
@@ -194,6 +194,31 @@
 
         self.lose(trouble, ONE_LOST_MS + 4000)
 
+    def test_silent_owner(self):
+        """The state is loaded while the last owner is asked to stop."""
+
+        async def story(world: World) -> None:
+            await self.submit(world, range(2))
+            old = world.owner()
+            world.freeze(old)
+            others = [host for host in world.hosts if host is not old]
+            for host in others:
+                host.store_link.delay_ms = 40.0
+            loading_ms = 0.0
+            for _ in range(1000):
+                owners = [host.node._owners.get(0) for host in others]
+                states = {owner.machine.state for owner in owners if owner}
+                if "deciding" in states:
+                    break
+                loading_ms += 5 if "loading" in states else 0
+                await asyncio.sleep(0.005)
+            self.assertEqual(states, {"deciding"})
+            self.assertLess(loading_ms, PEER_TIMEOUT_MS + 40)
+            world.thaw(old)
+            await self.complete(world, range(2))
+
+        self.play(story)
+
     def test_cut_from_the_store(self):
         """Another node goes on."""
 
