A worker on probation is tried beside other work

One full of lasting tasks could not finish any, so that its room was closed for good; lasting tasks may fail at any time, so that this needs no broken worker. Nor was the one task at a time kept within one round. Change: one trial at a time, 100 ms after the last failure, doubling up to 1.6 s; a run that began since and has worked for 1 s ends the probation.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -355,7 +355,7 @@
     def _count_failure(
         self, worker: Worker, job: Job, task: Task, now_ms: float
     ) -> None:
-        worker.failures += 1
+        worker.note_failure(now_ms)
         if task.step.long_running:
             return
         task.failed += 1
@@ -394,6 +394,7 @@
             if run is None:
                 run = self._adopt(worker, row, now_ms)
             run.refresh(row)
+        worker.note_sound_runs(now_ms)
         absent = [key for key in worker.runs if key not in listed]
         for key in absent:
             run = worker.runs[key]
--- a/src/limpetyard/engine/_placing.py
+++ b/src/limpetyard/engine/_placing.py
@@ -30,6 +30,7 @@
         "_lowest",
         "_now_ms",
         "_tails",
+        "_tried",
         "idle_cores",
         "room",
         "worker",
@@ -42,6 +43,7 @@
         self.room = worker.room()
         self._tails = tails
         self._fills = filling_cores(worker)
+        self._tried = False
         self.idle_cores = _idle_cores(worker)
 
     @property
@@ -50,7 +52,8 @@
         return self.worker.entry
 
     def take(self, run: WorkerRun) -> None:
-        """Sets a run's need aside."""
+        """Sets a run's need aside; one is all a worker on probation gets."""
+        self._tried = self.worker.on_probation
         need = run.step.reserved
         self.room = Resources(
             self.room.cores_milli - need.cores_milli,
@@ -74,7 +77,7 @@
 
     def allows(self, step: StepSpec, place: tuple[str, int, int]) -> bool:
         """Returns whether one more task of a step may be placed."""
-        if not step.reserved.fits(self.room):
+        if self._tried or not step.reserved.fits(self.room):
             return False
         limit = step.per_worker
         return not limit or self.worker.count_of(*place) < limit
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -127,7 +127,7 @@
             and worker.missing_since_ms is None
             and now_ms >= worker.refused_until_ms
             and worker.answers(now_ms)
-            and not (worker.on_probation and worker.runs)
+            and worker.may_be_tried(now_ms)
         ]
 
     def _place_step(
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -15,9 +15,17 @@
 # reading is older than its arrival.
 LEASE_SLACK_MS = 100
 
-# Failed runs without a finished one after which a worker is on probation.
+# Failed runs without a sound one after which a worker is on probation.
 PROBATION_FAILURES = 2
 
+# A worker on probation is tried with one task this long after its last failed
+# run, twice as long with each, up to the longest: a lasting task may not wait
+# three seconds for the only room there is.
+PROBE_FIRST_MS = 100
+PROBE_LONGEST_MS = 1600
+
+# A run that has been at work for this long shows that its worker is sound.
+SOUND_MS = 1000
 
 # A worker that has not answered for this long gets no new work, and its lease
 # is left to run out, since orders may reach it whose answers do not come back.
@@ -110,7 +118,8 @@
         unsure_until_ms: Until then a run of an earlier owner may exist there.
         replied_ms: When it last answered, or None.
         missing_since_ms: Since when no entry names it, or None.
-        failures: Failed runs since the last finished one.
+        failures: Failed runs since the last sound one.
+        failed_ms: When the last run failed.
         recorded: Whether a later owner will know of its present life.
         refused_until_ms: Gets no new work until then.
         leaves_ms: When it leaves at the earliest, on this process's clock.
@@ -123,6 +132,7 @@
         "_lives",
         "born",
         "entry",
+        "failed_ms",
         "failures",
         "lease_end_ms",
         "leaves_ms",
@@ -152,6 +162,7 @@
         self.replied_ms: float | None = None
         self.missing_since_ms: float | None = None
         self.failures = 0
+        self.failed_ms = float("-inf")
         self.refused_until_ms = 0.0
         self.leaves_ms = float("inf")
         self._clock_ms = 0.0
@@ -177,6 +188,32 @@
         """Whether it failed too often to be trusted with much work."""
         return self.failures >= PROBATION_FAILURES
 
+    def note_failure(self, now_ms: float) -> None:
+        """Notes that a run failed there."""
+        self.failures += 1
+        self.failed_ms = now_ms
+
+    def note_sound_runs(self, now_ms: float) -> None:
+        """Ends a probation once a run that began in it has worked."""
+        if self.failures and any(
+            run.working
+            and run.placed_ms > self.failed_ms
+            and now_ms - run.placed_ms > SOUND_MS
+            for run in self.runs.values()
+        ):
+            self.failures = 0
+
+    def may_be_tried(self, now_ms: float) -> bool:
+        """Returns whether it may get work, or on probation one task."""
+        if not self.on_probation:
+            return True
+        doublings = min(self.failures - PROBATION_FAILURES, 10)
+        pause_ms = min(PROBE_FIRST_MS << doublings, PROBE_LONGEST_MS)
+        tried = any(
+            run.placed_ms > self.failed_ms for run in self.runs.values()
+        )
+        return not tried and now_ms - self.failed_ms >= pause_ms
+
     def begin_life(self, born: int) -> None:
         """Forgets all that was known of an earlier life."""
         self.born = born
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -296,10 +296,42 @@
         for start in starts:
             if start.worker == "w-0":
                 self.end(start, EndKind.FAILED)
+        self.now_ms += 500
+        self.look("w-0")
         self.look("w-1")
-        self.submit(job(9, StepSpec(6, ONE)))
-        starts = [s for s in self.plan(Start) if s.worker == "w-0"]
-        self.assertLessEqual(len(starts), 4)
+        self.submit(job(9, StepSpec(8, ONE)))
+        starts = [s.worker for s in self.start_all()]
+        self.assertEqual(starts.count("w-0"), 1)
+        self.assertNotIn("w-0", [s.worker for s in self.plan(Start)])
+
+    def fail_both(self) -> list[Start]:
+        """Fills the only worker with lasting tasks, and has two fail."""
+        self.engine.workers["w-1"].entry = entry(1, draining=True)
+        self.submit(job(1, StepSpec(4, ONE, long_running=True)))
+        starts = self.start_all()
+        for start in starts[:2]:
+            self.end(start, EndKind.FAILED)
+        return starts
+
+    def test_probation_beside_other_work(self):
+        """A worker on probation is tried although it has other work."""
+        self.fail_both()
+        self.now_ms += 500
+        self.look("w-0")
+        self.assertEqual(len(self.start_all()), 1)
+        self.assertEqual(self.plan(Start), [])
+
+    def test_probation_ends(self):
+        """A run that has worked for a while ends it."""
+        self.fail_both()
+        self.now_ms += 500
+        self.look("w-0")
+        self.start_all()
+        for _ in range(3):
+            self.now_ms += 500
+            self.look("w-0")
+        self.assertEqual(len(self.start_all()), 1)
+        self.assertFalse(self.engine.workers["w-0"].on_probation)
 
     def test_advice(self):
         """A step of such a queue starts only with a ticket."""
