--- a/src/limpetyard/logbook/_fate.py
+++ b/src/limpetyard/logbook/_fate.py
@@ -1,6 +1,7 @@
 """What became of one request, from logs."""
 
 import dataclasses
+import itertools
 from collections import Counter
 from collections.abc import Iterable
 
@@ -154,7 +155,8 @@
 
 def _tell_gaps(fate: Fate) -> list[str]:
     sentences = []
-    for before, after in zip(fate.own, fate.own[1:], strict=False):
+    own = [line for line in fate.own if line.event != "task_paced"]
+    for before, after in itertools.pairwise(own):
         gap_ms = after.at_ms - before.at_ms
         if gap_ms < GAP_MS or "run_ended" in (after.event, before.event):
             continue
@@ -171,6 +173,14 @@
     return sentences
 
 
+def _tell_pacing(fate: Fate) -> list[str]:
+    paces = [line.number("percent") for line in fate.of("task_paced")]
+    held = paces.count(0)
+    if not paces:
+        return []
+    return [f"speed of its tasks set {len(paces)} times, {held} times to 0"]
+
+
 def _tell_end(fate: Fate) -> list[str]:
     ended = fate.of("job_ended")
     if not ended:
@@ -187,6 +197,7 @@
     _tell_first_start,
     _tell_owners,
     _tell_gaps,
+    _tell_pacing,
     _tell_runs,
     _tell_end,
 )
--- a/tests/logbook/test_fate.py
+++ b/tests/logbook/test_fate.py
@@ -55,6 +55,18 @@
             "8.1 s between job_accepted and run_found: cell_taken_over", causes
         )
 
+    def test_held(self):
+        """Tasks that were slowed or held are told, and fill no gap."""
+        paced = line(3, "task_paced", task=f"{JOB}.0.0.0", percent=0)
+        end = line(5, "job_ended", job=JOB, state="completed", age_ms=4000)
+        causes = self.causes(accepted(), paced, end)
+        self.assertIn("speed of its tasks set 1 times, 1 times to 0", causes)
+        self.assertIn(
+            "4.0 s between job_accepted and job_ended:"
+            " nothing of its cell or workers",
+            causes,
+        )
+
     def test_failed_by_a_worker(self):
         """Failed runs are told with their worker."""
         end = line(
