--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -16,20 +16,13 @@
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
 from limpetyard.engine import (
-    SLOWEST_CLOCK,
     Advice,
     Effect,
     Engine,
     EngineTerms,
-    LookOrder,
-    OtherLifeError,
-    StaleTokenError,
     StepWorkers,
     Worker,
-    WorkerDownError,
     WorkerEntry,
-    WorkerSilentError,
-    lease_bound_ms,
 )
 from limpetyard.jobs import (
     ACCEPTED,
@@ -37,7 +30,7 @@
     PROGRESS,
     encode_progress,
 )
-from limpetyard.node._handover import Silenced
+from limpetyard.node._looks import Looks
 from limpetyard.node._member import GroupMember
 from limpetyard.node._names import (
     CLAIM_KEY,
@@ -50,6 +43,7 @@
 )
 from limpetyard.node._orders import Orders
 from limpetyard.node._peers import PeerCalls
+from limpetyard.node._predecessor import Predecessor
 from limpetyard.node._records import CellRecords
 from limpetyard.node._site import SiteView
 from limpetyard.store import (
@@ -64,17 +58,6 @@
     Writer,
 )
 
-# How long a worker waits with its lists for an end: beside tasks that serve
-# as long as their figures cover, else twice that.
-LOOK_SERVING_MS = 500
-LOOK_MS = 1000
-
-# Longest wait for the answer of a look beyond what the worker may wait.
-LOOK_TIMEOUT_MS = 600
-
-# Pause after a look that failed.
-LOOK_RETRY_MS = 150
-
 # Ends of a worker that come within this time are stored by one append.
 GATHER_MS = 15
 
@@ -88,6 +71,9 @@
 # an eighth of the two seconds within which a leaving worker is spared.
 ENTRIES_PAUSE_MS = 250
 
+# Longest time that a release takes to store what is known.
+RELEASE_MS = 150
+
 # Pause after a refused append.
 STORE_RETRY_MS = 100
 
@@ -134,7 +120,6 @@
         self._store = store
         self._workers = workers
         self._advice = advice
-        self._peers = peers
         self._view = view
         self._read_entry = read_entry
         self._clock = clock
@@ -142,13 +127,12 @@
         self._terms = terms
         self._kept_ms = kept_ms
         self._orders: Orders | None = None
+        self._looks: Looks | None = None
         self._writer: Writer | None = None
         self._jobs: KeyFollower | None = None
         self._entries: KeyFollower | None = None
         self._records: CellRecords | None = None
-        self._previous: StoredRecord | None = None
-        self._silenced = Silenced(False)
-        self._silenced_ms = 0.0
+        self._predecessor = Predecessor(cell, store, peers, clock, terms)
         self._storing = asyncio.Lock()
         self._wake = asyncio.Event()
         self._dirty = asyncio.Event()
@@ -178,6 +162,9 @@
 
     @Service.task
     async def _own(self) -> None:
+        await self._guard(self._take_and_keep())
+
+    async def _take_and_keep(self) -> None:
         while not self.ended and not self.should_stop:
             try:
                 await self._take_over()
@@ -217,8 +204,7 @@
     async def _take_over(self) -> None:
         begun_ms = self._clock.now_ms()
         if self.machine.state == "claiming":
-            if self._previous is None:
-                self._previous = await self._previous_claim()
+            await self._predecessor.read()
             await self._claim()
             self.machine.fire("claimed")
             self._spawn(self._silence())
@@ -235,67 +221,21 @@
             took_ms=self._clock.now_ms() - begun_ms,
         )
 
-    async def _previous_claim(self) -> StoredRecord | None:
-        page = await self._store.newest(OWNERS_TOPIC, self.cell, "")
-        for record in page.records:
-            if record.key == CLAIM_KEY:
-                return record
-        return None
-
     async def _silence(self) -> None:
-        """Has the owner before this one stop, and asks for its leases.
-
-        Another claim between the one that was read and this one is of an
-        owner that nobody has silenced.
-        """
-        epoch = self.engine.epoch
-        previous = self._previous
-        member, last_epoch = "", 0
-        if previous is not None:
-            member = (previous.value or b"").decode(errors="replace")
-            last_epoch = previous.offset + 1
-        silenced = Silenced(True)
-        if member:
-            silenced = await self._peers.silence(member, self.cell, epoch)
-        leases = silenced.leases
-        if last_epoch != epoch - 1:
-            silenced = Silenced(False)
-        elif leases is not None and leases.epoch != last_epoch:
-            silenced = Silenced(silenced.surely)
-        self._silenced = silenced
-        self._silenced_ms = self._clock.now_ms()
-        event(
-            "owner_silenced",
-            owner=member,
-            last_epoch=last_epoch,
-            epoch=epoch,
-            silenced=silenced.surely,
-            leases_known=silenced.leases is not None,
-        )
+        await self._predecessor.silence(self.engine.epoch)
         if self.begun:
-            self._heed_silenced()
+            self._heed_predecessor()
 
-    def _heed_silenced(self) -> None:
+    def _heed_predecessor(self) -> None:
         """Brings what is unsure down to what the last owner left."""
         for worker in self.engine.workers.values():
             worker.unsure_until_ms = min(
-                worker.unsure_until_ms, self._unsure_until(worker)
+                worker.unsure_until_ms, self._predecessor.runs_until(worker.id)
             )
-        if self._silenced.surely:
+        if self._predecessor.surely_silent:
             self.engine.doubted_until_ms = self._clock.now_ms()
         self._wake.set()
 
-    def _unsure_until(self, worker: Worker) -> float:
-        """Returns until when a run of an earlier owner may exist there."""
-        leases = self._silenced.leases
-        if leases is not None and worker.id in leases.left_ms:
-            left_ms = leases.left_ms[worker.id]
-            return self._silenced_ms + left_ms / SLOWEST_CLOCK
-        until_ms = self._clock.now_ms() + lease_bound_ms(self._terms.lease_ms)
-        if not self._silenced.surely:
-            until_ms += self._terms.self_fence_ms
-        return until_ms
-
     async def _claim(self) -> None:
         record = KeyedRecord(CLAIM_KEY, self._member.name.encode())
         offset = await self._store.append(OWNERS_TOPIC, self.cell, [record])
@@ -312,6 +252,16 @@
             self.lose,
             self._wake.set,
         )
+        self._looks = Looks(
+            self.engine,
+            self._workers,
+            self._clock,
+            self._terms.lease_ms,
+            self._may_order,
+            self.lose,
+            self._on_news,
+            self._stored,
+        )
         self._writer = Writer(
             self._store,
             self._clock,
@@ -358,26 +308,31 @@
             self._clock.now_ms() + self._terms.self_fence_ms
         )
         self.begun = True
-        self._heed_silenced()
+        self._heed_predecessor()
         self._tend_workers()
 
     def _on_records(self) -> None:
         """Has what was read taken into account."""
         if self.deciding:
             self._tend_workers()
-            self._dirty.set()
-            self._wake.set()
+            self._on_news()
+
+    def _on_news(self) -> None:
+        self._dirty.set()
+        self._wake.set()
 
     def _tend_workers(self) -> None:
         """Looks at each worker and has each recorded."""
         for worker_id in self.engine.workers:
             if worker_id not in self._looking:
-                self._looking[worker_id] = self._spawn(
-                    self._look_loop(worker_id)
-                )
+                self._looking[worker_id] = self._spawn(self._follow(worker_id))
         if self._unrecorded():
             self._dirty.set()
 
+    async def _follow(self, worker_id: str) -> None:
+        await self._looks.follow(worker_id)
+        self._looking.pop(worker_id, None)
+
     def _unrecorded(self) -> list[Worker]:
         return [
             worker
@@ -398,63 +353,6 @@
             event("orders_held_back", held_back=not may, age_ms=age_ms)
         return may
 
-    async def _look_loop(self, worker_id: str) -> None:
-        while not self.ended and not self.should_stop:
-            worker = self.engine.workers.get(worker_id)
-            if worker is None:
-                break
-            if not self._may_order():
-                await asyncio.sleep(LOOK_RETRY_MS / MS_PER_SECOND)
-                continue
-            try:
-                await self._look(worker)
-            except StaleTokenError:
-                self.lose(f"worker {worker_id} has seen a higher token")
-            except (WorkerSilentError, OtherLifeError) as exc:
-                if isinstance(exc, WorkerDownError):
-                    self.engine.on_down(worker, self._clock.now_ms())
-                event("look_failed", worker=worker_id, reason=exc)
-                await asyncio.sleep(LOOK_RETRY_MS / MS_PER_SECOND)
-        self._looking.pop(worker_id, None)
-
-    async def _look(self, worker: Worker) -> None:
-        now_ms = self._clock.now_ms()
-        token = worker.token
-        lease_until_ms = None
-        if worker.answers(now_ms):
-            lease_until_ms = worker.lease_until(now_ms, self._terms.lease_ms)
-        wait_ms = self._look_wait_ms(worker, lease_until_ms)
-        order = LookOrder(token, worker.noted, lease_until_ms, wait_ms)
-        reply = await self._workers.look(
-            worker.entry, order, wait_ms + LOOK_TIMEOUT_MS
-        )
-        if worker.token != token or self.ended:
-            return
-        arrived_ms = self._clock.now_ms()
-        sounded = worker.sounded
-        news = self.engine.on_look(worker, now_ms, reply, arrived_ms)
-        if news or not sounded:
-            self._dirty.set()
-            self._wake.set()
-        if worker.seen > worker.noted:
-            await self._wait_stored()
-
-    def _look_wait_ms(self, worker: Worker, lease_until_ms: int | None) -> int:
-        """Returns how long the worker may hold its answer back."""
-        known = worker.sounded and lease_until_ms is not None
-        if not known or worker.seen > worker.noted:
-            return 0
-        serves = any(run.step.target_ms for run in worker.runs.values())
-        return LOOK_SERVING_MS if serves else LOOK_MS
-
-    async def _wait_stored(self) -> None:
-        """Waits for the next append, since ends repeat until it is noted."""
-        try:
-            async with asyncio.timeout(LOOK_RETRY_MS / MS_PER_SECOND):
-                await self._stored.wait()
-        except TimeoutError:
-            return
-
     async def _persist_loop(self) -> None:
         while not self.ended and not self.should_stop:
             await self._dirty.wait()
@@ -570,7 +468,7 @@
         """Stores what is known and ends the ownership."""
         if self.deciding:
             try:
-                async with asyncio.timeout(LOOK_RETRY_MS / MS_PER_SECOND):
+                async with asyncio.timeout(RELEASE_MS / MS_PER_SECOND):
                     await self._persist()
             except (StoreError, TimeoutError) as exc:
                 event("release_unstored", cell=self.cell, reason=repr(exc))
