A node leaves in time, and tells what it cut off

leave_ms was read and bound nothing: a request without an end kept a node until it was killed. Test fails before (timeout) and passes after.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -144,7 +144,9 @@
     "member_suspected": EventKind(("member",), "Another daemon is silent."),
     "node_crashed": EventKind(("reason",), "The node ends with an error."),
     "node_leaving": EventKind(("cells",), "The node was told to leave."),
-    "node_left": EventKind((), "The node has ended."),
+    "node_left": EventKind(
+        ("cut",), "The node has ended; requests that were cut off."
+    ),
     "node_started": EventKind(
         ("node", "zone"), "The node has opened its sockets."
     ),
--- a/src/limpetyard/node/_metrics.py
+++ b/src/limpetyard/node/_metrics.py
@@ -131,16 +131,11 @@
         self._events[name] += 1
         figure = _FIGURES.get(name)
         if figure is not None:
-            metric = self._figures[name]
-            if figure.labels:
-                metric = metric.labels(*(fields[k] for k in figure.labels))
+            metric = _labelled(self._figures[name], figure.labels, fields)
             metric.observe(float(fields[figure.value]) / MS_PER_SECOND)
         count = _COUNTS.get(name)
         if count is not None:
-            metric = self._counts[name]
-            if count.labels:
-                metric = metric.labels(*(fields[k] for k in count.labels))
-            metric.inc()
+            _labelled(self._counts[name], count.labels, fields).inc()
 
     def collect(self) -> Iterator[Metric]:
         """Yields what is only read when somebody asks."""
@@ -169,3 +164,8 @@
             body=prom.generate_latest(self._registry),
             headers={"Content-Type": prom.CONTENT_TYPE_LATEST},
         )
+
+
+def _labelled(metric, labels: tuple[str, ...], fields: dict[str, object]):
+    """Returns the part of a metric that the fields of an event name."""
+    return metric.labels(*(fields[k] for k in labels)) if labels else metric
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -51,6 +51,9 @@
 # each, to notice.
 LEAVE_MS = 2500
 
+# A node that leaves is out so long before it would be killed.
+EXIT_MS = 500
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
 
@@ -163,8 +166,9 @@
         event("node_started", node=cfg.node, zone=cfg.availability_zone)
 
     async def leave(self) -> None:
-        """Leaves without cutting a request off."""
+        """Leaves without cutting off a request that ends in time."""
         self._leaving = True
+        until_ms = self._clock.now_ms() + self._cfg.leave_ms - EXIT_MS
         event("node_leaving", cells=len(self._owners))
         self._drain_callers()
         await self.member.stop()
@@ -173,9 +177,9 @@
             self._keep_leases(owner)
         await self.member.leave()
         await asyncio.sleep(LEAVE_MS / MS_PER_SECOND)
-        while self._in_flight:
+        while self._in_flight and self._clock.now_ms() < until_ms:
             await asyncio.sleep(0.02)
-        event("node_left")
+        event("node_left", cut=self._in_flight)
 
     async def _serve_caller(self, req: web.BaseRequest) -> web.Response:
         self._in_flight += 1
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -242,6 +242,20 @@
 
         self.lose(trouble, ONE_LOST_MS)
 
+    def test_leaving_in_time(self):
+        """A request without an end does not keep a node from leaving."""
+
+        async def story(world: World) -> None:
+            node = world.owner().node
+            node._in_flight = 1
+            begun_ms = world.clock.now_ms()
+            async with asyncio.timeout(20):
+                await node.leave()
+            took_ms = world.clock.now_ms() - begun_ms
+            self.assertLess(took_ms, node._cfg.leave_ms)
+
+        self.play(story)
+
     def test_unforeseen_error(self):
         """An owner that fails inside begins anew; its node stays."""
 
