Gather what serves by job, on few workers

Tasks were gathered by image, so that a worker held several jobs that peak at different times, and nearly every worker held some. Change: first where the job is already, then where anything serves, then the most free cores. Tests: gathering, beside others, next worker.

--- a/src/limpetyard/engine/_placing.py
+++ b/src/limpetyard/engine/_placing.py
@@ -208,11 +208,17 @@
     candidates: list[Candidate],
     place: tuple[str, int, int],
 ) -> Candidate | None:
-    """Gathers tasks of one image, so that few images bear each neighbour."""
+    """Gathers tasks of one job, then all that serve, on few workers.
+
+    What fills beside them is bound by the least headroom there. Tasks of one job
+    have the same load at the same time, those of several have not; and workers
+    without any bind nothing.
+    """
     return max(
         _allowed(task, step, candidates, place),
         key=lambda c: (
-            sum(run.step.image == step.image for run in serving_runs(c.worker)),
+            sum(run.task.job == task.key.job for run in c.worker.runs.values()),
+            bool(serving_runs(c.worker)),
             c.room.cores_milli,
         ),
         default=None,
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -718,6 +718,32 @@
         self.fail("the filling task was never stopped")
 
 
+class GatheringTest(EngineCase):
+    """Where tasks that serve go."""
+
+    workers = 3
+
+    def serve(self, number: int, count: int) -> list[str]:
+        """Starts a job that serves; returns its workers."""
+        step = StepSpec(count, ONE, long_running=True, target_ms=10)
+        self.submit(job(number, step))
+        return [start.worker for start in self.start_all()]
+
+    def test_one_job_on_one_worker(self):
+        """Tasks of one job go where it is already."""
+        self.assertEqual(len(set(self.serve(1, 3))), 1)
+
+    def test_beside_others_that_serve(self):
+        """Another job goes beside them before it takes an empty worker."""
+        (first,) = set(self.serve(1, 2))
+        self.assertEqual(self.serve(2, 1), [first])
+
+    def test_next_worker_when_full(self):
+        """What does not fit there goes elsewhere."""
+        (first,) = set(self.serve(1, 4))
+        self.assertNotIn(first, self.serve(2, 2))
+
+
 class LastingTest(EngineCase):
     """Tasks that run until they are cancelled."""
 
