--- a/src/limpetyard/engine/_placing.py
+++ b/src/limpetyard/engine/_placing.py
@@ -210,9 +210,9 @@
 ) -> Candidate | None:
     """Gathers tasks of one job, then all that serve, on few workers.
 
-    What fills beside them is bound by the least headroom there. Tasks of one job
-    have the same load at the same time, those of several have not; and workers
-    without any bind nothing.
+    What fills beside them is bound by the least headroom there. Tasks of one
+    job have the same load at the same time, those of several have not; and
+    workers without any bind nothing.
     """
     return max(
         _allowed(task, step, candidates, place),
