An ownership that ends in a takeover: shown to end the node without the guard

Since 'unforeseen errors end no process' that only gives the cell up; the test without that guard crashes a node, with it none. The log line then is owner_failed, which says more than needed.

--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -242,6 +242,42 @@
 
         self.lose(trouble, ONE_LOST_MS)
 
+    def lose_while(self, state: str) -> bool:
+        """Ends ownerships in a state of a takeover; returns who crashed."""
+
+        async def story(world: World) -> None:
+            for host in world.hosts:
+                host.store_link.delay_ms = 60.0
+            for _ in range(3):
+                world.store.deal_anew()
+                for _ in range(200):
+                    await asyncio.sleep(0.005)
+                    for host in world.hosts:
+                        owner = host.node._owners.get(0)
+                        if owner and owner.machine.state == state:
+                            owner.lose("test")
+            await asyncio.sleep(3)
+            crashed.extend(h for h in world.hosts if h.node.crashed)
+
+        crashed: list = []
+        self.play(story)
+        return bool(crashed)
+
+    def test_lost_in_a_takeover(self):
+        """An ownership that ends before it decides costs no process."""
+        for state in ("claiming", "loading"):
+            with self.subTest(state):
+                self.assertFalse(self.lose_while(state))
+
+    def test_lost_in_a_takeover_without_guard(self):
+        """Without the guard of its tasks it does."""
+
+        async def bare(self, work) -> None:
+            await work
+
+        with mock.patch.object(CellOwner, "_guard", bare):
+            self.assertTrue(self.lose_while("claiming"))
+
     def test_leaving_in_time(self):
         """A request without an end does not keep a node from leaving."""
 
