Observe planning rounds and the lag of the event loop

New: histogram plan_seconds and event plan_slow, gauge loop_lag_seconds and event loop_blocked, and the age of the last confirmed join in cell_lost. No decision changes.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -44,7 +44,7 @@
         "This node claimed a cell; the new epoch fences lower ones.",
     ),
     "cell_lost": EventKind(
-        ("cell", "reason"),
+        ("cell", "reason", "confirmed_age_ms"),
         "This node no longer owns a cell, for the given reason.",
     ),
     "cell_ownership": EventKind(
@@ -143,6 +143,10 @@
         ("worker", "reason"),
         "A worker did not answer a poll, or another one answered.",
     ),
+    "loop_blocked": EventKind(
+        ("lag_ms",),
+        "The event loop was busy; timers such as heartbeats fired late.",
+    ),
     "mark_unknown": EventKind(
         ("job", "mark"),
         "Stored progress names a task that its job does not have.",
@@ -178,6 +182,10 @@
         "Whether the previous owner was fenced and whether its leases are"
         " known.",
     ),
+    "plan_slow": EventKind(
+        ("cell", "took_ms", "effects"),
+        "A round of planning held up the event loop for long.",
+    ),
     "record_unreadable": EventKind(
         ("key", "reason"),
         "A record of the cell cannot be decoded and is skipped.",
--- a/src/limpetyard/node/_gauges.py
+++ b/src/limpetyard/node/_gauges.py
@@ -7,6 +7,15 @@
 from limpetyard.node._metrics import Gauge
 
 
+def loop_gauge(max_lag_ms: float) -> Gauge:
+    """Returns the gauge of the longest lag of the event loop."""
+    return _gauge(
+        "loop_lag_seconds",
+        "Longest delay of a timer since the last scrape.",
+        max_lag_ms / MS_PER_SECOND,
+    )
+
+
 def site_gauges(
     version: int, zones_out: int, operators_age_ms: float, group_age_ms: float
 ) -> list[Gauge]:
--- a/src/limpetyard/node/_metrics.py
+++ b/src/limpetyard/node/_metrics.py
@@ -69,6 +69,12 @@
         "took_ms",
         (),
     ),
+    "plan_done": _HistogramSpec(
+        "plan_seconds",
+        "Duration of a round of planning, which blocks the event loop.",
+        "took_ms",
+        (),
+    ),
     "call_done": _HistogramSpec(
         "call_seconds",
         "Duration of calls to the store, workers, other nodes and advice.",
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -17,9 +17,10 @@
     StepWorkerClient,
     WorkerEntry,
 )
-from limpetyard.node._gauges import cell_gauges, site_gauges
+from limpetyard.node._gauges import cell_gauges, loop_gauge, site_gauges
 from limpetyard.node._handover import LeaseExpiries, RemainingLeases
 from limpetyard.node._job_service import BatchAppender, JobService
+from limpetyard.node._loop_monitor import LoopMonitor
 from limpetyard.node._member import GroupMember
 from limpetyard.node._metrics import Gauge, NodeMetrics
 from limpetyard.node._owner import CellOwner
@@ -155,6 +156,7 @@
         self._job_service = JobService(
             self._appender, lambda: self.member, adapters.peers, self, clock
         )
+        self._loop_monitor = LoopMonitor(clock)
         self.metrics = NodeMetrics(self._gauges)
         self._operators = KeyFollower(
             adapters.store,
@@ -179,6 +181,7 @@
             await listen("metrics", cfg.metrics, self.metrics.handle)
         self.add_future(self._operators.follow())
         self.add_future(self._appender.run())
+        await self.add_runtime_dependency(self._loop_monitor)
         await self.add_runtime_dependency(self.member)
         event("node_started", node=cfg.node, zone=cfg.availability_zone)
 
@@ -270,6 +273,7 @@
             now_ms - (self._operators.confirmed_ms or now_ms),
             now_ms - (self.member.confirmed_ms or now_ms),
         )
+        gauges.append(loop_gauge(self._loop_monitor.pop_max_lag_ms()))
         owner = self._owners.get(0)
         if owner is not None and owner.deciding:
             gauges += cell_gauges(owner.engine, now_ms)
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -14,7 +14,7 @@
 
 from limpetyard._chart import StateChart, StateMachine
 from limpetyard._clock import MS_PER_SECOND, Clock
-from limpetyard._events import event
+from limpetyard._events import event, notify_listeners
 from limpetyard.engine import (
     AdviceClient,
     Effect,
@@ -68,6 +68,10 @@
 # Minimum time between two rounds of planning.
 PLAN_MIN_INTERVAL_MS = 10
 
+# A round of planning that takes longer than this is logged: the event loop does
+# nothing else meanwhile.
+SLOW_PLAN_MS = 50
+
 # Minimum time between two reads of the workers' entries, which are rewritten
 # continuously. It is an eighth of the two seconds within which a draining
 # worker must stop getting work.
@@ -458,6 +462,7 @@
             self.engine.zones_out = self._view.zones_out
             if self._may_order():
                 effects = self.engine.plan(now_ms, self._wall_ms())
+                self._report_plan(self._clock.now_ms() - now_ms, len(effects))
                 self._execute(effects)
             if any(job.dirty for job in self.engine.open_jobs.values()):
                 self._persist_needed.set()
@@ -466,6 +471,11 @@
                 await self._purge(now_ms)
             await asyncio.sleep(PLAN_MIN_INTERVAL_MS / MS_PER_SECOND)
 
+    def _report_plan(self, took_ms: float, effects: int) -> None:
+        notify_listeners("plan_done", took_ms=took_ms)
+        if took_ms >= SLOW_PLAN_MS:
+            event("plan_slow", cell=self.cell, took_ms=took_ms, effects=effects)
+
     async def _purge(self, now_ms: float) -> None:
         """Deletes the records of expired jobs and of removed workers.
 
@@ -506,7 +516,17 @@
         if self.ended:
             return
         self.state_machine.fire("lost")
-        event("cell_lost", cell=self.cell, reason=reason)
+        confirmed_ms = self._member.confirmed_ms
+        event(
+            "cell_lost",
+            cell=self.cell,
+            reason=reason,
+            confirmed_age_ms=(
+                None
+                if confirmed_ms is None
+                else self._clock.now_ms() - confirmed_ms
+            ),
+        )
         for task in self._poll_tasks.values():
             task.cancel()
 
--- a/tests/node/test_metrics.py
+++ b/tests/node/test_metrics.py
@@ -53,6 +53,7 @@
         """Each histogram and counter uses only fields that its event has."""
         listed = {name: set(kind.fields) for name, kind in EVENTS.items()}
         listed["call_done"] = {"to", "call", "outcome", "took_ms"}
+        listed["plan_done"] = {"took_ms"}
         for name, spec in _HISTOGRAMS.items():
             self.assertLessEqual(
                 {spec.duration_field, *spec.labels}, listed[name]
