Tests of an owner with many workers: starts, stops, first polls

With 246 workers, an overloaded owner sends starts of cancelled jobs, never repeats a stop that a worker rejected, and polls all workers at one moment.

--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -1,6 +1,8 @@
-"""Tests of start orders whose replies are lost."""
+"""Tests of start orders: lost replies, withdrawals and their number."""
 
+import asyncio
 import unittest
+from collections.abc import Coroutine
 
 from limpetyard._clock import ManualClock
 from limpetyard.engine import (
@@ -10,10 +12,12 @@
     RunState,
     Start,
     StartResult,
+    Stop,
     WorkerEntry,
     WorkerOutcomeUnknownError,
 )
 from limpetyard.jobs import JobSpec, QueueParams, Resources, StepSpec
+from limpetyard.node import _order_dispatch
 from limpetyard.node._order_dispatch import OrderDispatcher
 
 
@@ -86,5 +90,226 @@
                 self.assertIs(run.state, RunState.STOPPING)
 
 
+class _HeldWorkerClient:
+    """Worker client whose starts wait until the test answers them.
+
+    Attributes:
+        starts: Worker, run and future reply of each start order.
+        stops: Run of each stop order.
+    """
+
+    def __init__(self):
+        self.starts: list[tuple[str, tuple, asyncio.Future]] = []
+        self.stops: list[tuple] = []
+
+    async def start(self, entry, order) -> StartResult:
+        fut = asyncio.get_running_loop().create_future()
+        self.starts.append((entry.id, (order.task, order.run), fut))
+        return await fut
+
+    async def stop(self, entry, task, run, token) -> None:
+        self.stops.append((task, run))
+
+
+class DispatchTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests of a dispatcher whose workers are held."""
+
+    def setUp(self):
+        """Creates the engine and the dispatcher."""
+        self.clock = ManualClock(1000.0)
+        self.engine = Engine(1, EngineParams(4000, 5000))
+        self.client = _HeldWorkerClient()
+        self.may_order = True
+        self.dispatcher = OrderDispatcher(
+            self.engine,
+            self.client,
+            None,
+            self.clock,
+            4000,
+            lambda: self.may_order,
+            self.fail,
+            lambda: None,
+        )
+
+    def plan(self, workers: int, tasks: int) -> list[Start]:
+        """Plans a job of one-core tasks on workers of eight cores."""
+        for number in range(workers):
+            entry = WorkerEntry(
+                f"w-{number}",
+                "pool",
+                "",
+                "z",
+                "r",
+                (),
+                Resources(8000, 8000),
+                1,
+            )
+            worker = self.engine.set_entry(entry, 0.0)
+            reply = PollReply(1, 0.0, [], [])
+            self.engine.on_poll_reply(worker, 0.0, reply, 1000.0)
+        self.engine.set_recorded_workers(
+            dict.fromkeys(self.engine.workers, (1, False))
+        )
+        step = StepSpec(tasks, Resources(1000, 1000))
+        spec = JobSpec("0" * 16, QueueParams("q", "pool"), "", (step,))
+        self.job = self.engine.add_job(spec, 0.0, loaded=False)
+        starts = self.engine.plan(1000.0, 0.0)
+        self.assertEqual(len(starts), tasks)
+        return starts
+
+    def runs(self) -> list:
+        """Returns all runs that the engine knows."""
+        workers = self.engine.workers.values()
+        return [run for worker in workers for run in worker.runs.values()]
+
+    async def settle(self) -> None:
+        """Lets all tasks run until they wait."""
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+    async def run_briefly(self, order: Coroutine) -> None:
+        """Runs an order until it waits, and cancels it if it is not done."""
+        task = asyncio.create_task(order)
+        await self.settle()
+        task.cancel()
+        await asyncio.wait([task])
+
+
+class StartSlotTest(DispatchTestCase):
+    """Number of start orders in flight."""
+
+    async def test_counted_when_accepted(self):
+        """The owner plans more starts than can be sent in time."""
+        limit = _order_dispatch.MAX_STARTS_IN_FLIGHT
+        starts = self.plan(limit, limit + 2)
+        self.assertEqual(self.dispatcher.free_starts, limit)
+        orders = []
+        for accepted, start in enumerate(starts, 1):
+            orders.append(self.dispatcher.accept(start))
+            self.assertEqual(
+                self.dispatcher.free_starts, max(0, limit - accepted)
+            )
+        for order in orders:
+            order.close()
+
+    async def test_returned(self):
+        """A start that ends in any way keeps its slot, until none is left."""
+        limit = _order_dispatch.MAX_STARTS_IN_FLIGHT
+        starts = self.plan(6, 6)
+        tasks = [
+            asyncio.create_task(self.dispatcher.accept(start))
+            for start in starts[:4]
+        ]
+        await self.settle()
+        futures = {run: fut for _, run, fut in self.client.starts}
+        for start, outcome in zip(
+            starts, (StartResult.STARTED, StartResult.NO_ROOM), strict=False
+        ):
+            futures[start.task, start.run].set_result(outcome)
+        failed = starts[2]
+        futures[failed.task, failed.run].set_exception(KeyError("bug"))
+        tasks[3].cancel()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual(
+            [type(result) for result in results],
+            [type(None), type(None), KeyError, asyncio.CancelledError],
+        )
+        self.assertEqual(self.dispatcher.free_starts, limit)
+        self.dispatcher.accept(starts[4]).close()
+        await self.cancel_before_it_begins(starts[5])
+        self.assertEqual(self.dispatcher.free_starts, limit)
+
+    async def cancel_before_it_begins(self, start: Start) -> None:
+        """Cancels the task of a start before its first step."""
+        task = asyncio.create_task(self.dispatcher.accept(start))
+        task.cancel()
+        await asyncio.wait([task])
+
+    async def test_worker_keeps_a_connection_for_stops(self):
+        """Starts to a slow worker occupy all its connections."""
+        starts = self.plan(1, 3)
+        tasks = [
+            asyncio.create_task(self.dispatcher.execute(start))
+            for start in starts
+        ]
+        await self.settle()
+        self.assertEqual(len(self.client.starts), 1)
+        await self.dispatcher.execute(
+            Stop("w-0", starts[1].task, starts[1].run)
+        )
+        self.assertEqual(len(self.client.stops), 1)
+        for number in range(3):
+            self.client.starts[number][2].set_result(StartResult.STARTED)
+            await self.settle()
+        await asyncio.gather(*tasks)
+        self.assertEqual(len(self.client.starts), 3)
+
+
+class WithdrawnStartTest(DispatchTestCase):
+    """Starts that must not be sent any more."""
+
+    async def test_job_cancelled_after_planning(self):
+        """A task of a cancelled job starts after the cancellation."""
+        (start,) = self.plan(1, 1)
+        order = self.dispatcher.execute(start)
+        self.engine.cancel_job(start.task.job, 1000.0)
+        await self.run_briefly(order)
+        self.assertEqual(self.client.starts, [])
+        self.assertEqual(self.runs(), [])
+        self.assertEqual(self.job.task(*start.task[1:]).state, "waiting")
+        self.assertEqual(self.engine.plan(2000.0, 0.0), [])
+
+    async def test_job_cancelled_while_waiting(self):
+        """A start that waited for its worker is sent after the cancellation."""
+        starts = self.plan(1, 2)
+        tasks = [
+            asyncio.create_task(self.dispatcher.execute(start))
+            for start in starts
+        ]
+        await self.settle()
+        self.engine.cancel_job(starts[0].task.job, 1000.0)
+        self.client.starts[0][2].set_result(StartResult.STARTED)
+        await self.settle()
+        self.assertEqual(len(self.client.starts), 1)
+        await asyncio.gather(*tasks)
+        (run,) = self.runs()
+        self.assertIs(run.state, RunState.STOPPING)
+
+    async def test_cancelled_after_unanswered_attempt(self):
+        """A second attempt starts a run of a cancelled job.
+
+        The first attempt may have started it, so it must still be stopped.
+        """
+        (start,) = self.plan(1, 1)
+        task = asyncio.create_task(self.dispatcher.execute(start))
+        await self.settle()
+        self.engine.cancel_job(start.task.job, 1000.0)
+        self.client.starts[0][2].set_exception(WorkerOutcomeUnknownError("w"))
+        await self.settle()
+        self.assertEqual(len(self.client.starts), 1)
+        await task
+        (run,) = self.runs()
+        self.assertIs(run.state, RunState.STOPPING)
+
+    async def test_orders_suspended(self):
+        """A run whose order was not sent occupies its worker."""
+        (start,) = self.plan(1, 1)
+        self.may_order = False
+        await self.run_briefly(self.dispatcher.execute(start))
+        self.assertEqual(self.client.starts, [])
+        self.assertEqual(self.runs(), [])
+        (again,) = self.engine.plan(1000.0, 0.0)
+        self.assertEqual(again.task, start.task)
+        self.assertGreater(again.run, start.run)
+
+    async def test_worker_silent(self):
+        """Starts that waited for a worker are sent to it though it is gone."""
+        (start,) = self.plan(1, 1)
+        self.clock.advance(3000.0)
+        await self.run_briefly(self.dispatcher.execute(start))
+        self.assertEqual(self.client.starts, [])
+        self.assertEqual(self.runs(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/node/test_polling.py
@@ -0,0 +1,155 @@
+"""Tests of the first polls of many workers after a takeover."""
+
+import asyncio
+import unittest
+
+from limpetyard.engine import (
+    Engine,
+    EngineParams,
+    PollReply,
+    WorkerEntry,
+    WorkerOutcomeUnknownError,
+)
+from limpetyard.jobs import Resources
+from limpetyard.node import _polling
+from standins.platform import run_in_virtual_time
+from standins.platform._virtual_time import VirtualClock
+
+REPLY_DELAY_MS = 10
+
+
+class _Workers:
+    """Worker client that counts polls; the workers in `silent` do not reply.
+
+    Attributes:
+        silent: Ids of workers that do not reply.
+        polled: Worker of each poll, in order.
+        most_first_polls: Highest number of first polls in flight.
+        most_polls: Highest number of other polls in flight.
+    """
+
+    def __init__(self, engine: Engine):
+        self._engine = engine
+        self._first_polls = 0
+        self._polls = 0
+        self.silent: set[str] = set()
+        self.polled: list[str] = []
+        self.most_first_polls = 0
+        self.most_polls = 0
+
+    async def poll(self, entry, request, timeout_ms) -> PollReply:
+        self.polled.append(entry.id)
+        is_first = not self._engine.workers[entry.id].token_confirmed
+        self._first_polls += is_first
+        self._polls += not is_first
+        self.most_first_polls = max(self.most_first_polls, self._first_polls)
+        self.most_polls = max(self.most_polls, self._polls)
+        try:
+            if entry.id in self.silent:
+                await asyncio.sleep(timeout_ms / 1000)
+                raise WorkerOutcomeUnknownError(entry.id)
+            await asyncio.sleep((REPLY_DELAY_MS + request.wait_ms) / 1000)
+            return PollReply(1, 0.0, [], [])
+        finally:
+            self._first_polls -= is_first
+            self._polls -= not is_first
+
+
+class FirstPollTest(unittest.TestCase):
+    """Polls of workers that do not know the owner's token yet."""
+
+    def poll(self, workers: int, silent: int, scenario) -> _Workers:
+        """Polls workers, of which the first ones are silent."""
+
+        async def main() -> _Workers:
+            self.engine = Engine(1, EngineParams(4000, 5000))
+            client = _Workers(self.engine)
+            self.may_order = True
+            poller = _polling.WorkerPoller(
+                self.engine,
+                client,
+                VirtualClock(),
+                4000,
+                lambda: self.may_order,
+                self.fail,
+                lambda: None,
+                asyncio.Event(),
+            )
+            for number in range(workers):
+                worker_id = f"w-{number}"
+                resources = Resources(1000, 1000)
+                entry = WorkerEntry(
+                    worker_id, "pool", "", "z", "r", (), resources, 1
+                )
+                self.engine.set_entry(entry, 0.0)
+                if number < silent:
+                    client.silent.add(worker_id)
+            tasks = [
+                asyncio.create_task(poller.poll_until_removed(worker_id))
+                for worker_id in self.engine.workers
+            ]
+            await scenario(client)
+            for task in tasks:
+                task.cancel()
+            return client
+
+        return run_in_virtual_time(main())
+
+    def test_bounded(self):
+        """A takeover polls all workers at the same moment."""
+        limit = _polling.MAX_FIRST_POLLS
+
+        async def scenario(client: _Workers) -> None:
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.assertEqual(len(client.polled), limit)
+            await asyncio.sleep(2)
+
+        client = self.poll(4 * limit, 0, scenario)
+        self.assertEqual(client.most_first_polls, limit)
+        self.assertEqual(client.most_polls, 4 * limit)
+
+    def test_silent_workers(self):
+        """Retries of silent workers keep the others from being polled."""
+        limit = _polling.MAX_FIRST_POLLS
+
+        async def scenario(client: _Workers) -> None:
+            await asyncio.sleep(10)
+
+        client = self.poll(4 * limit, 2 * limit, scenario)
+        self.assertEqual(client.most_first_polls, limit)
+        confirmed = [
+            worker.id
+            for worker in self.engine.workers.values()
+            if worker.token_confirmed
+        ]
+        self.assertEqual(len(confirmed), 2 * limit)
+        last_first_poll = max(client.polled.index(w) for w in confirmed)
+        before = [
+            w for w in client.polled[:last_first_poll] if w in client.silent
+        ]
+        self.assertEqual(len(before), len(set(before)))
+
+    def test_checked_after_the_wait(self):
+        """A worker is polled though its turn came after it was removed.
+
+        The same if orders were suspended in the meantime.
+        """
+        limit = _polling.MAX_FIRST_POLLS
+
+        async def scenario(client: _Workers) -> None:
+            await asyncio.sleep(0.1)
+            del self.engine.workers[f"w-{limit}"]
+            self.may_order = False
+            await asyncio.sleep(2)
+            self.assertEqual(len(client.polled), limit)
+            self.may_order = True
+            await asyncio.sleep(2)
+            self.assertIn(f"w-{limit + 1}", client.polled)
+            self.assertNotIn(f"w-{limit}", client.polled)
+
+        self.poll(limit + 2, limit, scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -6,18 +6,29 @@
 import msgspec
 from aiohttp import web
 
-from limpetyard._clock import BootClock
+from limpetyard._clock import BootClock, ManualClock
 from limpetyard.engine import (
+    Engine,
+    EngineParams,
     PaceOrder,
+    PollReply,
     PollRequest,
     StaleTokenError,
     StartOrder,
     StartResult,
     WorkerDownError,
     WorkerEntry,
+    WorkerOutcomeUnknownError,
     WrongWorkerError,
 )
-from limpetyard.jobs import Resources, TaskKey
+from limpetyard.jobs import (
+    JobSpec,
+    QueueParams,
+    Resources,
+    StepSpec,
+    TaskKey,
+)
+from limpetyard.node._order_dispatch import OrderDispatcher
 from limpetyard.platform._worker_client import (
     PlatformWorkerClient,
     format_task_key,
@@ -132,6 +143,71 @@
             await self.workers.start(entry("127.0.0.1:1"), self.order())
 
 
+class RejectedOrderTest(unittest.IsolatedAsyncioTestCase):
+    """Orders that a worker answers without having obeyed them."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts a server that replies with `status` and `body`."""
+        self.status, self.body = 200, b"{}"
+        self.paths: list[str] = []
+        self.runner = web.ServerRunner(web.Server(self.handle))
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.entry = entry(f"127.0.0.1:{port}")
+        self.workers = PlatformWorkerClient()
+
+    async def asyncTearDown(self) -> None:
+        """Closes the client and stops the server."""
+        await self.workers.close()
+        await self.runner.cleanup()
+
+    async def handle(self, req: web.BaseRequest) -> web.Response:
+        """Replies to any request."""
+        self.paths.append(req.path)
+        return web.Response(status=self.status, body=self.body)
+
+    async def test_only_success_is_an_acknowledgement(self):
+        """A rejected stop or change of speed counts as obeyed."""
+        self.body = b'{"reason": "old"}'
+        for self.status in (202, 400, 404, 409, 410, 429, 500, 503):
+            with self.subTest(status=self.status):
+                with self.assertRaises(WorkerOutcomeUnknownError):
+                    await self.workers.stop(self.entry, TASK, 1, 1)
+                with self.assertRaises(WorkerOutcomeUnknownError):
+                    order = PaceOrder(TASK, 1, 40, 1)
+                    await self.workers.pace(self.entry, order)
+
+    async def test_rejected_stop_is_repeated(self):
+        """A run whose stop was rejected is never asked to stop again."""
+        engine = Engine(1, EngineParams(4000, 5000))
+        worker = engine.set_entry(self.entry, 0.0)
+        engine.on_poll_reply(worker, 0.0, PollReply(7, 0.0, [], []), 0.0)
+        engine.set_recorded_workers({worker.id: (7, False)})
+        spec = JobSpec("0" * 16, QueueParams("q", "pool"), "", (StepSpec(1),))
+        engine.add_job(spec, 0.0, loaded=False)
+        clock = ManualClock(0.0)
+        dispatcher = OrderDispatcher(
+            engine,
+            self.workers,
+            None,
+            clock,
+            4000,
+            lambda: True,
+            self.fail,
+            lambda: None,
+        )
+        (start,) = engine.plan(0.0, 0.0)
+        await dispatcher.execute(start)
+        engine.cancel_job(spec.id, 0.0)
+        for self.status in (429, 503, 200, 200):
+            for effect in engine.plan(clock.now_ms(), 0.0):
+                await dispatcher.execute(effect)
+            clock.advance(1000.0)
+        self.assertEqual(self.paths.count("/run-stop"), 3)
+
+
 class WireFormatTest(unittest.TestCase):
     """Task names and directory entries on the wire."""
 
