Bound starts and first polls; withdraw starts that came too late

With 246 workers, an overloaded owner started tasks of cancelled jobs seconds after the cancellation, its stops waited behind its starts, a worker that rejected a stop (429, 503) was never asked again, and a takeover polled every worker at one moment.

Cause: a start was sent without a look at the state of its run, each effect was sent at once, any status but 421 and a stale token counted as an acknowledgement, and first polls were not bounded.

Ruled out: more connections to each worker; they are expensive.

Change: - `OrderDispatcher.accept` counts a start until it is done, `free_starts` is the rest up to MAX_STARTS_IN_FLIGHT. Starts to one worker are sent one after another, so that with the poll one of its three connections stays free. - Before each attempt the run must be ORDERED, orders allowed and the worker responsive. If nothing was sent, `Engine.on_start_withdrawn` drops the run and its task waits again (event start_withdrawn); else it is stopped as before. A run that a poll has reported meanwhile counts as started. - A stop, a change of speed and a poll succeed only with status 200. 404 and 410 prove nothing: a start in transit could still arrive, and the worker answers 200 for a run that is not there. - `WorkerPoller` has at most MAX_FIRST_POLLS polls in flight to workers whose token is not confirmed, first come, first served. The wait after a failed poll and the wait for an append hold no slot.

The tests of orders, polling, worker client, engine, whole site, storms and event list pass.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -235,6 +235,10 @@
     "start_unanswered": EventKind(
         ("worker", "reason"), "A worker did not answer a start order."
     ),
+    "start_withdrawn": EventKind(
+        ("task", "run", "worker"),
+        "A start order was not sent, as the run must not start any more.",
+    ),
     "stop_unanswered": EventKind(
         ("worker", "reason"), "A worker did not answer a stop order."
     ),
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -487,6 +487,29 @@
             self.release_task(task, now_ms)
             task.retry_at_ms = now_ms + FAILED_TASK_BACKOFF_MS
 
+    def on_start_withdrawn(self, effect: Start, now_ms: float) -> None:
+        """Handles a start order that was never sent: drops the run.
+
+        Its task waits again, unless it has another run by now.
+        """
+        worker = self.workers.get(effect.worker)
+        run = worker and worker.runs.pop((effect.task, effect.run), None)
+        if not run:
+            return
+        event(
+            "start_withdrawn",
+            task=effect.task.name,
+            run=effect.run,
+            worker=worker.id,
+        )
+        task = self.find_task(effect.task)
+        if (
+            task is not None
+            and task.worker == worker.id
+            and task.run == effect.run
+        ):
+            self.release_task(task, now_ms)
+
     def _record_job_start(self, job_id: str, now_ms: float) -> None:
         job = self.jobs.get(job_id)
         if job is None or job.started_ms is not None:
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -1,6 +1,8 @@
 """Executes the effects of the engine and reports their results to it."""
 
-from collections.abc import Callable
+import asyncio
+import weakref
+from collections.abc import Callable, Coroutine
 
 from limpetyard._clock import Clock
 from limpetyard._events import event
@@ -11,6 +13,7 @@
     Pace,
     PaceOrder,
     RequestAdvice,
+    RunState,
     StaleTokenError,
     Start,
     StartOrder,
@@ -18,16 +21,26 @@
     StepWorkerClient,
     Stop,
     Ticket,
+    Worker,
     WorkerOutcomeUnknownError,
+    WorkerRun,
     WrongWorkerError,
 )
 
 # Maximum number of times that an unanswered start order is sent.
 START_ATTEMPTS = 2
 
+# Maximum number of start orders that are accepted and not done, so that the
+# replies to all of them are processed within the time-out of an order.
+MAX_STARTS_IN_FLIGHT = 48
+
 
 class OrderDispatcher:
-    """Sends the orders of one ownership to workers."""
+    """Sends the orders of one ownership to workers.
+
+    Start orders to the same worker are sent one after another. With the poll,
+    they leave one connection to the worker for its stop orders.
+    """
 
     __slots__ = (
         "_advice",
@@ -37,6 +50,8 @@
         "_lease_ms",
         "_may_order",
         "_replan",
+        "_start_locks",
+        "_starts",
         "_workers",
     )
 
@@ -72,25 +87,76 @@
         self._may_order = may_order
         self._end_ownership = end_ownership
         self._replan = replan
+        # Task and run of each start that is accepted and not done.
+        self._starts: set[tuple] = set()
+        self._start_locks: weakref.WeakValueDictionary[str, asyncio.Lock] = (
+            weakref.WeakValueDictionary()
+        )
+
+    @property
+    def free_starts(self) -> int:
+        """Number of starts that may be accepted now.
+
+        A caller may exceed it, such as for a gang, whose members must start
+        together.
+        """
+        return max(0, MAX_STARTS_IN_FLIGHT - len(self._starts))
+
+    def accept(self, effect: Effect) -> Coroutine[None, None, None]:
+        """Accepts an effect and returns the coroutine that executes it.
+
+        A start counts against `free_starts` at once, until the coroutine has
+        ended or is dropped.
+        """
+        execution = _EXECUTORS[type(effect)](self, effect)
+        if isinstance(effect, Start):
+            key = (effect.task, effect.run)
+            self._starts.add(key)
+            # A coroutine that is cancelled before its first step does not
+            # execute its `finally` clause.
+            weakref.finalize(execution, self._starts.discard, key)
+        return execution
 
     async def execute(self, effect: Effect) -> None:
         """Executes one effect."""
-        await _EXECUTORS[type(effect)](self, effect)
+        await self.accept(effect)
 
     async def _start(self, effect: Start) -> None:
-        """Sends a start order, at most `START_ATTEMPTS` times."""
-        worker = self._engine.workers.get(effect.worker)
-        if worker is None:
-            return
+        """Sends a start order after earlier ones to the same worker."""
+        try:
+            lock = self._start_locks.setdefault(effect.worker, asyncio.Lock())
+            async with lock:
+                worker = self._engine.workers.get(effect.worker)
+                if worker is not None:
+                    await self._send_start(worker, effect)
+        finally:
+            self._starts.discard((effect.task, effect.run))
+            self._replan()
+
+    async def _send_start(self, worker: Worker, effect: Start) -> None:
+        """Sends a start order, at most `START_ATTEMPTS` times.
+
+        Withdraws the start if the run must not start any more and no order for
+        it was sent.
+        """
         token = worker.token
         result = None
         for attempt in range(START_ATTEMPTS):
             now_ms = self._clock.now_ms()
-            until_ms = worker.grant_lease(now_ms, self._lease_ms)
-            expected = (effect.task, effect.run) in worker.runs
-            if until_ms is None or worker.token != token or not expected:
+            run = worker.runs.get((effect.task, effect.run))
+            if run is None or worker.token != token:
                 return
-            if not self._may_order():
+            if run.state is RunState.RUNNING:
+                # A poll has shown that an unanswered attempt was executed.
+                result = StartResult.STARTED
+                break
+            until_ms = None
+            if self._may_start(worker, run, now_ms):
+                until_ms = worker.grant_lease(now_ms, self._lease_ms)
+            if until_ms is None:
+                if not attempt:
+                    self._engine.on_start_withdrawn(effect, now_ms)
+                    return
                 break
             order = StartOrder(
                 effect.task,
@@ -125,7 +191,18 @@
             result=result.value if result is not None else "silent",
         )
         self._engine.on_start_reply(effect, result, self._clock.now_ms())
-        self._replan()
+
+    def _may_start(self, worker: Worker, run: WorkerRun, now_ms: float) -> bool:
+        """Returns whether a start order for a run may be sent now.
+
+        The run may have been stopped since it was planned, and the worker may
+        have become silent.
+        """
+        return (
+            run.state is RunState.ORDERED
+            and worker.is_responsive(now_ms)
+            and self._may_order()
+        )
 
     async def _stop(self, effect: Stop) -> None:
         worker = self._engine.workers.get(effect.worker)
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -29,6 +29,10 @@
 # and maximum wait for an append before the next poll.
 POLL_RETRY_MS = 150
 
+# Maximum number of polls in flight to workers whose token is not confirmed. A
+# takeover polls a large cell in several waves.
+MAX_FIRST_POLLS = 24
+
 
 class WorkerPoller:
     """Polls the workers of one ownership."""
@@ -38,6 +42,7 @@
         "_clock",
         "_end_ownership",
         "_engine",
+        "_first_polls",
         "_lease_ms",
         "_may_order",
         "_on_change",
@@ -77,6 +82,7 @@
         self._end_ownership = end_ownership
         self._on_change = on_change
         self._append_done = append_done
+        self._first_polls = asyncio.Semaphore(MAX_FIRST_POLLS)
 
     async def poll_until_removed(self, worker_id: str) -> None:
         """Polls a worker until the engine drops it.
@@ -92,7 +98,12 @@
                 await asyncio.sleep(POLL_RETRY_MS / MS_PER_SECOND)
                 continue
             try:
-                await self._poll(worker)
+                if worker.token_confirmed:
+                    await self._poll(worker)
+                else:
+                    await self._poll_in_turn(worker_id)
+                if worker.last_received_end > worker.last_acked_end:
+                    await self._wait_for_append()
             except StaleTokenError:
                 self._end_ownership(
                     f"worker {worker_id} has seen a higher fencing token"
@@ -106,6 +117,17 @@
                 event("look_failed", worker=worker_id, reason=exc)
                 await asyncio.sleep(POLL_RETRY_MS / MS_PER_SECOND)
 
+    async def _poll_in_turn(self, worker_id: str) -> None:
+        """Polls a worker whose token is not confirmed, when its turn comes.
+
+        Does nothing if the worker was dropped, or orders were suspended, in the
+        meantime.
+        """
+        async with self._first_polls:
+            worker = self._engine.workers.get(worker_id)
+            if worker is not None and self._may_order():
+                await self._poll(worker)
+
     async def _poll(self, worker: Worker) -> None:
         """Polls a worker once, and renews its lease if it is responsive."""
         now_ms = self._clock.now_ms()
@@ -127,8 +149,6 @@
         changed = self._engine.on_poll_reply(worker, now_ms, reply, received_ms)
         if changed or not token_confirmed:
             self._on_change()
-        if worker.last_received_end > worker.last_acked_end:
-            await self._wait_for_append()
 
     async def _wait_for_append(self) -> None:
         """Waits for the next append, or at most `POLL_RETRY_MS`.
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -192,11 +192,7 @@
             order.token, order.acked_end, order.lease_until_ms, order.wait_ms
         )
         reply = await self._call(entry, "/hold", body, timeout_ms)
-        if reply.status in _UNHEALTHY_STATUSES:
-            raise WorkerOutcomeUnknownError(
-                f"{entry.id}: status {reply.status}"
-            )
-        _check_reply(entry, reply)
+        _require_success(entry, reply)
         hold_reply = msgspec.json.decode(reply.body, type=_HoldReply)
         return PollReply(
             hold_reply.born,
@@ -235,12 +231,13 @@
     ) -> None:
         """See `limpetyard.engine.StepWorkerClient.stop`.
 
-        Returns once the worker has acknowledged the order: any reply that
-        `_check_reply` accepts counts as an acknowledgement.
+        Returns once the worker has acknowledged the order, which is status 200
+        also for a run that is not there: the worker then rejects its start. No
+        other status proves that the run does not start later.
         """
         body = _RunStopRequest(format_task_key(task), run, token)
         reply = await self._call(entry, "/run-stop", body, ORDER_TIMEOUT_MS)
-        _check_reply(entry, reply)
+        _require_success(entry, reply)
 
     @translate_decode_errors(WorkerOutcomeUnknownError)
     async def pace(self, entry: WorkerEntry, order: PaceOrder) -> None:
@@ -249,7 +246,7 @@
             format_task_key(order.task), order.run, order.percent, order.token
         )
         reply = await self._call(entry, "/pace", body, ORDER_TIMEOUT_MS)
-        _check_reply(entry, reply)
+        _require_success(entry, reply)
 
     async def _call(
         self,
@@ -340,6 +337,21 @@
             raise StaleTokenError(entry.id)
 
 
+def _require_success(entry: WorkerEntry, reply: HttpResponse) -> None:
+    """Checks that the worker has executed an order.
+
+    Raises:
+        WorkerOutcomeUnknownError: If the status is not 200 and `_check_reply`
+            accepts it.
+        WrongWorkerError: See `_check_reply`.
+        StaleTokenError: See `_check_reply`.
+        msgspec.MsgspecError: See `_check_reply`.
+    """
+    _check_reply(entry, reply)
+    if reply.status != 200:
+        raise WorkerOutcomeUnknownError(f"{entry.id}: status {reply.status}")
+
+
 def _decode_run(row: list) -> RunReport:
     measurement = row[4] if len(row) > 4 and row[4] is not None else 0.0
     measurement = 0.0 if math.isnan(measurement) else float(measurement)
--- a/tests/node/test_polling.py
+++ b/tests/node/test_polling.py
@@ -131,20 +131,28 @@
         self.assertEqual(len(before), len(set(before)))
 
     def test_checked_after_the_wait(self):
-        """A worker is polled though its turn came after it was removed.
-
-        The same if orders were suspended in the meantime.
-        """
+        """Workers are polled though orders were suspended while they waited."""
         limit = _polling.MAX_FIRST_POLLS
 
         async def scenario(client: _Workers) -> None:
             await asyncio.sleep(0.1)
-            del self.engine.workers[f"w-{limit}"]
             self.may_order = False
             await asyncio.sleep(2)
             self.assertEqual(len(client.polled), limit)
             self.may_order = True
             await asyncio.sleep(2)
+            self.assertIn(f"w-{limit}", client.polled)
+
+        self.poll(limit + 1, limit, scenario)
+
+    def test_removed_while_waiting(self):
+        """A worker is polled though it was removed while it waited."""
+        limit = _polling.MAX_FIRST_POLLS
+
+        async def scenario(client: _Workers) -> None:
+            await asyncio.sleep(0.1)
+            del self.engine.workers[f"w-{limit}"]
+            await asyncio.sleep(2)
             self.assertIn(f"w-{limit + 1}", client.polled)
             self.assertNotIn(f"w-{limit}", client.polled)
 
