--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -509,7 +509,7 @@
 
     def _execute(self, effects: list[Effect]) -> None:
         for effect in effects:
-            self._spawn(self._dispatcher.execute(effect))
+            self._spawn(self._dispatcher.accept(effect))
 
     def end_ownership(self, reason: str) -> None:
         """Ends the ownership at once; no order is issued after this."""
