Load a cell in small pieces, so that joins stay on time

The collected records were applied in one piece, during which the new owner did not join, with a time to live of 1 s.

Change: eight records, then an iteration of the event loop. An ownership that has ended meanwhile does not enter the state 'deciding'.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -228,7 +228,9 @@
             self._spawn(self._fence_predecessor())
         await self._writer.fence()
         await self._load()
-        self._build_state()
+        await self._build_state()
+        if self.ended:
+            return
         self.state_machine.fire("loaded")
         event(
             "cell_taken_over",
@@ -325,13 +327,13 @@
             self._jobs_follower.load(), self._entries_follower.load()
         )
 
-    def _build_state(self) -> None:
+    async def _build_state(self) -> None:
         """Builds the engine's state from the loaded records.
 
         Any task may be running, and any worker may have runs, until fencing the
         previous owner or polling the worker shows otherwise.
         """
-        self._recorded_workers = self._record_applier.apply_collected()
+        self._recorded_workers = await self._record_applier.apply_collected()
         for job in self.engine.open_jobs.values():
             job.mark_inherited()
         for worker in self.engine.workers.values():
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -1,5 +1,6 @@
 """Applies the stored records of a cell and of its workers to the engine."""
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -17,6 +18,10 @@
 from limpetyard.node._store_layout import WORKER_KEY_PREFIX
 from limpetyard.store import StoredRecord
 
+# Records applied in one iteration of the event loop while a cell is loaded.
+# Some jobs have thousands of tasks, and heartbeats are due meanwhile.
+APPLIED_PER_ITERATION = 8
+
 
 class RecordApplier:
     """Applies the records that an owner has read to the owner's engine.
@@ -66,8 +71,8 @@
         # Stored incarnation and draining flag of each worker, by id.
         self._recorded_workers: dict[str, tuple[int, bool]] = {}
 
-    def apply_collected(self) -> dict[str, tuple[int, bool]]:
-        """Applies the collected records.
+    async def apply_collected(self) -> dict[str, tuple[int, bool]]:
+        """Applies the collected records, a few in each loop iteration.
 
         Returns:
             Incarnation of each worker that an earlier owner recorded, and
@@ -81,9 +86,13 @@
             PROGRESS_PREFIX,
             CANCELLED_PREFIX,
         ):
+            applied = 0
             for key, record in latest.items():
                 if key.startswith(prefix) and record.value is not None:
                     self._apply(record, loaded=True)
+                    applied += 1
+                    if applied % APPLIED_PER_ITERATION == 0:
+                        await asyncio.sleep(0)
         return self._recorded_workers
 
     def apply_jobs(self, records: list[StoredRecord]) -> None:
