--- a/src/limpetyard/node/_settings.py
+++ b/src/limpetyard/node/_settings.py
@@ -27,6 +27,8 @@
         state_kept_ms: Time for which the state of an ended job is retained.
         leave_ms: Time between the signal to leave and the kill.
         metrics: IP:port on which metrics are served, or "" for none.
+        processor_cores: Processor capacity of this VM in cores of normal speed,
+            0 if unknown.
     """
 
     node: str
@@ -43,6 +45,7 @@
     state_kept_ms: float = 120_000.0
     leave_ms: float = 6000.0
     metrics: str = ""
+    processor_cores: float = 0.0
 
     def check(self) -> None:
         """Checks every setting.
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 
 import msgspec
 
@@ -48,9 +49,16 @@
 class _Host:
     """A VM and the node that runs on it, None while it is down."""
 
-    def __init__(self, name: str, number: int, rng: random.Random):
+    def __init__(
+        self,
+        name: str,
+        number: int,
+        rng: random.Random,
+        processor_cores: float = 0.0,
+    ):
         self.name = name
         self.number = number
+        self.processor_cores = processor_cores
         self.clock = VirtualClock()
         self.store_link = Link(rng)
         self.worker_links: dict[str, Link] = {}
@@ -122,14 +130,30 @@
         rng: Source of all random choices.
     """
 
-    def __init__(self, nodes: int, workers: int, seed: int = 0):
+    def __init__(
+        self,
+        nodes: int,
+        workers: int,
+        seed: int = 0,
+        processor_cores: Sequence[float] = (),
+    ):
+        """Initializes a site.
+
+        Args:
+            nodes: Number of nodes.
+            workers: Number of workers.
+            seed: Seed of all random choices.
+            processor_cores: Processor capacity of each node; unknown for all
+                if empty.
+        """
         self.rng = random.Random(seed)
         self.clock = VirtualClock()
         self.history = History()
         self.gangs = Gangs()
         self.store = StoreModel(self.clock)
         self.hosts = [
-            _Host(f"node-{number}", number, self.rng) for number in range(nodes)
+            _Host(f"node-{number}", number, self.rng, cores)
+            for number, cores in enumerate(processor_cores or [0.0] * nodes)
         ]
         self.workers: dict[str, WorkerModel] = {}
         self._tasks: list[asyncio.Task] = []
@@ -203,6 +227,7 @@
             "127.0.0.1:2",
             f"10.1.0.{host.number}:{host.incarnations}",
             "127.0.0.1:3",
+            processor_cores=host.processor_cores,
         )
 
         def serve_callers(job_service: JobService):
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -218,6 +218,36 @@
                 self.load(text)
             self.assertIn(expected, str(caught.exception))
 
+    def test_processor_cores(self):
+        """The capacity is quota times speed, and unknown without a quota."""
+        cases = {
+            "": 0.0,
+            "[limits]": 0.0,
+            "[limits]\ncpuCores = 2.0": 0.0,
+            "[limits]\ncpuQuota = 0.5": 0.5,
+            "[limits]\ncpuQuota = 0.5\ncpuCores = 4.3": 2.15,
+        }
+        for text, cores in cases.items():
+            with self.subTest(text):
+                cfg = self.load(f"{self.GOOD}\n{text}")
+                self.assertAlmostEqual(cfg.processor_cores, cores)
+
+    def test_bad_processor_cores(self):
+        """A capacity that is negative or not finite is rejected by name."""
+        for key, value in (
+            ("cpuQuota", "-1"),
+            ("cpuCores", "-1"),
+            ("cpuQuota", "nan"),
+            ("cpuQuota", "inf"),
+        ):
+            text = f"{self.GOOD}\n[limits]\n{key} = {value}"
+            with self.subTest(key + value):
+                with self.assertRaises(SettingError) as caught:
+                    self.load(text)
+                self.assertRegex(
+                    str(caught.exception), f"{key}|processor_cores"
+                )
+
     def test_missing(self):
         """A missing file raises an error."""
         with self.assertRaises(SettingError):
