Nodes on much smaller VMs stand by for the cell

Callers saw late starts and answers on sites whose VMs differ. Cause: the consumer group assigns the cell without regard to size, so that a VM with half a core may own it while VMs with two cores are idle.

A node now stays out of the group (standby) while the table of assignments shows a member with at least twice its processor capacity, and joins again when it shows none. The capacity is cpuQuota times cpuCores of the settings' table [limits] and is carried by the member's name, which still has three parts. Before a member stands by, it releases the cell and leaves, so that the group reassigns it at once. A node of unknown capacity joins as before and reads nothing more.

A node on standby reads the table every 750 ms and waits 500 ms for an answer: with the time-out of the store's calls (1500 ms) one unanswered read makes it unready (READY_MAX_AGE_MS), and so does an interval of 1000 ms. A member reads the table in the background, as a slow read must not delay its joins.

Ruled out: roles by configuration, claims weighted by size (DESIGN.md). Not solved: a large member without a partition is not in the table.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -228,6 +228,15 @@
         ("changed", "in_force"),
         "The settings were read again; the changed ones need a restart.",
     ),
+    "standby_entered": EventKind(
+        ("cores", "larger", "age_ms"),
+        "This node left the group because of a member with a larger VM, read"
+        " this long ago.",
+    ),
+    "standby_left": EventKind(
+        ("cores", "larger", "age_ms"),
+        "This node joins the group again; no larger member is left.",
+    ),
     "start_refused": EventKind(
         ("task", "run", "worker", "reason"),
         "A worker rejected a start; the task waits again.",
--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -1,4 +1,8 @@
-"""Membership in the consumer group that assigns cells to nodes."""
+"""Membership in the consumer group that assigns cells to nodes.
+
+The group does not know the sizes of the VMs. A node is on standby, outside the
+group, while the assignments show a member with a much larger VM.
+"""
 
 import asyncio
 import contextlib
@@ -8,7 +12,11 @@
 
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
-from limpetyard.node._store_layout import CELLS_GROUP, JOBS_TOPIC
+from limpetyard.node._store_layout import (
+    CELLS_GROUP,
+    JOBS_TOPIC,
+    member_cores,
+)
 from limpetyard.store import Store, StoreError
 
 # Joins per TTL, so that the membership survives the loss of one join.
@@ -20,6 +28,21 @@
 # Minimum time between two reads of the assignments of all cells.
 ASSIGNMENTS_MAX_AGE_MS = 200
 
+# Time-out of a read of the assignments. Some answers take 400 ms.
+ASSIGNMENTS_TIMEOUT_MS = 500
+
+# A node is on standby while a member has at least this many times its processor
+# capacity.
+STANDBY_RATIO = 2.0
+
+# Time between two reads of the assignments on standby. After a read without an
+# answer, the next one is in time for the readiness of the node.
+STANDBY_CHECK_MS = 750
+
+# Time between two reads of the assignments by a member, unless the group has
+# changed.
+CANDIDATE_CHECK_MS = 2000
+
 
 class GroupMember(Service):
     """Membership of one node in the group.
@@ -27,7 +50,10 @@
     Attributes:
         name: Name of this member.
         assigned_cells: Cells that the group has assigned to this node.
-        confirmed_ms: Send time of the last successful join, or None.
+        confirmed_ms: Send time of the last successful join or, on standby, read
+            of the assignments; None before the first one.
+        on_standby: Whether this node stays out of the group because a member
+            is much larger. It owns no cell then.
     """
 
     def __init__(
@@ -41,7 +67,8 @@
         """Initializes a member.
 
         Args:
-            name: Name of this member.
+            name: Name of this member, with the capacity of its VM. A node of
+                unknown capacity is never on standby.
             store: Store that manages the group.
             clock: Clock for the send times of joins.
             ttl_ms: Time after which the group removes a member that has not
@@ -53,13 +80,19 @@
         self.name = name
         self.assigned_cells: frozenset[int] = frozenset()
         self.confirmed_ms: float | None = None
+        self.on_standby = False
+        self._cores = member_cores(name)
         self._store = store
         self._clock = clock
         self._ttl_ms = ttl_ms
         self._on_assignment = on_assignment
         self._generation = 0
+        # Generation of the group at the last read of the assignments.
+        self._checked_generation = 0
         self._assigned_members: dict[int, str] = {}
+        # Send times of the last read and of the last successful one.
         self._assignments_read_ms = float("-inf")
+        self._assignments_confirmed_ms = float("-inf")
         self._assignments_lock = asyncio.Lock()
         self._assignment_changed = asyncio.Event()
 
@@ -67,7 +100,12 @@
     async def _keep_membership(self) -> None:
         """Joins repeatedly, so that the membership does not expire."""
         failed = False
+        if self._cores:
+            await self._check_assignments()
         while not self.should_stop:
+            if self._larger_member():
+                await self._stand_by()
+                continue
             try:
                 rejoin = await self._join()
             except StoreError as exc:
@@ -80,10 +118,11 @@
                 event("store_regained", call="join")
             failed = False
             if not rejoin:
+                self._start_check_if_due()
                 await self._pause()
 
     async def _pause(self) -> None:
-        """Waits until a join is due or a new cell is assigned to this node."""
+        """Waits until a join is due or the assignments concern this node."""
         pause_ms = self._ttl_ms / JOINS_PER_TTL
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(pause_ms / MS_PER_SECOND):
@@ -112,6 +151,77 @@
         self._generation = assignment.generation
         return reassigned
 
+    def _larger_member(self) -> str:
+        """Returns the largest member if this node must stand by, or ""."""
+        if not self._cores:
+            return ""
+        members = filter(None, self._assigned_members.values())
+        largest = max(members, key=member_cores, default="")
+        larger = member_cores(largest) >= STANDBY_RATIO * self._cores
+        return largest if larger else ""
+
+    async def _stand_by(self) -> None:
+        """Leaves the group until its members are no longer larger."""
+        larger = self._larger_member()
+        await self._on_assignment(frozenset())
+        await self.leave()
+        self.assigned_cells = frozenset()
+        self._generation = self._checked_generation = 0
+        # Only now, as orders depend on it: they need a recent join.
+        self.confirmed_ms = max(
+            self.confirmed_ms or 0.0, self._assignments_confirmed_ms
+        )
+        self.on_standby = True
+        event(
+            "standby_entered",
+            cores=self._cores,
+            larger=larger,
+            age_ms=self._assignments_age_ms(),
+        )
+        while not self.should_stop and self._larger_member():
+            larger = self._larger_member()
+            await asyncio.sleep(self._check_due_in_ms() / MS_PER_SECOND)
+            await self._check_assignments()
+        if self.should_stop:
+            return
+        self.on_standby = False
+        self._assignment_changed.clear()
+        event(
+            "standby_left",
+            cores=self._cores,
+            larger=larger,
+            age_ms=self._assignments_age_ms(),
+        )
+
+    def _check_due_in_ms(self) -> float:
+        """Returns the time until the next read on standby."""
+        due_ms = self._assignments_read_ms + ASSIGNMENTS_MAX_AGE_MS
+        if self._assignments_confirmed_ms == self._assignments_read_ms:
+            due_ms = self._assignments_read_ms + STANDBY_CHECK_MS
+        return max(0.0, due_ms - self._clock.now_ms())
+
+    def _assignments_age_ms(self) -> float:
+        return self._clock.now_ms() - self._assignments_confirmed_ms
+
+    def _start_check_if_due(self) -> None:
+        """Reads the assignments in the background, as joins must not wait."""
+        if not self._cores or self._assignments_lock.locked():
+            return
+        age_ms = self._clock.now_ms() - self._assignments_read_ms
+        changed = self._generation != self._checked_generation
+        if age_ms >= (
+            ASSIGNMENTS_MAX_AGE_MS if changed else CANDIDATE_CHECK_MS
+        ):
+            self._checked_generation = self._generation
+            self.add_future(self._check_assignments())
+
+    async def _check_assignments(self) -> None:
+        """Reads the assignments, unless this has just been done."""
+        async with self._assignments_lock:
+            now_ms = self._clock.now_ms()
+            if now_ms - self._assignments_read_ms >= ASSIGNMENTS_MAX_AGE_MS:
+                await self._read_assignments(now_ms)
+
     async def leave(self) -> None:
         """Leaves the group; after a failure the membership expires by TTL."""
         try:
@@ -135,19 +245,24 @@
         return self._assigned_members.get(cell, "")
 
     async def _read_assignments(self, now_ms: float) -> None:
-        """Reads the assignments; joins at once if this node has a new cell."""
+        """Reads the assignments.
+
+        Joins at once if this node has a new cell, or stands by at once.
+        """
         self._assignments_read_ms = now_ms
         try:
-            self._assigned_members = await self._store.partition_owners(
-                CELLS_GROUP
-            )
-        except StoreError as exc:
-            event("holders_unread", reason=exc)
+            async with asyncio.timeout(ASSIGNMENTS_TIMEOUT_MS / MS_PER_SECOND):
+                members = await self._store.partition_owners(CELLS_GROUP)
+        except (StoreError, TimeoutError) as exc:
+            event("holders_unread", reason=str(exc) or "no reply in time")
+            return
+        self._assigned_members = members
+        self._assignments_confirmed_ms = now_ms
+        if self.on_standby:
+            self.confirmed_ms = now_ms
             return
         own_cells = {
-            cell
-            for cell, name in self._assigned_members.items()
-            if name == self.name
+            cell for cell, name in members.items() if name == self.name
         }
-        if own_cells - self.assigned_cells:
+        if own_cells - self.assigned_cells or self._larger_member():
             self._assignment_changed.set()
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -52,8 +52,8 @@
 # this long.
 SELF_FENCE_MS = 5000
 
-# A node is not ready for callers if no join has succeeded for this long.
-# It joins three times a second.
+# A node is not ready for callers if no join has succeeded for this long, or on
+# standby no read of the assignments. It joins three times a second.
 READY_MAX_AGE_MS = 1500
 
 # Time for which a leaving node fails its readiness checks before it exits. The
@@ -146,7 +146,9 @@
             cfg.remote_factor,
             cfg.gang_timeout_ms,
         )
-        name = member_name(cfg.node, cfg.peers, self._nonce)
+        name = member_name(
+            cfg.node, cfg.peers, self._nonce, cfg.processor_cores
+        )
         self.member = GroupMember(
             name, adapters.store, clock, cfg.group_ttl_ms, self._on_assignment
         )
@@ -219,8 +221,8 @@
     def ready(self) -> bool:
         """Whether this node can serve callers.
 
-        True if it is not leaving, has a configuration, and has joined the group
-        recently.
+        True if it is not leaving, has a configuration, and has recently joined
+        the group or, on standby, read its assignments.
         """
         confirmed_ms = self.member.confirmed_ms
         return (
--- a/src/limpetyard/node/_settings.py
+++ b/src/limpetyard/node/_settings.py
@@ -1,5 +1,7 @@
 """Settings of a node, independent of their source."""
 
+import math
+
 import msgspec
 
 from limpetyard._addresses import parse_host_port
@@ -69,3 +71,6 @@
         for name in positive:
             if getattr(self, name) <= 0:
                 raise SettingError(name, getattr(self, name), "more than 0")
+        cores = self.processor_cores
+        if not (math.isfinite(cores) and cores >= 0):
+            raise SettingError("processor_cores", cores, "0 or more, finite")
--- a/src/limpetyard/node/_store_layout.py
+++ b/src/limpetyard/node/_store_layout.py
@@ -1,5 +1,7 @@
 """Topics, groups, producers and keys that nodes use in the store."""
 
+import math
+
 # Topic of accepted and cancelled jobs, their progress and the workers in use;
 # the partition is the number of the cell.
 JOBS_TOPIC = "jobs"
@@ -26,18 +28,34 @@
 WORKER_KEY_PREFIX = "w/"
 
 
-def member_name(node: str, address: str, nonce: str) -> str:
+def member_name(node: str, address: str, nonce: str, cores: float = 0.0) -> str:
     """Returns the group member name of one incarnation of a node.
 
     Args:
         node: Name of the node.
         address: IP:port at which other nodes reach it.
-        nonce: Random string that distinguishes the incarnations of a node.
+        nonce: Random string that distinguishes the incarnations of a node;
+            without "-".
+        cores: Processor capacity of its VM in cores, 0 if unknown.
     """
-    return f"{node}|{address}|{nonce}"
+    # Nodes of earlier releases expect exactly three parts.
+    incarnation = f"{cores:g}-{nonce}" if cores else nonce
+    return f"{node}|{address}|{incarnation}"
 
 
 def member_address(member: str) -> str:
     """Returns the peer address in a member name, or "" if it has none."""
     parts = member.split("|")
     return parts[1] if len(parts) == 3 else ""
+
+
+def member_cores(member: str) -> float:
+    """Returns the processor capacity in a member name, or 0 if it has none."""
+    parts = member.split("|")
+    if len(parts) != 3:
+        return 0.0
+    try:
+        cores = float(parts[2].rpartition("-")[0])
+    except ValueError:
+        return 0.0
+    return cores if math.isfinite(cores) and cores > 0 else 0.0
--- a/src/limpetyard/platform/_settings.py
+++ b/src/limpetyard/platform/_settings.py
@@ -2,6 +2,7 @@
 
 import tomllib
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -37,12 +38,20 @@
     min_ttl_ms: int = 1000
 
 
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    # Share of one core; 0 if unknown.
+    cpu_quota: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    # Speed of that core, in cores of normal speed.
+    cpu_cores: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+
+
 class _SettingsFile(msgspec.Struct, rename="camel"):
     node_name: str
     zone: str
     listen_addrs: _ListenAddresses
     platform: _Platform
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     advice: str = ""
 
 
@@ -91,4 +100,5 @@
         file.bounds.status_s * 1000,
         file.bounds.grace_s * 1000,
         f"{ip}:{metrics_port}" if metrics_port else "",
+        file.limits.cpu_quota * file.limits.cpu_cores,
     )
