Score workers once for equal tasks, and limit starts of a round

With 246 workers and thousands of waiting tasks, one call of Engine.plan held the owner's event loop for about 2 s, and an idle round for about 70 ms.

Cause: the planner scored every worker for every waiting task, walked over all tasks of all open steps in each round, and scored each step that fits nowhere anew.

Change: a Ranking scores the workers of a step once and, after a placement, only the receiver again; plain and best-effort steps with equal needs share one. Needs that no worker meets are remembered for the rest of the round, since room only shrinks in it, and steps that need as much are skipped. A job keeps its waiting tasks by step. Estimates for the urgency and mean weights are computed once. Engine.plan takes max_starts: less urgent steps wait for the next round, a gang starts whole, and requests for advice, stops and pacing go on.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -531,20 +531,24 @@
             if run.acked_ms is None:
                 run.acked_ms = now_ms
 
-    def plan(self, now_ms: float, wall_ms: float) -> list[Effect]:
+    def plan(
+        self, now_ms: float, wall_ms: float, max_starts: int | None = None
+    ) -> list[Effect]:
         """Expires leases and plans stops, starts and changes of speed.
 
         Args:
             now_ms: Current time on this process's clock.
             wall_ms: Current time of day in Unix milliseconds, for timed
                 occurrences.
+            max_starts: Largest number of starts, or None for no limit; see
+                `Planner.place`.
 
         Returns:
             Effects for the caller to execute.
         """
         self._expire_leases(now_ms)
         effects: list[Effect] = self._due_stops(now_ms)
-        effects += self._planner.place(now_ms, wall_ms)
+        effects += self._planner.place(now_ms, wall_ms, max_starts)
         for worker in self.workers.values():
             effects += pace(worker, self.interference, now_ms)
         return effects
--- a/src/limpetyard/engine/_interference.py
+++ b/src/limpetyard/engine/_interference.py
@@ -99,12 +99,14 @@
 class InterferenceModel:
     """Estimates baselines of jobs and weights of pairs of images."""
 
-    __slots__ = ("_baselines", "_variances", "_weights")
+    __slots__ = ("_baselines", "_mean_weights", "_variances", "_weights")
 
     def __init__(self):
         self._baselines: dict[str, _Baseline] = {}
         self._weights: dict[tuple[str, str], float] = {}
         self._variances: dict[tuple[str, str], float] = {}
+        # Mean weights by serving image, until the next measurement of it.
+        self._mean_weights: dict[str, float] = {}
 
     def weight(self, serving: str, best_effort: str) -> float:
         """Returns the headroom that `serving` loses per core of `best_effort`.
@@ -113,12 +115,17 @@
             serving: Image of the serving task.
             best_effort: Image of the best-effort task.
         """
-        return max(0.0, self._weights.get((serving, best_effort), PRIOR_WEIGHT))
+        weight = self._weights.get((serving, best_effort), PRIOR_WEIGHT)
+        return weight if weight > 0.0 else 0.0
 
     def mean_weight(self, serving: str) -> float:
         """Returns the mean weight of all images measured beside `serving`."""
-        known = [w for (s, _), w in self._weights.items() if s == serving]
-        return sum(known) / len(known) if known else PRIOR_WEIGHT
+        mean = self._mean_weights.get(serving)
+        if mean is None:
+            known = [w for (s, _), w in self._weights.items() if s == serving]
+            mean = sum(known) / len(known) if known else PRIOR_WEIGHT
+            self._mean_weights[serving] = mean
+        return mean
 
     def baseline(self, job: str, now_ms: float) -> float:
         """Returns the current baseline of a job."""
@@ -168,6 +175,7 @@
         if baseline is None:
             baseline = self._baselines[job] = _Baseline(now_ms)
         baseline.advance(now_ms)
+        self._mean_weights.pop(serving, None)
         pairs = [(serving, image) for image in cores]
         for pair in pairs:
             self._weights.setdefault(pair, PRIOR_WEIGHT)
--- a/src/limpetyard/engine/_placement.py
+++ b/src/limpetyard/engine/_placement.py
@@ -9,13 +9,12 @@
 `limpetyard.engine._interference`.
 """
 
-from collections.abc import Callable
-
 from limpetyard._registry import Registry
 from limpetyard.engine._interference import (
     HEADROOM_AT_TARGET,
     InterferenceModel,
 )
+from limpetyard.engine._ranking import Ranking, Score
 from limpetyard.engine._worker import Worker, WorkerRun
 from limpetyard.jobs import Resources, StepSpec, Task
 
@@ -44,6 +43,7 @@
         "_headroom_cache",
         "_interference",
         "_now_ms",
+        "_run_counts",
         "free_resources",
         "idle_cores",
         "worker",
@@ -55,11 +55,19 @@
         self.worker = worker
         self._now_ms = now_ms
         self._headroom_cache: list[tuple[str, float]] | None = None
+        self._run_counts: dict[str | tuple, int] | None = None
         self.free_resources = worker.free_resources()
         self._interference = interference
-        self._best_effort_cores = best_effort_cores(worker)
         self._has_probe = False
-        self.idle_cores = _idle_cores(worker)
+        used_cores: list[float] = []
+        self._best_effort_cores: dict[str, float] = {}
+        for run in worker.runs.values():
+            used_cores.append(_used_cores(run))
+            if run.step.fills:
+                added = self._best_effort_cores.get(run.step.image, 0.0)
+                self._best_effort_cores[run.step.image] = added + used_cores[-1]
+        total_cores = worker.entry.capacity.cores_milli / 1000
+        self.idle_cores = total_cores - sum(used_cores)
 
     @property
     def entry(self):
@@ -81,6 +89,7 @@
         )
         self.idle_cores -= _used_cores(run)
         self._headroom_cache = None
+        self._run_counts = None
         if run.step.fills:
             added = self._best_effort_cores.get(run.step.image, 0.0)
             self._best_effort_cores[run.step.image] = added + _used_cores(run)
@@ -96,10 +105,45 @@
 
     def allows(self, step: StepSpec, step_key: tuple[str, int, int]) -> bool:
         """Returns whether one more task of a step may be placed."""
-        if self._has_probe or not step.reserved.fits(self.free_resources):
+        if not self.has_room(step):
             return False
         limit = step.per_worker
-        return not limit or self.worker.count_runs(*step_key) < limit
+        return not limit or self.count_runs(step_key) < limit
+
+    def has_room(self, step: StepSpec) -> bool:
+        """Returns whether the worker has resources for a task of a step.
+
+        Always false if the worker is on probation and has received its probe.
+        """
+        need, free = step.need, self.free_resources
+        return (
+            not self._has_probe
+            and (0 if step.fills else need.cores_milli) <= free.cores_milli
+            and need.memory_mb <= free.memory_mb
+            and need.accelerators <= free.accelerators
+        )
+
+    def lacks_idle_cores(self, step: StepSpec) -> bool:
+        """Returns whether a task would use more than the idle cores."""
+        return self.idle_cores < step.need.cores_milli / 1000
+
+    def count_runs(self, owner: str | tuple[str, int, int]) -> int:
+        """Returns how many runs of a job or step may exist on the worker.
+
+        Args:
+            owner: Id of the job, or job, occurrence and number of the step.
+        """
+        if self._run_counts is None:
+            counts: dict[str | tuple, int] = {}
+            for key, _ in self.worker.runs:
+                counts[key.job] = counts.get(key.job, 0) + 1
+                counts[key[:3]] = counts.get(key[:3], 0) + 1
+            self._run_counts = counts
+        return self._run_counts.get(owner, 0)
+
+    def has_serving_runs(self) -> bool:
+        """Returns whether a run here has a latency target."""
+        return any(run.step.target_ms for run in self.worker.runs.values())
 
     def headroom_with(self, image: str, cores: float) -> float:
         """Returns the lowest headroom here with one more best-effort task.
@@ -108,13 +152,11 @@
             image: Image of the task to be added.
             cores: Cores that it would use.
         """
-        return min(
-            (
-                headroom - self._interference.weight(serving, image) * cores
-                for serving, headroom in self._lowest_headrooms()
-            ),
-            default=float("inf"),
-        )
+        lowest = float("inf")
+        for serving, headroom in self._lowest_headrooms():
+            weight = self._interference.weight(serving, image)
+            lowest = min(lowest, headroom - weight * cores)
+        return lowest
 
     def excess_interference(self, image: str, cores: float) -> float:
         """Returns how much more an image interferes here than the mean image.
@@ -127,17 +169,12 @@
             Extra loss of headroom, highest over the serving images here;
             negative if the image interferes less than others do.
         """
-        return max(
-            (
-                (
-                    self._interference.weight(s, image)
-                    - self._interference.mean_weight(s)
-                )
-                * cores
-                for s, _ in self._lowest_headrooms()
-            ),
-            default=0.0,
-        )
+        model = self._interference
+        excesses = [
+            (model.weight(s, image) - model.mean_weight(s)) * cores
+            for s, _ in self._lowest_headrooms()
+        ]
+        return max(excesses, default=0.0)
 
     def _lowest_headrooms(self) -> list[tuple[str, float]]:
         """Returns the lowest predicted headroom of each serving image here.
@@ -145,16 +182,18 @@
         Only runs with a latency target count; see `serving_runs`.
         """
         if self._headroom_cache is None:
+            model = self._interference
             lowest: dict[str, float] = {}
+            losses: dict[str, float] = {}
             for run in serving_runs(self.worker):
                 image = run.step.image
-                headroom = self._interference.predicted_baseline(
-                    run.task.job, self._now_ms
-                )
-                headroom -= sum(
-                    self._interference.weight(image, other) * used
-                    for other, used in self._best_effort_cores.items()
-                )
+                if image not in losses:
+                    losses[image] = sum(
+                        model.weight(image, other) * used
+                        for other, used in self._best_effort_cores.items()
+                    )
+                headroom = model.predicted_baseline(run.task.job, self._now_ms)
+                headroom -= losses[image]
                 lowest[image] = min(headroom, lowest.get(image, headroom))
             self._headroom_cache = list(lowest.items())
         return self._headroom_cache
@@ -190,11 +229,6 @@
     return cores
 
 
-def _idle_cores(worker: Worker) -> float:
-    used = sum(_used_cores(run) for run in worker.runs.values())
-    return worker.entry.capacity.cores_milli / 1000 - used
-
-
 def placer_name(step: StepSpec) -> str:
     """Returns the name of the placer for a step."""
     if step.fills:
@@ -202,101 +236,75 @@
     return "serving" if step.long_running else "plain"
 
 
-Placer = Callable[
-    [Task, StepSpec, list[Candidate], tuple[str, int, int]], Candidate | None
-]
-PLACERS: Registry[Placer] = Registry("placer")
+class Placer:
+    """Chooses the worker of a task by a score of each worker."""
 
+    __slots__ = ("score",)
 
-def _allowed(
-    task: Task,
-    step: StepSpec,
-    candidates: list[Candidate],
-    step_key: tuple[str, int, int],
-) -> list[Candidate]:
-    """Returns the workers that a task may go to.
+    def __init__(self, score: Score):
+        self.score = score
 
-    Avoids, if there are others, the worker where the task failed last and, once
-    it has failed, all workers with recent failures.
-    """
-    allowed = [c for c in candidates if c.allows(step, step_key)]
-    others = [
-        c
-        for c in allowed
-        if c.worker.id != task.failed_on
-        and not (task.failure_count and c.worker.failures)
-    ]
-    return others or allowed
+    def __call__(
+        self,
+        task: Task,
+        step: StepSpec,
+        candidates: list[Candidate],
+        step_key: tuple[str, int, int],
+    ) -> Candidate | None:
+        """Returns the best worker for a single task, or None."""
+        return Ranking(self.score, step, step_key, candidates, []).choose(task)
+
+
+PLACERS: Registry[Placer] = Registry("placer")
 
 
 @PLACERS.register("plain")
+@Placer
 def place_plain(
-    task: Task,
-    step: StepSpec,
-    candidates: list[Candidate],
-    step_key: tuple[str, int, int],
-) -> Candidate | None:
+    candidate: Candidate, step: StepSpec, step_key: tuple[str, int, int]
+) -> tuple | None:
     """Prefers the rack that holds the data, then the most free cores."""
-    return max(
-        _allowed(task, step, candidates, step_key),
-        key=lambda c: (
-            bool(step.data_rack) and c.entry.rack == step.data_rack,
-            c.free_resources.cores_milli,
-        ),
-        default=None,
-    )
+    has_data = bool(step.data_rack) and candidate.entry.rack == step.data_rack
+    return (not has_data, -candidate.free_resources.cores_milli)
 
 
 @PLACERS.register("serving")
+@Placer
 def place_serving(
-    task: Task,
-    step: StepSpec,
-    candidates: list[Candidate],
-    step_key: tuple[str, int, int],
-) -> Candidate | None:
+    candidate: Candidate, step: StepSpec, step_key: tuple[str, int, int]
+) -> tuple | None:
     """Packs the tasks of one job, then all serving tasks, onto few workers.
 
     The lowest headroom on a worker limits the best-effort tasks there. Tasks of
     one job have the same load at the same time, tasks of several jobs do not,
     and workers without serving tasks set no limit.
     """
-    return max(
-        _allowed(task, step, candidates, step_key),
-        key=lambda c: (
-            sum(run.task.job == task.key.job for run in c.worker.runs.values()),
-            bool(serving_runs(c.worker)),
-            c.free_resources.cores_milli,
-        ),
-        default=None,
+    return (
+        -candidate.count_runs(step_key[0]),
+        not candidate.has_serving_runs(),
+        -candidate.free_resources.cores_milli,
     )
 
 
 @PLACERS.register("filling")
+@Placer
 def place_best_effort(
-    task: Task,
-    step: StepSpec,
-    candidates: list[Candidate],
-    step_key: tuple[str, int, int],
-) -> Candidate | None:
+    candidate: Candidate, step: StepSpec, step_key: tuple[str, int, int]
+) -> tuple | None:
     """Prefers the worker where the image interferes least.
 
     The interference is relative to that of other images on the same worker; see
     `Candidate.excess_interference`. Ties go to the worker with the most
     headroom, then to the one with the most idle cores.
     """
+    if candidate.lacks_idle_cores(step):
+        return None
     cores = step.need.cores_milli / 1000
-    best, best_key = None, None
-    for candidate in _allowed(task, step, candidates, step_key):
-        if candidate.idle_cores < cores:
-            continue
-        headroom = candidate.headroom_with(step.image, cores)
-        if headroom < MIN_PLACEMENT_HEADROOM:
-            continue
-        key = (
-            round(candidate.excess_interference(step.image, cores), 1),
-            -headroom,
-            -candidate.idle_cores,
-        )
-        if best_key is None or key < best_key:
-            best, best_key = candidate, key
-    return best
+    headroom = candidate.headroom_with(step.image, cores)
+    if headroom < MIN_PLACEMENT_HEADROOM:
+        return None
+    return (
+        round(candidate.excess_interference(step.image, cores), 1),
+        -headroom,
+        -candidate.idle_cores,
+    )
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -6,11 +6,13 @@
 """
 
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 from limpetyard.engine._draining import drain_worker
 from limpetyard.engine._effects import Effect, RequestAdvice, Start
 from limpetyard.engine._placement import PLACERS, Candidate, placer_name
+from limpetyard.engine._ranking import Ranking, ServiceRound
 from limpetyard.engine._step_worker_client import Ticket
 from limpetyard.engine._urgency import urgency
 from limpetyard.engine._worker import Worker, WorkerRun
@@ -38,65 +40,84 @@
 class Planner:
     """Decides which tasks start on which workers."""
 
-    __slots__ = ("_advice_requested_ms", "_engine", "_tickets")
+    __slots__ = ("_advice_requested_ms", "_engine", "_placed", "_tickets")
 
     def __init__(self, engine: "Engine"):
         self._engine = engine
         self._tickets: dict[tuple, dict[str, tuple[str, float]]] = {}
         self._advice_requested_ms: dict[tuple, float] = {}
+        # Receivers of the tasks placed in this round.
+        self._placed: list[Candidate] = []
 
-    def place(self, now_ms: float, wall_ms: float) -> list[Effect]:
+    def place(
+        self, now_ms: float, wall_ms: float, max_starts: int | None = None
+    ) -> list[Effect]:
         """Places ready tasks and moves runs off draining workers.
 
         Args:
             now_ms: Current time on this process's clock.
             wall_ms: Current time of day in Unix milliseconds, for timed
                 occurrences.
+            max_starts: Largest number of starts, or None for no limit. A gang
+                that is wider than the rest of it still starts as a whole.
 
         Returns:
             Starts, and requests for advice that must precede starts.
         """
-        engine = self._engine
         unconfirmed_services = self._unconfirmed_services(now_ms)
-        candidates_by_service: dict[str, list[Candidate]] = {}
-        steps = []
-        for job in engine.open_jobs.values():
-            if job.spec.timed:
-                self._make_due(job, wall_ms)
-            for occurrence, step in job.open_steps():
-                waiting = [
-                    task
-                    for task in job.step_tasks(occurrence, step)
-                    if task.state == "waiting"
-                    and task.retry_at_ms <= now_ms
-                    and not (
-                        task.may_be_running
-                        and job.spec.queue.service in unconfirmed_services
-                    )
-                ]
-                if waiting:
-                    key = urgency(job, step, now_ms)
-                    steps.append((key, job, occurrence, step, waiting))
-        steps.sort(key=lambda entry: entry[0])
+        self._placed = []
+        rounds: dict[str, ServiceRound] = {}
+        left = math.inf if max_starts is None else max_starts
         effects: list[Effect] = []
-        for _, job, occurrence, step, waiting in steps:
-            service = job.spec.queue.service
-            if service not in candidates_by_service:
-                candidates_by_service[service] = self._candidates(
-                    service, now_ms
+        for job, occurrence, step in self._ready_steps(now_ms, wall_ms):
+            queue = job.spec.queue
+            if left <= 0 and queue.advice is None:
+                continue
+            service = queue.service
+            if service not in rounds:
+                rounds[service] = ServiceRound(
+                    self._candidates(service, now_ms)
                 )
-            if candidates_by_service[service]:
-                effects += self._place_step(
+            if not rounds[service].candidates:
+                continue
+            is_unmet = rounds[service].is_unmet(job.spec.steps[step])
+            if is_unmet and queue.advice is None:
+                continue
+            waiting = _startable(
+                job.waiting_tasks(occurrence, step),
+                service in unconfirmed_services,
+                now_ms,
+            )
+            if waiting:
+                step_effects = self._place_step(
                     job,
-                    occurrence,
-                    step,
+                    (job.spec.id, occurrence, step),
                     waiting,
-                    candidates_by_service[service],
+                    rounds[service],
+                    left,
                     now_ms,
                 )
-        self._drain_workers(candidates_by_service, now_ms)
+                left -= sum(type(e) is Start for e in step_effects)
+                effects += step_effects
+        self._drain_workers(
+            {service: r.candidates for service, r in rounds.items()}, now_ms
+        )
         return effects
 
+    def _ready_steps(
+        self, now_ms: float, wall_ms: float
+    ) -> list[tuple[Job, int, int]]:
+        """Returns the ready steps with waiting tasks, most urgent first."""
+        steps = []
+        for job in self._engine.open_jobs.values():
+            if job.spec.timed:
+                self._make_due(job, wall_ms)
+            for occurrence, step in job.waiting_steps():
+                key = urgency(job, step, now_ms)
+                steps.append((key, job, occurrence, step))
+        steps.sort(key=lambda entry: entry[0])
+        return [entry[1:] for entry in steps]
+
     def _drain_workers(
         self, candidates_by_service: dict[str, list[Candidate]], now_ms: float
     ) -> None:
@@ -173,45 +194,94 @@
     def _place_step(
         self,
         job: Job,
-        occurrence: int,
-        step_number: int,
+        step_key: tuple[str, int, int],
         waiting: list[Task],
-        candidates: list[Candidate],
+        service_round: ServiceRound,
+        left: float,
         now_ms: float,
     ) -> list[Effect]:
         """Places the waiting tasks of a step as far as workers have room.
 
         Returns a request for advice instead if the step needs one first.
+
+        Args:
+            job: The job.
+            step_key: Job, occurrence and number of the step.
+            waiting: Tasks to place.
+            service_round: Workers of the service of the job.
+            left: Number of starts that are left in this round.
+            now_ms: Current time.
         """
-        step = job.spec.steps[step_number]
-        step_key = (job.spec.id, occurrence, step_number)
-        fitting = [
-            candidate
-            for candidate in candidates
-            if (not step.label or step.label in candidate.entry.labels)
-            and step.reserved.fits(candidate.free_resources)
-        ]
+        step = job.spec.steps[step_key[2]]
+        if job.spec.queue.advice is not None:
+            return self._place_advised(
+                job, step_key, waiting, service_round, left, now_ms
+            )
+        if step.gang:
+            if len(job.waiting_tasks(*step_key[1:])) < step.count:
+                return []
+            fitting = service_round.fitting(step)
+            starts = self._place_gang(job, step_key, fitting, now_ms)
+            if not starts:
+                service_round.add_unmet_gang(step)
+            return starts
+        score = PLACERS.get(placer_name(step)).score
+        ranking = service_round.ranking(score, step, step_key, self._placed)
+        starts = self._place_ranked(job, waiting, ranking, left, now_ms)
+        if len(starts) < min(len(waiting), left) and ranking.is_empty:
+            service_round.add_unmet(step)
+        return starts
+
+    def _place_advised(
+        self,
+        job: Job,
+        step_key: tuple[str, int, int],
+        waiting: list[Task],
+        service_round: ServiceRound,
+        left: float,
+        now_ms: float,
+    ) -> list[Effect]:
+        """Places tasks of a step on workers with a ticket, or requests some."""
+        step = job.spec.steps[step_key[2]]
+        known = self._valid_tickets(step_key, now_ms)
+        if not known and self._is_advice_pending(step_key, now_ms):
+            return []
+        fitting = service_round.fitting(step)
         if not fitting:
             return []
-        if job.spec.queue.advice is not None:
-            known = self._valid_tickets(step_key, now_ms)
-            request = self._advice_request(step_key, fitting, known, now_ms)
-            if request is not None:
-                return [request]
-            fitting = [c for c in fitting if c.worker.id in known]
+        request = self._advice_request(step_key, fitting, known, now_ms)
+        if request is not None:
+            return [request]
+        if left <= 0:
+            return []
+        fitting = [c for c in fitting if c.worker.id in known]
         if step.gang:
             return self._place_gang(job, step_key, fitting, now_ms)
-        placer = PLACERS.get(placer_name(step))
-        effects: list[Effect] = []
+        score = PLACERS.get(placer_name(step)).score
+        ranking = Ranking(score, step, step_key, fitting, self._placed)
+        return self._place_ranked(job, waiting, ranking, left, now_ms)
+
+    def _place_ranked(
+        self,
+        job: Job,
+        waiting: list[Task],
+        ranking: Ranking,
+        left: float,
+        now_ms: float,
+    ) -> list[Effect]:
+        """Places tasks until one does not fit or no start is left."""
+        starts: list[Effect] = []
         for task in waiting:
-            candidate = placer(task, step, fitting, step_key)
+            if len(starts) >= left:
+                break
+            candidate = ranking.choose(task)
             if candidate is None:
                 break
             run_number = self._next_run(task)
-            effects.append(
+            starts.append(
                 self._place_task(job, task, run_number, candidate, now_ms)
             )
-        return effects
+        return starts
 
     def _place_gang(
         self,
@@ -276,14 +346,22 @@
         """Returns the request for advice that a step needs now, if any."""
         if any(candidate.worker.id in known for candidate in fitting):
             return None
-        requested_ms = self._advice_requested_ms.get(step_key)
-        if requested_ms is not None and now_ms - requested_ms < ADVICE_RETRY_MS:
+        if self._is_advice_pending(step_key, now_ms):
             return None
         self._advice_requested_ms[step_key] = now_ms
         best = sorted(fitting, key=lambda c: -c.free_resources.cores_milli)
         names = [candidate.worker.id for candidate in best[:MAX_ADVICE_WORKERS]]
         return RequestAdvice(*step_key, tuple(names))
 
+    def _is_advice_pending(
+        self, step_key: tuple[str, int, int], now_ms: float
+    ) -> bool:
+        """Returns whether advice was requested for a step recently."""
+        requested_ms = self._advice_requested_ms.get(step_key)
+        return (
+            requested_ms is not None and now_ms - requested_ms < ADVICE_RETRY_MS
+        )
+
     def _next_run(self, task: Task) -> int:
         """Returns the number of the next run of a task."""
         if task.may_be_running:
@@ -309,6 +387,7 @@
         run.checkpoint = task.checkpoint
         worker.runs[task.key, run_number] = run
         candidate.reserve(run)
+        self._placed.append(candidate)
         tickets = self._tickets.get(task.key[:3], {})
         ticket, _ = tickets.get(worker.id, ("", 0.0))
         return Start(
@@ -322,6 +401,25 @@
         )
 
 
+def _startable(
+    waiting: list[Task], is_unconfirmed: bool, now_ms: float
+) -> list[Task]:
+    """Returns the tasks that may start now.
+
+    Args:
+        waiting: Waiting tasks.
+        is_unconfirmed: Whether runs of an earlier owner may exist in the
+            service.
+        now_ms: Current time.
+    """
+    return [
+        task
+        for task in waiting
+        if task.retry_at_ms <= now_ms
+        and not (task.may_be_running and is_unconfirmed)
+    ]
+
+
 def _fit_all(
     step: StepSpec,
     candidates: list[Candidate],
--- a/src/limpetyard/engine/_urgency.py
+++ b/src/limpetyard/engine/_urgency.py
@@ -58,8 +58,14 @@
     spec = job.spec
     if spec.steps[step].long_running:
         return (LONG_RUNNING, spec.queue.priority, job.submitted_ms)
-    objective = objective_ms(spec)
-    remaining = critical_paths_ms(spec)[step]
+    if job.estimates is None:
+        job.estimates = (
+            objective_ms(spec),
+            critical_paths_ms(spec),
+            total_core_ms(spec),
+        )
+    objective, paths, core_ms = job.estimates
+    remaining = paths[step]
     slack = job.submitted_ms + objective - now_ms - remaining
     if slack >= 0:
         group = ON_TIME
@@ -68,5 +74,5 @@
     else:
         group = MISSED
     if spec.steps[step].fills:
-        return (group, spec.queue.priority, total_core_ms(spec))
+        return (group, spec.queue.priority, core_ms)
     return (group, spec.queue.priority, slack)
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -53,6 +53,7 @@
     """
 
     __slots__ = (
+        "_waiting",
         "checkpoint",
         "ended_runs",
         "failed_on",
@@ -67,10 +68,25 @@
         "worker",
     )
 
-    def __init__(self, key: TaskKey, step: StepSpec):
+    def __init__(
+        self,
+        key: TaskKey,
+        step: StepSpec,
+        waiting: "dict[int, Task] | None" = None,
+    ):
+        """Initializes a task that waits.
+
+        Args:
+            key: Key of the task.
+            step: Specification of the step.
+            waiting: Waiting tasks of the step by index; the task keeps its own
+                entry up to date.
+        """
         self.key = key
         self.step = step
         self.state = TASK_CHART.initial
+        self._waiting = {} if waiting is None else waiting
+        self._waiting[key.index] = self
         self.run = 0
         self.ended_runs: set[int] = set()
         self.failure_count = 0
@@ -81,9 +97,18 @@
         self.idle_since_ms: float | None = None
         self.retry_at_ms = 0.0
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether a run of the task has failed."""
+        return bool(self.failure_count or self.failed_on)
+
     def fire(self, event: str) -> None:
         """Applies an event of the task state machine."""
         self.state = TASK_CHART.next(self.state, event)
+        if self.state == "waiting":
+            self._waiting[self.key.index] = self
+        else:
+            self._waiting.pop(self.key.index, None)
 
 
 class Job:
@@ -105,13 +130,17 @@
         dirty: Whether the job has changes that are not stored yet.
         inherited: Whether an earlier owner may have started tasks of the job,
             including tasks of occurrences that are not due yet here.
+        estimates: Estimates that depend on the specification only, kept by
+            the planner; None before they are needed.
     """
 
     __slots__ = (
         "_remaining",
+        "_waiting",
         "dirty",
         "due",
         "ended_ms",
+        "estimates",
         "inherited",
         "spec",
         "started_ms",
@@ -132,7 +161,10 @@
         self.ended_ms: float | None = None
         self.dirty = False
         self.inherited = False
+        self.estimates: tuple | None = None
         self._remaining: dict[tuple[int, int], int] = {}
+        # Waiting tasks of each step that is not done, by index.
+        self._waiting: dict[tuple[int, int], dict[int, Task]] = {}
         if not spec.timed:
             self.make_due(spec.occurrences)
 
@@ -150,9 +182,10 @@
         for occurrence in range(self.due, occurrences):
             for number, step in enumerate(self.spec.steps):
                 self._remaining[occurrence, number] = step.count
+                waiting = self._waiting[occurrence, number] = {}
                 for index in range(step.count):
                     key = TaskKey(self.spec.id, occurrence, number, index)
-                    task = Task(key, step)
+                    task = Task(key, step, waiting)
                     task.may_be_running = self.inherited
                     self.tasks[occurrence, number, index] = task
         self.due = max(self.due, occurrences)
@@ -188,9 +221,9 @@
         """Returns whether all steps that a due step depends on are done."""
         if (occurrence, step) not in self._remaining:
             return False
-        return all(
-            self._remaining[occurrence, dependency] == 0
-            for dependency in self.spec.steps[step].after
+        after = self.spec.steps[step].after
+        return not after or all(
+            self._remaining[occurrence, dependency] == 0 for dependency in after
         )
 
     def open_steps(self) -> Iterator[tuple[int, int]]:
@@ -199,6 +232,17 @@
             if remaining and self.step_ready(occurrence, step):
                 yield occurrence, step
 
+    def waiting_steps(self) -> Iterator[tuple[int, int]]:
+        """Yields occurrence and step of all ready steps with waiting tasks."""
+        for (occurrence, step), waiting in self._waiting.items():
+            if waiting and self.step_ready(occurrence, step):
+                yield occurrence, step
+
+    def waiting_tasks(self, occurrence: int, step: int) -> list[Task]:
+        """Returns the waiting tasks of a step, by index."""
+        waiting = self._waiting.get((occurrence, step), {})
+        return [waiting[index] for index in sorted(waiting)]
+
     def mark_task_done(self, task: Task) -> None:
         """Marks a task as done; idempotent."""
         if task.state == "done":
@@ -207,6 +251,8 @@
         task.worker = ""
         _, occurrence, step, _ = task.key
         self._remaining[occurrence, step] -= 1
+        if not self._remaining[occurrence, step]:
+            del self._waiting[occurrence, step]
         self.dirty = True
 
     @property
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -20,6 +20,7 @@
     Stop,
     Ticket,
 )
+from limpetyard.engine._interference import PRIOR_WEIGHT
 from limpetyard.engine._placement import (
     MIN_PLACEMENT_HEADROOM,
     Candidate,
@@ -251,7 +252,9 @@
                 for other, used in best_effort_cores(worker).items()
             )
             headroom = min(headroom, left - weight * cores)
-            more = (weight - model.mean_weight(image)) * cores
+            known = [w for (s, _), w in model._weights.items() if s == image]
+            mean = sum(known) / len(known) if known else PRIOR_WEIGHT
+            more = (weight - mean) * cores
             excess = more if excess is None else max(excess, more)
         if headroom < MIN_PLACEMENT_HEADROOM:
             return None
@@ -392,6 +395,18 @@
             self.engine.add_tickets(*key, tickets)
 
 
+class UnmetNeedTest(test_engine.EngineTestCase):
+    """Steps that are skipped since another one fits nowhere."""
+
+    def test_gang_without_limit(self):
+        """A gang is skipped since one with a limit per worker is not met."""
+        gang = StepSpec(3, ONE_CORE, gang=True, per_worker=1)
+        self.submit(job(1, gang, priority=0))
+        unlimited = msgspec.structs.replace(gang, per_worker=0)
+        self.submit(job(2, unlimited, priority=1))
+        self.assertEqual({s.task.job[-1] for s in self.plan(Start)}, {"2"})
+
+
 class EqualPlacementTest(unittest.TestCase):
     """Placements do not depend on how many workers are scored."""
 
