Plan at most as many starts as orders may be in flight

Tasks of jobs that were cancelled meanwhile started or ran on (UNASKED), next to nothing was served (SHORT).

Cause: one synchronous round scored every worker for every waiting task and planned all starts there was room for, however many orders were in flight.

Ruled out: that orders in flight alone do it.

Change: a round plans at most as many starts as the dispatcher may send now; the rest waits, in the order of urgency, and is decided on the knowledge of the moment in which it can be sent. After a round the loop pauses for twice its duration.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -68,6 +68,10 @@
 # Minimum time between two rounds of planning.
 PLAN_MIN_INTERVAL_MS = 10
 
+# Pause after a round of planning as a multiple of its duration, so that a large
+# cell leaves two thirds of the event loop to orders, polls and heartbeats.
+PLAN_PAUSE_RATIO = 2
+
 # A round of planning that takes longer than this is logged: the event loop does
 # nothing else meanwhile.
 SLOW_PLAN_MS = 50
@@ -462,16 +466,21 @@
             self._plan_needed.clear()
             now_ms = self._clock.now_ms()
             self.engine.zones_out = self._view.zones_out
+            took_ms = 0.0
             if self._may_order():
-                effects = self.engine.plan(now_ms, self._wall_ms())
-                self._report_plan(self._clock.now_ms() - now_ms, len(effects))
+                effects = self.engine.plan(
+                    now_ms, self._wall_ms(), self._dispatcher.free_starts
+                )
+                took_ms = self._clock.now_ms() - now_ms
+                self._report_plan(took_ms, len(effects))
                 self._execute(effects)
             if any(job.dirty for job in self.engine.open_jobs.values()):
                 self._persist_needed.set()
             if now_ms - self._purged_ms > PURGE_INTERVAL_MS:
                 self._purged_ms = now_ms
                 await self._purge(now_ms)
-            await asyncio.sleep(PLAN_MIN_INTERVAL_MS / MS_PER_SECOND)
+            pause_ms = max(PLAN_MIN_INTERVAL_MS, PLAN_PAUSE_RATIO * took_ms)
+            await asyncio.sleep(pause_ms / MS_PER_SECOND)
 
     def _report_plan(self, took_ms: float, effects: int) -> None:
         notify_listeners("plan_done", took_ms=took_ms)
