Purge old records beside planning, not within it

The plan loop awaited the append that deletes records of ended jobs and removed workers. An append is retried until its outcome is known, so while the store did not answer no start and no stop was planned: the same class as in the incident, work that is retried without bound in front of what must go on.

Found by reading for the cause elsewhere; not seen in a recorded run. The new test test_unreachable_while_a_worker_is_forgotten failed before (no start in the outage), and passes now.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -152,7 +152,6 @@
         # Stored incarnation and draining flag of each worker, by id.
         self._recorded_workers: dict[str, tuple[int, bool]] = {}
         self._poll_tasks: dict[str, asyncio.Task] = {}
-        self._purged_ms = 0.0
         self._orders_suspended = False
 
     @property
@@ -196,6 +195,7 @@
             self._entries_follower.follow(),
             self._persist_loop(),
             self._plan_loop(),
+            self._purge_loop(),
         ):
             self._spawn(coroutine)
 
@@ -476,9 +476,6 @@
                 self._execute(effects)
             if any(job.dirty for job in self.engine.open_jobs.values()):
                 self._persist_needed.set()
-            if now_ms - self._purged_ms > PURGE_INTERVAL_MS:
-                self._purged_ms = now_ms
-                await self._purge(now_ms)
             pause_ms = max(PLAN_MIN_INTERVAL_MS, PLAN_PAUSE_RATIO * took_ms)
             await asyncio.sleep(pause_ms / MS_PER_SECOND)
 
@@ -487,6 +484,11 @@
         if took_ms >= SLOW_PLAN_MS:
             event("plan_slow", cell=self.cell, took_ms=took_ms, effects=effects)
 
+    async def _purge_loop(self) -> None:
+        while not self.ended and not self.should_stop:
+            await self._purge(self._clock.now_ms())
+            await asyncio.sleep(PURGE_INTERVAL_MS / MS_PER_SECOND)
+
     async def _purge(self, now_ms: float) -> None:
         """Deletes the records of expired jobs and of removed workers.
 
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -372,6 +372,32 @@
 
         self.run_scenario(scenario)
 
+    def test_unreachable_while_a_worker_is_forgotten(self):
+        """An append that waits for the store does not hold up planning."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            site.workers["w-5"].leave()
+            # Its lease has expired; its record is deleted a little later.
+            await asyncio.sleep(LEASE_MS / 1000)
+            await self.submit(site, range(3), run_ms=1500)
+            await asyncio.sleep(0.2)
+            for host in site.hosts:
+                host.store_link.cut = True
+            at_ms = site.clock.now_ms()
+            await asyncio.sleep(3)
+            started = [
+                entry
+                for entry in site.history.of(RunStarted)
+                if entry.at_ms > at_ms + 1000
+            ]
+            self.assertTrue(started)
+            for host in site.hosts:
+                host.store_link.cut = False
+            await self.complete(site, range(3))
+
+        with mock.patch("limpetyard.node._owner.PURGE_INTERVAL_MS", 50):
+            self.run_scenario(scenario)
+
     def test_refusing(self):
         """A rejected job never runs, and the error contains a retry time."""
 
