--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -216,11 +216,8 @@
             self.add_future(self._check_assignments())
 
     async def _check_assignments(self) -> None:
-        """Reads the assignments, unless this has just been done."""
         async with self._assignments_lock:
-            now_ms = self._clock.now_ms()
-            if now_ms - self._assignments_read_ms >= ASSIGNMENTS_MAX_AGE_MS:
-                await self._read_assignments(now_ms)
+            await self._read_assignments(self._clock.now_ms())
 
     async def leave(self) -> None:
         """Leaves the group; after a failure the membership expires by TTL."""
--- a/tests/node/test_standby.py
+++ b/tests/node/test_standby.py
@@ -1,12 +1,15 @@
 """Tests of nodes that stand by because others have larger VMs."""
 
 import asyncio
+import random
 import unittest
+from unittest import mock
 
 from limpetyard import _events
 from limpetyard.node import _store_layout
 from standins.platform import SimulatedSite, run_in_virtual_time, violations
 from standins.platform._history import RunStarted
+from tests.exploring import storms
 from tests.node.test_whole_site import SiteTestCase
 
 SMALL_LAST = (2.15, 2.15, 0.5, 0.3, 0.4, 0.3)
@@ -266,6 +269,26 @@
         self.run_scenario(scenario)
 
 
+class StormTest(unittest.TestCase):
+    """Random faults on sites with VMs of different sizes."""
+
+    def test_two_sizes(self):
+        """Changes of roles violate no rule and come to an end.
+
+        In seed 12 a node on standby once waited for no time without end.
+        """
+
+        def make_site(nodes: int, workers: int, seed: int) -> SimulatedSite:
+            sizes = random.Random(seed + 7)
+            cores = [sizes.choice((0.3, 0.5, LARGE)) for _ in range(nodes)]
+            return SimulatedSite(nodes, workers, seed, cores)
+
+        with mock.patch.object(storms, "SimulatedSite", make_site):
+            for seed in (3, 7, 8, 10, 12):
+                with self.subTest(seed):
+                    self.assertEqual(storms.run_schedule(seed), [])
+
+
 class MemberNameTest(unittest.TestCase):
     """The capacity in the name of a member."""
 
