Standby: bound the group, so that a large node is always seen

Found in a trial on the simulated store: with 24 partitions and 24 or more small candidates the cell stays with a small VM, since a member without a partition is not in the table of assignments, by which the others know it.

Change: a node also stands by once the members preferred to it are two thirds of the partitions, and returns when they are less than a third, so that the loss of one member does not call others in. Groups of up to 16 nodes behave as before with 24 partitions.

Both new tests failed before: the cell stayed with a small node (test_large_node_joins_many_small_ones), and all 20 nodes were members (test_many_equal_nodes).

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -230,12 +230,12 @@
     ),
     "standby_entered": EventKind(
         ("cores", "larger", "age_ms"),
-        "This node left the group because of a member with a larger VM, read"
-        " this long ago.",
+        "This node left the group because of preferred members, read this long"
+        " ago; `larger` is the largest one.",
     ),
     "standby_left": EventKind(
         ("cores", "larger", "age_ms"),
-        "This node joins the group again; no larger member is left.",
+        "This node joins the group again; too few preferred members are left.",
     ),
     "start_refused": EventKind(
         ("task", "run", "worker", "reason"),
--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -35,6 +35,12 @@
 # capacity.
 STANDBY_RATIO = 2.0
 
+# A member without a cell is not among the assignments. A node therefore stands
+# by once this many members per cell of the group are preferred to it, so that
+# each new member gets a cell, and returns once fewer than the lower share are.
+STANDBY_SHARE = 2 / 3
+RETURN_SHARE = 1 / 3
+
 # Time between two reads of the assignments on standby. After a read without an
 # answer, the next one is in time for the readiness of the node.
 STANDBY_CHECK_MS = 750
@@ -103,7 +109,7 @@
         if self._cores:
             await self._check_assignments()
         while not self.should_stop:
-            if self._larger_member():
+            if self._preferred_member():
                 await self._stand_by()
                 continue
             try:
@@ -151,18 +157,26 @@
         self._generation = assignment.generation
         return reassigned
 
-    def _larger_member(self) -> str:
-        """Returns the largest member if this node must stand by, or ""."""
+    def _preferred_member(self) -> str:
+        """Returns the member for which this node stands by, or "".
+
+        That is the largest one, if it is much larger or if enough others are
+        preferred to this node. A node on standby waits until far fewer are.
+        """
         if not self._cores:
             return ""
-        members = filter(None, self._assigned_members.values())
-        largest = max(members, key=member_cores, default="")
-        larger = member_cores(largest) >= STANDBY_RATIO * self._cores
-        return largest if larger else ""
+        members = set(self._assigned_members.values()) - {"", self.name}
+        largest = min(members, key=_rank, default="")
+        if member_cores(largest) >= STANDBY_RATIO * self._cores:
+            return largest
+        preferred = sum(_rank(member) < _rank(self.name) for member in members)
+        share = RETURN_SHARE if self.on_standby else STANDBY_SHARE
+        enough = share * len(self._assigned_members)
+        return largest if members and preferred >= enough else ""
 
     async def _stand_by(self) -> None:
         """Leaves the group until its members are no longer larger."""
-        larger = self._larger_member()
+        larger = self._preferred_member()
         await self._on_assignment(frozenset())
         await self.leave()
         self.assigned_cells = frozenset()
@@ -178,8 +192,8 @@
             larger=larger,
             age_ms=self._assignments_age_ms(),
         )
-        while not self.should_stop and self._larger_member():
-            larger = self._larger_member()
+        while not self.should_stop and self._preferred_member():
+            larger = self._preferred_member()
             await asyncio.sleep(self._check_due_in_ms() / MS_PER_SECOND)
             await self._check_assignments()
         if self.should_stop:
@@ -261,5 +275,10 @@
         own_cells = {
             cell for cell, name in members.items() if name == self.name
         }
-        if own_cells - self.assigned_cells or self._larger_member():
+        if own_cells - self.assigned_cells or self._preferred_member():
             self._assignment_changed.set()
+
+
+def _rank(member: str) -> tuple[float, str]:
+    """Returns the sort key of a member; the most preferred one comes first."""
+    return (-member_cores(member), member)
--- a/tests/node/test_standby.py
+++ b/tests/node/test_standby.py
@@ -115,6 +115,34 @@
         site = self.run_scenario(scenario)
         self.assertEqual(len(site.history.of(RunStarted)), 8 * 8)
 
+    def test_large_node_joins_many_small_ones(self):
+        """A large node gets a cell although there are more members than cells.
+
+        A member without a cell is not among the assignments, so that the small
+        ones would not know of it.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.check_large_owner(site)
+
+        # The store assigns cells in the order of names; node-9 is the last.
+        self.run_scenario(scenario, (0.5,) * 9 + (LARGE,) + (0.5,) * 18)
+
+    def test_many_equal_nodes(self):
+        """Of many equal nodes some stand by; the loss of one calls none in."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            members = group_names(site)
+            self.assertEqual(len(members), 16)
+            changes = len(self.changes)
+            lost = next(h for h in site.hosts if h.name in members)
+            await site.kill_node(lost)
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(group_names(site), members - {lost.name})
+            self.assertEqual(len(self.changes), changes)
+
+        self.run_scenario(scenario, (LARGE,) * 20)
+
     def test_one_large_node_left(self):
         """The small nodes stay on standby while one large node is left."""
 
