Stand-in: a processor of each node in virtual time

The simulated site had no processor cost: planning, calls and replies took no virtual time, so an owner never fell behind. With the option processors=True the callbacks of a node run one after the other and take the time that calls, replies and Engine.plan charge. Off by default.

--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -7,6 +7,7 @@
 from standins.platform._checks import violations
 from standins.platform._history import History
 from standins.platform._link import Link
+from standins.platform._processor import Processor, planning_charged
 from standins.platform._site import SimulatedSite
 from standins.platform._store import LinkedStoreClient, StoreModel
 from standins.platform._virtual_time import VirtualClock, run_in_virtual_time
@@ -17,10 +18,12 @@
     "Link",
     "LinkedStoreClient",
     "LinkedWorkerClient",
+    "Processor",
     "SimulatedSite",
     "StoreModel",
     "VirtualClock",
     "WorkerModel",
+    "planning_charged",
     "run_in_virtual_time",
     "violations",
 ]
--- a/standins/platform/_link.py
+++ b/standins/platform/_link.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from limpetyard._clock import MS_PER_SECOND
+from standins.platform._processor import Processor
 
 T = TypeVar("T")
 
@@ -29,6 +30,7 @@
         late_rate: Fraction of calls that get no reply and are executed late.
         late_ms: Shortest and longest delay of these late calls.
         late_calls: Number of late calls so far.
+        processor: Processor of the caller, or None if calls cost no time.
         thawed: Cleared while the caller's VM is frozen; calls and replies in
             transit wait until it is set.
     """
@@ -42,6 +44,7 @@
         self.late_rate = 0.0
         self.late_ms = (1000.0, 6000.0)
         self.late_calls = 0
+        self.processor: Processor | None = None
         self.thawed = asyncio.Event()
         self.thawed.set()
         self._background: set[asyncio.Task] = set()
@@ -58,7 +61,10 @@
         """
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-                return await self._call(operation)
+                exchange = self._call(operation)
+                if self.processor is not None:
+                    return await self.processor.call(exchange)
+                return await exchange
         except TimeoutError:
             await self.thawed.wait()
             raise LinkTimeoutError from None
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 
 import msgspec
 
@@ -31,6 +31,7 @@
     ZoneChanged,
 )
 from standins.platform._link import Link, LinkRefusedError, LinkTimeoutError
+from standins.platform._processor import Processor
 from standins.platform._store import LinkedStoreClient, StoreModel
 from standins.platform._virtual_time import VirtualClock
 from standins.platform._worker import LinkedWorkerClient, WorkerModel
@@ -66,11 +67,30 @@
         self.node: Node | None = None
         self.job_service: JobService | None = None
         self.incarnations = 0
+        self.processor: Processor | None = None
 
     @property
     def links(self) -> list[Link]:
         return [self.store_link, self.peer_link, *self.worker_links.values()]
 
+    def add_processor(self) -> None:
+        """Makes the calls and the planning of the node cost time."""
+        self.processor = Processor(self.clock)
+        for link in self.links:
+            link.processor = self.processor
+
+    async def run(self, work: Coroutine) -> object:
+        """Runs a coroutine on the processor of the node, if it has one."""
+        if self.processor is None:
+            return await work
+        return await self.processor.run(work)
+
+    async def serve(self, work: Coroutine) -> object:
+        """Serves a call on the processor of the node, if it has one."""
+        if self.processor is None:
+            return await work
+        return await self.processor.serve(work)
+
 
 class _SimulatedPeers:
     """Client of the other nodes over the link of one node."""
@@ -89,6 +109,9 @@
             await peer.peer_link.thawed.wait()
             if peer.peer_link.cut or peer.node is not node:
                 raise LinkTimeoutError
+            return await peer.serve(execute())
+
+        async def execute():
             return operation(node)
 
         try:
@@ -136,6 +159,7 @@
         workers: int,
         seed: int = 0,
         processor_cores: Sequence[float] = (),
+        processors: bool = False,
     ):
         """Initializes a site.
 
@@ -145,6 +169,7 @@
             seed: Seed of all random choices.
             processor_cores: Processor capacity of each node; unknown for all
                 if empty.
+            processors: Whether calls cost the nodes time; see `Processor`.
         """
         self.rng = random.Random(seed)
         self.clock = VirtualClock()
@@ -160,6 +185,9 @@
         self._version = 0
         for number in range(workers):
             self.add_worker(number)
+        if processors:
+            for host in self.hosts:
+                host.add_processor()
 
     def add_worker(self, number: int) -> WorkerModel:
         """Adds a worker with 8 cores and 32 GB of memory."""
@@ -185,7 +213,8 @@
         self.history.labels[entry.id] = entry.labels
         self.history.zones[entry.id] = entry.availability_zone
         for host in self.hosts:
-            host.worker_links[entry.id] = Link(self.rng)
+            link = host.worker_links[entry.id] = Link(self.rng)
+            link.processor = host.processor
         return model
 
     async def start(self) -> None:
@@ -249,7 +278,7 @@
             listen,
         )
         host.node = Node(cfg, adapters, view, host.clock, host.clock.wall_ms)
-        await host.node.start()
+        await host.run(host.node.start())
 
     async def kill_node(self, host: _Host) -> None:
         """Stops a node abruptly.
@@ -262,7 +291,11 @@
             return
         for link in host.links:
             link.cut = True
+        if host.processor is not None:
+            host.processor.reset()
         await _kill(node)
+        if host.processor is not None:
+            host.processor.reset()
         for link in host.links:
             link.cut = False
 
@@ -331,7 +364,7 @@
                 await asyncio.sleep(0.2)
                 continue
             try:
-                await job_service.submit(spec, DEADLINE_MS)
+                await entry_host.serve(job_service.submit(spec, DEADLINE_MS))
             except RequestError as exc:
                 only_refused &= exc.kind.value in NOT_ACCEPTED_KINDS
                 await asyncio.sleep(0.3)
@@ -349,10 +382,11 @@
         """Cancels a job as a client does; returns whether it was confirmed."""
         self.history.cancel_requests.add(job_id)
         for _ in range(8):
-            job_service = self.rng.choice(self.hosts).job_service
+            host = self.rng.choice(self.hosts)
+            job_service = host.job_service
             if job_service is not None:
                 try:
-                    await job_service.cancel(job_id, DEADLINE_MS)
+                    await host.serve(job_service.cancel(job_id, DEADLINE_MS))
                 except RequestError:
                     await asyncio.sleep(0.3)
                     continue
@@ -367,11 +401,12 @@
         Returns:
             The state, "" if the job is unknown, or None without a response.
         """
-        job_service = self.rng.choice(self.hosts).job_service
+        host = self.rng.choice(self.hosts)
+        job_service = host.job_service
         if job_service is None:
             return None
         try:
-            state = await job_service.state(job_id, DEADLINE_MS)
+            state = await host.serve(job_service.state(job_id, DEADLINE_MS))
         except RequestError as exc:
             if exc.kind.value != "job_gone":
                 return None
--- a/standins/platform/_virtual_time.py
+++ b/standins/platform/_virtual_time.py
@@ -1,10 +1,12 @@
 """An event loop on virtual time, which advances only while it is idle."""
 
 import asyncio
+import functools
 import selectors
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 from limpetyard._clock import MS_PER_SECOND
+from standins.platform._processor import schedule
 
 # Virtual time advances by at least this much, so that the addition changes the
 # float however large the time is.
@@ -42,6 +44,19 @@
         """Returns the virtual time in seconds."""
         return self._virtual_selector.now_s
 
+    def call_soon(
+        self, callback: Callable, *args, context=None
+    ) -> asyncio.Handle:
+        """See `asyncio.loop.call_soon`; takes turns on a node's processor."""
+        return schedule(super().call_soon, callback, args, context)
+
+    def call_at(
+        self, when: float, callback: Callable, *args, context=None
+    ) -> asyncio.TimerHandle:
+        """See `asyncio.loop.call_at`; takes turns on a node's processor."""
+        call = functools.partial(super().call_at, when)
+        return schedule(call, callback, args, context)
+
 
 class VirtualClock:
     """A node's clock, derived from the time of the running loop.
