--- a/standins/platform/_processor.py
+++ b/standins/platform/_processor.py
@@ -34,6 +34,7 @@
 EVALUATIONS = (
     (Resources, "fits"),
     (Candidate, "__init__"),
+    (Candidate, "allows"),
     (Candidate, "headroom_with"),
     (Candidate, "reserve"),
 )
