Back off from workers that leave start orders unanswered

Found by review of the limit on starts in flight, shown in virtual time with the engine and the dispatcher: workers that answer polls but no start orders hold the slots of the starts queued for them for a second each, look empty once the stop is acknowledged, and are chosen again.

Change: an unanswered start begins a backoff of 400 ms, which doubles up to 1.6 s until a start is answered; starts queued for a worker in backoff are withdrawn at once. test_queue_of_a_worker_that_leaves_starts_unanswered failed before (a third order was sent).

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -465,11 +465,13 @@
             return
         if result is StartResult.STARTED:
             run.acked_ms = now_ms
+            worker.silent_starts = 0
             if run.state is RunState.ORDERED:
                 run.state = RunState.RUNNING
             self._record_job_start(effect.task.job, now_ms)
             return
         if result is None:
+            worker.record_silent_start(now_ms)
             if run.state is RunState.ORDERED:
                 run.state = RunState.STOPPING
             return
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -25,6 +25,10 @@
 INITIAL_PROBE_BACKOFF_MS = 100
 MAX_PROBE_BACKOFF_MS = 1600
 
+# Exponential backoff of a worker that left a start order without a reply. The
+# maximum is that of probation, for the same reason.
+INITIAL_SILENT_BACKOFF_MS = 400
+
 # A run that is at full speed more than this long after its placement shows that
 # its worker is healthy.
 HEALTHY_RUN_MS = 1000
@@ -137,6 +141,8 @@
         last_failure_ms: When the last run failed.
         recorded: Whether the current incarnation is stored, so that a later
             owner will know of it.
+        silent_starts: Number of start orders without a reply since the last
+            one that was answered.
         backoff_until_ms: Time before which the worker gets no new work.
         departure_ms: Earliest time at which a draining worker departs; infinite
             for others.
@@ -161,6 +167,7 @@
         "recorded",
         "replied_ms",
         "runs",
+        "silent_starts",
         "token_confirmed",
     )
 
@@ -181,6 +188,7 @@
         self.missing_since_ms: float | None = None
         self.failures = 0
         self.last_failure_ms = float("-inf")
+        self.silent_starts = 0
         self.backoff_until_ms = 0.0
         self.departure_ms = float("inf")
         self._clock_ms = 0.0
@@ -222,6 +230,15 @@
         self.failures += 1
         self.last_failure_ms = now_ms
 
+    def record_silent_start(self, now_ms: float) -> None:
+        """Records that a start order got no reply; begins a backoff."""
+        # Limits the size of the shift; the backoff has its maximum by then.
+        doublings = min(self.silent_starts, 10)
+        self.silent_starts += 1
+        self.backoff_until_ms = now_ms + min(
+            INITIAL_SILENT_BACKOFF_MS << doublings, MAX_PROBE_BACKOFF_MS
+        )
+
     def reset_failures_if_healthy(self, now_ms: float) -> None:
         """Resets the failure count if a run has shown the worker to be healthy.
 
@@ -265,6 +282,7 @@
         self.last_acked_end = 0
         self.lease_end_ms = 0.0
         self.failures = 0
+        self.silent_starts = 0
         self._clock_read_ms = None
 
     def set_entry(self, entry: WorkerEntry, now_ms: float) -> None:
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -131,7 +131,7 @@
             lambda: None,
         )
 
-    def plan(self, workers: int, tasks: int) -> list[Start]:
+    def plan(self, workers: int, tasks: int, gang: bool = False) -> list[Start]:
         """Plans a job of one-core tasks on workers of eight cores."""
         for number in range(workers):
             entry = WorkerEntry(
@@ -150,7 +150,7 @@
         self.engine.set_recorded_workers(
             dict.fromkeys(self.engine.workers, (1, False))
         )
-        step = StepSpec(tasks, Resources(1000, 1000))
+        step = StepSpec(tasks, Resources(1000, 1000), gang=gang)
         spec = JobSpec("0" * 16, QueueParams("q", "pool"), "", (step,))
         self.job = self.engine.add_job(spec, 0.0, loaded=False)
         starts = self.engine.plan(1000.0, 0.0)
@@ -310,6 +310,24 @@
         self.assertEqual(self.client.starts, [])
         self.assertEqual(self.runs(), [])
 
+    async def test_queue_of_a_worker_that_leaves_starts_unanswered(self):
+        """Starts queued for such a worker keep their slots, one by one."""
+        starts = self.plan(1, 5)
+        tasks = [
+            asyncio.create_task(self.dispatcher.accept(start))
+            for start in starts
+        ]
+        await self.settle()
+        for attempt in range(2):
+            _, _, reply = self.client.starts[attempt]
+            reply.set_exception(WorkerOutcomeUnknownError("w"))
+            await self.settle()
+        self.assertEqual(len(self.client.starts), 2)
+        await asyncio.gather(*tasks)
+        (run,) = self.runs()
+        self.assertIs(run.state, RunState.STOPPING)
+        self.assertEqual(self.engine.plan(1000.0, 0.0)[1:], [])
+
 
 if __name__ == "__main__":
     unittest.main()
