Stop a gang if the start of a member is withdrawn

Found by review: the other members had been started and waited for the gang's time-out, which ends them as ALONE. test_gang_of_a_withdrawn_member failed before (the other member stayed ordered).

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -492,7 +492,8 @@
     def on_start_withdrawn(self, effect: Start, now_ms: float) -> None:
         """Handles a start order that was never sent: drops the run.
 
-        Its task waits again, unless it has another run by now.
+        Its task waits again, unless it has another run by now. The other
+        members of a gang are stopped, as they would wait for it.
         """
         worker = self.workers.get(effect.worker)
         run = worker and worker.runs.pop((effect.task, effect.run), None)
@@ -504,6 +505,8 @@
             run=effect.run,
             worker=worker.id,
         )
+        if run.step.gang:
+            self._stop_gang(effect)
         task = self.find_task(effect.task)
         if (
             task is not None
@@ -512,6 +515,14 @@
         ):
             self.release_task(task, now_ms)
 
+    def _stop_gang(self, member: Start) -> None:
+        """Marks the runs that were planned with a member of a gang."""
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                same_gang = run.task[:3] == member.task[:3]
+                if same_gang and run.run == member.run:
+                    run.state = RunState.STOPPING
+
     def _record_job_start(self, job_id: str, now_ms: float) -> None:
         job = self.jobs.get(job_id)
         if job is None or job.started_ms is not None:
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -328,6 +328,15 @@
         self.assertIs(run.state, RunState.STOPPING)
         self.assertEqual(self.engine.plan(1000.0, 0.0)[1:], [])
 
+    async def test_gang_of_a_withdrawn_member(self):
+        """The other members of a gang wait for one that is not started."""
+        starts = self.plan(2, 2, gang=True)
+        self.clock.advance(3000.0)
+        await self.run_briefly(self.dispatcher.execute(starts[0]))
+        (run,) = self.runs()
+        self.assertEqual(run.task, starts[1].task)
+        self.assertIs(run.state, RunState.STOPPING)
+
 
 if __name__ == "__main__":
     unittest.main()
