Apply a long backlog of records in pieces

Found by review: a reply of the store with 500 accepted jobs of 30 tasks is applied in 127 ms in one piece, one with 500 cancellations in 228 ms (trials on a fast core), three times that on the owner's VM; joins and polls wait meanwhile. The follower now passes 32 records in one iteration of the event loop. The new test failed before (300 records in one piece).

--- a/src/limpetyard/store/_follower.py
+++ b/src/limpetyard/store/_follower.py
@@ -12,6 +12,10 @@
 # confirmations that the reader has reached the end of the partition.
 READ_WAIT_MS = 1000
 
+# Records passed to the callback in one iteration of the event loop. A long
+# backlog must not delay heartbeats.
+APPLIED_PER_ITERATION = 32
+
 # Initial and maximum backoff after a failed read. The maximum is a quarter of
 # the two seconds within which a changed configuration must be in force.
 RETRY_INITIAL_MS = 50
@@ -92,7 +96,7 @@
             )
             if first_end is None:
                 first_end = page.end
-            self._apply(page.records)
+            await self._apply_in_pieces(page.records)
             keys.update(record.key for record in page.records)
             if not page.more or not page.records:
                 break
@@ -130,11 +134,17 @@
                 topic=self._topic,
                 number=page.unreadable,
             )
+        await self._apply_in_pieces(page.records)
         self._offset = page.next_offset
-        self._apply(page.records)
         if page.next_offset >= page.end:
             self.confirmed_ms = sent_ms
 
+    async def _apply_in_pieces(self, records: list[StoredRecord]) -> None:
+        for start in range(0, len(records), APPLIED_PER_ITERATION):
+            if start:
+                await asyncio.sleep(0)
+            self._apply(records[start : start + APPLIED_PER_ITERATION])
+
     async def follow(self) -> None:
         """Loads all keys, then reads until cancelled; retries with backoff."""
         backoff_ms = RETRY_INITIAL_MS
