Failing tests of the cost of pacing, drains and job ends

An idle round costs about as much as one with work: pacing computes the loss of headroom for each serving run, every worker's runs are summed up twice, and each run that cannot leave a draining worker scores all workers. The end of a job looks at all runs of all workers.

The reference planner now moves runs off draining workers by itself, with all workers scored anew for each run, and counts the runs of a step by itself instead of with `Worker.count_runs`, which nothing else uses.

--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -20,15 +20,20 @@
     Stop,
     Ticket,
 )
+from limpetyard.engine._draining import FORCED_STOP_MS, _should_stop
 from limpetyard.engine._interference import PRIOR_WEIGHT
 from limpetyard.engine._placement import (
     MIN_PLACEMENT_HEADROOM,
+    PLACERS,
     Candidate,
     best_effort_cores,
+    placer_name,
     serving_runs,
 )
 from limpetyard.engine._planner import Planner
+from limpetyard.engine._ranking import Ranking
 from limpetyard.engine._urgency import urgency
+from limpetyard.engine._worker import RunState
 from limpetyard.jobs import AdviceParams, Resources, StepSpec
 from tests.engine import test_engine
 from tests.engine.test_engine import LEASE_MS, ONE_CORE, entry, job
@@ -223,10 +228,37 @@
         ]
         return (others or allowed)[min(scored)[1]] if scored else None
 
+    def _drain_workers(self, candidates_by_service, now_ms):
+        candidates = candidates_by_service["pool"]
+        for worker in self._engine.workers.values():
+            if worker.entry.draining and worker.is_responsive(now_ms):
+                left_ms = worker.departure_ms - now_ms
+                for run in worker.runs.values():
+                    if run.state is RunState.RUNNING and _should_stop(
+                        run, left_ms, now_ms
+                    ):
+                        self._drain(run, candidates, left_ms)
+
+    def _drain(self, run, candidates, left_ms):
+        step, key = run.step, run.task[:3]
+        task = self._engine.find_task(run.task)
+        fitting = [
+            c
+            for c in candidates
+            if not step.label or step.label in c.entry.labels
+        ]
+        score = PLACERS.get(placer_name(step)).score
+        best = Ranking(score, step, key, fitting, []).choose(task)
+        if best is not None:
+            best.reserve(run)
+        if best is not None or left_ms <= FORCED_STOP_MS:
+            run.state = RunState.STOPPING
+
     def _allows(self, worker, step, step_key):
         probed = worker.on_probation and worker.id in self.probed
         limit = step.per_worker
-        full = limit and worker.count_runs(*step_key) >= limit
+        same = sum(key[:3] == step_key for key, _ in worker.runs)
+        full = limit and same >= limit
         fits = step.reserved.fits(worker.free_resources())
         return fits and not probed and not full
 
