Pace, drain and end jobs at a fraction of the cost

Callers saw nothing wrong, but an idle round on a cell of 246 workers with running tasks kept the event loop, which also renews the owner's membership, busy for 14 ms many times a second, and for about 40 ms while 62 workers drained.

Causes: pacing computed the loss of headroom and predicted the baseline for each serving run; candidates and pacing summed up the runs of every worker in every round; each run that could not leave a draining worker scored all workers; the end of a job looked at all runs of all workers.

Change: `WorkerLoad` keeps the sums of a worker for as long as its runs, their speeds and its capacity are the same, which it checks itself, so that no writer has to invalidate it. Pacing computes one loss for each serving image of a worker; a baseline keeps its prediction until time passes or a measurement arrives. Draining uses the rankings and unmet needs of the round, as placement does. The engine knows which workers have got runs of a job. `Worker.count_runs` and `Placer.__call__`, which nothing uses any more, are gone.

Ruled out: skipping unchanged workers in `pace`. Baselines follow a trend and drift with time, and pauses end by time, so the outcome depends on the time. Sums keep their order, and each round predicts the same baselines as before, as rounding and the reset of the trend depend on when a baseline is advanced.

--- a/src/limpetyard/engine/_draining.py
+++ b/src/limpetyard/engine/_draining.py
@@ -9,6 +9,7 @@
 
 from limpetyard._events import event
 from limpetyard.engine._placement import PLACERS, Candidate, placer_name
+from limpetyard.engine._ranking import ServiceRound
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 from limpetyard.jobs import Task, TaskKey
 
@@ -24,7 +25,8 @@
 def drain_worker(
     worker: Worker,
     find_task: Callable[[TaskKey], Task | None],
-    candidates: list[Candidate],
+    service_round: ServiceRound,
+    placed: list[Candidate],
     now_ms: float,
 ) -> None:
     """Marks the runs that should move off a draining worker as stopping.
@@ -35,8 +37,10 @@
     Args:
         worker: The draining worker.
         find_task: Returns the task of a key, or None.
-        candidates: Workers of the same service that accept work; resources
+        service_round: Workers of the same service that accept work; resources
             for moved runs are reserved there, for the rest of this round only.
+        placed: Receivers of the tasks placed in this round, to which those of
+            moved runs are appended.
         now_ms: Current time.
     """
     until_departure_ms = worker.departure_ms - now_ms
@@ -46,11 +50,12 @@
             continue
         if not _should_stop(run, until_departure_ms, now_ms):
             continue
-        destination = _find_destination(task, run, candidates)
+        destination = _find_destination(task, run, service_round, placed)
         if destination is None and until_departure_ms > FORCED_STOP_MS:
             continue
         if destination is not None:
             destination.reserve(run)
+            placed.append(destination)
         run.state = RunState.STOPPING
         event(
             "run_moved",
@@ -85,13 +90,18 @@
 
 
 def _find_destination(
-    task: Task, run: WorkerRun, candidates: list[Candidate]
+    task: Task,
+    run: WorkerRun,
+    service_round: ServiceRound,
+    placed: list[Candidate],
 ) -> Candidate | None:
     """Returns a worker that could take the task of a run, or None."""
-    fitting = [
-        candidate
-        for candidate in candidates
-        if not run.step.label or run.step.label in candidate.entry.labels
-    ]
-    placer = PLACERS.get(placer_name(run.step))
-    return placer(task, run.step, fitting, run.task[:3])
+    step = run.step
+    if service_round.is_task_unmet(step):
+        return None
+    score = PLACERS.get(placer_name(step)).score
+    ranking = service_round.ranking(score, step, run.task[:3], placed)
+    destination = ranking.choose(task)
+    if destination is None and ranking.is_empty:
+        service_round.add_unmet(step)
+    return destination
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -92,6 +92,7 @@
     __slots__ = (
         "_planner",
         "_run_end_handler",
+        "_workers_by_job",
         "dirty_workers",
         "epoch",
         "interference",
@@ -115,6 +116,9 @@
         self.interference = InterferenceModel()
         self._run_end_handler = RunEndHandler(self)
         self._planner = Planner(self)
+        # Ids of the workers that have got runs of a job, by its id, until it
+        # ends.
+        self._workers_by_job: dict[str, set[str]] = {}
 
     def add_job(self, spec: JobSpec, now_ms: float, loaded: bool) -> Job:
         """Adds an accepted job and returns it; idempotent by id.
@@ -145,6 +149,7 @@
         """Drops a job that is in a final state."""
         self.jobs.pop(job_id, None)
         self.open_jobs.pop(job_id, None)
+        self._workers_by_job.pop(job_id, None)
 
     def set_entry(self, entry: WorkerEntry, now_ms: float) -> Worker:
         """Adds or updates a worker from its directory entry.
@@ -302,11 +307,20 @@
             state=job.state,
             age_ms=now_ms - job.submitted_ms,
         )
-        for worker in self.workers.values():
-            for run in worker.runs.values():
+        for worker_id in self._workers_by_job.pop(job.spec.id, ()):
+            worker = self.workers.get(worker_id)
+            runs = worker.runs.values() if worker is not None else ()
+            for run in runs:
                 if run.task.job == job.spec.id:
                     run.state = RunState.STOPPING
 
+    def add_run(self, worker: Worker, run: WorkerRun) -> None:
+        """Adds a run that may exist on a worker from now on."""
+        worker.runs[run.task, run.run] = run
+        if run.task.job in self.open_jobs:
+            workers = self._workers_by_job.setdefault(run.task.job, set())
+            workers.add(worker.id)
+
     def _update_runs(
         self,
         worker: Worker,
@@ -365,7 +379,7 @@
             else:
                 run.state = RunState.STOPPING
         run.acked_ms = now_ms
-        worker.runs[report.task, report.run] = run
+        self.add_run(worker, run)
         event(
             "run_found",
             task=report.task.name,
@@ -586,10 +600,13 @@
     def _due_stops(self, now_ms: float) -> list[Effect]:
         """Returns stop orders for stopping runs that are due for one."""
         effects: list[Effect] = []
+        # A member of an enum is slow to look up, and there are many runs.
+        stopping = RunState.STOPPING
         for worker in self.workers.values():
             for run in worker.runs.values():
-                due = now_ms - run.last_stop_ms >= STOP_RETRY_MS
-                if run.state is RunState.STOPPING and due:
+                if run.state is not stopping:
+                    continue
+                if now_ms - run.last_stop_ms >= STOP_RETRY_MS:
                     run.last_stop_ms = now_ms
                     effects.append(Stop(worker.id, run.task, run.run))
         return effects
--- a/src/limpetyard/engine/_interference.py
+++ b/src/limpetyard/engine/_interference.py
@@ -69,7 +69,15 @@
         at_ms: Time to which the estimate refers.
     """
 
-    __slots__ = ("at_ms", "lowest", "trend", "value", "variance")
+    __slots__ = (
+        "_predicted",
+        "_predicted_at_ms",
+        "at_ms",
+        "lowest",
+        "trend",
+        "value",
+        "variance",
+    )
 
     def __init__(self, now_ms: float):
         self.value = PRIOR_BASELINE
@@ -77,9 +85,13 @@
         self.trend = 0.0
         self.lowest = float("inf")
         self.at_ms = now_ms
+        self._predicted = PRIOR_BASELINE
+        # Time for which the prediction was made, or None if it is outdated.
+        self._predicted_at_ms: float | None = None
 
     def advance(self, now_ms: float) -> None:
         """Extrapolates to `now_ms` along the trend."""
+        self._predicted_at_ms = None
         elapsed_s = max(0.0, (now_ms - self.at_ms) / 1000)
         self.at_ms = max(self.at_ms, now_ms)
         if elapsed_s > PREDICTION_HORIZON_S:
@@ -90,8 +102,22 @@
         if self.variance < KNOWN_BASELINE_VARIANCE:
             self.lowest = min(self.lowest, self.value)
 
+    def predict(self, now_ms: float) -> float:
+        """Returns a cautious prediction; see `InterferenceModel`."""
+        if now_ms != self._predicted_at_ms:
+            self.advance(now_ms)
+            falling = (
+                min(0.0, self.trend * PREDICTION_HORIZON_S) - BASELINE_MARGIN
+            )
+            self._predicted = max(
+                min(self.lowest, self.value), self.value + falling
+            )
+            self._predicted_at_ms = now_ms
+        return self._predicted
+
     def correct(self, change: float) -> None:
         """Applies a correction of the filter to value and trend."""
+        self._predicted_at_ms = None
         self.value += change
         self.trend += TREND_GAIN * change
 
@@ -144,13 +170,7 @@
         baseline = self._baselines.get(job)
         if baseline is None:
             return PRIOR_BASELINE
-        baseline.advance(now_ms)
-        falling = (
-            min(0.0, baseline.trend * PREDICTION_HORIZON_S) - BASELINE_MARGIN
-        )
-        return max(
-            min(baseline.lowest, baseline.value), baseline.value + falling
-        )
+        return baseline.predict(now_ms)
 
     def update(
         self,
--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -11,7 +11,7 @@
     InterferenceModel,
     tail_headroom,
 )
-from limpetyard.engine._placement import best_effort_cores, serving_runs
+from limpetyard.engine._placement import WorkerLoad, serving_runs, worker_load
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 
 # Thresholds of the lowest predicted headroom on a worker. Below SLOW_BELOW,
@@ -67,19 +67,19 @@
     Returns:
         Orders for the runs whose speed changes.
     """
+    load = worker_load(worker)
+    running = RunState.RUNNING
     best_effort_runs = [
-        run
-        for run in worker.runs.values()
-        if run.step.fills and run.state is RunState.RUNNING
+        run for run in load.best_effort_runs if run.state is running
     ]
     if not best_effort_runs:
         return []
-    lowest, limiting_run = _lowest_headroom(worker, interference, now_ms)
+    lowest, limiting_image = _lowest_headroom(load, interference, now_ms)
     effects: list[Effect] = []
-    if limiting_run is not None and lowest < SLOW_BELOW:
+    if limiting_image is not None and lowest < SLOW_BELOW:
         effects = _slow(
             worker,
-            limiting_run,
+            limiting_image,
             best_effort_runs,
             SLOW_TO - lowest,
             interference,
@@ -87,7 +87,7 @@
     else:
         effects = _restore(
             worker,
-            limiting_run,
+            limiting_image,
             best_effort_runs,
             lowest - RESTORE_DOWN_TO,
             interference,
@@ -103,35 +103,40 @@
 
 
 def _lowest_headroom(
-    worker: Worker, interference: InterferenceModel, now_ms: float
-) -> tuple[float, WorkerRun | None]:
-    """Returns the lowest predicted headroom and the run that it belongs to."""
-    cores = best_effort_cores(worker)
-    lowest, limiting_run = float("inf"), None
-    for run in serving_runs(worker):
-        headroom = interference.predicted_baseline(run.task.job, now_ms) - sum(
-            interference.weight(run.step.image, image) * used
-            for image, used in cores.items()
-        )
+    load: WorkerLoad, interference: InterferenceModel, now_ms: float
+) -> tuple[float, str | None]:
+    """Returns the lowest predicted headroom and the serving image with it."""
+    losses: dict[str, float] = {}
+    lowest, limiting_image = float("inf"), None
+    for job, image in load.serving_images:
+        if image not in losses:
+            losses[image] = sum(
+                interference.weight(image, other) * used
+                for other, used in load.best_effort_cores.items()
+            )
+        headroom = interference.predicted_baseline(job, now_ms) - losses[image]
         if headroom < lowest:
-            lowest, limiting_run = headroom, run
-    return lowest, limiting_run
+            lowest, limiting_image = headroom, image
+    return lowest, limiting_image
 
 
-def _weight(
-    limiting_run: WorkerRun | None,
-    run: WorkerRun,
+def _weights(
+    limiting_image: str | None,
+    runs: list[WorkerRun],
     interference: InterferenceModel,
-) -> float:
-    """Returns the headroom that `limiting_run` loses per core of `run`."""
-    if limiting_run is None:
-        return 0.0
-    return interference.weight(limiting_run.step.image, run.step.image)
+) -> dict[str, float]:
+    """Returns the headroom lost per core of each image of some runs."""
+    images = {run.step.image for run in runs}
+    if limiting_image is None:
+        return dict.fromkeys(images, 0.0)
+    return {
+        image: interference.weight(limiting_image, image) for image in images
+    }
 
 
 def _slow(
     worker: Worker,
-    limiting_run: WorkerRun,
+    limiting_image: str,
     best_effort_runs: list[WorkerRun],
     shortfall: float,
     interference: InterferenceModel,
@@ -142,20 +147,18 @@
 
     Args:
         worker: Worker of the runs.
-        limiting_run: Serving run with the lowest headroom.
+        limiting_image: Serving image with the lowest headroom.
         best_effort_runs: Runs to choose from.
         shortfall: Headroom to regain.
         interference: Model that gives the loss of headroom that each run
             causes.
     """
     effects: list[Effect] = []
-    best_effort_runs = sorted(
-        best_effort_runs,
-        key=lambda run: -_weight(limiting_run, run, interference),
-    )
-    for run in best_effort_runs:
+    running = [run for run in best_effort_runs if run.speed_percent > 0]
+    weights = _weights(limiting_image, running, interference)
+    for run in sorted(running, key=lambda run: -weights[run.step.image]):
         cores = run.step.need.cores_milli / 1000 * run.speed_percent / 100
-        headroom_loss = _weight(limiting_run, run, interference) * cores
+        headroom_loss = weights[run.step.image] * cores
         if shortfall <= 0 or headroom_loss <= 0:
             continue
         percent = int(
@@ -169,7 +172,7 @@
 
 def _restore(
     worker: Worker,
-    limiting_run: WorkerRun | None,
+    limiting_image: str | None,
     best_effort_runs: list[WorkerRun],
     spare: float,
     interference: InterferenceModel,
@@ -180,23 +183,22 @@
 
     Args:
         worker: Worker of the runs.
-        limiting_run: Serving run with the lowest headroom, or None.
+        limiting_image: Serving image with the lowest headroom, or None.
         best_effort_runs: Runs to choose from.
         spare: Headroom that may be used up.
         interference: Model that gives the loss of headroom that each run
             causes.
     """
     effects: list[Effect] = []
-    for run in sorted(
-        best_effort_runs,
-        key=lambda run: _weight(limiting_run, run, interference),
-    ):
-        if run.speed_percent == 100 or spare <= 0:
-            continue
+    slowed = [run for run in best_effort_runs if run.speed_percent < 100]
+    if spare <= 0 or not slowed:
+        return effects
+    weights = _weights(limiting_image, slowed, interference)
+    for run in sorted(slowed, key=lambda run: weights[run.step.image]):
+        if spare <= 0:
+            break
         full_speed_loss = (
-            _weight(limiting_run, run, interference)
-            * run.step.need.cores_milli
-            / 1000
+            weights[run.step.image] * run.step.need.cores_milli / 1000
         )
         increase = 100 - run.speed_percent
         if full_speed_loss > 0:
--- a/src/limpetyard/engine/_placement.py
+++ b/src/limpetyard/engine/_placement.py
@@ -14,9 +14,9 @@
     HEADROOM_AT_TARGET,
     InterferenceModel,
 )
-from limpetyard.engine._ranking import Ranking, Score
+from limpetyard.engine._ranking import Score
 from limpetyard.engine._worker import Worker, WorkerRun
-from limpetyard.jobs import Resources, StepSpec, Task
+from limpetyard.jobs import Resources, StepSpec
 
 # Assumed share of their cores that serving tasks use, since no better estimate
 # exists: their load varies around a mean of less than half.
@@ -27,6 +27,85 @@
 MIN_PLACEMENT_HEADROOM = 1.2 * HEADROOM_AT_TARGET
 
 
+class WorkerLoad:
+    """What the runs on a worker use, as long as `is_current`.
+
+    Attributes:
+        free_resources: Resources that are not reserved.
+        idle_cores: Cores expected to be idle and thus free for best-effort
+            tasks.
+        best_effort_cores: Cores expected to be used by best-effort tasks, by
+            image.
+        best_effort_runs: Runs of best-effort tasks.
+        serving_images: Distinct job and image of the runs with a latency
+            target.
+    """
+
+    __slots__ = (
+        "_capacity",
+        "_run_counts",
+        "_runs",
+        "_speeds",
+        "best_effort_cores",
+        "best_effort_runs",
+        "free_resources",
+        "idle_cores",
+        "serving_images",
+    )
+
+    def __init__(self, worker: Worker):
+        self._capacity = worker.entry.capacity
+        self._runs = list(worker.runs.values())
+        self._run_counts: dict[str | tuple, int] | None = None
+        self.free_resources = worker.free_resources()
+        self.idle_cores = self._capacity.cores_milli / 1000 - sum(
+            map(_used_cores, self._runs)
+        )
+        self.best_effort_cores = best_effort_cores(worker)
+        self.best_effort_runs = [run for run in self._runs if run.step.fills]
+        self._speeds = [run.speed_percent for run in self.best_effort_runs]
+        self.serving_images = list(
+            dict.fromkeys(
+                (run.task.job, run.step.image) for run in serving_runs(worker)
+            )
+        )
+
+    def is_current(self, worker: Worker) -> bool:
+        """Returns whether the worker's runs, speeds and size are the same."""
+        return (
+            self._runs == list(worker.runs.values())
+            and self._speeds
+            == [run.speed_percent for run in self.best_effort_runs]
+            and self._capacity == worker.entry.capacity
+        )
+
+    def count_runs(self, owner: str | tuple[str, int, int]) -> int:
+        """Returns how many runs of a job or step there are.
+
+        Args:
+            owner: Id of the job, or job, occurrence and number of the step.
+        """
+        if self._run_counts is None:
+            counts: dict[str | tuple, int] = {}
+            for run in self._runs:
+                for key in (run.task.job, run.task[:3]):
+                    counts[key] = counts.get(key, 0) + 1
+            self._run_counts = counts
+        return self._run_counts.get(owner, 0)
+
+
+def worker_load(worker: Worker) -> WorkerLoad:
+    """Returns the current load of a worker.
+
+    A round looks at every worker, most of which have not changed since the
+    round before.
+    """
+    load = worker.latest_load
+    if load is None or not load.is_current(worker):
+        load = worker.latest_load = WorkerLoad(worker)
+    return load
+
+
 class Candidate:
     """A worker during one round of placement.
 
@@ -42,8 +121,8 @@
         "_has_probe",
         "_headroom_cache",
         "_interference",
+        "_load",
         "_now_ms",
-        "_run_counts",
         "free_resources",
         "idle_cores",
         "worker",
@@ -55,19 +134,14 @@
         self.worker = worker
         self._now_ms = now_ms
         self._headroom_cache: list[tuple[str, float]] | None = None
-        self._run_counts: dict[str | tuple, int] | None = None
-        self.free_resources = worker.free_resources()
         self._interference = interference
         self._has_probe = False
-        used_cores: list[float] = []
-        self._best_effort_cores: dict[str, float] = {}
-        for run in worker.runs.values():
-            used_cores.append(_used_cores(run))
-            if run.step.fills:
-                added = self._best_effort_cores.get(run.step.image, 0.0)
-                self._best_effort_cores[run.step.image] = added + used_cores[-1]
-        total_cores = worker.entry.capacity.cores_milli / 1000
-        self.idle_cores = total_cores - sum(used_cores)
+        load = worker_load(worker)
+        # None after a reservation, since the worker may have got the run.
+        self._load: WorkerLoad | None = load
+        self.free_resources = load.free_resources
+        self.idle_cores = load.idle_cores
+        self._best_effort_cores = load.best_effort_cores
 
     @property
     def entry(self):
@@ -89,10 +163,11 @@
         )
         self.idle_cores -= _used_cores(run)
         self._headroom_cache = None
-        self._run_counts = None
+        self._load = None
         if run.step.fills:
-            added = self._best_effort_cores.get(run.step.image, 0.0)
-            self._best_effort_cores[run.step.image] = added + _used_cores(run)
+            image, used = run.step.image, _used_cores(run)
+            used += self._best_effort_cores.get(image, 0.0)
+            self._best_effort_cores = {**self._best_effort_cores, image: used}
 
     def fits_times(self, step: StepSpec, count: int) -> bool:
         """Returns whether `count` tasks of a step fit."""
@@ -133,17 +208,16 @@
         Args:
             owner: Id of the job, or job, occurrence and number of the step.
         """
-        if self._run_counts is None:
-            counts: dict[str | tuple, int] = {}
-            for key, _ in self.worker.runs:
-                counts[key.job] = counts.get(key.job, 0) + 1
-                counts[key[:3]] = counts.get(key[:3], 0) + 1
-            self._run_counts = counts
-        return self._run_counts.get(owner, 0)
+        return self._current_load().count_runs(owner)
 
     def has_serving_runs(self) -> bool:
         """Returns whether a run here has a latency target."""
-        return any(run.step.target_ms for run in self.worker.runs.values())
+        return bool(self._current_load().serving_images)
+
+    def _current_load(self) -> WorkerLoad:
+        if self._load is None:
+            self._load = worker_load(self.worker)
+        return self._load
 
     def headroom_with(self, image: str, cores: float) -> float:
         """Returns the lowest headroom here with one more best-effort task.
@@ -185,14 +259,13 @@
             model = self._interference
             lowest: dict[str, float] = {}
             losses: dict[str, float] = {}
-            for run in serving_runs(self.worker):
-                image = run.step.image
+            for job, image in self._current_load().serving_images:
                 if image not in losses:
                     losses[image] = sum(
                         model.weight(image, other) * used
                         for other, used in self._best_effort_cores.items()
                     )
-                headroom = model.predicted_baseline(run.task.job, self._now_ms)
+                headroom = model.predicted_baseline(job, self._now_ms)
                 headroom -= losses[image]
                 lowest[image] = min(headroom, lowest.get(image, headroom))
             self._headroom_cache = list(lowest.items())
@@ -237,23 +310,17 @@
 
 
 class Placer:
-    """Chooses the worker of a task by a score of each worker."""
+    """Chooses the worker of a task by a score of each worker.
+
+    Attributes:
+        score: The score.
+    """
 
     __slots__ = ("score",)
 
     def __init__(self, score: Score):
         self.score = score
 
-    def __call__(
-        self,
-        task: Task,
-        step: StepSpec,
-        candidates: list[Candidate],
-        step_key: tuple[str, int, int],
-    ) -> Candidate | None:
-        """Returns the best worker for a single task, or None."""
-        return Ranking(self.score, step, step_key, candidates, []).choose(task)
-
 
 PLACERS: Registry[Placer] = Registry("placer")
 
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -99,9 +99,7 @@
                 )
                 left -= sum(type(e) is Start for e in step_effects)
                 effects += step_effects
-        self._drain_workers(
-            {service: r.candidates for service, r in rounds.items()}, now_ms
-        )
+        self._drain_workers(rounds, now_ms)
         return effects
 
     def _ready_steps(
@@ -119,21 +117,27 @@
         return [entry[1:] for entry in steps]
 
     def _drain_workers(
-        self, candidates_by_service: dict[str, list[Candidate]], now_ms: float
+        self, rounds: dict[str, ServiceRound], now_ms: float
     ) -> None:
-        """Moves runs off draining workers."""
+        """Moves runs off draining workers.
+
+        Args:
+            rounds: Workers by service; those of further services are added.
+            now_ms: Current time.
+        """
         for worker in self._engine.workers.values():
             if not worker.entry.draining or not worker.is_responsive(now_ms):
                 continue
             service = worker.entry.service
-            if service not in candidates_by_service:
-                candidates_by_service[service] = self._candidates(
-                    service, now_ms
+            if service not in rounds:
+                rounds[service] = ServiceRound(
+                    self._candidates(service, now_ms)
                 )
             drain_worker(
                 worker,
                 self._engine.find_task,
-                candidates_by_service[service],
+                rounds[service],
+                self._placed,
                 now_ms,
             )
 
@@ -385,7 +389,7 @@
         job.mark_running()
         run = WorkerRun(task.key, run_number, task.step, now_ms)
         run.checkpoint = task.checkpoint
-        worker.runs[task.key, run_number] = run
+        self._engine.add_run(worker, run)
         candidate.reserve(run)
         self._placed.append(candidate)
         tickets = self._tickets.get(task.key[:3], {})
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -214,6 +214,10 @@
         if step.gang:
             need = _joint_need(step, step.count)
             return self._unmet.includes("all", step.label, need)
+        return self.is_task_unmet(step)
+
+    def is_task_unmet(self, step: StepSpec) -> bool:
+        """Returns whether it is known that no single task of a step fits."""
         need = _single_need(step)
         return any(
             self._unmet.includes(kind, step.label, need)
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -1,10 +1,14 @@
 """State of a worker and of the runs on it, as known to the owner."""
 
 import enum
+from typing import TYPE_CHECKING
 
 from limpetyard.engine._step_worker_client import RunReport, WorkerEntry
 from limpetyard.jobs import Resources, StepSpec, TaskKey
 
+if TYPE_CHECKING:
+    from limpetyard.engine._placement import WorkerLoad
+
 # Number of incarnations of a worker that fencing tokens of one epoch can tell
 # apart.
 MAX_INCARNATIONS = 1 << 12
@@ -126,6 +130,7 @@
         token_confirmed: Whether the current incarnation replied to a poll with
             `token`, so that it rejects orders of earlier owners.
         runs: Runs that may exist on the worker, by task and run number.
+        latest_load: What `worker_load` returned last, or None.
         last_received_end: Number of the last ended run that was processed.
         last_acked_end: Number of the last ended run that is stored, and that
             the worker therefore need not report again.
@@ -161,6 +166,7 @@
         "last_acked_end",
         "last_failure_ms",
         "last_received_end",
+        "latest_load",
         "lease_end_ms",
         "missing_since_ms",
         "prior_lease_end_ms",
@@ -180,6 +186,7 @@
         self.token_confirmed = False
         self.recorded = False
         self.runs: dict[tuple[TaskKey, int], WorkerRun] = {}
+        self.latest_load: WorkerLoad | None = None
         self.last_received_end = 0
         self.last_acked_end = 0
         self.lease_end_ms = 0.0
@@ -344,9 +351,3 @@
             capacity.memory_mb - memory,
             capacity.accelerators - accelerators,
         )
-
-    def count_runs(self, job: str, occurrence: int, step: int) -> int:
-        """Returns how many runs of one step may exist on the worker."""
-        return sum(
-            1 for key, _ in self.runs if key[:3] == (job, occurrence, step)
-        )
--- a/tests/engine/test_pacing_cost.py
+++ b/tests/engine/test_pacing_cost.py
@@ -9,6 +9,7 @@
 from limpetyard.engine import (
     Pace,
     PollReply,
+    RunEndKind,
     RunReport,
     Start,
     Stop,
@@ -198,6 +199,95 @@
                 self.assertEqual(len(self.plan(Stop)), 4)
 
 
+class MovedRunsTest(test_engine.EngineTestCase):
+    """Runs that move off a draining worker together with others."""
+
+    workers = 0
+
+    def setUp(self):
+        """Adds three workers with eight cores."""
+        super().setUp()
+        for number in range(3):
+            self.add(test_engine.entry(number, 8))
+
+    def drain(self, worker_id: str) -> None:
+        """Has a worker drain."""
+        draining = msgspec.structs.replace(
+            self.engine.workers[worker_id].entry,
+            draining=True,
+            remaining_ms=2000,
+        )
+        self.engine.set_entry(draining, self.now_ms)
+
+    def stops(self) -> int:
+        """Returns the number of runs that a round and the next one stop."""
+        self.plan()
+        return len(self.plan(Stop))
+
+    def test_load_of_destination(self):
+        """A worker counts a best-effort run that has yet to move there."""
+        step = StepSpec(1, ONE_CORE, 9000, fills=True, checkpoints=True)
+        self.submit(job(1, step))
+        (start,) = self.start_all()
+        self.plan()
+        self.drain(start.worker)
+        self.assertEqual(self.stops(), 1)
+        for worker in self.engine.workers.values():
+            self.assertEqual(
+                placement.worker_load(worker).best_effort_cores,
+                placement.best_effort_cores(worker),
+            )
+
+    def test_members_of_gang(self):
+        """Members of a gang stay since another gang does not fit."""
+        self.submit(job(1, StepSpec(2, Resources(7000, 1000, 0))))
+        self.start_all()
+        gang = StepSpec(3, ONE_CORE, gang=True, long_running=True)
+        self.submit(job(2, gang))
+        (worker_id,) = {start.worker for start in self.start_all()}
+        self.submit(job(3, gang))
+        self.drain(worker_id)
+        self.assertEqual(self.stops(), 2)
+
+    def test_task_with_failure(self):
+        """A run stays since another must avoid the worker of its failure."""
+        serving = StepSpec(
+            1, ONE_CORE, long_running=True, image="s", target_ms=10.0
+        )
+        self.submit(job(1, serving))
+        (served,) = self.start_all()
+        self.now_ms += 1200
+        for worker in self.engine.workers.values():
+            reports = [
+                RunReport(run.task, run.run, "", 100, 9.0)
+                for run in worker.runs.values()
+            ]
+            reply = PollReply(1, self.now_ms, reports, [])
+            self.engine.on_poll_reply(worker, self.now_ms, reply, self.now_ms)
+        step = StepSpec(
+            2, ONE_CORE, 9000, image="f", fills=True, checkpoints=True
+        )
+        self.submit(job(2, step, max_attempts=9))
+        failed, other = self.start_all()
+        self.end(failed, RunEndKind.FAILED)
+        self.now_ms += 1000
+        (again,) = self.start_all()
+        self.assertEqual(again.worker, other.worker)
+        self.submit(job(3, StepSpec(1, Resources(5000, 1000, 0))))
+        (plain,) = self.start_all()
+        self.assertEqual(plain.worker, failed.worker)
+        self.submit(job(4, msgspec.structs.replace(step, count=1)))
+        (last,) = self.start_all()
+        self.assertEqual(last.worker, other.worker)
+        self.assertNotIn(served.worker, (failed.worker, other.worker))
+        for worker_id in self.engine.workers:
+            self.poll(worker_id)
+        self.drain(other.worker)
+        self.plan()
+        stopped = {stop.task for stop in self.plan(Stop)}
+        self.assertEqual(stopped, {other.task, last.task})
+
+
 class EndedJobTest(test_engine.EngineTestCase):
     """Workers looked at for a job that has ended."""
 
