Move runs off draining workers in turns

Change: a round looks at 48 runs, up to the end of a worker, and begins with the workers whose last turn is longest ago. DrainingZoneTest.test_turns failed before (120 stops in one round).

--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -26,6 +26,10 @@
 # number is used twice.
 RUNS_PER_EPOCH = 256
 
+# Runs on draining workers that one round looks at, up to the end of a worker. A
+# zone that drains has hundreds.
+MAX_DRAINED_RUNS = 48
+
 # Maximum number of workers in one request for advice; each worker adds to the
 # latency of the reply.
 MAX_ADVICE_WORKERS = 30
@@ -40,12 +44,20 @@
 class Planner:
     """Decides which tasks start on which workers."""
 
-    __slots__ = ("_advice_requested_ms", "_engine", "_placed", "_tickets")
+    __slots__ = (
+        "_advice_requested_ms",
+        "_drained_ms",
+        "_engine",
+        "_placed",
+        "_tickets",
+    )
 
     def __init__(self, engine: "Engine"):
         self._engine = engine
         self._tickets: dict[tuple, dict[str, tuple[str, float]]] = {}
         self._advice_requested_ms: dict[tuple, float] = {}
+        # When each draining worker last had its turn, by id.
+        self._drained_ms: dict[str, float] = {}
         # Receivers of the tasks placed in this round.
         self._placed: list[Candidate] = []
 
@@ -119,15 +131,30 @@
     def _drain_workers(
         self, rounds: dict[str, ServiceRound], now_ms: float
     ) -> None:
-        """Moves runs off draining workers.
+        """Moves runs off draining workers, a limited number in each round.
+
+        Begins with the workers whose last turn is longest ago.
 
         Args:
             rounds: Workers by service; those of further services are added.
             now_ms: Current time.
         """
-        for worker in self._engine.workers.values():
-            if not worker.entry.draining or not worker.is_responsive(now_ms):
-                continue
+        draining = [
+            worker
+            for worker in self._engine.workers.values()
+            if worker.entry.draining and worker.is_responsive(now_ms)
+        ]
+        draining.sort(key=lambda w: self._drained_ms.get(w.id, -math.inf))
+        self._drained_ms = {
+            worker.id: self._drained_ms.get(worker.id, -math.inf)
+            for worker in draining
+        }
+        left = MAX_DRAINED_RUNS
+        for worker in draining:
+            if left <= 0:
+                break
+            left -= len(worker.runs)
+            self._drained_ms[worker.id] = now_ms
             service = worker.entry.service
             if service not in rounds:
                 rounds[service] = ServiceRound(
--- a/tests/engine/test_pacing_cost.py
+++ b/tests/engine/test_pacing_cost.py
@@ -199,6 +199,33 @@
                 self.assertEqual(len(self.plan(Stop)), 4)
 
 
+class DrainingZoneTest(test_engine.EngineTestCase):
+    """Many workers that drain at the same time."""
+
+    workers = 30
+
+    def test_turns(self):
+        """One round moves the runs of a whole zone; later ones do the rest."""
+        step = StepSpec(150, ONE_CORE, long_running=True)
+        self.submit(test_engine.job(1, step))
+        self.start_all()
+        held = {w.id for w in self.engine.workers.values() if w.runs}
+        for number in range(30, 80):
+            self.add(test_engine.entry(number))
+        for number in range(30):
+            entry = test_engine.entry(number, draining=True, remaining_ms=9000)
+            if entry.id in held:
+                self.engine.set_entry(entry, self.now_ms)
+        self.plan()
+        stops = self.plan(Stop)
+        self.assertGreater(len(stops), 0)
+        self.assertLess(len(stops), 60)
+        for _ in range(5):
+            self.now_ms += 10
+            stops += self.plan(Stop)
+        self.assertEqual(len(stops), 120)
+
+
 class MovedRunsTest(test_engine.EngineTestCase):
     """Runs that move off a draining worker together with others."""
 
