--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -25,10 +25,13 @@
 # Time-out of a poll beyond the time that the worker may delay its reply.
 POLL_TIMEOUT_MARGIN_MS = 600
 
-# Delay after a failed poll, interval of checks while no orders may be issued,
-# and maximum wait for an append before the next poll.
+# Delay after a failed poll, and interval of checks while orders are suspended.
 POLL_RETRY_MS = 150
 
+# Maximum wait for an append before the next poll. While the store refuses
+# appends, workers with ended runs are polled no more often than serving ones.
+APPEND_WAIT_MS = POLL_SERVING_WAIT_MS
+
 # Maximum number of polls in flight to workers whose token is not confirmed. A
 # takeover polls a large cell in several waves.
 MAX_FIRST_POLLS = 24
@@ -151,13 +154,13 @@
             self._on_change()
 
     async def _wait_for_append(self) -> None:
-        """Waits for the next append, or at most `POLL_RETRY_MS`.
+        """Waits for the next append, or at most `APPEND_WAIT_MS`.
 
         A worker repeats the end of a run in each reply until it is stored and
         acknowledged. A poll before that would return at once with known ends.
         """
         try:
-            async with asyncio.timeout(POLL_RETRY_MS / MS_PER_SECOND):
+            async with asyncio.timeout(APPEND_WAIT_MS / MS_PER_SECOND):
                 await self._append_done.wait()
         except TimeoutError:
             return
--- a/tests/node/test_polling.py
+++ b/tests/node/test_polling.py
@@ -7,10 +7,12 @@
     Engine,
     EngineParams,
     PollReply,
+    RunEndKind,
+    RunEndReport,
     WorkerEntry,
     WorkerOutcomeUnknownError,
 )
-from limpetyard.jobs import Resources
+from limpetyard.jobs import Resources, TaskKey
 from limpetyard.node import _polling
 from standins.platform import run_in_virtual_time
 from standins.platform._virtual_time import VirtualClock
@@ -23,6 +25,7 @@
 
     Attributes:
         silent: Ids of workers that do not reply.
+        ends: Ended runs in each reply.
         polled: Worker of each poll, in order.
         most_first_polls: Highest number of first polls in flight.
         most_polls: Highest number of other polls in flight.
@@ -33,6 +36,7 @@
         self._first_polls = 0
         self._polls = 0
         self.silent: set[str] = set()
+        self.ends: list[RunEndReport] = []
         self.polled: list[str] = []
         self.most_first_polls = 0
         self.most_polls = 0
@@ -49,7 +53,7 @@
                 await asyncio.sleep(timeout_ms / 1000)
                 raise WorkerOutcomeUnknownError(entry.id)
             await asyncio.sleep((REPLY_DELAY_MS + request.wait_ms) / 1000)
-            return PollReply(1, 0.0, [], [])
+            return PollReply(1, 0.0, [], self.ends)
         finally:
             self._first_polls -= is_first
             self._polls -= not is_first
@@ -158,6 +162,19 @@
 
         self.poll(limit + 2, limit, scenario)
 
+    def test_ends_that_are_not_stored(self):
+        """Workers are polled all the time while the store refuses appends."""
+
+        async def scenario(client: _Workers) -> None:
+            task = TaskKey("0" * 16, 0, 0, 0)
+            end = RunEndReport(1, task, 1, RunEndKind.DONE, "")
+            client.ends = [end]
+            await asyncio.sleep(5)
+
+        client = self.poll(1, 0, scenario)
+        most = 5000 // _polling.POLL_SERVING_WAIT_MS + 1
+        self.assertLessEqual(len(client.polled), most)
+
 
 if __name__ == "__main__":
     unittest.main()
