Bound stop orders in flight, one at a time to a worker

Change: at most 96 in flight and one to a worker, whose time-out begins when it is sent; a stop that still waits is not queued again. StopTest failed before (12 at once to two workers; no limit at all).

--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -34,12 +34,16 @@
 # replies to all of them are processed within the time-out of an order.
 MAX_STARTS_IN_FLIGHT = 48
 
+# Maximum number of stop orders in flight. The time-out of an order begins when
+# it is sent, so many of them must not wait for each other's replies.
+MAX_STOPS_IN_FLIGHT = 96
+
 
 class OrderDispatcher:
     """Sends the orders of one ownership to workers.
 
-    Start orders to the same worker are sent one after another. With the poll,
-    they leave one connection to the worker for its stop orders.
+    Start orders to the same worker are sent one after another, and so are stop
+    orders. With the poll, they use one connection each.
     """
 
     __slots__ = (
@@ -52,6 +56,9 @@
         "_replan",
         "_start_locks",
         "_starts",
+        "_stop_locks",
+        "_stop_slots",
+        "_stops",
         "_workers",
     )
 
@@ -92,6 +99,12 @@
         self._start_locks: weakref.WeakValueDictionary[str, asyncio.Lock] = (
             weakref.WeakValueDictionary()
         )
+        # Stop orders that are in flight or wait for it.
+        self._stops: set[Stop] = set()
+        self._stop_slots = asyncio.Semaphore(MAX_STOPS_IN_FLIGHT)
+        self._stop_locks: weakref.WeakValueDictionary[str, asyncio.Lock] = (
+            weakref.WeakValueDictionary()
+        )
 
     @property
     def free_starts(self) -> int:
@@ -206,6 +219,18 @@
         )
 
     async def _stop(self, effect: Stop) -> None:
+        """Sends a stop order in its turn, unless it already waits for it."""
+        if effect in self._stops:
+            return
+        self._stops.add(effect)
+        lock = self._stop_locks.setdefault(effect.worker, asyncio.Lock())
+        try:
+            async with lock, self._stop_slots:
+                await self._send_stop(effect)
+        finally:
+            self._stops.discard(effect)
+
+    async def _send_stop(self, effect: Stop) -> None:
         worker = self._engine.workers.get(effect.worker)
         if worker is None or not self._may_order():
             return
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -96,11 +96,13 @@
     Attributes:
         starts: Worker, run and future reply of each start order.
         stops: Run of each stop order.
+        held_stops: Event for which the replies to stop orders wait, or None.
     """
 
     def __init__(self):
         self.starts: list[tuple[str, tuple, asyncio.Future]] = []
         self.stops: list[tuple] = []
+        self.held_stops: asyncio.Event | None = None
 
     async def start(self, entry, order) -> StartResult:
         fut = asyncio.get_running_loop().create_future()
@@ -109,6 +111,8 @@
 
     async def stop(self, entry, task, run, token) -> None:
         self.stops.append((task, run))
+        if self.held_stops is not None:
+            await self.held_stops.wait()
 
 
 class DispatchTestCase(unittest.IsolatedAsyncioTestCase):
@@ -245,6 +249,42 @@
         self.assertEqual(len(self.client.starts), 3)
 
 
+class StopTest(DispatchTestCase):
+    """Number of stop orders in flight."""
+
+    async def test_bounded(self):
+        """The stops of many cancelled jobs wait for each other's replies."""
+        limit = _order_dispatch.MAX_STOPS_IN_FLIGHT
+        starts = self.plan(limit + 20, 2 * (limit + 20))
+        self.client.held_stops = asyncio.Event()
+        stops = [Stop(s.worker, s.task, s.run) for s in starts]
+        tasks = [
+            asyncio.create_task(self.dispatcher.accept(stop))
+            for stop in stops + stops
+        ]
+        await self.settle()
+        self.assertEqual(len(self.client.stops), limit)
+        self.client.held_stops.set()
+        await asyncio.gather(*tasks)
+        self.assertEqual(len(self.client.stops), len(stops))
+        await self.dispatcher.execute(stops[0])
+        self.assertEqual(len(self.client.stops), len(stops) + 1)
+
+    async def test_silent_worker(self):
+        """Stops to a worker that does not reply delay those to others."""
+        starts = self.plan(2, 12)
+        self.client.held_stops = asyncio.Event()
+        stops = [Stop(s.worker, s.task, s.run) for s in starts]
+        stops.sort(key=lambda stop: stop.worker)
+        tasks = [
+            asyncio.create_task(self.dispatcher.accept(stop)) for stop in stops
+        ]
+        await self.settle()
+        self.assertEqual(len(self.client.stops), 2)
+        self.client.held_stops.set()
+        await asyncio.gather(*tasks)
+
+
 class WithdrawnStartTest(DispatchTestCase):
     """Starts that must not be sent any more."""
 
