--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -351,23 +351,27 @@
 class StoreFaultTest(SiteTestCase):
     """The store is unreachable, refuses calls, or loses replies."""
 
+    async def check_starts_without_store(self, site: SimulatedSite) -> None:
+        """Cuts the store off for three seconds; tasks must start meanwhile."""
+        for host in site.hosts:
+            host.store_link.cut = True
+        at_ms = site.clock.now_ms()
+        await asyncio.sleep(3)
+        started = [
+            entry
+            for entry in site.history.of(RunStarted)
+            if entry.at_ms > at_ms + 1000
+        ]
+        self.assertTrue(started)
+        for host in site.hosts:
+            host.store_link.cut = False
+
     def test_unreachable(self):
         """Accepted jobs continue while the store does not answer."""
 
         async def scenario(site: SimulatedSite) -> None:
             await self.submit(site, range(3), run_ms=1500)
-            for host in site.hosts:
-                host.store_link.cut = True
-            at_ms = site.clock.now_ms()
-            await asyncio.sleep(3)
-            started = [
-                entry
-                for entry in site.history.of(RunStarted)
-                if entry.at_ms > at_ms + 1000
-            ]
-            self.assertTrue(started)
-            for host in site.hosts:
-                host.store_link.cut = False
+            await self.check_starts_without_store(site)
             await self.complete(site, range(3))
 
         self.run_scenario(scenario)
@@ -381,18 +385,7 @@
             await asyncio.sleep(LEASE_MS / 1000)
             await self.submit(site, range(3), run_ms=1500)
             await asyncio.sleep(0.2)
-            for host in site.hosts:
-                host.store_link.cut = True
-            at_ms = site.clock.now_ms()
-            await asyncio.sleep(3)
-            started = [
-                entry
-                for entry in site.history.of(RunStarted)
-                if entry.at_ms > at_ms + 1000
-            ]
-            self.assertTrue(started)
-            for host in site.hosts:
-                host.store_link.cut = False
+            await self.check_starts_without_store(site)
             await self.complete(site, range(3))
 
         with mock.patch("limpetyard.node._owner.PURGE_INTERVAL_MS", 50):
