--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -1,7 +1,8 @@
 """Membership in the consumer group that assigns cells to nodes.
 
 The group does not know the sizes of the VMs. A node is on standby, outside the
-group, while the assignments show a member with a much larger VM.
+group, while the assignments show a member with a much larger VM, or enough
+members that are preferred to it.
 """
 
 import asyncio
@@ -58,8 +59,8 @@
         assigned_cells: Cells that the group has assigned to this node.
         confirmed_ms: Send time of the last successful join or, on standby, read
             of the assignments; None before the first one.
-        on_standby: Whether this node stays out of the group because a member
-            is much larger. It owns no cell then.
+        on_standby: Whether this node stays out of the group, as a member is
+            much larger or enough others are preferred. It owns no cell then.
     """
 
     def __init__(
