Report long-running tasks that wait, and how long starts were queued

The logs could not tell the hypotheses of the incident apart: why a long-running task waits, and whether a start without a reply was planned late, sent late or not sent at all.

task_waiting names the step, the wait, the first reason that applies and its input; one line a step every 2 s, ten a round. task_started has queued_ms and sends. The counter long_running_waits counts the reports by reason.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -265,9 +265,13 @@
         "A best-effort task may use this share of its full speed.",
     ),
     "task_started": EventKind(
-        ("task", "run", "worker", "kind", "result"),
+        ("task", "run", "worker", "kind", "result", "queued_ms", "sends"),
         "A start order was sent; the result is the worker's answer or silent.",
     ),
+    "task_waiting": EventKind(
+        ("task", "tasks", "age_ms", "reason", "detail"),
+        "Long-running tasks of a step wait, the named one longest; why.",
+    ),
     "throttle_unanswered": EventKind(
         ("worker", "reason"), "A worker did not answer a throttle order."
     ),
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -15,6 +15,7 @@
 from limpetyard.engine._ranking import Ranking, ServiceRound
 from limpetyard.engine._step_worker_client import Ticket
 from limpetyard.engine._urgency import urgency
+from limpetyard.engine._waiting import RoundState, WaitReporter
 from limpetyard.engine._worker import Worker, WorkerRun
 from limpetyard.jobs import Job, StepSpec, Task
 
@@ -50,10 +51,12 @@
         "_engine",
         "_placed",
         "_tickets",
+        "_wait_reporter",
     )
 
     def __init__(self, engine: "Engine"):
         self._engine = engine
+        self._wait_reporter = WaitReporter(engine)
         self._tickets: dict[tuple, dict[str, tuple[str, float]]] = {}
         self._advice_requested_ms: dict[tuple, float] = {}
         # When each draining worker last had its turn, by id.
@@ -111,6 +114,9 @@
                 )
                 left -= sum(type(e) is Start for e in step_effects)
                 effects += step_effects
+        self._wait_reporter.report(
+            RoundState(now_ms, rounds, unconfirmed_services, left)
+        )
         self._drain_workers(rounds, now_ms)
         return effects
 
@@ -193,14 +199,15 @@
             job.make_due(job.due + 1)
             job.dirty = True
 
-    def _unconfirmed_services(self, now_ms: float) -> set[str]:
+    def _unconfirmed_services(self, now_ms: float) -> dict[str, str]:
         """Returns services in which runs of an earlier owner may exist.
 
         Such runs may be on a worker that has not yet replied to a poll with
-        this owner's token and whose earlier lease may not have expired.
+        this owner's token and whose earlier lease may not have expired. The
+        value is the id of one such worker of the service.
         """
         return {
-            worker.entry.service
+            worker.entry.service: worker.id
             for worker in self._engine.workers.values()
             if not worker.token_confirmed and now_ms < worker.prior_lease_end_ms
         }
--- /dev/null
+++ b/src/limpetyard/engine/_waiting.py
@@ -0,0 +1,181 @@
+"""Explains why long-running tasks wait although they should run."""
+
+import math
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from limpetyard._events import event
+from limpetyard._registry import Registry
+from limpetyard.engine._ranking import ServiceRound
+from limpetyard.jobs import Job, Task
+
+if TYPE_CHECKING:
+    from limpetyard.engine._engine import Engine
+
+# A task that waits for longer than this is reported.
+REPORTED_WAIT_MS = 1500
+
+# Time between two reports on the same step.
+REPORT_INTERVAL_MS = 2000
+
+# Maximum number of reports in one round; the longest waits come first.
+MAX_REPORTS = 10
+
+
+class WaitingStep:
+    """A step with long-running tasks that wait, at the end of a round.
+
+    Attributes:
+        job: The job.
+        task: The task that has waited longest.
+        number: Number of waiting tasks of the step.
+        age_ms: How long the task has waited.
+    """
+
+    __slots__ = ("age_ms", "job", "number", "task")
+
+    def __init__(self, job: Job, waiting: list[Task], now_ms: float):
+        self.job = job
+        self.number = len(waiting)
+        self.task = min(waiting, key=lambda task: _idle_since_ms(job, task))
+        self.age_ms = now_ms - _idle_since_ms(job, self.task)
+
+
+class RoundState:
+    """What decided a round of planning.
+
+    Attributes:
+        now_ms: Time of the round.
+        rounds: Workers by service, of the services that were looked at.
+        unconfirmed: Some unconfirmed worker of each service in which runs of
+            an earlier owner may exist.
+        starts_left: Number of starts that were not used.
+    """
+
+    __slots__ = ("now_ms", "rounds", "starts_left", "unconfirmed")
+
+    def __init__(
+        self,
+        now_ms: float,
+        rounds: dict[str, ServiceRound],
+        unconfirmed: dict[str, str],
+        starts_left: float,
+    ):
+        self.now_ms = now_ms
+        self.rounds = rounds
+        self.unconfirmed = unconfirmed
+        self.starts_left = starts_left
+
+
+# Returns the input that made a step wait, or None if the reason does not apply.
+Reason = Callable[[WaitingStep, RoundState], str | None]
+
+# The planner applies them in the order of their names.
+REASONS: Registry[Reason] = Registry("reason to wait")
+
+
+class WaitReporter:
+    """Logs steps whose long-running tasks wait for long."""
+
+    __slots__ = ("_engine", "_reported_ms")
+
+    def __init__(self, engine: "Engine"):
+        self._engine = engine
+        # When each waiting step was last reported, by job, occurrence and step.
+        self._reported_ms: dict[tuple, float] = {}
+
+    def report(self, state: RoundState) -> None:
+        """Logs the steps that have waited longest, with the reason."""
+        steps = self._waiting_steps(state.now_ms)
+        keys = {step.task.key[:3] for step in steps}
+        self._reported_ms = {
+            key: at_ms
+            for key, at_ms in self._reported_ms.items()
+            if key in keys
+        }
+        steps.sort(key=lambda step: -step.age_ms)
+        reported = 0
+        for step in steps:
+            last_ms = self._reported_ms.get(step.task.key[:3], -math.inf)
+            if state.now_ms - last_ms < REPORT_INTERVAL_MS:
+                continue
+            if reported == MAX_REPORTS:
+                return
+            reported += 1
+            self._reported_ms[step.task.key[:3]] = state.now_ms
+            reason, detail = explain(step, state)
+            event(
+                "task_waiting",
+                task=step.task.key.name,
+                tasks=step.number,
+                age_ms=step.age_ms,
+                reason=reason,
+                detail=detail,
+            )
+
+    def _waiting_steps(self, now_ms: float) -> list[WaitingStep]:
+        found = []
+        for job in self._engine.open_jobs.values():
+            for occurrence, number in job.waiting_steps():
+                if not job.spec.steps[number].long_running:
+                    continue
+                waiting = job.waiting_tasks(occurrence, number)
+                step = WaitingStep(job, waiting, now_ms)
+                if step.age_ms > REPORTED_WAIT_MS:
+                    found.append(step)
+        return found
+
+
+def explain(step: WaitingStep, state: RoundState) -> tuple[str, str]:
+    """Returns the first reason that applies to a step, and its input."""
+    for name in REASONS:
+        detail = REASONS.get(name)(step, state)
+        if detail is not None:
+            return name, detail
+    return "unknown", ""
+
+
+def _idle_since_ms(job: Job, task: Task) -> float:
+    if task.idle_since_ms is None:
+        return job.submitted_ms
+    return task.idle_since_ms
+
+
+@REASONS.register("backoff")
+def _backoff(step: WaitingStep, state: RoundState) -> str | None:
+    left_ms = step.task.retry_at_ms - state.now_ms
+    return f"{left_ms:.0f} ms left" if left_ms > 0 else None
+
+
+@REASONS.register("earlier_owner")
+def _earlier_owner(step: WaitingStep, state: RoundState) -> str | None:
+    """A run of an earlier owner may exist on a worker."""
+    if not step.task.may_be_running:
+        return None
+    worker = state.unconfirmed.get(step.job.spec.queue.service)
+    return None if worker is None else f"unconfirmed: {worker}"
+
+
+@REASONS.register("no_room")
+def _no_room(step: WaitingStep, state: RoundState) -> str | None:
+    service = state.rounds.get(step.job.spec.queue.service)
+    if state.starts_left <= 0 or service is None or not service.candidates:
+        return None
+    cores = max(c.free_resources.cores_milli for c in service.candidates)
+    return (
+        f"{len(service.candidates)} workers, at most {cores} thousandths of a"
+        " core free"
+    )
+
+
+@REASONS.register("no_worker")
+def _no_worker(step: WaitingStep, state: RoundState) -> str | None:
+    service = state.rounds.get(step.job.spec.queue.service)
+    if service is None or service.candidates:
+        return None
+    return "no worker accepts work"
+
+
+@REASONS.register("start_limit")
+def _start_limit(step: WaitingStep, state: RoundState) -> str | None:
+    return "no start left in this round" if state.starts_left <= 0 else None
--- a/src/limpetyard/node/_metrics.py
+++ b/src/limpetyard/node/_metrics.py
@@ -90,6 +90,11 @@
     "task_started": _CounterSpec(
         "starts", "Start orders by kind and result.", ("kind", "result")
     ),
+    "task_waiting": _CounterSpec(
+        "long_running_waits",
+        "Reports of long-running tasks that wait, by reason.",
+        ("reason",),
+    ),
     "run_lost": _CounterSpec(
         "runs_lost", "Runs lost with their worker or its lease.", ()
     ),
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -154,6 +154,8 @@
         """
         token = worker.token
         result = None
+        sends = 0
+        queued_ms = 0.0
         for attempt in range(START_ATTEMPTS):
             now_ms = self._clock.now_ms()
             run = worker.runs.get((effect.task, effect.run))
@@ -180,6 +182,9 @@
                 effect.checkpoint,
                 effect.ticket,
             )
+            sends += 1
+            if not attempt:
+                queued_ms = now_ms - run.placed_ms
             try:
                 result = await self._workers.start(worker.entry, order)
                 if attempt and result is not StartResult.STARTED:
@@ -202,6 +207,8 @@
             worker=effect.worker,
             kind=effect.placer,
             result=result.value if result is not None else "silent",
+            queued_ms=queued_ms,
+            sends=sends,
         )
         self._engine.on_start_reply(effect, result, self._clock.now_ms())
 
--- /dev/null
+++ b/tests/engine/test_waiting.py
@@ -0,0 +1,87 @@
+"""Tests of the reports on long-running tasks that wait."""
+
+import unittest
+
+from limpetyard._events import add_listener
+from limpetyard.jobs import Resources, StepSpec
+from tests.engine.test_engine import ONE_CORE, EngineTestCase, job
+
+REPORTS: list[dict[str, object]] = []
+
+
+def _collect(name: str, fields: dict[str, object]) -> None:
+    if name == "task_waiting":
+        REPORTS.append(fields)
+
+
+add_listener(_collect)
+
+
+class WaitingTaskTest(EngineTestCase):
+    """Each reason for which a long-running task waits is reported."""
+
+    def reasons(self, at_ms: float, max_starts: int | None = None) -> list:
+        """Plans at a time; returns the reported reasons."""
+        REPORTS.clear()
+        self.engine.plan(at_ms, 0.0, max_starts)
+        return [fields["reason"] for fields in REPORTS]
+
+    def add_task(self, need: Resources = ONE_CORE, loaded: bool = False):
+        """Adds a job with one long-running task."""
+        spec = job(1, StepSpec(1, need, long_running=True))
+        return self.engine.add_job(spec, 0.0, loaded).task(0, 0, 0)
+
+    def answer_polls(self, at_ms: float) -> None:
+        """Makes all workers responsive, without runs."""
+        for worker in self.engine.workers.values():
+            worker.replied_ms = at_ms
+
+    def test_no_room(self):
+        """The task needs more than any worker has."""
+        self.add_task(Resources(99_000, 1, 0))
+        self.answer_polls(5000)
+        self.assertEqual(self.reasons(5000), ["no_room"])
+
+    def test_reported_once_in_an_interval(self):
+        """A step that goes on waiting is not reported in each round."""
+        self.add_task(Resources(99_000, 1, 0))
+        self.answer_polls(5000)
+        self.assertEqual(self.reasons(5000), ["no_room"])
+        self.assertEqual(self.reasons(5100), [])
+
+    def test_no_worker(self):
+        """No worker has answered recently."""
+        self.add_task()
+        self.assertEqual(self.reasons(90_000), ["no_worker"])
+
+    def test_earlier_owner(self):
+        """A worker that is unconfirmed may run the inherited task."""
+        self.add_task(loaded=True)
+        worker = next(iter(self.engine.workers.values()))
+        worker.token_confirmed = False
+        worker.prior_lease_end_ms = 9000.0
+        self.answer_polls(5000)
+        self.assertEqual(self.reasons(5000), ["earlier_owner"])
+        self.assertIn(worker.id, REPORTS[0]["detail"])
+
+    def test_backoff(self):
+        """The task has just been rejected."""
+        self.add_task().retry_at_ms = 5050.0
+        self.answer_polls(5000)
+        self.assertEqual(self.reasons(5000), ["backoff"])
+
+    def test_start_limit(self):
+        """All starts of the round are in flight already."""
+        self.add_task()
+        self.answer_polls(5000)
+        self.assertEqual(self.reasons(5000, 0), ["start_limit"])
+
+    def test_short_wait(self):
+        """A task that has just arrived is not reported."""
+        self.add_task(Resources(99_000, 1, 0))
+        self.answer_polls(1000)
+        self.assertEqual(self.reasons(1000), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
