Test that long-running tasks restart under load

Guards against the failure of docs/incidents/2026-12-long-running-not-restarted.md: tasks whose runs fail or lapse while the owner has a backlog. Passes on the present code.

--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -153,6 +153,10 @@
             <= capacity.memory_mb
         )
 
+    def end_run(self, task: TaskKey, end_kind: RunEndKind) -> None:
+        """Ends the run of a task in the given way and reports it."""
+        self._end(self._runs[task], end_kind.value)
+
     def crash(self) -> None:
         """Stops responding; running tasks end without a report."""
         for run in list(self._runs.values()):
--- a/tests/node/test_overload.py
+++ b/tests/node/test_overload.py
@@ -3,7 +3,8 @@
 import asyncio
 import unittest
 
-from limpetyard.jobs import FINAL_STATES, JobSpec, Resources, StepSpec
+from limpetyard.engine import RunEndKind
+from limpetyard.jobs import FINAL_STATES, JobSpec, Resources, StepSpec, TaskKey
 from standins.platform import (
     SimulatedSite,
     planning_charged,
@@ -48,6 +49,9 @@
 # Time after the end of a trigger within which one owner keeps the cell.
 RECOVERY_S = 10.0
 
+# Latest restart of a long-running task whose run has ended.
+RESTART_MS = 9000
+
 # Latest start and latest end of a task after its job is cancelled.
 CANCELLED_START_MS = 3000
 CANCELLED_END_MS = 4000
@@ -109,6 +113,40 @@
     return latest_start_ms, latest_run_ms
 
 
+def end_long_running_runs(site: SimulatedSite) -> dict[TaskKey, float]:
+    """Ends the runs of one long-running task on each worker that has some.
+
+    They fail and lapse in turn.
+
+    Returns:
+        When the run ended, by task.
+    """
+    ended: dict[TaskKey, float] = {}
+    for worker in site.workers.values():
+        tasks = [
+            task
+            for task in worker.running()
+            if site.history.submitted[task.job].steps[0].long_running
+        ]
+        for task in tasks[:1]:
+            kinds = (RunEndKind.FAILED, RunEndKind.LAPSED)
+            worker.end_run(task, kinds[len(ended) % 2])
+            ended[task] = site.clock.now_ms()
+    return ended
+
+
+def restart_delays(
+    site: SimulatedSite, ended: dict[TaskKey, float]
+) -> dict[TaskKey, float]:
+    """Returns how long after its end each task started again, in ms."""
+    delays = dict.fromkeys(ended, float("inf"))
+    for start in site.history.of(RunStarted):
+        if start.task in ended and start.at_ms > ended[start.task]:
+            delay_ms = start.at_ms - ended[start.task]
+            delays[start.task] = min(delays[start.task], delay_ms)
+    return delays
+
+
 def running_jobs(site: SimulatedSite) -> list[str]:
     """Returns the jobs with running tasks that are not being cancelled."""
     tasks = [t for w in site.workers.values() for t in w.running()]
@@ -239,6 +277,19 @@
 
         self.run_scenario(scenario)
 
+    def test_long_running_tasks_restart_under_load(self):
+        """Long-running tasks whose runs end start again despite a backlog."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            await submit_all(site, load())
+            ended = end_long_running_runs(site)
+            await asyncio.sleep(RESTART_MS / 1000)
+            delays = restart_delays(site, ended)
+            self.assertGreater(len(delays), WORKERS / 10)
+            self.assertLessEqual(max(delays.values()), RESTART_MS)
+
+        self.run_scenario(scenario, finished=False)
+
     def test_cancelled_job_is_stopped_under_load(self):
         """A cancelled job does not start or run on for seconds."""
 
