Count a reported wait from the takeover

After a takeover every inherited task was reported at once, with its age since its job was accepted, since the new owner does not know since when the task has waited. Now the wait counts from the first round of the owner.

--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -29,16 +29,16 @@
         job: The job.
         task: The task that has waited longest.
         number: Number of waiting tasks of the step.
-        age_ms: How long the task has waited.
+        since_ms: Since when this owner has known the task to wait.
     """
 
-    __slots__ = ("age_ms", "job", "number", "task")
+    __slots__ = ("job", "number", "since_ms", "task")
 
-    def __init__(self, job: Job, waiting: list[Task], now_ms: float):
+    def __init__(self, job: Job, waiting: list[Task], first_round_ms: float):
         self.job = job
         self.number = len(waiting)
         self.task = min(waiting, key=lambda task: _idle_since_ms(job, task))
-        self.age_ms = now_ms - _idle_since_ms(job, self.task)
+        self.since_ms = max(_idle_since_ms(job, self.task), first_round_ms)
 
 
 class RoundState:
@@ -77,15 +77,18 @@
 class WaitReporter:
     """Logs steps whose long-running tasks wait for long."""
 
-    __slots__ = ("_engine", "_reported_ms")
+    __slots__ = ("_engine", "_first_round_ms", "_reported_ms")
 
     def __init__(self, engine: "Engine"):
         self._engine = engine
+        self._first_round_ms: float | None = None
         # When each waiting step was last reported, by job, occurrence and step.
         self._reported_ms: dict[tuple, float] = {}
 
     def report(self, state: RoundState) -> None:
         """Logs the steps that have waited longest, with the reason."""
+        if self._first_round_ms is None:
+            self._first_round_ms = state.now_ms
         steps = self._waiting_steps(state.now_ms)
         keys = {step.task.key[:3] for step in steps}
         self._reported_ms = {
@@ -93,7 +96,7 @@
             for key, at_ms in self._reported_ms.items()
             if key in keys
         }
-        steps.sort(key=lambda step: -step.age_ms)
+        steps.sort(key=lambda step: step.since_ms)
         reported = 0
         for step in steps:
             last_ms = self._reported_ms.get(step.task.key[:3], -math.inf)
@@ -108,7 +111,7 @@
                 "task_waiting",
                 task=step.task.key.name,
                 tasks=step.number,
-                age_ms=step.age_ms,
+                age_ms=state.now_ms - step.since_ms,
                 reason=reason,
                 detail=detail,
             )
@@ -120,8 +123,8 @@
                 if not job.spec.steps[number].long_running:
                     continue
                 waiting = job.waiting_tasks(occurrence, number)
-                step = WaitingStep(job, waiting, now_ms)
-                if step.age_ms > REPORTED_WAIT_MS:
+                step = WaitingStep(job, waiting, self._first_round_ms)
+                if now_ms - step.since_ms > REPORTED_WAIT_MS:
                     found.append(step)
         return found
 
--- a/tests/engine/test_waiting.py
+++ b/tests/engine/test_waiting.py
@@ -3,6 +3,7 @@
 import unittest
 
 from limpetyard._events import add_listener
+from limpetyard.engine._waiting import RoundState, WaitReporter
 from limpetyard.jobs import Resources, StepSpec
 from tests.engine.test_engine import ONE_CORE, EngineTestCase, job
 
@@ -20,6 +21,11 @@
 class WaitingTaskTest(EngineTestCase):
     """Each reason for which a long-running task waits is reported."""
 
+    def setUp(self):
+        """Runs a first round without jobs, from which waits are counted."""
+        super().setUp()
+        self.engine.plan(1.0, 0.0)
+
     def reasons(self, at_ms: float, max_starts: int | None = None) -> list:
         """Plans at a time; returns the reported reasons."""
         REPORTS.clear()
@@ -76,6 +82,16 @@
         self.answer_polls(5000)
         self.assertEqual(self.reasons(5000, 0), ["start_limit"])
 
+    def test_wait_before_the_takeover(self):
+        """Only the time for which this owner has decided counts."""
+        self.add_task(Resources(99_000, 1, 0))
+        self.answer_polls(5000)
+        reporter = WaitReporter(self.engine)
+        REPORTS.clear()
+        for at_ms in (5000.0, 6000.0):
+            reporter.report(RoundState(at_ms, {}, {}, 1))
+        self.assertEqual(REPORTS, [])
+
     def test_short_wait(self):
         """A task that has just arrived is not reported."""
         self.add_task(Resources(99_000, 1, 0))
