Tests: random events against long-running tasks, on simulated workers

Callers saw long-running tasks stay unstarted for 21 s. Tests only, no change of the engine. Simulated workers keep the protocol over a lossy network while owners follow one another. A run that a poll has shown but whose start was never answered stays placed once it is gone (test_reported_run_that_vanishes).

--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_lasting_tasks.py
@@ -1,18 +1,35 @@
 """Tests that long-running tasks restart soon, wherever their run ended."""
 
+import heapq
+import itertools
+import random
+import unittest
 from collections.abc import Callable
 
+import msgspec
+
 from limpetyard.engine import (
+    Engine,
+    EngineParams,
     PollReply,
     RequestAdvice,
     RunEndKind,
+    RunEndReport,
     RunReport,
     Start,
     StartResult,
     Stop,
     Ticket,
+    WorkerEntry,
+)
+from limpetyard.engine._worker import lease_bound_ms
+from limpetyard.jobs import (
+    AdviceParams,
+    StepSpec,
+    TaskKey,
+    apply_progress,
+    encode_progress,
 )
-from limpetyard.jobs import AdviceParams, StepSpec, TaskKey
 from tests.engine.test_engine import (
     LEASE_MS,
     ONE_CORE,
@@ -24,6 +41,14 @@
 # A long-running task must not wait longer while a worker has room for it.
 LONGEST_WAIT_MS = 5000
 
+# Seeds of the random events, and time with and without them.
+SEEDS = range(12)
+DISTURBED_MS = 12_000
+CALM_MS = 6000
+
+# Most ended runs in one reply of a worker.
+ENDS_PER_REPLY = 500
+
 LASTING = StepSpec(1, ONE_CORE, long_running=True)
 
 
@@ -166,6 +191,20 @@
 class SilentStartTest(LastingTestCase):
     """Start orders that get no reply."""
 
+    def test_reported_run_that_vanishes(self):
+        """A run that a reply showed and later ones lack stays placed."""
+        task = self.submit(job(1, LASTING)).task(0, 0, 0)
+        (start,) = self.plan(Start)
+        self.now_ms += 200
+        self.poll(start.worker)
+        self.engine.on_start_reply(start, None, self.now_ms + 800)
+        self.now_ms += 1000
+        self.poll(start.worker)
+        self.assertEqual(task.state, "placed")
+        self.now_ms += 1000
+        self.poll(start.worker, drop=(task.key,))
+        self.assertEqual(task.state, "waiting")
+
     def test_worker_that_never_answers_starts(self):
         """A task is placed again and again where no start is answered."""
         task = self.submit(job(1, LASTING)).task(0, 0, 0)
@@ -238,3 +277,454 @@
         step = StepSpec(2, ONE_CORE, long_running=True, per_worker=1)
         start, asked = self.start_permitted(step, 1, {"w-0", "w-39"})
         self.assertIsNotNone(start, f"{len(asked)} requests")
+
+
+class SimulatedWorker:
+    """A worker that obeys the protocol, on its own clock.
+
+    Attributes:
+        runs: Time at which each run started, by task and run number.
+    """
+
+    def __init__(self, number: int, rate: float, ends_per_reply: int):
+        self.entry = entry(number, cores=8)
+        self.rate = rate
+        self.ends_per_reply = ends_per_reply
+        self.up = True
+        self.runs: dict[tuple, float] = {}
+        self._restart(1)
+
+    def _restart(self, born: int) -> None:
+        self.born = born
+        self.runs.clear()
+        self.ends: list[RunEndReport] = []
+        self.ended = 0
+        self.token = 0
+        self.lease_until_ms = 0.0
+        self.lowest: dict[TaskKey, int] = {}
+
+    def restart(self) -> None:
+        """Starts another incarnation; its runs leave no ends."""
+        self._restart(self.born + 1)
+
+    def clock_ms(self, now_ms: float) -> float:
+        """Returns the reading of the worker's clock."""
+        return 50_000 + now_ms * self.rate
+
+    def end(self, key: tuple, kind: RunEndKind) -> None:
+        """Ends a run."""
+        del self.runs[key]
+        self.ended += 1
+        self.ends.append(RunEndReport(self.ended, *key, kind, "cp"))
+        self._forbid(*key)
+
+    def _forbid(self, task: TaskKey, run: int) -> None:
+        self.lowest[task] = max(run, self.lowest.get(task, 0))
+
+    def lapse(self, now_ms: float) -> None:
+        """Ends all runs if the lease has expired."""
+        if self.clock_ms(now_ms) > self.lease_until_ms:
+            for key in list(self.runs):
+                self.end(key, RunEndKind.LAPSED)
+
+    def _check(self, token: int, until_ms: float | None) -> bool:
+        if token < self.token:
+            return False
+        self.token = token
+        self.lease_until_ms = max(self.lease_until_ms, until_ms or 0)
+        return True
+
+    def poll(self, token, acked, until_ms, now_ms) -> PollReply | None:
+        """Replies to a poll, or returns None if the token is stale."""
+        if not self._check(token, until_ms):
+            return None
+        self.ends = [end for end in self.ends if end.number > acked]
+        reports = [
+            RunReport(*key, "cp", 100 if now_ms - start > 300 else 0, 0.0)
+            for key, start in self.runs.items()
+        ]
+        return PollReply(
+            self.born,
+            self.clock_ms(now_ms),
+            reports,
+            self.ends[: self.ends_per_reply],
+        )
+
+    def start(
+        self, order: Start, token, until_ms, now_ms
+    ) -> StartResult | None:
+        """Starts a run, or returns None if the token is stale."""
+        key = (order.task, order.run)
+        if token < self.token:
+            return None
+        if key in self.runs:
+            return StartResult.STARTED
+        if self.clock_ms(now_ms) > until_ms:
+            return StartResult.EXPIRED
+        self._check(token, until_ms)
+        if order.run <= self.lowest.get(order.task, 0):
+            return StartResult.STALE_RUN
+        if len(self.runs) >= 16:
+            return StartResult.NO_ROOM
+        self.runs[key] = now_ms
+        return StartResult.STARTED
+
+    def stop(self, order: Stop, token) -> bool:
+        """Stops a run, and returns whether the token is current."""
+        if not self._check(token, None):
+            return False
+        if (order.task, order.run) in self.runs:
+            self.end((order.task, order.run), RunEndKind.STOPPED)
+        self._forbid(order.task, order.run)
+        return True
+
+
+class SimulatedCell:
+    """Workers, a lossy network, and a series of owners."""
+
+    STEP_MS = 25
+
+    def __init__(self, seed: int, ends_per_reply: int = ENDS_PER_REPLY):
+        self.random = random.Random(seed)
+        self.calm = False
+        self.now_ms = 1000.0
+        self.epoch = 2
+        self.stored: dict[str, bytes] = {}
+        self.recorded: dict[str, tuple[int, bool]] = {}
+        self.listed: dict[str, WorkerEntry] = {}
+        self.log: list[str] = []
+        # Runs whose late start order reached the next incarnation. They may
+        # run beside their replacement until they are reported.
+        self.misdirected: set[tuple] = set()
+        self._events: list[tuple] = []
+        self._count = itertools.count()
+        self.workers = {
+            f"w-{n}": SimulatedWorker(
+                n, self.random.uniform(0.985, 1.0), ends_per_reply
+            )
+            for n in range(5)
+        }
+        for worker in self.workers.values():
+            self.listed[worker.entry.id] = worker.entry
+        lasting = {"long_running": True, "checkpoints": True}
+        self.specs = [
+            job(1, StepSpec(3, ONE_CORE, **lasting)),
+            job(2, StepSpec(2, ONE_CORE, per_worker=1, **lasting)),
+            job(3, StepSpec(2, ONE_CORE, target_ms=50, **lasting), priority=1),
+            job(4, StepSpec(9, ONE_CORE, run_ms=900), max_attempts=99),
+            job(
+                5,
+                StepSpec(3, ONE_CORE, run_ms=900, fills=True),
+                max_attempts=99,
+            ),
+        ]
+        self.lasting = [
+            TaskKey(spec.id, 0, 0, index)
+            for spec in self.specs[:3]
+            for index in range(spec.steps[0].count)
+        ]
+        self.take_over()
+
+    def likely(self, probability: float) -> bool:
+        """Returns True with a probability; False in the calm."""
+        return not self.calm and self.random.random() < probability
+
+    def later(self, delay_ms: float, action, *args) -> None:
+        """Calls an action after a delay."""
+        at_ms = self.now_ms + delay_ms
+        heapq.heappush(self._events, (at_ms, next(self._count), action, args))
+
+    def delay(self) -> float:
+        """Returns the latency of a message."""
+        return self.random.choice((2, 5, 20, 80))
+
+    def take_over(self) -> None:
+        """Replaces the owner by another one, which loads what is stored."""
+        former = getattr(self, "engine", None)
+        self.epoch += 1
+        self.log.append(f"{self.now_ms:.0f} epoch {self.epoch}")
+        engine = Engine(self.epoch, EngineParams(LEASE_MS, 5000))
+        for spec in self.specs:
+            loaded = engine.add_job(spec, self.now_ms, loaded=True)
+            if spec.id in self.stored:
+                apply_progress(loaded, self.stored[spec.id], self.now_ms)
+                if loaded.is_final:
+                    engine.open_jobs.pop(spec.id)
+        for worker_entry in self.listed.values():
+            engine.set_entry(worker_entry, self.now_ms)
+        knows_leases = former and self.random.random() < 0.7
+        for worker in engine.workers.values():
+            until_ms = self.now_ms + lease_bound_ms(LEASE_MS)
+            if knows_leases and worker.id in former.workers:
+                until_ms = former.workers[worker.id].runs_until_ms
+            worker.prior_lease_end_ms = until_ms
+        engine.set_recorded_workers(self.recorded)
+        self.engine = engine
+        for worker_id in engine.workers:
+            self.poll(engine, worker_id)
+        self.persist(engine)
+
+    def persist(self, engine: Engine) -> None:
+        """Stores changes, and again later, as long as this is the owner."""
+        if engine is not self.engine:
+            return
+        jobs, batch = engine.pop_dirty()
+        if self.likely(0.1):
+            engine.on_store_rejected(batch)
+        else:
+            for changed in jobs:
+                self.stored[changed.spec.id] = encode_progress(changed, 0.0)
+            for worker in engine.workers.values():
+                self.recorded[worker.id] = (worker.born, worker.entry.draining)
+            engine.on_stored(batch)
+            engine.set_recorded_workers(self.recorded)
+        self.later(30, self.persist, engine)
+
+    def poll(self, engine: Engine, worker_id: str) -> None:
+        """Sends a poll, and the next one after its reply or time-out."""
+        if engine is not self.engine:
+            return
+        worker = engine.workers[worker_id]
+        until_ms = None
+        if worker.is_responsive(self.now_ms):
+            until_ms = worker.grant_lease(self.now_ms, LEASE_MS)
+        sent_ms, token = self.now_ms, worker.token
+        request = (token, worker.last_acked_end, until_ms)
+        waits = until_ms is not None and worker.token_confirmed
+        wait_ms = self.random.choice((20, 500, 1000)) if waits else 0
+
+        def execute():
+            target = self.workers[worker_id]
+            if not target.up or self.likely(0.1):
+                self.later(wait_ms + 600, self.poll, engine, worker_id)
+                return
+            reply = target.poll(*request, self.now_ms)
+            if self.likely(0.1) or reply is None:
+                self.later(wait_ms + 600, self.poll, engine, worker_id)
+                return
+            self.later(self.delay(), receive, reply)
+
+        def receive(reply):
+            if engine is self.engine and worker.token == token:
+                engine.on_poll_reply(worker, sent_ms, reply, self.now_ms)
+            self.later(5, self.poll, engine, worker_id)
+
+        self.later(self.delay() + wait_ms, execute)
+
+    def start(self, engine: Engine, effect: Start, attempt: int = 0) -> None:
+        """Sends a start order, twice if it gets no reply."""
+        worker = engine.workers[effect.worker]
+        run = worker.runs.get((effect.task, effect.run))
+        if engine is not self.engine or run is None:
+            return
+        if run.state.value == "running":
+            engine.on_start_reply(effect, StartResult.STARTED, self.now_ms)
+            return
+        until_ms = None
+        if (
+            run.state.value == "ordered"
+            and worker.is_responsive(self.now_ms)
+            and self.now_ms >= worker.backoff_until_ms
+            and not self.likely(0.05)
+        ):
+            until_ms = worker.grant_lease(self.now_ms, LEASE_MS)
+        if until_ms is None:
+            if attempt:
+                engine.on_start_reply(effect, None, self.now_ms)
+            else:
+                engine.on_start_withdrawn(effect, self.now_ms)
+            return
+        token, born = worker.token, worker.born
+        target = self.workers[effect.worker]
+        unanswered = not target.up or self.likely(0.15)
+        executed_ms = self.delay()
+        if unanswered:
+            executed_ms = self.random.choice((5, 400, 3000))
+
+        def execute():
+            result = None
+            if target.up and not (unanswered and self.likely(0.5)):
+                if self.likely(0.05):
+                    result = StartResult.UNHEALTHY
+                else:
+                    result = target.start(effect, token, until_ms, self.now_ms)
+                if born != target.born:
+                    self.misdirected.add((effect.task, effect.run))
+            if not unanswered and result is not None:
+                self.later(self.delay(), receive, result)
+            elif not unanswered:
+                time_out()
+
+        def receive(result):
+            if attempt and result is not StartResult.STARTED:
+                result = None
+            if engine is self.engine and worker.token == token:
+                engine.on_start_reply(effect, result, self.now_ms)
+
+        def time_out():
+            if attempt:
+                self.later(500, receive, None)
+            else:
+                self.later(500, self.start, engine, effect, 1)
+
+        self.later(executed_ms, execute)
+        if unanswered:
+            time_out()
+
+    def stop(self, engine: Engine, effect: Stop) -> None:
+        """Sends a stop order."""
+        worker = engine.workers[effect.worker]
+        token = worker.token
+        target = self.workers[effect.worker]
+        is_late = self.likely(0.1)
+        is_answered = not is_late and not self.likely(0.1)
+
+        def execute():
+            if not target.up or not target.stop(effect, token):
+                return
+            if is_answered:
+                self.later(self.delay(), receive)
+
+        def receive():
+            if engine is self.engine and worker.token == token:
+                engine.on_stop_reply(effect, self.now_ms)
+
+        self.later(2500 if is_late else self.delay(), execute)
+
+    def list_entry(self, worker_id: str, changed: WorkerEntry) -> None:
+        """Publishes a directory entry."""
+        if changed.born >= self.listed[worker_id].born:
+            self.listed[worker_id] = changed
+            self.engine.set_entry(changed, self.now_ms)
+
+    def disturb(self) -> None:
+        """Lets a random event happen."""
+        worker = self.random.choice(list(self.workers.values()))
+        worker_id = worker.entry.id
+        event = self.random.choice(
+            ("silence", "restart", "end", "end", "end", "drain", "zone")
+            + ("take_over",)
+        )
+        self.log.append(f"{self.now_ms:.0f} {event} {worker_id}")
+        if event == "take_over":
+            self.take_over()
+        elif event == "silence":
+            worker.up = False
+            self.later(
+                self.random.choice((300, 2000, 4500, 7000)),
+                setattr, worker, "up", True,
+            )  # fmt: skip
+        elif event == "restart":
+            worker.restart()
+            worker.entry = entry(int(worker_id[2:]), cores=8, born=worker.born)
+            self.later(
+                self.random.choice((10, 400)),
+                self.list_entry, worker_id, worker.entry,
+            )  # fmt: skip
+        elif event == "drain":
+            draining = msgspec.structs.replace(
+                self.listed[worker_id], draining=True, remaining_ms=1500
+            )
+            self.list_entry(worker_id, draining)
+            self.later(
+                2500, self.list_entry, worker_id,
+                msgspec.structs.replace(draining, draining=False),
+            )  # fmt: skip
+        elif event == "zone":
+            zone = worker.entry.availability_zone
+            self.engine.zones_out = frozenset({zone})
+        elif worker.runs:
+            key = self.random.choice(list(worker.runs))
+            worker.end(
+                key,
+                self.random.choice(
+                    (RunEndKind.DONE, RunEndKind.FAILED, RunEndKind.LAPSED)
+                ),
+            )
+
+    def advance(self, until_ms: float) -> None:
+        """Lets time pass, with a round of planning in each step."""
+        while self.now_ms < until_ms:
+            end_ms = self.now_ms + self.STEP_MS
+            while self._events and self._events[0][0] <= end_ms:
+                self.now_ms, _, action, args = heapq.heappop(self._events)
+                action(*args)
+            self.now_ms = end_ms
+            for worker in self.workers.values():
+                worker.lapse(self.now_ms)
+                for key, start_ms in list(worker.runs.items()):
+                    lasts = key[0] in self.lasting
+                    if not lasts and self.now_ms - start_ms > 900:
+                        worker.end(key, RunEndKind.DONE)
+            if self.likely(0.06):
+                self.disturb()
+            if self.random.random() < 0.05:
+                self.engine.zones_out = frozenset()
+            for effect in self.engine.plan(self.now_ms, 0.0, 48):
+                if isinstance(effect, Start):
+                    self.later(0, self.start, self.engine, effect)
+                elif isinstance(effect, Stop):
+                    self.later(0, self.stop, self.engine, effect)
+            self.check()
+
+    def check(self) -> None:
+        """Checks that each placed task has a run, and none runs twice.
+
+        Raises:
+            AssertionError: If not.
+        """
+        for current in self.engine.open_jobs.values():
+            for task in current.tasks.values():
+                if task.state == "placed":
+                    worker = self.engine.workers[task.worker]
+                    assert (task.key, task.run) in worker.runs, (
+                        f"{task.key.name} run {task.run} is not on "
+                        f"{task.worker}"
+                    )
+        running = [
+            key[0]
+            for worker in self.workers.values()
+            for key in worker.runs
+            if key not in self.misdirected
+        ]
+        twice = [t.name for t in running if running.count(t) > 1]
+        assert not twice, f"{twice} run twice"
+
+    def calm_down(self) -> None:
+        """Ends all disturbances."""
+        self.calm = True
+        self.engine.zones_out = frozenset()
+        for worker in self.workers.values():
+            worker.up = True
+            self.list_entry(worker.entry.id, worker.entry)
+
+
+class RandomEventsTest(unittest.TestCase):
+    """Random events on simulated workers, then six seconds of calm."""
+
+    def test_every_lasting_task_runs_once(self):
+        """A task without a run, or with two of them, after random events."""
+        self.check_seeds(SEEDS, ENDS_PER_REPLY)
+
+    def test_ends_in_several_replies(self):
+        """Ends that follow a found run in a later reply start it twice."""
+        self.check_seeds(range(10_015, 10_019), 2)
+
+    def check_seeds(self, seeds: range, ends_per_reply: int) -> None:
+        """Checks each seed; prints those that fail."""
+        for seed in seeds:
+            with self.subTest(seed=seed, ends_per_reply=ends_per_reply):
+                self.check_seed(seed, ends_per_reply)
+
+    def check_seed(self, seed: int, ends_per_reply: int) -> None:
+        """Checks the lasting tasks after random events."""
+        cell = SimulatedCell(seed, ends_per_reply)
+        try:
+            cell.advance(cell.now_ms + DISTURBED_MS)
+            cell.calm_down()
+            cell.advance(cell.now_ms + CALM_MS)
+        except AssertionError as exc:
+            raise AssertionError(f"{exc}\n" + "\n".join(cell.log)) from exc
+        running = [t for w in cell.workers.values() for t, _ in w.runs]
+        counts = {t.name: running.count(t) for t in cell.lasting}
+        self.assertEqual(set(counts.values()), {1}, f"{counts} {cell.log}")
