Tests: check long-running tasks all the time, not once at the end

Callers saw long-running tasks idle for 21 s. The simulated site looked at them once, after 25 s of calm, and storms cancelled nearly all. StoreModel.keeps_assignments keeps the rows of the last members.

--- a/standins/platform/_checks.py
+++ b/standins/platform/_checks.py
@@ -16,6 +16,7 @@
     RunEnded,
     RunStarted,
     StateReturned,
+    TaskIdle,
     ZoneChanged,
 )
 from standins.platform._virtual_time import START_WALL_MS
@@ -319,6 +320,15 @@
     ]
 
 
+def _check_idle(history: History) -> list[str]:
+    """LOST: a long-running task did not run though a worker had room."""
+    return [
+        f"LOST {entry.task.name} at {entry.at_ms:.0f}: waits since"
+        f" {entry.idle_since_ms:.0f}, {entry.worker} has room"
+        for entry in history.of(TaskIdle)
+    ]
+
+
 def _check_lost(history: History) -> list[str]:
     """LOST: an accepted job did not reach a final state."""
     last: dict[str, str] = {}
@@ -345,4 +355,5 @@
     _check_route,
     _check_evacuation,
     _check_gangs,
+    _check_idle,
 )
--- a/standins/platform/_history.py
+++ b/standins/platform/_history.py
@@ -104,6 +104,22 @@
     state: str
 
 
+class TaskIdle(msgspec.Struct, frozen=True):
+    """A long-running task waited too long although a worker had room.
+
+    Attributes:
+        at_ms: Time of the simulation.
+        task: The task.
+        idle_since_ms: When its last run ended or its job was accepted.
+        worker: A worker that had room.
+    """
+
+    at_ms: float
+    task: TaskKey
+    idle_since_ms: float
+    worker: str
+
+
 HistoryEntry = (
     RunStarted
     | RunEnded
@@ -114,6 +130,7 @@
     | JobAccepted
     | JobCancelled
     | StateReturned
+    | TaskIdle
 )
 
 
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -30,6 +30,7 @@
     StateReturned,
     ZoneChanged,
 )
+from standins.platform._lasting import LastingTaskWatch
 from standins.platform._link import Link, LinkRefusedError, LinkTimeoutError
 from standins.platform._processor import Processor
 from standins.platform._store import LinkedStoreClient, StoreModel
@@ -220,7 +221,9 @@
     async def start(self) -> None:
         """Publishes a configuration and starts all nodes."""
         self.publish()
-        self._tasks.append(asyncio.ensure_future(self._heartbeats()))
+        watch = LastingTaskWatch(self)
+        for work in (self._heartbeats(), watch.run()):
+            self._tasks.append(asyncio.ensure_future(work))
         for host in self.hosts:
             await self.start_node(host)
 
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -145,6 +145,8 @@
 
     Attributes:
         calls: Number of calls executed so far.
+        keeps_assignments: Whether the partitions of a group stay assigned to
+            its last members after all of them have expired or left.
     """
 
     def __init__(self, clock: Clock):
@@ -152,6 +154,7 @@
         self._partitions: dict[tuple[str, int], _Partition] = {}
         self._groups: dict[str, _Group] = {}
         self.calls = 0
+        self.keeps_assignments = False
 
     def partition(self, topic: str, partition_id: int) -> _Partition:
         """Returns a partition and creates it on first use."""
@@ -265,7 +268,7 @@
         self.calls += 1
         state = self._groups.setdefault(group, _Group())
         if state.members.pop(member, None) is not None:
-            state.rebalance()
+            self._rebalance(state)
 
     async def partition_owners(self, group: str) -> dict[int, str]:
         """See `limpetyard.store.Store.partition_owners`."""
@@ -282,6 +285,10 @@
         for name in gone:
             del state.members[name]
         if gone:
+            self._rebalance(state)
+
+    def _rebalance(self, state: _Group) -> None:
+        if state.members or not self.keeps_assignments:
             state.rebalance()
 
 
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -130,12 +130,13 @@
         """Returns the tasks that run now."""
         return list(self._runs)
 
-    def has_room(self, spec: JobSpec, number: int) -> bool:
+    def has_room(self, spec: JobSpec, number: int, times: int = 1) -> bool:
         """Returns whether the worker can run one more task of a step.
 
         Args:
             spec: The job.
             number: Index of the step.
+            times: Multiple of the need of a task that must be free.
         """
         step = spec.steps[number]
         reserved = [run.step.reserved for run in self._runs.values()]
@@ -147,9 +148,9 @@
             and not self.entry.draining
             and (not step.label or step.label in self.entry.labels)
             and (not step.per_worker or same_step < step.per_worker)
-            and need.cores_milli + sum(r.cores_milli for r in reserved)
+            and times * need.cores_milli + sum(r.cores_milli for r in reserved)
             <= capacity.cores_milli
-            and need.memory_mb + sum(r.memory_mb for r in reserved)
+            and times * need.memory_mb + sum(r.memory_mb for r in reserved)
             <= capacity.memory_mb
         )
 
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -22,6 +22,9 @@
 FAULT_PHASE_S = 25.0
 RECOVERY_S = 25.0
 
+# Long-running jobs that are not cancelled.
+LASTING_JOB_COUNT = 3
+
 # Longest wait for each job after that: enough for the longest jobs on the
 # smallest site.
 JOB_TIMEOUT_MS = 20_000
@@ -292,6 +295,16 @@
         await site.query_state(spec.id)
 
 
+async def _lasting_client(
+    site: SimulatedSite, number: int, rng: random.Random
+) -> None:
+    """Submits a long-running job that lasts to the end of the storm."""
+    need = Resources(rng.randint(200, 1000), 500, 0)
+    step = StepSpec(rng.randint(1, 3), need, long_running=True)
+    await asyncio.sleep(rng.uniform(0, FAULT_PHASE_S / 2))
+    await site.submit(JobSpec(f"{number:016x}", QUEUE, "payload", (step,)))
+
+
 async def _inject_faults(site: SimulatedSite, rng: random.Random) -> None:
     end = asyncio.get_running_loop().time() + FAULT_PHASE_S
     names = list(FAULTS)
@@ -314,10 +327,16 @@
     await site.start()
     await asyncio.sleep(2)
     clients = [_client(site, n, rng) for n in range(JOB_COUNT)]
+    clients += [
+        _lasting_client(site, JOB_COUNT + n, rng)
+        for n in range(LASTING_JOB_COUNT)
+    ]
     injectors = [_inject_faults(site, rng) for _ in range(rng.randint(1, 3))]
     await asyncio.gather(*clients, *injectors)
     await asyncio.sleep(RECOVERY_S)
-    for job_id in sorted(site.history.submitted):
+    for job_id, spec in sorted(site.history.submitted.items()):
+        if spec.steps[0].long_running:
+            continue
         await site.wait_for(
             job_id, ("completed", "failed", "cancelled", ""), JOB_TIMEOUT_MS
         )
--- /dev/null
+++ b/tests/node/test_lasting_tasks.py
@@ -0,0 +1,146 @@
+"""Long-running tasks start again soon after faults have ended."""
+
+import asyncio
+import unittest
+
+from limpetyard.jobs import JobSpec, Resources, StepSpec
+from standins.platform import SimulatedSite, run_in_virtual_time, violations
+from standins.platform._site import QUEUE
+from tests.node.test_whole_site import LEASE_MS
+
+TASKS = 6
+LARGE = 2.15
+MIXED = (0.3, 0.4, 0.3, 0.5, LARGE, LARGE)
+
+# Time in which the site settles, and calm after the faults.
+SETTLED_S = 6
+CALM_S = 20
+
+
+def lasting_job(count: int = TASKS) -> JobSpec:
+    """Returns a job of long-running tasks, at most two on a worker."""
+    need = Resources(1000, 500, 0)
+    step = StepSpec(count, need, long_running=True, per_worker=2)
+    return JobSpec("1" * 16, QUEUE, "payload", (step,))
+
+
+def note_fault(site: SimulatedSite) -> None:
+    """Records that a fault happens now, for `LastingTaskWatch`."""
+    now_ms = site.clock.now_ms()
+    site.history.fault_windows.append((now_ms, now_ms))
+
+
+def crash_worker(site: SimulatedSite, busy: bool) -> None:
+    """Loses a worker for good, one that runs tasks or one that does not."""
+    workers = site.workers.values()
+    next(w for w in workers if bool(w.running()) == busy).crash()
+    note_fault(site)
+
+
+def fail_task(site: SimulatedSite) -> None:
+    """Lets the run of one task fail."""
+    run = next(r for w in site.workers.values() for r in w._runs.values())
+    run.end("failed")
+
+
+def newest_owner(site: SimulatedSite):
+    """Returns the VM of the newest owner, also while others are frozen."""
+    owners = [
+        (owner.engine.epoch, host)
+        for host in site.hosts
+        if host.node is not None
+        and (owner := host.node._owners.get(0)) is not None
+        and owner.deciding
+    ]
+    return max(owners, key=lambda entry: entry[0])[1]
+
+
+class LastingTaskTestCase(unittest.TestCase):
+    """Runs scenarios on a site with one job of long-running tasks."""
+
+    def run_scenario(
+        self, scenario, cores=(0.0,) * 5, workers: int = 8
+    ) -> SimulatedSite:
+        """Runs a scenario and a calm time; no task may wait too long."""
+
+        async def main() -> SimulatedSite:
+            site = SimulatedSite(len(cores), workers, processor_cores=cores)
+            await site.start()
+            await asyncio.sleep(SETTLED_S)
+            self.assertTrue(await site.submit(lasting_job()))
+            await asyncio.sleep(SETTLED_S)
+            await scenario(site)
+            await asyncio.sleep(CALM_S)
+            await site.stop()
+            return site
+
+        site = run_in_virtual_time(main())
+        self.assertEqual(violations(site.history), [])
+        return site
+
+
+class OwnerLostTest(LastingTaskTestCase):
+    """The owner does not answer its successor while a worker is gone."""
+
+    def test_tasks_of_a_worker_lost_with_the_owner(self):
+        """The leases of a silent owner were taken to last 10.2 s more."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            crash_worker(site, busy=True)
+            site.freeze(site.owner())
+
+        self.run_scenario(scenario)
+
+    def test_other_tasks_when_a_worker_is_lost_with_the_owner(self):
+        """Tasks waited for a lost worker on which they had never been."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            crash_worker(site, busy=False)
+            site.freeze(site.owner())
+            fail_task(site)
+
+        self.run_scenario(scenario)
+
+    def test_task_that_the_new_owner_found_running(self):
+        """A task that was found running later waited for a lost worker."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            crash_worker(site, busy=False)
+            site.freeze(site.owner())
+            await asyncio.sleep(1.2)
+            self.assertIsNot(newest_owner(site), site.owner())
+            fail_task(site)
+
+        self.run_scenario(scenario)
+
+    def test_owners_lost_in_turn(self):
+        """The wait for a worker that is long gone began anew at a takeover."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            crash_worker(site, busy=True)
+            for _ in range(3):
+                note_fault(site)
+                site.freeze(newest_owner(site))
+                await asyncio.sleep((LEASE_MS + 3000) / 1000)
+
+        self.run_scenario(scenario)
+
+
+class StandbyTest(LastingTaskTestCase):
+    """All large nodes are lost while the small ones stand by."""
+
+    def test_assignments_of_dead_members_stay(self):
+        """Small nodes stood by for ever for members of which none is left."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            site.store.keeps_assignments = True
+            for host in site.hosts:
+                if host.processor_cores == LARGE:
+                    await site.kill_node(host)
+            note_fault(site)
+
+        self.run_scenario(scenario, MIXED)
+
+
+if __name__ == "__main__":
+    unittest.main()
