Treat a task whose run a worker reports as certain

What callers would see: a task runs twice (TWICE), or a long-running task that has ended waits while any worker of the service restarts (LOST).

Cause: a task that a new owner found running stayed marked as possibly running elsewhere. RunEndHandler therefore took the late end of an older run for the end of the found one and released the task, which was started a second time; and after the found run had ended, the task waited until every worker of the service was confirmed again, also those that restarted later.

An owner starts a run only once no other run of the task can exist, so the reported run is the only one. The mark is cleared when the run is found; the numbers of the next runs depend on the job instead, which stays inherited.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -374,6 +374,8 @@
                 task.fire("place")
                 task.run = report.run
                 task.worker = worker.id
+                # An owner starts a run only once no other run can exist.
+                task.may_be_running = False
                 job.mark_running()
                 job.started_ms = now_ms
             else:
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -22,9 +22,9 @@
 if TYPE_CHECKING:
     from limpetyard.engine._engine import Engine
 
-# Run numbers reserved for each epoch. If an earlier owner may have started a
-# task, the next run gets at least the number epoch * RUNS_PER_EPOCH, so that no
-# number is used twice.
+# Run numbers reserved for each epoch. If an earlier owner may have started
+# tasks of a job, their next runs get at least the number
+# epoch * RUNS_PER_EPOCH, so that no number is used twice.
 RUNS_PER_EPOCH = 256
 
 # Runs on draining workers that one round looks at, up to the end of a worker. A
@@ -402,7 +402,7 @@
 
     def _next_run(self, task: Task) -> int:
         """Returns the number of the next run of a task."""
-        if task.may_be_running:
+        if self._engine.jobs[task.key.job].inherited:
             return max(task.run + 1, self._engine.epoch * RUNS_PER_EPOCH)
         return task.run + 1
 
