Drop a run that its worker reported and no longer lists

What callers would see: a long-running task does not run and is not started again, as its owner believes it to be running (LOST).

Cause: the start got no answer, but a poll listed the run, so it counted as running without an acknowledged order. Only runs with one were dropped when a later reply lacked them; this one stayed for as long as the worker answered.

A report now counts as an acknowledgement, so that a reply to a later poll shows whether the run exists. test_reported_run_that_vanishes failed before.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -331,7 +331,7 @@
         """Updates the runs of a worker from the reports of a reply.
 
         A run that is missing from the reply no longer exists if the worker had
-        acknowledged an order for it before the poll was sent.
+        acknowledged an order for it, or reported it, before the poll was sent.
         """
         reported = set()
         for report in reports:
@@ -339,7 +339,7 @@
             run = worker.runs.get((report.task, report.run))
             if run is None:
                 run = self._adopt_run(worker, report, now_ms)
-            run.apply_report(report)
+            run.apply_report(report, now_ms)
         worker.reset_failures_if_healthy(now_ms)
         absent = [key for key in worker.runs if key not in reported]
         for key in absent:
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -67,9 +67,9 @@
         run: Number of the run.
         step: Specification of the task's step.
         state: State of the run, as far as the owner knows it.
-        acked_ms: When the worker acknowledged an order for the run, or first
-            reported a run that it was not known to have; None before that. The
-            reply to a poll that is sent later shows whether the run exists.
+        acked_ms: When the worker acknowledged an order for the run or reported
+            it, whichever was first; None before that. The reply to a poll that
+            is sent later shows whether the run exists.
         checkpoint: Latest checkpoint that was reported.
         speed_percent: Share of its full speed that the run was last given.
         at_full_speed: Whether the last report showed the run at 100 % speed.
@@ -109,8 +109,10 @@
         self.placed_ms = now_ms
         self.last_stop_ms = float("-inf")
 
-    def apply_report(self, report: RunReport) -> None:
-        """Updates the run from a report of the worker."""
+    def apply_report(self, report: RunReport, now_ms: float) -> None:
+        """Updates the run from a report of the worker that arrived now."""
+        if self.acked_ms is None:
+            self.acked_ms = now_ms
         if self.state is RunState.ORDERED:
             self.state = RunState.RUNNING
         self.checkpoint = report.checkpoint or self.checkpoint
