Try another worker after a start without an answer

What callers would see: a long-running task does not run although other workers have room (LOST), while one worker answers polls but no start orders.

Cause: the backoff of such a worker ends after at most 1.6 s, and then it is the best choice again, as nothing runs there. Each attempt costs over a second.

The task now prefers other workers, as it does after a failed run. test_worker_that_never_answers_starts failed before (five attempts on w-0 in 10 s, none elsewhere).

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -490,6 +490,7 @@
             worker.record_silent_start(now_ms)
             if run.state is RunState.ORDERED:
                 run.state = RunState.STOPPING
+                self._avoid_worker(run, worker)
             return
         del worker.runs[effect.task, effect.run]
         event(
@@ -505,6 +506,12 @@
             self.release_task(task, now_ms)
             task.retry_at_ms = now_ms + FAILED_TASK_BACKOFF_MS
 
+    def _avoid_worker(self, run: WorkerRun, worker: Worker) -> None:
+        """Makes the task of a run prefer other workers for its next run."""
+        task = self.find_task(run.task)
+        if task is not None and task.worker == worker.id:
+            task.failed_on = worker.id
+
     def on_start_withdrawn(self, effect: Start, now_ms: float) -> None:
         """Handles a start order that was never sent: drops the run.
 
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -42,7 +42,8 @@
         run: Number of the latest run; 0 before the first.
         ended_runs: Numbers of the runs whose end was processed.
         failure_count: Number of failed runs.
-        failed_on: Worker of the last failed run, or "".
+        failed_on: Worker of the last run that failed or whose start order was
+            not answered, or "".
         checkpoint: Checkpoint to resume from, or "".
         worker: Worker of the latest run while the task is placed, else "".
         may_be_running: Whether a run that an earlier owner started may still
