--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -267,7 +267,7 @@
             worker, reply.ends, now_ms
         )
         self.dirty_workers |= has_new_ends
-        self._update_runs(worker, reply.runs, sent_ms, now_ms)
+        self._update_runs(worker, reply, sent_ms, now_ms)
         update_interference(worker, self.interference, now_ms)
         return has_new_ends
 
@@ -324,17 +324,18 @@
     def _update_runs(
         self,
         worker: Worker,
-        reports: list[RunReport],
+        reply: PollReply,
         sent_ms: float,
         now_ms: float,
     ) -> None:
         """Updates the runs of a worker from the reports of a reply.
 
         A run that is missing from the reply no longer exists if the worker had
-        acknowledged an order for it, or reported it, before the poll was sent.
+        acknowledged an order for it, or reported it, before the poll was sent,
+        or if its start orders have expired.
         """
         reported = set()
-        for report in reports:
+        for report in reply.runs:
             reported.add((report.task, report.run))
             run = worker.runs.get((report.task, report.run))
             if run is None:
@@ -344,7 +345,8 @@
         absent = [key for key in worker.runs if key not in reported]
         for key in absent:
             run = worker.runs[key]
-            if run.acked_ms is not None and run.acked_ms < sent_ms:
+            was_acked = run.acked_ms is not None and run.acked_ms < sent_ms
+            if was_acked or run.start_expires_ms < reply.clock_ms:
                 del worker.runs[key]
                 self._release_run(worker, run, now_ms)
 
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -70,6 +70,8 @@
         acked_ms: When the worker acknowledged an order for the run or reported
             it, whichever was first; None before that. The reply to a poll that
             is sent later shows whether the run exists.
+        start_expires_ms: Time on the worker's clock from which it rejects all
+            start orders that were sent; infinite if that is not known.
         checkpoint: Latest checkpoint that was reported.
         speed_percent: Share of its full speed that the run was last given.
         at_full_speed: Whether the last report showed the run at 100 % speed.
@@ -90,6 +92,7 @@
         "placed_ms",
         "run",
         "speed_percent",
+        "start_expires_ms",
         "state",
         "step",
         "task",
@@ -101,6 +104,7 @@
         self.step = step
         self.state = RunState.ORDERED
         self.acked_ms: float | None = None
+        self.start_expires_ms = float("inf")
         self.checkpoint = ""
         self.speed_percent = 100
         self.at_full_speed = False
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -30,6 +30,10 @@
 # Maximum number of times that an unanswered start order is sent.
 START_ATTEMPTS = 2
 
+# Time after which a worker rejects a start order that it receives late. The
+# lease of a responsive worker lasts longer, as each poll renews it.
+START_VALID_MS = 2000
+
 # Maximum number of start orders that are accepted and not done, so that the
 # replies to all of them are processed within the time-out of an order.
 MAX_STARTS_IN_FLIGHT = 48
@@ -80,7 +84,7 @@
             workers: Client of the workers.
             advice: Client of the advice service, or None.
             clock: Clock for the times of orders and results.
-            lease_ms: Duration of the lease that a start order grants.
+            lease_ms: Longest duration of a lease.
             may_order: Returns whether orders may be issued: not after the
                 ownership has ended, nor while orders are suspended.
             end_ownership: Ends the ownership for a reason.
@@ -167,7 +171,9 @@
                 break
             until_ms = None
             if self._may_start(worker, run, now_ms):
-                until_ms = worker.grant_lease(now_ms, self._lease_ms)
+                until_ms = worker.grant_lease(
+                    now_ms, min(START_VALID_MS, self._lease_ms)
+                )
             if until_ms is None:
                 if not attempt:
                     self._engine.on_start_withdrawn(effect, now_ms)
@@ -183,6 +189,7 @@
                 effect.ticket,
             )
             sends += 1
+            run.start_expires_ms = until_ms
             if not attempt:
                 queued_ms = now_ms - run.placed_ms
             try:
--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_lasting_tasks.py
@@ -205,6 +205,21 @@
         self.poll(start.worker, drop=(task.key,))
         self.assertEqual(task.state, "waiting")
 
+    def test_worker_that_answers_polls_only(self):
+        """A run that was never confirmed keeps its task until a stop is."""
+        task = self.submit(job(1, LASTING)).task(0, 0, 0)
+        (start,) = self.plan(Start)
+        worker = self.engine.workers[start.worker]
+        (run,) = worker.runs.values()
+        run.start_expires_ms = self.now_ms + 2000
+        self.engine.on_start_reply(start, None, self.now_ms)
+        self.now_ms += 2000
+        self.poll(start.worker, drop=(task.key,))
+        self.assertEqual(task.state, "placed")
+        self.now_ms += 100
+        self.poll(start.worker, drop=(task.key,))
+        self.assertEqual(task.state, "waiting")
+
     def test_worker_that_never_answers_starts(self):
         """A task is placed again and again where no start is answered."""
         task = self.submit(job(1, LASTING)).task(0, 0, 0)
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -18,7 +18,7 @@
 )
 from limpetyard.jobs import JobSpec, QueueParams, Resources, StepSpec
 from limpetyard.node import _order_dispatch
-from limpetyard.node._order_dispatch import OrderDispatcher
+from limpetyard.node._order_dispatch import START_VALID_MS, OrderDispatcher
 
 
 class _ScriptedWorkerClient:
@@ -101,11 +101,13 @@
 
     def __init__(self):
         self.starts: list[tuple[str, tuple, asyncio.Future]] = []
+        self.start_expiries_ms: list[int] = []
         self.stops: list[tuple] = []
         self.held_stops: asyncio.Event | None = None
 
     async def start(self, entry, order) -> StartResult:
         fut = asyncio.get_running_loop().create_future()
+        self.start_expiries_ms.append(order.lease_until_ms)
         self.starts.append((entry.id, (order.task, order.run), fut))
         return await fut
 
@@ -368,6 +370,16 @@
         self.assertIs(run.state, RunState.STOPPING)
         self.assertEqual(self.engine.plan(1000.0, 0.0)[1:], [])
 
+    async def test_start_that_arrives_late(self):
+        """A start order is executed long after its sender gave it up."""
+        (start,) = self.plan(1, 1)
+        task = asyncio.create_task(self.dispatcher.execute(start))
+        await self.settle()
+        (run,) = self.runs()
+        self.assertLessEqual(self.client.start_expiries_ms, [START_VALID_MS])
+        self.assertEqual([run.start_expires_ms], self.client.start_expiries_ms)
+        task.cancel()
+
     async def test_gang_of_a_withdrawn_member(self):
         """The other members of a gang wait for one that is not started."""
         starts = self.plan(2, 2, gang=True)
