Limit the time for which a probe holds back a worker on probation

What callers would see: a long-running task does not run although the only worker with room runs one slowed best-effort task (LOST).

Cause: a worker on probation gets one task at a time until that one has failed or has run at full speed for a second. A best-effort run that is slowed does neither, for as long as it lasts.

After 2 s the next probe may start. test_slowed_probe failed before.

--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -29,6 +29,10 @@
 INITIAL_PROBE_BACKOFF_MS = 100
 MAX_PROBE_BACKOFF_MS = 1600
 
+# A probe that has neither failed nor shown the worker to be healthy by then,
+# such as a best-effort run that is slowed, does not hold back the next one.
+MAX_PROBE_MS = 2000
+
 # Exponential backoff of a worker that left a start order without a reply. The
 # maximum is that of probation, for the same reason.
 INITIAL_SILENT_BACKOFF_MS = 400
@@ -270,7 +274,8 @@
         """Returns whether the worker may get a task.
 
         A worker on probation may get one if the backoff is over and no run
-        placed after the last failure, the probe, exists.
+        placed after the last failure, the probe, exists that is younger than
+        `MAX_PROBE_MS`.
         """
         if not self.on_probation:
             return True
@@ -280,7 +285,9 @@
             INITIAL_PROBE_BACKOFF_MS << doublings, MAX_PROBE_BACKOFF_MS
         )
         has_probe = any(
-            run.placed_ms > self.last_failure_ms for run in self.runs.values()
+            run.placed_ms > self.last_failure_ms
+            and now_ms - run.placed_ms < MAX_PROBE_MS
+            for run in self.runs.values()
         )
         return not has_probe and now_ms - self.last_failure_ms >= backoff_ms
 
