Back off from long-running tasks whose runs fail soon

What callers would see: a long-running task does not run (LOST), as one that fails at once takes each probe of the only worker with room.

Cause: long-running tasks restarted at once after a failure, oldest first, and a worker on probation takes one task at a time; the failing one was always first in line again when the backoff of the worker ended.

Its backoff doubles now from 150 ms to 2.4 s, always longer than that of the worker at that time; a run that lasted over a second ends it. Like other failed tasks it also prefers another worker. test_failing_task_takes_every_probe failed before.

--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -4,7 +4,7 @@
 
 from limpetyard._events import event
 from limpetyard.engine._step_worker_client import RunEndKind, RunEndReport
-from limpetyard.engine._worker import RunState, Worker
+from limpetyard.engine._worker import HEALTHY_RUN_MS, RunState, Worker
 from limpetyard.jobs import Job, Task
 
 if TYPE_CHECKING:
@@ -14,6 +14,12 @@
 # use up all attempts of the task before it is put on probation.
 FAILED_TASK_BACKOFF_MS = 100
 
+# Exponential backoff of a long-running task whose runs fail soon. It is longer
+# than that of a worker on probation, so that another task gets the next probe.
+# The maximum is below 3 s, the longest time that a long-running task may wait.
+INITIAL_LONG_RUNNING_BACKOFF_MS = 150
+MAX_LONG_RUNNING_BACKOFF_MS = 2400
+
 
 class RunEndHandler:
     """Updates tasks, jobs and workers when runs have ended."""
@@ -74,6 +80,9 @@
             self._finish_task(job, task, now_ms)
             return
         if end.kind is RunEndKind.FAILED:
+            placed_ms = run.placed_ms if run is not None else now_ms
+            if now_ms - placed_ms > HEALTHY_RUN_MS:
+                task.early_failures = 0
             self._record_failure(worker, job, task, now_ms)
         self._engine.release_task(task, now_ms)
 
@@ -152,11 +161,18 @@
     ) -> None:
         """Records a failed run; fails the job at the last allowed attempt."""
         worker.record_failure(now_ms)
+        task.failed_on = worker.id
+        task.retry_at_ms = now_ms + FAILED_TASK_BACKOFF_MS
         if task.step.long_running:
+            # Limits the size of the shift.
+            doublings = min(task.early_failures, 10)
+            task.early_failures += 1
+            task.retry_at_ms = now_ms + min(
+                INITIAL_LONG_RUNNING_BACKOFF_MS << doublings,
+                MAX_LONG_RUNNING_BACKOFF_MS,
+            )
             return
         task.failure_count += 1
-        task.failed_on = worker.id
-        task.retry_at_ms = now_ms + FAILED_TASK_BACKOFF_MS
         if (
             task.failure_count >= job.spec.queue.max_attempts
             and not job.is_final
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -42,6 +42,8 @@
         run: Number of the latest run; 0 before the first.
         ended_runs: Numbers of the runs whose end was processed.
         failure_count: Number of failed runs.
+        early_failures: Number of runs of a long-running task that failed soon
+            after their start, since the last one that did not.
         failed_on: Worker of the last run that failed or whose start order was
             not answered, or "".
         checkpoint: Checkpoint to resume from, or "".
@@ -56,6 +58,7 @@
     __slots__ = (
         "_waiting",
         "checkpoint",
+        "early_failures",
         "ended_runs",
         "failed_on",
         "failure_count",
@@ -91,6 +94,7 @@
         self.run = 0
         self.ended_runs: set[int] = set()
         self.failure_count = 0
+        self.early_failures = 0
         self.failed_on = ""
         self.checkpoint = ""
         self.worker = ""
