Request advice on workers that it is not known for

What callers would see: a long-running task of a queue with advice does not run although a permitted worker has room (LOST), on sites with over 30 workers.

Cause: each request named the 30 workers with most free cores, whatever earlier replies had said of them; and no request was made while any worker with a valid ticket had room, even one at the limit of tasks of the step. A ticket that its worker rejected was used again until its validity ended.

What is known of a step is kept by worker and incarnation now: ticket, or not permitted, which does not change. Tasks are placed where there are tickets, and advice is requested on further workers if some tasks are left. Nothing is kept of jobs that have ended. The reference planner of test_planning_cost follows the same order; it still scores every worker for every task and compares as before.

--- /dev/null
+++ b/src/limpetyard/engine/_advice.py
@@ -0,0 +1,128 @@
+"""Tickets of the advice service, which permits workers for some steps.
+
+The reply to a request for advice holds one ticket for each permitted worker.
+Whether a worker is permitted does not change during its incarnation.
+"""
+
+from typing import TYPE_CHECKING
+
+from limpetyard.engine._effects import RequestAdvice
+from limpetyard.engine._step_worker_client import Ticket
+from limpetyard.engine._worker import Worker
+
+if TYPE_CHECKING:
+    from limpetyard.engine._placement import Candidate
+
+# Maximum number of workers in one request; each adds to the latency of the
+# reply.
+MAX_ADVICE_WORKERS = 30
+
+# Minimum remaining validity of a ticket at placement.
+TICKET_MARGIN_MS = 300
+
+# Time after which a request without a reply is repeated.
+ADVICE_RETRY_MS = 2000
+
+# Job, occurrence and number of a step.
+StepKey = tuple[str, int, int]
+
+# Id and incarnation of a worker.
+Incarnation = tuple[str, int]
+
+
+class _StepAdvice:
+    """What is known of one step.
+
+    Attributes:
+        tickets: Ticket and the end of its validity, by worker.
+        rejected: Workers that are not permitted.
+        requested: Workers in the request whose reply is awaited.
+        requested_ms: When that request was planned.
+    """
+
+    __slots__ = ("rejected", "requested", "requested_ms", "tickets")
+
+    def __init__(self):
+        self.tickets: dict[Incarnation, tuple[str, float]] = {}
+        self.rejected: set[Incarnation] = set()
+        self.requested: tuple[Incarnation, ...] = ()
+        self.requested_ms = float("-inf")
+
+
+class AdviceBook:
+    """Tickets, rejections and pending requests of all steps."""
+
+    __slots__ = ("_jobs",)
+
+    def __init__(self):
+        self._jobs: dict[str, dict[StepKey, _StepAdvice]] = {}
+
+    def _advice(self, step_key: StepKey) -> _StepAdvice:
+        steps = self._jobs.setdefault(step_key[0], {})
+        return steps.setdefault(step_key, _StepAdvice())
+
+    def add(self, step_key: StepKey, tickets: list[Ticket]) -> None:
+        """Adds the reply to the latest request for a step.
+
+        Args:
+            step_key: Key of the step.
+            tickets: Tickets whose `valid_ms` is the time on this process's
+                clock until which they are valid.
+        """
+        advice = self._advice(step_key)
+        permitted = {ticket.worker: ticket for ticket in tickets}
+        for incarnation in advice.requested:
+            ticket = permitted.get(incarnation[0])
+            if ticket is None:
+                advice.rejected.add(incarnation)
+            else:
+                advice.tickets[incarnation] = (ticket.ticket, ticket.valid_ms)
+        advice.requested = ()
+
+    def drop_ticket(self, step_key: StepKey, worker: Worker) -> None:
+        """Drops a ticket that the worker did not accept."""
+        advice = self._advice(step_key)
+        advice.tickets.pop((worker.id, worker.born), None)
+
+    def drop_job(self, job_id: str) -> None:
+        """Drops everything about a job."""
+        self._jobs.pop(job_id, None)
+
+    def ticket(
+        self, step_key: StepKey, worker: Worker, now_ms: float
+    ) -> str | None:
+        """Returns a ticket that is valid for long enough, or None."""
+        tickets = self._advice(step_key).tickets
+        ticket, valid_ms = tickets.get((worker.id, worker.born), ("", 0.0))
+        return ticket if now_ms + TICKET_MARGIN_MS < valid_ms else None
+
+    def request(
+        self, step_key: StepKey, candidates: list["Candidate"], now_ms: float
+    ) -> RequestAdvice | None:
+        """Returns the next request for a step, or None.
+
+        There is none while a reply is awaited, and if all candidates are known
+        to be permitted or not to be.
+
+        Args:
+            step_key: Key of the step.
+            candidates: Workers that could run a task of the step.
+            now_ms: Current time.
+        """
+        advice = self._advice(step_key)
+        if advice.requested and now_ms - advice.requested_ms < ADVICE_RETRY_MS:
+            return None
+        unknown = [
+            candidate
+            for candidate in candidates
+            if (candidate.worker.id, candidate.worker.born)
+            not in advice.rejected
+            and self.ticket(step_key, candidate.worker, now_ms) is None
+        ]
+        if not unknown:
+            return None
+        unknown.sort(key=lambda c: -c.free_resources.cores_milli)
+        workers = [c.worker for c in unknown[:MAX_ADVICE_WORKERS]]
+        advice.requested = tuple((w.id, w.born) for w in workers)
+        advice.requested_ms = now_ms
+        return RequestAdvice(*step_key, tuple(w.id for w in workers))
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -300,6 +300,7 @@
         job.move_to_final(job_event, now_ms)
         self.open_jobs.pop(job.spec.id, None)
         self.interference.drop_job(job.spec.id)
+        self._planner.drop_job(job.spec.id)
         event(
             "job_ended",
             job=job.spec.id,
@@ -505,6 +506,8 @@
         worker.backoff_until_ms = now_ms + REJECTED_START_BACKOFF_MS
         task = self.find_task(effect.task)
         if task is not None and task.worker == worker.id:
+            if result is StartResult.BAD_TICKET:
+                self._planner.drop_ticket(task, worker)
             self.release_task(task, now_ms)
             task.retry_at_ms = now_ms + FAILED_TASK_BACKOFF_MS
 
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -1,16 +1,16 @@
 """Places ready tasks on workers, in the order of their urgency.
 
-For some queues, an advice service permits workers for each step: its reply to a
-request for advice holds one ticket for each permitted worker. Tasks of such a
-step are placed only on workers with a valid ticket.
+Tasks of a queue with advice are placed only on workers with a valid ticket; see
+`limpetyard.engine._advice`.
 """
 
 import itertools
 import math
 from typing import TYPE_CHECKING
 
+from limpetyard.engine._advice import AdviceBook
 from limpetyard.engine._draining import drain_worker
-from limpetyard.engine._effects import Effect, RequestAdvice, Start
+from limpetyard.engine._effects import Effect, Start
 from limpetyard.engine._placement import PLACERS, Candidate, placer_name
 from limpetyard.engine._ranking import Ranking, ServiceRound
 from limpetyard.engine._step_worker_client import Ticket
@@ -31,34 +31,22 @@
 # zone that drains has hundreds.
 MAX_DRAINED_RUNS = 48
 
-# Maximum number of workers in one request for advice; each worker adds to the
-# latency of the reply.
-MAX_ADVICE_WORKERS = 30
-
-# Minimum remaining validity of a ticket at placement.
-TICKET_MARGIN_MS = 300
-
-# Time after which a request for advice without a reply is repeated.
-ADVICE_RETRY_MS = 2000
-
 
 class Planner:
     """Decides which tasks start on which workers."""
 
     __slots__ = (
-        "_advice_requested_ms",
+        "_advice",
         "_drained_ms",
         "_engine",
         "_placed",
-        "_tickets",
         "_wait_reporter",
     )
 
     def __init__(self, engine: "Engine"):
         self._engine = engine
         self._wait_reporter = WaitReporter(engine)
-        self._tickets: dict[tuple, dict[str, tuple[str, float]]] = {}
-        self._advice_requested_ms: dict[tuple, float] = {}
+        self._advice = AdviceBook()
         # When each draining worker last had its turn, by id.
         self._drained_ms: dict[str, float] = {}
         # Receivers of the tasks placed in this round.
@@ -186,10 +174,15 @@
             tickets: Tickets whose `valid_ms` is the time on this process's
                 clock until which they are valid.
         """
-        known = self._tickets.setdefault((job, occurrence, step), {})
-        for ticket in tickets:
-            known[ticket.worker] = (ticket.ticket, ticket.valid_ms)
-        self._advice_requested_ms.pop((job, occurrence, step), None)
+        self._advice.add((job, occurrence, step), tickets)
+
+    def drop_ticket(self, task: Task, worker: Worker) -> None:
+        """Drops a ticket that the worker did not accept."""
+        self._advice.drop_ticket(task.key[:3], worker)
+
+    def drop_job(self, job_id: str) -> None:
+        """Drops the tickets of a job that has ended."""
+        self._advice.drop_job(job_id)
 
     def _make_due(self, job: Job, wall_ms: float) -> None:
         """Creates the tasks of all occurrences that are due at `wall_ms`."""
@@ -240,8 +233,6 @@
     ) -> list[Effect]:
         """Places the waiting tasks of a step as far as workers have room.
 
-        Returns a request for advice instead if the step needs one first.
-
         Args:
             job: The job.
             step_key: Job, occurrence and number of the step.
@@ -279,25 +270,33 @@
         left: float,
         now_ms: float,
     ) -> list[Effect]:
-        """Places tasks of a step on workers with a ticket, or requests some."""
+        """Places tasks of a step on workers with a ticket.
+
+        Requests advice on further workers if some tasks are left.
+        """
         step = job.spec.steps[step_key[2]]
-        known = self._valid_tickets(step_key, now_ms)
-        if not known and self._is_advice_pending(step_key, now_ms):
-            return []
-        fitting = service_round.fitting(step)
-        if not fitting:
-            return []
-        request = self._advice_request(step_key, fitting, known, now_ms)
-        if request is not None:
-            return [request]
-        if left <= 0:
-            return []
-        fitting = [c for c in fitting if c.worker.id in known]
-        if step.gang:
-            return self._place_gang(job, step_key, fitting, now_ms)
-        score = PLACERS.get(placer_name(step)).score
-        ranking = Ranking(score, step, step_key, fitting, self._placed)
-        return self._place_ranked(job, waiting, ranking, left, now_ms)
+        fitting = [
+            candidate
+            for candidate in service_round.fitting(step)
+            if candidate.allows(step, step_key)
+        ]
+        permitted = [
+            candidate
+            for candidate in fitting
+            if self._advice.ticket(step_key, candidate.worker, now_ms)
+            is not None
+        ]
+        starts: list[Effect] = []
+        if left > 0 and step.gang:
+            starts = self._place_gang(job, step_key, permitted, now_ms)
+        elif left > 0:
+            score = PLACERS.get(placer_name(step)).score
+            ranking = Ranking(score, step, step_key, permitted, self._placed)
+            starts = self._place_ranked(job, waiting, ranking, left, now_ms)
+        if len(starts) == len(waiting) or starts and len(starts) >= left:
+            return starts
+        request = self._advice.request(step_key, fitting, now_ms)
+        return starts if request is None else [*starts, request]
 
     def _place_ranked(
         self,
@@ -363,43 +362,6 @@
             choices = [*racks.values(), fitting]
         return choices
 
-    def _valid_tickets(
-        self, step_key: tuple[str, int, int], now_ms: float
-    ) -> dict[str, str]:
-        return {
-            worker: ticket
-            for worker, (ticket, valid_until_ms) in self._tickets.get(
-                step_key, {}
-            ).items()
-            if now_ms + TICKET_MARGIN_MS < valid_until_ms
-        }
-
-    def _advice_request(
-        self,
-        step_key: tuple[str, int, int],
-        fitting: list[Candidate],
-        known: dict[str, str],
-        now_ms: float,
-    ) -> RequestAdvice | None:
-        """Returns the request for advice that a step needs now, if any."""
-        if any(candidate.worker.id in known for candidate in fitting):
-            return None
-        if self._is_advice_pending(step_key, now_ms):
-            return None
-        self._advice_requested_ms[step_key] = now_ms
-        best = sorted(fitting, key=lambda c: -c.free_resources.cores_milli)
-        names = [candidate.worker.id for candidate in best[:MAX_ADVICE_WORKERS]]
-        return RequestAdvice(*step_key, tuple(names))
-
-    def _is_advice_pending(
-        self, step_key: tuple[str, int, int], now_ms: float
-    ) -> bool:
-        """Returns whether advice was requested for a step recently."""
-        requested_ms = self._advice_requested_ms.get(step_key)
-        return (
-            requested_ms is not None and now_ms - requested_ms < ADVICE_RETRY_MS
-        )
-
     def _next_run(self, task: Task) -> int:
         """Returns the number of the next run of a task."""
         if self._engine.jobs[task.key.job].inherited:
@@ -426,15 +388,14 @@
         self._engine.add_run(worker, run)
         candidate.reserve(run)
         self._placed.append(candidate)
-        tickets = self._tickets.get(task.key[:3], {})
-        ticket, _ = tickets.get(worker.id, ("", 0.0))
+        ticket = self._advice.ticket(task.key[:3], worker, now_ms)
         return Start(
             worker.id,
             task.key,
             run_number,
             job.spec.payload,
             task.checkpoint,
-            ticket,
+            ticket or "",
             placer_name(task.step),
         )
 
--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_lasting_tasks.py
@@ -293,6 +293,22 @@
         start, asked = self.start_permitted(step, 1, {"w-0", "w-39"})
         self.assertIsNotNone(start, f"{len(asked)} requests")
 
+    def test_ticket_that_is_not_accepted(self):
+        """A task starts with a ticket that its worker has rejected."""
+        spec = job(1, LASTING, advice=AdviceParams(5, 1, 90_000))
+        self.submit(spec)
+        for _ in range(2):
+            (request,) = self.plan(RequestAdvice)
+            ticket = Ticket("w-0", "t", self.now_ms + 90_000)
+            self.assertIn("w-0", request.workers)
+            self.engine.add_tickets(spec.id, 0, 0, [ticket])
+            (start,) = self.plan(Start)
+            self.engine.on_start_reply(
+                start, StartResult.BAD_TICKET, self.now_ms
+            )
+            self.now_ms += 600
+            self.poll_all()
+
 
 class SimulatedWorker:
     """A worker that obeys the protocol, on its own clock.
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -194,11 +194,29 @@
         if not fitting:
             return []
         if a_job.spec.queue.advice is not None:
-            known = self._valid_tickets(step_key, now_ms)
-            request = self._advice_request(step_key, fitting, known, now_ms)
-            if request is not None:
-                return [request]
-            fitting = [c for c in fitting if c.worker.id in known]
+            return self._place_advised(
+                a_job, step_key, waiting, fitting, now_ms
+            )
+        return self._place_fitting(a_job, step_key, waiting, fitting, now_ms)
+
+    def _place_advised(self, a_job, step_key, waiting, fitting, now_ms):
+        step = a_job.spec.steps[step_key[2]]
+        fitting = [c for c in fitting if self._allows(c.worker, step, step_key)]
+        permitted = [
+            c
+            for c in fitting
+            if self._advice.ticket(step_key, c.worker, now_ms) is not None
+        ]
+        placed = self._place_fitting(
+            a_job, step_key, waiting, permitted, now_ms
+        )
+        request = None
+        if len(placed) < len(waiting):
+            request = self._advice.request(step_key, fitting, now_ms)
+        return placed if request is None else [*placed, request]
+
+    def _place_fitting(self, a_job, step_key, waiting, fitting, now_ms):
+        step = a_job.spec.steps[step_key[2]]
         if step.gang:
             starts = self._place_gang(a_job, step_key, fitting, now_ms)
             self.probed |= {start.worker for start in starts}
