Leave standby if the preferred member does not answer

What callers would see: no task starts any more (LOST, RECOVER), as every node that is left stands by.

Cause: a node on standby relied on the group's assignments to change once the larger members are gone. The store reassigns the partitions of a lost member to another member; with none left, its rows may stay for ever.

A node on standby now calls the member for which it stands by every 1.5 s, and joins again if that has not answered for 2.5 s. A join makes the group drop lost members. The time doubles up to 40 s until the member answers, since it may only be unreachable. The call is one small request a node.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -151,6 +151,10 @@
         ("job", "mark"),
         "Stored progress names a task that its job does not have.",
     ),
+    "member_silent": EventKind(
+        ("member", "age_ms"),
+        "The member this node stands by for does not answer; it joins again.",
+    ),
     "member_suspected": EventKind(
         ("member",), "Another daemon did not answer probes and is suspected."
     ),
--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -46,6 +46,16 @@
 # answer, the next one is in time for the readiness of the node.
 STANDBY_CHECK_MS = 750
 
+# On standby, the member for which the node stands by is called this often.
+LIVENESS_CHECK_MS = 1500
+
+# A node on standby joins again if that member has not answered for this long:
+# the group may have no member left that its cells could be assigned to. The time
+# doubles, up to a maximum, until the member answers, as it may only be
+# unreachable, and each join moves cells.
+INITIAL_UNANSWERED_MS = 2500
+MAX_UNANSWERED_MS = 40_000
+
 # Time between two reads of the assignments by a member, unless the group has
 # changed.
 CANDIDATE_CHECK_MS = 2000
@@ -70,6 +80,7 @@
         clock: Clock,
         ttl_ms: int,
         on_assignment: Callable[[frozenset[int]], Awaitable[None]],
+        answers: Callable[[str], Awaitable[bool]],
     ):
         """Initializes a member.
 
@@ -82,6 +93,7 @@
                 joined again.
             on_assignment: Called with the assigned cells after each join. The
                 group reassigns lost cells only after it has returned.
+            answers: Calls a member; returns whether it answered.
         """
         super().__init__()
         self.name = name
@@ -93,6 +105,8 @@
         self._clock = clock
         self._ttl_ms = ttl_ms
         self._on_assignment = on_assignment
+        self._answers = answers
+        self._unanswered_limit_ms = INITIAL_UNANSWERED_MS
         self._generation = 0
         # Generation of the group at the last read of the assignments.
         self._checked_generation = 0
@@ -193,10 +207,18 @@
             larger=larger,
             age_ms=self._assignments_age_ms(),
         )
-        while not self.should_stop and self._preferred_member():
-            larger = self._preferred_member()
-            await asyncio.sleep(self._check_due_in_ms() / MS_PER_SECOND)
-            await self._check_assignments()
+        liveness = asyncio.ensure_future(self._watch_preferred_member())
+        try:
+            while not self.should_stop and self._preferred_member():
+                larger = self._preferred_member()
+                await asyncio.sleep(self._check_due_in_ms() / MS_PER_SECOND)
+                await self._check_assignments()
+                if liveness.done():
+                    liveness.result()
+                    # The assignments may be those of members that are gone.
+                    self._assigned_members = {}
+        finally:
+            liveness.cancel()
         if self.should_stop:
             return
         self.on_standby = False
@@ -208,6 +230,27 @@
             age_ms=self._assignments_age_ms(),
         )
 
+    async def _watch_preferred_member(self) -> None:
+        """Returns once the preferred member has not answered for too long.
+
+        Another member may become the preferred one meanwhile.
+        """
+        member, answered_ms = "", 0.0
+        while preferred := self._preferred_member():
+            if preferred != member:
+                member, answered_ms = preferred, self._clock.now_ms()
+            if await self._answers(member):
+                answered_ms = self._clock.now_ms()
+                self._unanswered_limit_ms = INITIAL_UNANSWERED_MS
+            unanswered_ms = self._clock.now_ms() - answered_ms
+            if unanswered_ms >= self._unanswered_limit_ms:
+                event("member_silent", member=member, age_ms=unanswered_ms)
+                self._unanswered_limit_ms = min(
+                    2 * self._unanswered_limit_ms, MAX_UNANSWERED_MS
+                )
+                return
+            await asyncio.sleep(LIVENESS_CHECK_MS / MS_PER_SECOND)
+
     def _check_due_in_ms(self) -> float:
         """Returns the time until the next read on standby."""
         due_ms = self._assignments_read_ms + ASSIGNMENTS_MAX_AGE_MS
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -150,7 +150,12 @@
             cfg.node, cfg.peers, self._nonce, cfg.processor_cores
         )
         self.member = GroupMember(
-            name, adapters.store, clock, cfg.group_ttl_ms, self._on_assignment
+            name,
+            adapters.store,
+            clock,
+            cfg.group_ttl_ms,
+            self._on_assignment,
+            adapters.peers.answers,
         )
         self._appender = BatchAppender(
             adapters.store, clock, 0, f"inbox-{self._nonce}"
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -79,6 +79,9 @@
     ) -> FenceResult:
         """Fences the previous owner of a cell."""
 
+    async def answers(self, member: str) -> bool:
+        """Returns whether a member answers."""
+
 
 class HttpPeerClient:
     """Client of other nodes over HTTP."""
@@ -140,6 +143,22 @@
         except (OutcomeUnknownError, msgspec.MsgspecError):
             return FenceResult(False)
 
+    async def answers(self, member: str) -> bool:
+        """Returns whether something answers at the address of a member.
+
+        This may also be a later process of the same VM, which then joins the
+        group itself.
+        """
+        address = member_address(member)
+        if not address:
+            return False
+        url = f"http://{address}/v1/alive"
+        try:
+            await self._http_client.call("GET", url, None, PEER_TIMEOUT_MS)
+        except (NotSentError, OutcomeUnknownError):
+            return False
+        return True
+
     async def _get(self, member: str, path: str) -> HttpResponse:
         address = member_address(member)
         if not address:
@@ -184,6 +203,8 @@
 
     def _dispatch(self, parts: list[str]) -> web.Response:
         collection = parts[1]
+        if collection == "alive":
+            return web.Response()
         if collection == "jobs":
             return _json_response(_StateReply(self._cells.job_state(parts[2])))
         if collection == "queues":
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -126,6 +126,13 @@
     async def queue_pending(self, member: str, queue: str) -> int:
         return await self._call(member, lambda node: node.queue_pending(queue))
 
+    async def answers(self, member: str) -> bool:
+        try:
+            await self._call(member, lambda node: None)
+        except PeerUnavailableError:
+            return False
+        return True
+
     async def fence_owner(
         self, member: str, cell: int, epoch: int
     ) -> FenceResult:
