Tests: owners in series beside a silent worker; room that stays unused

Callers saw long-running tasks stay unstarted for 21 s while the ownership moved. Tests only, no change of the engine.

--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_lasting_tasks.py
@@ -1,9 +1,11 @@
 """Tests that long-running tasks restart soon, wherever their run ended."""
 
+import asyncio
 import heapq
 import itertools
 import random
 import unittest
+import unittest.mock
 from collections.abc import Callable
 
 import msgspec
@@ -25,11 +27,16 @@
 from limpetyard.engine._worker import lease_bound_ms
 from limpetyard.jobs import (
     AdviceParams,
+    Resources,
     StepSpec,
     TaskKey,
     apply_progress,
     encode_progress,
 )
+from limpetyard.node._handover import FenceResult, LeaseExpiries
+from limpetyard.node._predecessor import Predecessor
+from limpetyard.node._store_layout import CLAIM_KEY
+from limpetyard.store import LatestPage, StoredRecord
 from tests.engine.test_engine import (
     LEASE_MS,
     ONE_CORE,
@@ -188,6 +195,89 @@
         self.assertEqual(self.plan(Start), [])
 
 
+class FormerOwner:
+    """What a new owner reads and hears of the one before it.
+
+    Stands in for the store and for the client of the other nodes.
+    """
+
+    def __init__(self, engine: Engine, now_ms: float, is_reached: bool):
+        self._engine = engine
+        self._is_reached = is_reached
+        self._now_ms = now_ms
+
+    async def read_latest(self, topic, partition, key) -> LatestPage:
+        """Returns the claim of the former owner."""
+        offset = self._engine.epoch - 1
+        claim = StoredRecord(offset, CLAIM_KEY, b"node")
+        return LatestPage(offset + 1, [claim], False)
+
+    async def fence_owner(self, member, cell, epoch) -> FenceResult:
+        """Fences the former owner, if it is reached."""
+        if not self._is_reached:
+            return FenceResult(False)
+        leases = LeaseExpiries(self._engine).remaining(self._now_ms)
+        return FenceResult(True, leases)
+
+
+class OwnersInSeriesTest(LastingTestCase):
+    """Owners that each last for three seconds, beside a silent worker."""
+
+    workers = 1
+
+    def test_former_owners_reached(self):
+        """Leases that start anew with each owner hold back inherited tasks."""
+        self.check_start(is_reached=True)
+
+    def test_former_owners_not_reached(self):
+        """A task waits for a silent worker anew with each unreached owner."""
+        self.check_start(is_reached=False)
+
+    def check_start(self, is_reached: bool) -> None:
+        """Checks that a task whose run ended starts under some owner."""
+        spec = job(1, LASTING)
+        task = self.submit(spec).task(0, 0, 0)
+        self.add(entry(5))
+        self.engine.workers["w-5"].grant_lease(self.now_ms, LEASE_MS)
+        start = self.start_all()[0]
+        # Only w-0 replies from here on.
+        self.engine.workers[start.worker].runs.clear()
+        self.engine.release_task(task, self.now_ms)
+        task.ended_runs.add(task.run)
+        began_ms = self.now_ms
+        for _ in range(4):
+            stored = encode_progress(self.engine.jobs[spec.id], 0.0)
+            self.replace_owner(is_reached)
+            loaded = self.submit(spec, loaded=True)
+            apply_progress(loaded, stored, self.now_ms)
+            if self.start_of(
+                task.key, self.now_ms + 3000, lambda: self.poll("w-0")
+            ):
+                break
+        self.assertLess(self.now_ms - began_ms, LONGEST_WAIT_MS)
+
+    def replace_owner(self, is_reached: bool) -> None:
+        """Replaces the owner by one that knows the same workers."""
+        former, self.engine = (
+            self.engine,
+            Engine(self.engine.epoch + 1, self.engine.params),
+        )
+        peer = FormerOwner(former, self.now_ms, is_reached)
+        clock = unittest.mock.Mock(now_ms=lambda: self.now_ms)
+        predecessor = Predecessor(0, peer, peer, clock, former.params)
+
+        async def fence():
+            await predecessor.read()
+            await predecessor.fence(self.engine.epoch)
+
+        asyncio.run(fence())
+        for number in (0, 5):
+            worker = self.engine.set_entry(entry(number), self.now_ms)
+            worker.prior_lease_end_ms = predecessor.latest_run_end_ms(worker.id)
+        self.engine.set_recorded_workers({"w-0": (1, False)})
+        self.poll("w-0", first_poll=True)
+
+
 class SilentStartTest(LastingTestCase):
     """Start orders that get no reply."""
 
@@ -252,6 +342,63 @@
                     worker.grant_lease(self.now_ms, LEASE_MS)
 
 
+class RoomTest(LastingTestCase):
+    """Placement of many lasting tasks beside others."""
+
+    workers = 0
+
+    def test_all_room_is_used(self):
+        """A need that is unmet for one step hides room for another one."""
+        for seed in range(150):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.check_room(random.Random(seed))
+
+    def check_room(self, rng: random.Random) -> None:
+        """Checks random steps on random workers."""
+        for number in range(6):
+            labels = rng.choice((("plain",), ("plain", "disk")))
+            self.add(entry(number, rng.choice((1, 4, 8)), labels=labels))
+        for number in range(30):
+            need = Resources(rng.choice((500, 1000, 3000)), 1000)
+            step = StepSpec(
+                rng.randint(1, 4),
+                need,
+                run_ms=1000,
+                long_running=rng.random() < 0.6,
+                label=rng.choice(("", "", "disk", "none")),
+                per_worker=rng.choice((0, 0, 1)),
+                fills=rng.random() < 0.2,
+                gang=rng.random() < 0.2,
+                target_ms=rng.choice((0, 50)),
+            )
+            priority = rng.randint(0, 2)
+            self.submit(job(number, step, priority=priority))
+        # Rounds that are limited, and then one that is not.
+        for limit in (3, 8, None):
+            self.engine.plan(self.now_ms, 0.0, limit)
+        for submitted in self.engine.jobs.values():
+            step = submitted.spec.steps[0]
+            if step.gang or step.fills or not step.long_running:
+                continue
+            if submitted.waiting_tasks(0, 0):
+                with_room = [
+                    worker.id
+                    for worker in self.engine.workers.values()
+                    if self.has_room(worker, submitted.spec.id, step)
+                ]
+                self.assertEqual(with_room, [], step)
+
+    def has_room(self, worker, job_id: str, step: StepSpec) -> bool:
+        """Returns whether a worker could take one more task."""
+        here = sum(run.task.job == job_id for run in worker.runs.values())
+        return (
+            (not step.label or step.label in worker.entry.labels)
+            and step.need.fits(worker.free_resources())
+            and not (step.per_worker and here >= step.per_worker)
+        )
+
+
 class AdvisedTest(LastingTestCase):
     """Lasting tasks of queues with advice."""
 
