--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_lasting_tasks.py
@@ -132,8 +132,10 @@
         (probe,) = self.start_all()
         waiting = self.submit(job(2, LASTING))
         slowed = RunReport(probe.task, probe.run, "", 50, 500.0)
+        run = self.engine.workers["w-0"].runs[probe.task, probe.run]
 
         def poll():
+            run.speed_percent = 50
             self.poll("w-0", drop=(probe.task,), extra=(slowed,))
 
         start = self.start_of(
