Do not release a placed task by the end of another run

What callers would see: a task runs twice (TWICE).

Ends of any other run than the placed one are now outdated: they count, and release nothing.

--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -52,7 +52,7 @@
         """Processes a newly reported end.
 
         Each run of a task counts once. An end is outdated if the task is placed
-        on another worker. It is also outdated if the task has a newer run,
+        as another run. It is also outdated if the task has had a newer run,
         unless runs of an earlier owner may still exist.
         """
         run = worker.runs.pop((end.task, end.run), None)
@@ -60,8 +60,10 @@
         task = self._engine.find_reported_task(end.task)
         if task is None or end.run in task.ended_runs:
             return
-        on_other_worker = task.worker not in ("", worker.id)
-        if on_other_worker or end.run < task.run and not task.may_be_running:
+        is_other_run = task.state == "placed" and (
+            task.worker != worker.id or task.run != end.run
+        )
+        if is_other_run or end.run < task.run and not task.may_be_running:
             self._handle_outdated_end(worker, job, task, end, now_ms)
             return
         self._record_end(task, end)
--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -49,10 +49,10 @@
 # On standby, the member for which the node stands by is called this often.
 LIVENESS_CHECK_MS = 1500
 
-# A node on standby joins again if that member has not answered for this long, as
-# the group may have no member left that its cells could be assigned to. The
-# time doubles, up to a maximum, until the member answers: it may only be
-# unreachable, and each join moves cells.
+# A node on standby joins again if that member has not answered for this long:
+# the group may have no member left to assign its cells to. The time doubles, up
+# to a maximum, until the member answers: it may only be unreachable, and each
+# join moves cells.
 INITIAL_UNANSWERED_MS = 2500
 MAX_UNANSWERED_MS = 40_000
 
