--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -164,10 +164,11 @@
     service = state.rounds.get(step.job.spec.queue.service)
     if state.starts_left <= 0 or service is None or not service.candidates:
         return None
-    cores = max(c.free_resources.cores_milli for c in service.candidates)
+    most = max(c.free_resources.cores_milli for c in service.candidates)
+    need = step.task.step.need.cores_milli
     return (
-        f"{len(service.candidates)} workers, at most {cores} thousandths of a"
-        " core free"
+        f"needs {need} thousandths of a core; {len(service.candidates)}"
+        f" workers, at most {most} free"
     )
 
 
