--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -164,11 +164,15 @@
     service = state.rounds.get(step.job.spec.queue.service)
     if state.starts_left <= 0 or service is None or not service.candidates:
         return None
-    most = max(c.free_resources.cores_milli for c in service.candidates)
-    need = step.task.step.need.cores_milli
+    step_spec = step.task.step
+    labelled = service.labelled(step_spec.label)
+    most = max((c.free_resources.cores_milli for c in labelled), default=0)
+    with_room = sum(c.has_room(step_spec) for c in labelled)
     return (
-        f"needs {need} thousandths of a core; {len(service.candidates)}"
-        f" workers, at most {most} free"
+        f"needs {step_spec.need.cores_milli} thousandths of a core;"
+        f" {len(labelled)} workers with label {step_spec.label!r}, at most"
+        f" {most} free, {with_room} with room; limit per worker"
+        f" {step_spec.per_worker or None}"
     )
 
 
