Tests: an owner that answers late, and a store that answers slowly

Two more ways in which a long-running task waits over 9 s for a lost worker: the previous owner is asked once only, and its leases count from the end of the loading. WatchTest shows that the check itself reports.

--- a/tests/node/test_lasting_tasks.py
+++ b/tests/node/test_lasting_tasks.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from limpetyard.engine._planner import Planner
 from limpetyard.jobs import JobSpec, Resources, StepSpec
 from standins.platform import SimulatedSite, run_in_virtual_time, violations
 from standins.platform._site import QUEUE
@@ -113,6 +115,36 @@
 
         self.run_scenario(scenario)
 
+    def test_owner_that_answers_late(self):
+        """A successor asked only once, while the previous owner was frozen."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            crash_worker(site, busy=True)
+            owner = site.owner()
+            site.freeze(owner)
+            await asyncio.sleep(3)
+            site.thaw(owner)
+            note_fault(site)
+
+        self.run_scenario(scenario)
+
+    def test_owner_killed_while_the_store_answers_slowly(self):
+        """The bound on runs of a dead owner began when the state was loaded.
+
+        It began long after the owner had been found to be dead.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            for host in site.hosts:
+                host.store_link.delay_ms = 100.0
+            await asyncio.sleep(3)
+            crash_worker(site, busy=True)
+            await asyncio.sleep(2)
+            await site.kill_node(site.owner())
+            note_fault(site)
+
+        self.run_scenario(scenario)
+
     def test_owners_lost_in_turn(self):
         """The wait for a worker that is long gone began anew at a takeover."""
 
@@ -126,6 +158,34 @@
         self.run_scenario(scenario)
 
 
+class WatchTest(LastingTaskTestCase):
+    """The check of long-running tasks itself."""
+
+    def test_planner_that_starts_nothing(self):
+        """The check of `LastingTaskWatch` reported nothing.
+
+        A failed task is not started again until the check must have seen it.
+        """
+
+        async def main() -> SimulatedSite:
+            site = SimulatedSite(3, 4)
+            await site.start()
+            await asyncio.sleep(SETTLED_S)
+            await site.submit(lasting_job())
+            await asyncio.sleep(SETTLED_S)
+            with mock.patch.object(Planner, "place", lambda *args: []):
+                fail_task(site)
+                await asyncio.sleep(9.5)
+            await asyncio.sleep(1)
+            await site.stop()
+            return site
+
+        site = run_in_virtual_time(main())
+        found = violations(site.history)
+        self.assertEqual(len(found), 1)
+        self.assertTrue(found[0].startswith("LOST"))
+
+
 class StandbyTest(LastingTaskTestCase):
     """All large nodes are lost while the small ones stand by."""
 
