--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -249,6 +249,11 @@
         await self._predecessor.fence(self.engine.epoch)
         if self.state_loaded:
             self._apply_predecessor_bounds()
+        if self._predecessor.fence_confirmed:
+            return
+        await self._predecessor.fence_until_certain(self.engine.epoch)
+        if self.state_loaded:
+            self._apply_predecessor_bounds()
 
     def _apply_predecessor_bounds(self) -> None:
         """Applies the bounds on runs and orders of the previous owner.
