Do not wait for the lease of a worker that has been replaced

After a crash, another worker answered at the address of the old one (status 421), and the owner went on polling the old id every 150 ms until its lease had expired, 5 to 7 s after the last renewal. The tasks of the old worker waited as long, as did, after a takeover, every inherited task of its service.

Cause: WrongWorkerError was handled as any failed poll. It is more: the other worker proves that the old one has ended, with all its runs, whoever started them. A late order cannot start a run in the other worker, since orders name the worker that they are meant for.

The poller now tells the engine (Engine.on_worker_replaced), which releases the runs, as for a worker that has left, and ends the lease of earlier owners. Such a worker is polled once a second, in case the reply was wrong, and is dropped as soon as its entry is missing. A higher `born` under the same id keeps today's caution: a late order could run in the new incarnation.

The stand-in can refuse connections after a crash and replace a worker by another one at its address.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -298,6 +298,10 @@
         ("worker", "born"),
         "A worker restarted; its earlier runs are given up.",
     ),
+    "worker_replaced": EventKind(
+        ("worker", "runs"),
+        "Another worker answers at its address, so its runs no longer exist.",
+    ),
     "worker_silent": EventKind(
         ("worker", "reason"), "A worker did not answer a sync."
     ),
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -209,24 +209,56 @@
         ):
             return
         event("worker_left", worker=worker.id, runs=len(worker.runs))
+        self._drop_ended_worker(worker, now_ms)
+
+    def on_worker_replaced(self, worker: Worker, now_ms: float) -> bool:
+        """Handles a reply of another worker at the address of a worker.
+
+        The worker has ended, and so have its runs. A late order cannot start
+        one in the other worker either, as it names the worker it is meant for.
+
+        Returns:
+            Whether this was not known yet.
+        """
+        if worker.ended:
+            return False
+        worker.ended = True
+        worker.replied_ms = None
+        event("worker_replaced", worker=worker.id, runs=len(worker.runs))
+        self._drop_ended_worker(worker, now_ms)
+        return True
+
+    def _drop_ended_worker(self, worker: Worker, now_ms: float) -> None:
+        """Releases the runs of a worker that has ended, whoever started them.
+
+        Their tasks need not wait for any lease.
+        """
+        worker.lease_end_ms = 0.0
+        worker.prior_lease_end_ms = 0.0
+        self._drop_runs(worker, now_ms)
+
+    def _drop_runs(self, worker: Worker, now_ms: float) -> None:
+        """Releases all runs of a worker."""
         runs = list(worker.runs.values())
         worker.runs.clear()
         worker.token_confirmed = False
-        worker.lease_end_ms = 0.0
-        worker.prior_lease_end_ms = 0.0
         for run in runs:
             self._release_run(worker, run, now_ms)
 
     def remove_gone_workers(self, now_ms: float) -> list[str]:
         """Drops departed workers and returns their ids.
 
-        A worker is kept as long as a run may exist on it.
+        A worker is kept as long as a run may exist on it. One that is known to
+        have ended need not be missing for long.
         """
         departed_ids = [
             worker.id
             for worker in self.workers.values()
             if worker.missing_since_ms is not None
-            and now_ms - worker.missing_since_ms > MISSING_ENTRY_GRACE_MS
+            and (
+                worker.ended
+                or now_ms - worker.missing_since_ms > MISSING_ENTRY_GRACE_MS
+            )
             and not worker.runs
             and now_ms > worker.runs_until_ms
         ]
@@ -254,6 +286,7 @@
             return True
         worker.set_clock(reply.clock_ms, now_ms)
         worker.replied_ms = now_ms
+        worker.ended = False
         if not worker.token_confirmed:
             self._confirm_token(worker, now_ms)
             event(
@@ -605,11 +638,7 @@
                 runs=len(worker.runs),
                 replied_ms=worker.replied_ms,
             )
-            runs = list(worker.runs.values())
-            worker.runs.clear()
-            worker.token_confirmed = False
-            for run in runs:
-                self._release_run(worker, run, now_ms)
+            self._drop_runs(worker, now_ms)
 
     def _due_stops(self, now_ms: float) -> list[Effect]:
         """Returns stop orders for stopping runs that are due for one."""
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -151,6 +151,7 @@
         replied_ms: When the worker last replied to a poll, or None.
         missing_since_ms: Since when the worker has had no directory entry, or
             None.
+        ended: Whether another worker was the last to reply at the address.
         failures: Number of failed runs of this incarnation since the last run
             that was healthy or, unless long-running, ended as DONE.
         last_failure_ms: When the last run failed.
@@ -171,6 +172,7 @@
         "backoff_until_ms",
         "born",
         "departure_ms",
+        "ended",
         "entry",
         "failures",
         "last_acked_end",
@@ -203,6 +205,7 @@
         self.prior_lease_end_ms = 0.0
         self.replied_ms: float | None = None
         self.missing_since_ms: float | None = None
+        self.ended = False
         self.failures = 0
         self.last_failure_ms = float("-inf")
         self.silent_starts = 0
@@ -301,6 +304,7 @@
         self.last_received_end = 0
         self.last_acked_end = 0
         self.lease_end_ms = 0.0
+        self.ended = False
         self.failures = 0
         self.silent_starts = 0
         self._clock_read_ms = None
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -28,6 +28,10 @@
 # Delay after a failed poll, and interval of checks while orders are suspended.
 POLL_RETRY_MS = 150
 
+# Delay after another worker replied at the address. The worker has most likely
+# ended, and each poll has a price; its directory entry expires before long.
+REPLACED_RETRY_MS = 1000
+
 # Maximum wait for an append before the next poll. While the store refuses
 # appends, workers with ended runs are polled no more often than serving ones.
 APPEND_WAIT_MS = POLL_SERVING_WAIT_MS
@@ -112,13 +116,16 @@
                     f"worker {worker_id} has seen a higher fencing token"
                 )
                 return
-            except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
+            except WorkerOutcomeUnknownError as exc:
                 if isinstance(exc, WorkerDownError):
                     self._engine.on_connection_refused(
                         worker, self._clock.now_ms()
                     )
                 event("look_failed", worker=worker_id, reason=exc)
                 await asyncio.sleep(POLL_RETRY_MS / MS_PER_SECOND)
+            except WrongWorkerError as exc:
+                event("look_failed", worker=worker_id, reason=exc)
+                await asyncio.sleep(REPLACED_RETRY_MS / MS_PER_SECOND)
 
     async def _poll_in_turn(self, worker_id: str) -> None:
         """Polls a worker whose token is not confirmed, when its turn comes.
@@ -142,9 +149,17 @@
         request = PollRequest(
             token, worker.last_acked_end, lease_until_ms, wait_ms
         )
-        reply = await self._workers.poll(
-            worker.entry, request, wait_ms + POLL_TIMEOUT_MARGIN_MS
-        )
+        try:
+            reply = await self._workers.poll(
+                worker.entry, request, wait_ms + POLL_TIMEOUT_MARGIN_MS
+            )
+        except WrongWorkerError:
+            # A later incarnation may have another address by now.
+            if worker.token == token and self._engine.on_worker_replaced(
+                worker, self._clock.now_ms()
+            ):
+                self._on_change()
+            raise
         if worker.token != token:
             return
         token_confirmed = worker.token_confirmed
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -209,6 +209,19 @@
             Resources(8000, 32_000, 0),
             1,
         )
+        return self._add_worker(entry)
+
+    def replace_worker(self, model: WorkerModel) -> WorkerModel:
+        """Replaces a crashed worker by one with a new id at its address."""
+        model.has_left = False
+        model.is_replaced = True
+        entry = model.entry
+        successor = msgspec.structs.replace(
+            entry, id=f"{entry.id}+", born=entry.born + 1, draining=False
+        )
+        return self._add_worker(successor)
+
+    def _add_worker(self, entry: WorkerEntry) -> WorkerModel:
         model = WorkerModel(
             entry,
             self.clock,
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -21,6 +21,7 @@
     WorkerDownError,
     WorkerEntry,
     WorkerOutcomeUnknownError,
+    WrongWorkerError,
 )
 from limpetyard.jobs import JobSpec, StepSpec, TaskKey
 from standins.platform._gangs import Gangs
@@ -68,6 +69,7 @@
         entry: Its directory entry.
         up: Whether it responds and runs tasks.
         has_left: Whether it has shut down; its address refuses connections.
+        is_replaced: Whether another worker listens at its address.
         failure_rate: Fraction of its runs that fail.
         runs_never_end: Whether its runs never end.
         clock_rate: Rate of its clock relative to simulation time.
@@ -87,6 +89,7 @@
         self.entry = entry
         self.up = True
         self.has_left = False
+        self.is_replaced = False
         self.failure_rate = 0.0
         self.runs_never_end = False
         self.clock_rate = 1.0
@@ -164,16 +167,21 @@
             self._end(run, "crashed")
         self.up = False
 
-    def leave(self) -> None:
-        """Exits after draining."""
+    def refuse_connections(self) -> None:
+        """Crashes; the address refuses connections from now on."""
         self.crash()
         self.has_left = True
 
+    def leave(self) -> None:
+        """Exits after draining."""
+        self.refuse_connections()
+
     def restart(self) -> None:
         """Starts the next incarnation under the same id."""
         self.entry = _next_incarnation(self.entry)
         self._begin_incarnation()
         self.up = True
+        self.has_left = False
 
     async def poll(self, order: PollRequest) -> PollReply:
         """See `limpetyard.engine.StepWorkerClient.poll`."""
@@ -378,6 +386,8 @@
 
         async def deliver():
             """Executes the order unless the worker has restarted since."""
+            if model.is_replaced:
+                raise WrongWorkerError(entry.id)
             if model.entry.born != born and not self.deliver_after_restart:
                 raise LinkTimeoutError
             waited_ms = model.now_ms() - sent_ms
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -511,6 +511,33 @@
         self.engine.on_connection_refused(worker, self.now_ms)
         self.assertEqual(len(self.plan(Start)), 1)
 
+    def test_replaced_worker(self):
+        """Tasks of a replaced worker do not wait for its lease.
+
+        The worker is dropped without a grace once its entry is missing.
+        """
+        self.submit(job(1, StepSpec(1, ONE_CORE)))
+        (start,) = self.start_all()
+        worker = self.engine.workers[start.worker]
+        self.assertTrue(self.engine.on_worker_replaced(worker, self.now_ms))
+        self.assertFalse(self.engine.on_worker_replaced(worker, self.now_ms))
+        (again,) = self.plan(Start)
+        self.assertNotEqual(again.worker, start.worker)
+        self.assertEqual(self.engine.remove_gone_workers(self.now_ms), [])
+        self.engine.mark_entry_missing(worker.id, self.now_ms)
+        self.assertEqual(
+            self.engine.remove_gone_workers(self.now_ms), [worker.id]
+        )
+
+    def test_replaced_worker_of_an_earlier_owner(self):
+        """Inherited tasks do not wait for the lease of a replaced worker."""
+        worker = self.engine.set_entry(entry(2), self.now_ms)
+        worker.prior_lease_end_ms = math.inf
+        self.submit(job(1, StepSpec(1, ONE_CORE)), loaded=True)
+        self.assertEqual(self.plan(Start), [])
+        self.engine.on_worker_replaced(worker, self.now_ms)
+        self.assertEqual(len(self.plan(Start)), 1)
+
     def replace(self, spec: JobSpec) -> tuple[Start, Start]:
         """Replaces a run whose lease expired, and returns both starts."""
         self.submit(spec)
--- a/tests/node/test_polling.py
+++ b/tests/node/test_polling.py
@@ -11,6 +11,7 @@
     RunEndReport,
     WorkerEntry,
     WorkerOutcomeUnknownError,
+    WrongWorkerError,
 )
 from limpetyard.jobs import Resources, TaskKey
 from limpetyard.node import _polling
@@ -25,6 +26,7 @@
 
     Attributes:
         silent: Ids of workers that do not reply.
+        replaced: Ids of workers at whose address another worker replies.
         ends: Ended runs in each reply.
         polled: Worker of each poll, in order.
         most_first_polls: Highest number of first polls in flight.
@@ -36,6 +38,7 @@
         self._first_polls = 0
         self._polls = 0
         self.silent: set[str] = set()
+        self.replaced: set[str] = set()
         self.ends: list[RunEndReport] = []
         self.polled: list[str] = []
         self.most_first_polls = 0
@@ -52,6 +55,8 @@
             if entry.id in self.silent:
                 await asyncio.sleep(timeout_ms / 1000)
                 raise WorkerOutcomeUnknownError(entry.id)
+            if entry.id in self.replaced:
+                raise WrongWorkerError(entry.id)
             await asyncio.sleep((REPLY_DELAY_MS + request.wait_ms) / 1000)
             return PollReply(1, 0.0, [], self.ends)
         finally:
@@ -162,6 +167,16 @@
 
         self.poll(limit + 2, limit, scenario)
 
+    def test_replaced_worker(self):
+        """A worker that has ended is polled every 150 ms."""
+
+        async def scenario(client: _Workers) -> None:
+            client.replaced.add("w-0")
+            await asyncio.sleep(5)
+
+        client = self.poll(1, 0, scenario)
+        self.assertLessEqual(len(client.polled), 6)
+
     def test_ends_that_are_not_stored(self):
         """Workers are polled all the time while the store refuses appends."""
 
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -494,6 +494,42 @@
 
         self.run_scenario(scenario)
 
+    def check_replaced(self, take_over: bool) -> None:
+        """Replaces a worker by another one; its tasks must not wait long.
+
+        Args:
+            take_over: Whether the owner is replaced at the same time.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit(site, range(3), run_ms=3000)
+            await asyncio.sleep(0.5)
+            victim = next(w for w in site.workers.values() if w.running())
+            tasks = set(victim.running())
+            victim.refuse_connections()
+            if take_over:
+                await site.kill_node(site.owner())
+            await asyncio.sleep(1)
+            at_ms = site.clock.now_ms()
+            site.replace_worker(victim)
+            await self.complete(site, range(3))
+            restarted = {
+                entry.task
+                for entry in site.history.of(RunStarted)
+                if at_ms < entry.at_ms < at_ms + NODE_RECOVERY_MS
+            }
+            self.assertLessEqual(tasks, restarted)
+
+        self.run_scenario(scenario)
+
+    def test_replaced(self):
+        """Tasks of a replaced worker do not wait for its lease."""
+        self.check_replaced(take_over=False)
+
+    def test_replaced_during_a_takeover(self):
+        """A new owner does not wait for the lease of a replaced worker."""
+        self.check_replaced(take_over=True)
+
     def test_lost_together_with_the_owner(self):
         """Jobs complete after an owner and a worker are lost together."""
 
