Give up tasks that crash the workers that start them

A task that crashed each worker that started it was started for ever, across changes of the owner, and took one worker after the other away from the rest (rule BUDGET).

Cause: only ends reported as FAILED counted as attempts, and a crash reports no end. The owner saw a lapsed lease, or a new worker, and started the task elsewhere.

Crashes are now scored for each task (engine/_crashes.py). A crash is proven if another worker answers at the address, if the worker returns with a higher `born`, or if its entry is gone and the address refuses connections; a lapsed lease proves nothing, but its runs are remembered until the proof. The crash counts against runs that were neither reported 500 ms after their start nor on a worker that is known to have been up for that long; a connection that is closed in the middle of a poll shows until when it was (the new WorkerDisconnectedError). A suspect is isolated on a worker without unproven runs, which gets no other task until the run is proven; that, or a reported end, clears the score. After a wait of 2 s it is placed as any other task, and a gang always is if it cannot be isolated.

A crash under unproven runs of one job adds 2, one under those of several jobs 1; the job fails at 4, or at 5 if a worker without unproven runs has crashed in the last minute.

Score and the place of a suspect's run are new last elements of TaskProgress, stored when it is placed, so the next owner goes on counting. Older builds ignore them, and their records decode. Not counted: a first crash that is proven only after a takeover, since the start is stored nowhere.

The stand-in has deadly jobs, workers that are back after 3 s, in turns under their id and as new ones, and checks for BUDGET (three starts after three crashes) and for LOST (a job that failed without cause).

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -264,6 +264,10 @@
     "takeover_failed": EventKind(
         ("cell", "reason"), "A takeover failed and is retried."
     ),
+    "task_crashes_workers": EventKind(
+        ("task", "run", "workers", "score"),
+        "A worker crashed under an unproven run; a high score fails the job.",
+    ),
     "task_paced": EventKind(
         ("task", "worker", "percent"),
         "A best-effort task may use this share of its full speed.",
--- a/src/limpetyard/_http_client.py
+++ b/src/limpetyard/_http_client.py
@@ -29,7 +29,15 @@
 
 
 class OutcomeUnknownError(Exception):
-    """No complete response arrived; the request may take effect, also later."""
+    """No complete response arrived; the request may take effect, also later.
+
+    Attributes:
+        disconnected: Whether the connection was closed before the time-out.
+    """
+
+    def __init__(self, url: str, cause: Exception):
+        super().__init__(f"{url}: {cause!r}")
+        self.disconnected = not isinstance(cause, TimeoutError)
 
 
 class HttpResponse(msgspec.Struct):
@@ -125,7 +133,7 @@
         except aiohttp.ConnectionTimeoutError as exc:
             raise NotSentError(url, connection_refused=False) from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            raise OutcomeUnknownError(f"{url}: {exc!r}") from exc
+            raise OutcomeUnknownError(url, exc) from exc
 
     async def close(self) -> None:
         """Closes all connections; a later call opens new ones."""
--- /dev/null
+++ b/src/limpetyard/engine/_crashes.py
@@ -0,0 +1,195 @@
+"""Crashes of workers, and the tasks that may have caused them.
+
+A task may crash each worker that starts it. A crashed worker reports no ends,
+so such a task is found by the runs that were not yet proven when their worker
+crashed. Innocent tasks are among them. A task that was found once is therefore
+a suspect: it is isolated from other tasks that are not proven, until a run of
+it is proven. Each crash adds to its score, less if other jobs may have been the
+cause. At a limit, the job fails.
+"""
+
+import collections
+from typing import TYPE_CHECKING, NamedTuple
+
+from limpetyard._events import event
+from limpetyard.engine._ranking import Score
+from limpetyard.engine._step_worker_client import WorkerEntry
+from limpetyard.engine._worker import Worker, WorkerRun
+from limpetyard.jobs import StepSpec, Task, TaskKey
+
+if TYPE_CHECKING:
+    from limpetyard.engine._engine import Engine
+    from limpetyard.engine._placement import Candidate
+
+# What a crash adds to the score of a task: if its job alone had unproven runs
+# on the worker, and if others had some or this is not known.
+LONE_CRASH = 2
+SHARED_CRASH = 1
+
+# Score of a task at which its job fails. While workers also crash for other
+# reasons, an innocent task is likelier to be hit several times. Even if every
+# crash is shared, a task is started no more than five times.
+MAX_SCORE = 4
+MAX_SCORE_AMID_OTHERS = 5
+
+# A suspect that has waited for this long to be isolated is placed as any other
+# task, since a long-running one must not wait.
+ISOLATION_WAIT_MS = 2000
+
+# Time for which a crash shows that workers crash for other reasons, and for
+# which suspects avoid its machine and zone.
+RECENT_CRASH_MS = 60_000
+
+
+class _Crash(NamedTuple):
+    """A crash of a worker.
+
+    Attributes:
+        at_ms: When the crash was proven.
+        entry: Directory entry of the worker.
+        has_suspects: Whether runs on the worker were not proven.
+    """
+
+    at_ms: float
+    entry: WorkerEntry
+    has_suspects: bool
+
+
+class CrashTracker:
+    """Scores tasks by the crashes of their workers, and isolates suspects."""
+
+    __slots__ = ("_engine", "_recent")
+
+    def __init__(self, engine: "Engine"):
+        self._engine = engine
+        self._recent: collections.deque[_Crash] = collections.deque()
+
+    def record_crash(self, worker: Worker, now_ms: float) -> bool:
+        """Counts a proven crash for each task with an unproven run.
+
+        Does nothing if the crash is known, or if the worker was draining, as it
+        has departed then.
+
+        Returns:
+            Whether a crash was counted.
+        """
+        if worker.crashed or worker.entry.draining:
+            return False
+        worker.crashed = True
+        runs = worker.unproven_runs()
+        # The others may have crashed long before this owner's term.
+        if runs or worker.replied_ms is not None:
+            self._forget_old(now_ms)
+            self._recent.append(_Crash(now_ms, worker.entry, bool(runs)))
+        worker.lost_runs.clear()
+        for run in runs:
+            # One run counts once, though the worker may still be polled.
+            run.proven = True
+        lone = len({run.task.job for run in runs}) == 1
+        known = worker.replied_ms is not None
+        added = LONE_CRASH if lone and known else SHARED_CRASH
+        for run in {run.task: run for run in runs}.values():
+            self._count(worker, run, added, now_ms)
+        return bool(runs)
+
+    def _count(
+        self, worker: Worker, run: WorkerRun, added: int, now_ms: float
+    ) -> None:
+        job = self._engine.open_jobs.get(run.task.job)
+        task = self._engine.find_task(run.task)
+        if job is None or task is None or task.state == "done":
+            return
+        task.crash_score += added
+        task.crashed_workers.append(worker.id)
+        job.dirty = True
+        event(
+            "task_crashes_workers",
+            task=run.task.name,
+            run=run.run,
+            workers=" ".join(task.crashed_workers),
+            score=task.crash_score,
+        )
+        amid_others = any(not crash.has_suspects for crash in self._recent)
+        limit = MAX_SCORE_AMID_OTHERS if amid_others else MAX_SCORE
+        if task.crash_score >= limit:
+            self._engine.end_job(job, "fail", now_ms)
+
+    def expect_runs(self, now_ms: float) -> None:
+        """Adds the runs of suspects that an earlier owner has stored.
+
+        The crash of their worker counts even if this owner never sees them.
+        """
+        for job in list(self._engine.open_jobs.values()):
+            for task in job.tasks.values():
+                worker = self._engine.workers.get(task.stored_worker)
+                if worker is None or not task.crash_score:
+                    continue
+                run = WorkerRun(task.key, task.run, task.step, now_ms)
+                if worker.born == task.stored_born:
+                    worker.lost_runs.append(run)
+                    worker.lapsed_ms = now_ms
+                elif worker.born > task.stored_born:
+                    self._count(worker, run, SHARED_CRASH, now_ms)
+
+    def _forget_old(self, now_ms: float) -> None:
+        while self._recent and now_ms - self._recent[0].at_ms > RECENT_CRASH_MS:
+            self._recent.popleft()
+
+    def clear(self, key: TaskKey) -> None:
+        """Clears the score of a task that did not crash its worker."""
+        task = self._engine.find_task(key)
+        if task is not None and task.crash_score:
+            task.crash_score = 0
+            task.crashed_workers.clear()
+            self._engine.jobs[key.job].dirty = True
+
+    def isolated(
+        self,
+        candidates: "list[Candidate]",
+        score: Score,
+        step: StepSpec,
+        step_key: tuple[str, int, int],
+        now_ms: float,
+    ) -> "list[Candidate]":
+        """Returns the workers for suspects of a step, best first.
+
+        They have no unproven runs. Those without a recent crash on their
+        machine come first, then those with few in their zone, and few runs.
+        """
+        self._forget_old(now_ms)
+        isolated = [
+            candidate
+            for candidate in candidates
+            if not candidate.worker.unproven_runs()
+            and candidate.allows(step, step_key)
+            and score(candidate, step, step_key) is not None
+        ]
+        return sorted(isolated, key=self._risk)
+
+    def _risk(self, candidate: "Candidate") -> tuple[bool, int, int]:
+        entry = candidate.entry
+        crashed = [crash.entry for crash in self._recent]
+        return (
+            any(entry.address == other.address for other in crashed),
+            sum(
+                entry.availability_zone == other.availability_zone
+                for other in crashed
+            ),
+            len(candidate.worker.runs),
+        )
+
+
+def split_suspects(
+    waiting: list[Task], now_ms: float
+) -> tuple[list[Task], list[Task]]:
+    """Splits waiting tasks into suspects to isolate and the others."""
+    if not any(task.crash_score for task in waiting):
+        return [], waiting
+    suspects: list[Task] = []
+    others: list[Task] = []
+    for task in waiting:
+        if task.crash_score and task.isolate_until_ms is None:
+            task.isolate_until_ms = now_ms + ISOLATION_WAIT_MS
+        isolated = task.crash_score and now_ms < task.isolate_until_ms
+        (suspects if isolated else others).append(task)
+    return suspects, others
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -10,6 +10,7 @@
 import math
 
 from limpetyard._events import event
+from limpetyard.engine._crashes import CrashTracker
 from limpetyard.engine._effects import Effect, Start, Stop
 from limpetyard.engine._interference import InterferenceModel
 from limpetyard.engine._pacing import pace, update_interference
@@ -24,6 +25,7 @@
     WorkerEntry,
 )
 from limpetyard.engine._worker import (
+    PROVEN_RUN_MS,
     RunState,
     Worker,
     WorkerRun,
@@ -53,6 +55,10 @@
 # departed. After an outage of the store, entries are back within two seconds.
 MISSING_ENTRY_GRACE_MS = 2500
 
+# Time after a lapse for which a worker is kept whose crash would count against
+# tasks. Most crashed workers are back, and thereby prove the crash, in seconds.
+CRASH_PROOF_WAIT_MS = 20_000
+
 
 class ChangeBatch:
     """Changes that one append to the store makes durable.
@@ -87,12 +93,14 @@
             start tasks, including those of jobs that arrive now.
         interference: Model of the effect of best-effort tasks on tail
             latencies.
+        crashes: Counts crashes of workers for each task.
     """
 
     __slots__ = (
         "_planner",
         "_run_end_handler",
         "_workers_by_job",
+        "crashes",
         "dirty_workers",
         "epoch",
         "interference",
@@ -114,6 +122,7 @@
         self.dirty_workers = False
         self.predecessor_until_ms = float("-inf")
         self.interference = InterferenceModel()
+        self.crashes = CrashTracker(self)
         self._run_end_handler = RunEndHandler(self)
         self._planner = Planner(self)
         # Ids of the workers that have got runs of a job, by its id, until it
@@ -165,10 +174,10 @@
             return worker
         if entry.born < worker.born:
             return worker
-        worker.set_entry(entry, now_ms)
-        worker.missing_since_ms = None
         if entry.born > worker.born:
             self._start_incarnation(worker, entry.born, now_ms)
+        worker.set_entry(entry, now_ms)
+        worker.missing_since_ms = None
         return worker
 
     def set_recorded_workers(
@@ -196,20 +205,29 @@
         if worker is not None and worker.missing_since_ms is None:
             worker.missing_since_ms = now_ms
 
-    def on_connection_refused(self, worker: Worker, now_ms: float) -> None:
+    def on_connection_refused(self, worker: Worker, now_ms: float) -> bool:
         """Handles a refused connection: nothing listens at the address.
 
         On its own, this may be a fault of the network. A worker that was
         draining and has no directory entry any more has departed, however: its
-        runs no longer exist, and their tasks need not wait for the lease.
+        runs no longer exist, and their tasks need not wait for the lease. Any
+        other worker whose entry is gone for good has crashed.
+
+        Returns:
+            Whether the state of a run or task has changed.
         """
-        departed = worker.entry.draining and worker.missing_since_ms is not None
-        if not departed or not (
-            worker.runs or worker.prior_lease_end_ms > now_ms
-        ):
-            return
+        if worker.missing_since_ms is None:
+            return False
+        if not worker.entry.draining:
+            return (
+                now_ms - worker.missing_since_ms > MISSING_ENTRY_GRACE_MS
+                and self.crashes.record_crash(worker, now_ms)
+            )
+        if not (worker.runs or worker.prior_lease_end_ms > now_ms):
+            return False
         event("worker_left", worker=worker.id, runs=len(worker.runs))
         self._drop_ended_worker(worker, now_ms)
+        return True
 
     def on_worker_replaced(self, worker: Worker, now_ms: float) -> bool:
         """Handles a reply of another worker at the address of a worker.
@@ -223,8 +241,9 @@
         if worker.ended:
             return False
         worker.ended = True
-        worker.replied_ms = None
         event("worker_replaced", worker=worker.id, runs=len(worker.runs))
+        self.crashes.record_crash(worker, now_ms)
+        worker.replied_ms = None
         self._drop_ended_worker(worker, now_ms)
         return True
 
@@ -248,8 +267,9 @@
     def remove_gone_workers(self, now_ms: float) -> list[str]:
         """Drops departed workers and returns their ids.
 
-        A worker is kept as long as a run may exist on it. One that is known to
-        have ended need not be missing for long.
+        A worker is kept as long as a run may exist on it or, for a limited
+        time, a crash would count against tasks. One that is known to have ended
+        need not be missing for long.
         """
         departed_ids = [
             worker.id
@@ -261,6 +281,10 @@
             )
             and not worker.runs
             and now_ms > worker.runs_until_ms
+            and not (
+                worker.lost_runs
+                and now_ms - worker.lapsed_ms < CRASH_PROOF_WAIT_MS
+            )
         ]
         for worker_id in departed_ids:
             del self.workers[worker_id]
@@ -285,8 +309,7 @@
                 self._start_incarnation(worker, reply.born, now_ms)
             return True
         worker.set_clock(reply.clock_ms, now_ms)
-        worker.replied_ms = now_ms
-        worker.ended = False
+        worker.record_reply(now_ms)
         if not worker.token_confirmed:
             self._confirm_token(worker, now_ms)
             event(
@@ -375,6 +398,13 @@
             if run is None:
                 run = self._adopt_run(worker, report, now_ms)
             run.apply_report(report, now_ms)
+            if (
+                not run.proven
+                and run.acked_ms is not None
+                and now_ms - run.acked_ms >= PROVEN_RUN_MS
+            ):
+                run.proven = True
+                self.crashes.clear(run.task)
         worker.reset_failures_if_healthy(now_ms)
         absent = [key for key in worker.runs if key not in reported]
         for key in absent:
@@ -417,6 +447,7 @@
             else:
                 run.state = RunState.STOPPING
         run.acked_ms = now_ms
+        run.proven = task is None or not task.crash_score
         self.add_run(worker, run)
         event(
             "run_found",
@@ -465,6 +496,7 @@
         the end of the earlier lease.
         """
         event("worker_reborn", worker=worker.id, born=born)
+        self.crashes.record_crash(worker, now_ms)
         runs = list(worker.runs.values())
         lease_end_ms = worker.lease_end_ms
         worker.start_incarnation(born)
@@ -628,7 +660,11 @@
         return effects
 
     def _expire_leases(self, now_ms: float) -> None:
-        """Releases the runs of workers whose leases have expired."""
+        """Releases the runs of workers whose leases have expired.
+
+        Such a worker may have crashed or be cut off, so its unproven runs are
+        remembered until one or the other is shown.
+        """
         for worker in self.workers.values():
             if not worker.runs or now_ms <= worker.runs_until_ms:
                 continue
@@ -638,6 +674,8 @@
                 runs=len(worker.runs),
                 replied_ms=worker.replied_ms,
             )
+            worker.lost_runs = worker.unproven_runs()
+            worker.lapsed_ms = now_ms
             self._drop_runs(worker, now_ms)
 
     def _due_stops(self, now_ms: float) -> list[Effect]:
--- a/src/limpetyard/engine/_placement.py
+++ b/src/limpetyard/engine/_placement.py
@@ -152,9 +152,11 @@
         """Reserves resources for a run.
 
         For a worker on probation, the run is the probe, and the worker accepts
-        no further run in this round.
+        no further run in this round; nor does it after a run of a suspect.
         """
-        self._has_probe = self.worker.on_probation
+        worker = self.worker
+        if worker.on_probation or run is worker.isolated_run:
+            self._has_probe = True
         need = run.step.reserved
         self.free_resources = Resources(
             self.free_resources.cores_milli - need.cores_milli,
@@ -170,9 +172,13 @@
             self._best_effort_cores = {**self._best_effort_cores, image: used}
 
     def fits_times(self, step: StepSpec, count: int) -> bool:
-        """Returns whether `count` tasks of a step fit."""
+        """Returns whether `count` tasks of a step fit.
+
+        Always false if the worker is on probation and has received its probe,
+        or has received a suspect.
+        """
         need = step.reserved
-        return Resources(
+        return not self._has_probe and Resources(
             need.cores_milli * count,
             need.memory_mb * count,
             need.accelerators * count,
@@ -188,7 +194,8 @@
     def has_room(self, step: StepSpec) -> bool:
         """Returns whether the worker has resources for a task of a step.
 
-        Always false if the worker is on probation and has received its probe.
+        Always false if the worker is on probation and has received its probe,
+        or has received a suspect.
         """
         need, free = step.need, self.free_resources
         return (
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from limpetyard.engine._advice import AdviceBook
+from limpetyard.engine._crashes import split_suspects
 from limpetyard.engine._draining import drain_worker
 from limpetyard.engine._effects import Effect, Start
 from limpetyard.engine._placement import PLACERS, Candidate, placer_name
@@ -254,12 +255,22 @@
             if not starts:
                 service_round.add_unmet_gang(step)
             return starts
+        suspects, waiting = split_suspects(waiting, now_ms)
+        isolated = self._place_suspects(
+            job,
+            step_key,
+            suspects,
+            service_round.labelled(step.label),
+            left,
+            now_ms,
+        )
+        left -= len(isolated)
         score = PLACERS.get(placer_name(step)).score
         ranking = service_round.ranking(score, step, step_key, self._placed)
         starts = self._place_ranked(job, waiting, ranking, left, now_ms)
         if len(starts) < min(len(waiting), left) and ranking.is_empty:
             service_round.add_unmet(step)
-        return starts
+        return isolated + starts
 
     def _place_advised(
         self,
@@ -290,14 +301,46 @@
         if left > 0 and step.gang:
             starts = self._place_gang(job, step_key, permitted, now_ms)
         elif left > 0:
+            suspects, others = split_suspects(waiting, now_ms)
+            starts = self._place_suspects(
+                job, step_key, suspects, permitted, left, now_ms
+            )
             score = PLACERS.get(placer_name(step)).score
             ranking = Ranking(score, step, step_key, permitted, self._placed)
-            starts = self._place_ranked(job, waiting, ranking, left, now_ms)
+            starts += self._place_ranked(
+                job, others, ranking, left - len(starts), now_ms
+            )
         if len(starts) == len(waiting) or starts and len(starts) >= left:
             return starts
         request = self._advice.request(step_key, fitting, now_ms)
         return starts if request is None else [*starts, request]
 
+    def _place_suspects(
+        self,
+        job: Job,
+        step_key: tuple[str, int, int],
+        suspects: list[Task],
+        candidates: list[Candidate],
+        left: float,
+        now_ms: float,
+    ) -> list[Effect]:
+        """Places suspects, each isolated from other unproven runs."""
+        if not suspects:
+            return []
+        step = job.spec.steps[step_key[2]]
+        score = PLACERS.get(placer_name(step)).score
+        isolated = self._engine.crashes.isolated(
+            candidates, score, step, step_key, now_ms
+        )
+        return [
+            self._place_task(job, task, self._next_run(task), candidate, now_ms)
+            for task, candidate in zip(
+                suspects[: int(min(left, len(suspects)))],
+                isolated,
+                strict=False,
+            )
+        ]
+
     def _place_ranked(
         self,
         job: Job,
@@ -327,12 +370,19 @@
         fitting: list[Candidate],
         now_ms: float,
     ) -> list[Effect]:
-        """Places all members of a gang, or none."""
+        """Places all members of a gang, or none.
+
+        A gang with a suspect prefers workers without unproven runs.
+        """
         step = job.spec.steps[step_key[2]]
         members = list(job.step_tasks(step_key[1], step_key[2]))
         if any(task.state != "waiting" for task in members):
             return []
-        for choice in self._rack_choices(step.same_rack, fitting):
+        choices = self._rack_choices(step.same_rack, fitting)
+        if any(task.crash_score for task in members):
+            isolated = [c for c in fitting if not c.worker.unproven_runs()]
+            choices = self._rack_choices(step.same_rack, isolated) + choices
+        for choice in choices:
             chosen = _fit_all(step, choice, step_key, len(members))
             if chosen is None:
                 continue
@@ -385,6 +435,12 @@
         job.mark_running()
         run = WorkerRun(task.key, run_number, task.step, now_ms)
         run.checkpoint = task.checkpoint
+        task.isolate_until_ms = None
+        task.worker_born = worker.born
+        if task.crash_score:
+            worker.isolated_run = run
+            # The next owner then counts a crash of this worker.
+            job.dirty = True
         self._engine.add_run(worker, run)
         candidate.reserve(run)
         self._placed.append(candidate)
--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -21,6 +21,12 @@
 MAX_LONG_RUNNING_BACKOFF_MS = 2400
 
 
+# Ends that show that the run did not crash its worker.
+_SURVIVED_KINDS = frozenset(
+    {RunEndKind.DONE, RunEndKind.FAILED, RunEndKind.STOPPED}
+)
+
+
 class RunEndHandler:
     """Updates tasks, jobs and workers when runs have ended."""
 
@@ -56,6 +62,8 @@
         unless runs of an earlier owner may still exist.
         """
         run = worker.runs.pop((end.task, end.run), None)
+        if end.kind in _SURVIVED_KINDS:
+            self._engine.crashes.clear(end.task)
         job = self._engine.jobs.get(end.task.job)
         task = self._engine.find_reported_task(end.task)
         if task is None or end.run in task.ended_runs:
--- a/src/limpetyard/engine/_step_worker_client.py
+++ b/src/limpetyard/engine/_step_worker_client.py
@@ -22,6 +22,10 @@
     """Nothing listens at the worker's address."""
 
 
+class WorkerDisconnectedError(WorkerOutcomeUnknownError):
+    """The connection was closed before a complete reply arrived."""
+
+
 class WrongWorkerError(LimpetyardError):
     """Another worker replied at the address."""
 
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -41,6 +41,15 @@
 # its worker is healthy.
 HEALTHY_RUN_MS = 1000
 
+# A run that is reported this long after the worker acknowledged its start is
+# proven not to crash its worker, and so is one whose worker is known to have
+# been up for that long. Tasks that crash workers do so at the start.
+PROVEN_RUN_MS = 500
+
+# A poll whose connection is closed sooner may have been sent to a worker that
+# had crashed before.
+MIN_POLL_MS = 50
+
 # A worker that has not replied for this long gets no new work, and its lease
 # is no longer renewed: it may receive orders although its replies are lost.
 RESPONSIVE_WITHIN_MS = 1600
@@ -82,6 +91,9 @@
         measurement: Measurement in the last report.
         paused_since_ms: Since when the run has been given 0 % speed, or None.
         placed_ms: When the run was placed.
+        proven: Whether a crash of the worker does not count against the task:
+            the run was reported at least `PROVEN_RUN_MS` after its start, or
+            the crash was counted. See also `is_proven`.
         last_stop_ms: When the last stop order was planned; infinite once a
             stop order was acknowledged.
     """
@@ -94,6 +106,7 @@
         "measurement",
         "paused_since_ms",
         "placed_ms",
+        "proven",
         "run",
         "speed_percent",
         "start_expires_ms",
@@ -115,8 +128,20 @@
         self.measurement = 0.0
         self.paused_since_ms: float | None = None
         self.placed_ms = now_ms
+        self.proven = False
         self.last_stop_ms = float("-inf")
 
+    def is_proven(self, alive_ms: float) -> bool:
+        """Returns whether a crash of the worker does not count.
+
+        Args:
+            alive_ms: Time until which the worker is known to have been up.
+        """
+        return self.proven or (
+            self.acked_ms is not None
+            and alive_ms - self.acked_ms >= PROVEN_RUN_MS
+        )
+
     def apply_report(self, report: RunReport, now_ms: float) -> None:
         """Updates the run from a report of the worker that arrived now."""
         if self.acked_ms is None:
@@ -152,6 +177,12 @@
         missing_since_ms: Since when the worker has had no directory entry, or
             None.
         ended: Whether another worker was the last to reply at the address.
+        crashed: Whether the worker is known to have crashed.
+        alive_ms: Latest time at which the worker is known to have been up.
+        lapsed_ms: When the lease last expired with runs on the worker.
+        lost_runs: Unproven runs that were dropped at that time.
+        isolated_run: Latest run of a suspect that was placed on the worker, or
+            None; see `limpetyard.engine._crashes`.
         failures: Number of failed runs of this incarnation since the last run
             that was healthy or, unless long-running, ended as DONE.
         last_failure_ms: When the last run failed.
@@ -169,17 +200,22 @@
         "_clock_read_ms",
         "_epoch",
         "_incarnations",
+        "alive_ms",
         "backoff_until_ms",
         "born",
+        "crashed",
         "departure_ms",
         "ended",
         "entry",
         "failures",
+        "isolated_run",
+        "lapsed_ms",
         "last_acked_end",
         "last_failure_ms",
         "last_received_end",
         "latest_load",
         "lease_end_ms",
+        "lost_runs",
         "missing_since_ms",
         "prior_lease_end_ms",
         "recorded",
@@ -206,6 +242,11 @@
         self.replied_ms: float | None = None
         self.missing_since_ms: float | None = None
         self.ended = False
+        self.crashed = False
+        self.alive_ms = 0.0
+        self.lapsed_ms = 0.0
+        self.lost_runs: list[WorkerRun] = []
+        self.isolated_run: WorkerRun | None = None
         self.failures = 0
         self.last_failure_ms = float("-inf")
         self.silent_starts = 0
@@ -245,6 +286,46 @@
         """
         return self.failures >= PROBATION_FAILURES
 
+    @property
+    def hosts_suspect(self) -> bool:
+        """Whether a run of a suspect exists that is not proven."""
+        run = self.isolated_run
+        return (
+            run is not None
+            and not run.is_proven(self.alive_ms)
+            and (run.task, run.run) in self.runs
+        )
+
+    @property
+    def is_likely_gone(self) -> bool:
+        """Whether the worker is polled only to confirm that it has ended."""
+        return self.ended or bool(
+            self.lost_runs
+            and not self.runs
+            and self.missing_since_ms is not None
+        )
+
+    def unproven_runs(self) -> list[WorkerRun]:
+        """Returns the runs against which a crash of the worker counts."""
+        runs = [*self.runs.values(), *self.lost_runs]
+        return [run for run in runs if not run.is_proven(self.alive_ms)]
+
+    def record_reply(self, now_ms: float) -> None:
+        """Records that the current incarnation replied to a poll."""
+        self.replied_ms = now_ms
+        self.ended = False
+        self.crashed = False
+        self.alive_ms = now_ms
+        self.lost_runs = []
+
+    def record_disconnect(self, sent_ms: float, now_ms: float) -> None:
+        """Records that the connection of a poll was closed.
+
+        If the poll was under way, the worker was up until then.
+        """
+        if now_ms - sent_ms >= MIN_POLL_MS:
+            self.alive_ms = now_ms
+
     def record_failure(self, now_ms: float) -> None:
         """Records that a run failed on the worker."""
         self.failures += 1
@@ -278,8 +359,10 @@
 
         A worker on probation may get one if the backoff is over and no run
         placed after the last failure, the probe, exists that is younger than
-        `MAX_PROBE_MS`.
+        `MAX_PROBE_MS`. A worker with an unproven run of a suspect may get none.
         """
+        if self.hosts_suspect:
+            return False
         if not self.on_probation:
             return True
         # Limits the size of the shift; the backoff has its maximum by then.
@@ -305,6 +388,10 @@
         self.last_acked_end = 0
         self.lease_end_ms = 0.0
         self.ended = False
+        self.crashed = False
+        self.alive_ms = 0.0
+        self.lost_runs = []
+        self.isolated_run = None
         self.failures = 0
         self.silent_starts = 0
         self._clock_read_ms = None
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -46,8 +46,18 @@
             after their start, since the last one that did not.
         failed_on: Worker of the last run that failed or whose start order was
             not answered, or "".
+        crash_score: Score of the workers that crashed under runs that were not
+            proven by then, since a run last was; see
+            `limpetyard.engine._crashes`.
+        crashed_workers: Those of these workers that this owner has seen.
+        isolate_until_ms: Time until which the task, if it has such crashes,
+            waits for a worker of its own, or None before it is to be placed.
+        stored_worker: Worker of the run that an earlier owner stored if the
+            task had such crashes, or "".
+        stored_born: Incarnation of that worker.
         checkpoint: Checkpoint to resume from, or "".
         worker: Worker of the latest run while the task is placed, else "".
+        worker_born: Incarnation of that worker.
         may_be_running: Whether a run that an earlier owner started may still
             exist on some worker.
         idle_since_ms: When the task last returned to the waiting state, or
@@ -58,18 +68,24 @@
     __slots__ = (
         "_waiting",
         "checkpoint",
+        "crash_score",
+        "crashed_workers",
         "early_failures",
         "ended_runs",
         "failed_on",
         "failure_count",
         "idle_since_ms",
+        "isolate_until_ms",
         "key",
         "may_be_running",
         "retry_at_ms",
         "run",
         "state",
         "step",
+        "stored_born",
+        "stored_worker",
         "worker",
+        "worker_born",
     )
 
     def __init__(
@@ -96,8 +112,14 @@
         self.failure_count = 0
         self.early_failures = 0
         self.failed_on = ""
+        self.crash_score = 0
+        self.crashed_workers: list[str] = []
+        self.isolate_until_ms: float | None = None
         self.checkpoint = ""
         self.worker = ""
+        self.worker_born = 0
+        self.stored_worker = ""
+        self.stored_born = 0
         self.may_be_running = False
         self.idle_since_ms: float | None = None
         self.retry_at_ms = 0.0
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -27,6 +27,11 @@
         ended_runs: Numbers of the runs whose end is included in this progress.
         failure_count: Number of failed runs.
         checkpoint: Checkpoint to resume from, or "".
+        crash_score: Score of the workers that crashed under the task; see
+            `limpetyard.jobs.Task`.
+        worker: Worker of the latest run if the task is placed and has such
+            crashes, else "".
+        born: Incarnation of that worker.
     """
 
     occurrence: int
@@ -37,6 +42,9 @@
     ended_runs: list[int]
     failure_count: int
     checkpoint: str
+    crash_score: int = 0
+    worker: str = ""
+    born: int = 0
 
 
 class JobProgress(msgspec.Struct):
@@ -98,6 +106,9 @@
             sorted(task.ended_runs),
             task.failure_count,
             task.checkpoint,
+            task.crash_score,
+            task.worker if task.crash_score else "",
+            task.worker_born,
         )
         for task in job.tasks.values()
         if task.run
@@ -126,6 +137,8 @@
         task.ended_runs = set(mark.ended_runs)
         task.failure_count = max(task.failure_count, mark.failure_count)
         task.checkpoint = mark.checkpoint
+        task.crash_score = max(task.crash_score, mark.crash_score)
+        task.stored_worker, task.stored_born = mark.worker, mark.born
         if mark.done:
             job.mark_task_done(task)
     if progress.state != job.state:
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -350,6 +350,7 @@
         self.engine.predecessor_until_ms = (
             self._clock.now_ms() + self._params.self_fence_ms
         )
+        self.engine.crashes.expect_runs(self._clock.now_ms())
         self.state_loaded = True
         self._apply_predecessor_bounds()
         self._track_workers()
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -11,6 +11,7 @@
     StaleTokenError,
     StepWorkerClient,
     Worker,
+    WorkerDisconnectedError,
     WorkerDownError,
     WorkerOutcomeUnknownError,
     WrongWorkerError,
@@ -28,9 +29,9 @@
 # Delay after a failed poll, and interval of checks while orders are suspended.
 POLL_RETRY_MS = 150
 
-# Delay after another worker replied at the address. The worker has most likely
-# ended, and each poll has a price; its directory entry expires before long.
-REPLACED_RETRY_MS = 1000
+# The same for a worker that is polled only to confirm that it has ended: each
+# poll has a price.
+GONE_RETRY_MS = 1000
 
 # Maximum wait for an append before the next poll. While the store refuses
 # appends, workers with ended runs are polled no more often than serving ones.
@@ -116,16 +117,12 @@
                     f"worker {worker_id} has seen a higher fencing token"
                 )
                 return
-            except WorkerOutcomeUnknownError as exc:
-                if isinstance(exc, WorkerDownError):
-                    self._engine.on_connection_refused(
-                        worker, self._clock.now_ms()
-                    )
+            except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
                 event("look_failed", worker=worker_id, reason=exc)
-                await asyncio.sleep(POLL_RETRY_MS / MS_PER_SECOND)
-            except WrongWorkerError as exc:
-                event("look_failed", worker=worker_id, reason=exc)
-                await asyncio.sleep(REPLACED_RETRY_MS / MS_PER_SECOND)
+                retry_ms = (
+                    GONE_RETRY_MS if worker.is_likely_gone else POLL_RETRY_MS
+                )
+                await asyncio.sleep(retry_ms / MS_PER_SECOND)
 
     async def _poll_in_turn(self, worker_id: str) -> None:
         """Polls a worker whose token is not confirmed, when its turn comes.
@@ -139,7 +136,10 @@
                 await self._poll(worker)
 
     async def _poll(self, worker: Worker) -> None:
-        """Polls a worker once, and renews its lease if it is responsive."""
+        """Polls a worker once, and renews its lease if it is responsive.
+
+        Reports errors to the engine and raises them.
+        """
         now_ms = self._clock.now_ms()
         token = worker.token
         lease_until_ms = None
@@ -153,12 +153,10 @@
             reply = await self._workers.poll(
                 worker.entry, request, wait_ms + POLL_TIMEOUT_MARGIN_MS
             )
-        except WrongWorkerError:
+        except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
             # A later incarnation may have another address by now.
-            if worker.token == token and self._engine.on_worker_replaced(
-                worker, self._clock.now_ms()
-            ):
-                self._on_change()
+            if worker.token == token:
+                self._report_failure(worker, exc, now_ms)
             raise
         if worker.token != token:
             return
@@ -168,6 +166,21 @@
         if changed or not token_confirmed:
             self._on_change()
 
+    def _report_failure(
+        self, worker: Worker, exc: Exception, sent_ms: float
+    ) -> None:
+        """Reports a poll that failed with an error to the engine."""
+        now_ms = self._clock.now_ms()
+        changed = False
+        if isinstance(exc, WorkerDisconnectedError):
+            worker.record_disconnect(sent_ms, now_ms)
+        elif isinstance(exc, WrongWorkerError):
+            changed = self._engine.on_worker_replaced(worker, now_ms)
+        elif isinstance(exc, WorkerDownError):
+            changed = self._engine.on_connection_refused(worker, now_ms)
+        if changed:
+            self._on_change()
+
     async def _wait_for_append(self) -> None:
         """Waits for the next append, or at most `APPEND_WAIT_MS`.
 
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -22,6 +22,7 @@
     StartOrder,
     StartResult,
     Ticket,
+    WorkerDisconnectedError,
     WorkerDownError,
     WorkerEntry,
     WorkerOutcomeUnknownError,
@@ -270,7 +271,12 @@
             )
             raise error(f"{entry.id}: {exc}") from exc
         except OutcomeUnknownError as exc:
-            raise WorkerOutcomeUnknownError(f"{entry.id}: {exc}") from exc
+            error = (
+                WorkerDisconnectedError
+                if exc.disconnected
+                else WorkerOutcomeUnknownError
+            )
+            raise error(f"{entry.id}: {exc}") from exc
 
 
 class PlatformAdviceClient:
--- a/standins/platform/_checks.py
+++ b/standins/platform/_checks.py
@@ -42,6 +42,11 @@
 # plus the duration of a takeover.
 FAULT_EFFECT_MS = 15_000
 
+# A task under which this many workers have crashed may start less than this
+# many times more.
+MAX_DEADLY_CRASHES = 3
+MAX_DEADLY_STARTS = 3
+
 # Tasks of a cancelled job may still start for this long.
 CANCEL_GRACE_MS = 3000
 
@@ -160,6 +165,53 @@
     return found
 
 
+def _check_deadly(history: History) -> list[str]:
+    """BUDGET: a task that crashes workers is started again and again."""
+    found = []
+    crashes: collections.Counter = collections.Counter()
+    starts: collections.Counter = collections.Counter()
+    for entry in history.entries:
+        if isinstance(entry, RunEnded):
+            crashes[entry.task] += entry.end_kind == "crashed"
+        elif (
+            isinstance(entry, RunStarted)
+            and entry.task.job in history.deadly
+            and crashes[entry.task] >= MAX_DEADLY_CRASHES
+        ):
+            starts[entry.task] += 1
+            if starts[entry.task] >= MAX_DEADLY_STARTS:
+                found.append(f"BUDGET {entry.task} crashes its workers")
+    return found
+
+
+def _check_failed(history: History) -> list[str]:
+    """LOST: a job is reported as failed without cause.
+
+    A cause is a task with its maximum number of failures, or one that crashes
+    workers and has crashed two.
+    """
+    found = []
+    failures: dict[str, collections.Counter] = collections.defaultdict(
+        collections.Counter
+    )
+    crashes: dict[str, collections.Counter] = collections.defaultdict(
+        collections.Counter
+    )
+    for entry in history.entries:
+        if isinstance(entry, RunEnded):
+            job = entry.task.job
+            failures[job][entry.task] += entry.end_kind == "failed"
+            crashes[job][entry.task] += entry.end_kind == "crashed"
+        elif isinstance(entry, StateReturned) and entry.state == "failed":
+            job = entry.job
+            limit = history.submitted[job].queue.max_attempts
+            most_crashes = max(crashes[job].values(), default=0)
+            is_deadly = job in history.deadly and most_crashes >= 2
+            if max(failures[job].values(), default=0) < limit and not is_deadly:
+                found.append(f"LOST {job} reported as failed without cause")
+    return found
+
+
 def _check_unasked(history: History) -> list[str]:
     """UNASKED, REFUSED: a run of a job that must not run.
 
@@ -349,6 +401,8 @@
     _check_order,
     _check_early,
     _check_budget,
+    _check_deadly,
+    _check_failed,
     _check_unasked,
     _check_returned_states,
     _check_drain,
--- a/standins/platform/_history.py
+++ b/standins/platform/_history.py
@@ -143,6 +143,7 @@
         refused: Jobs of which every submission was rejected with a response
             that rules out acceptance.
         cancel_requests: Jobs that clients cancelled, confirmed or not.
+        deadly: Jobs whose tasks crash each worker that starts them.
         labels: Labels of workers, by id.
         zones: Availability zones of workers, by id.
         fault_windows: Start and end of each fault, in ms of simulation time.
@@ -154,6 +155,7 @@
         self.submitted: dict[str, JobSpec] = {}
         self.refused: set[str] = set()
         self.cancel_requests: set[str] = set()
+        self.deadly: set[str] = set()
         self.labels: dict[str, tuple[str, ...]] = {}
         self.zones: dict[str, str] = {}
         self.fault_windows: list[tuple[float, float]] = []
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -44,6 +44,9 @@
 POLL_INTERVAL_MS = 500
 DEADLINE_MS = 3000.0
 
+# A crashed worker is back after this time.
+RETURN_MS = 3000
+
 # Kinds of errors that rule out that the job was accepted.
 NOT_ACCEPTED_KINDS = ("not_ready", "store_refused")
 
@@ -190,6 +193,7 @@
         ]
         self.workers: dict[str, WorkerModel] = {}
         self._tasks: list[asyncio.Task] = []
+        self._crashes = 0
         self._version = 0
         for number in range(workers):
             self.add_worker(number)
@@ -221,6 +225,25 @@
         )
         return self._add_worker(successor)
 
+    def crash_worker(self, model: WorkerModel) -> None:
+        """Crashes a worker, which is back after `RETURN_MS`.
+
+        In turns, it is back under the same id, and as a new worker at the same
+        address.
+        """
+        if not model.up:
+            return
+        model.refuse_connections()
+        self._crashes += 1
+        return_worker = (
+            model.restart
+            if self._crashes % 2
+            else lambda: self.replace_worker(model)
+        )
+        asyncio.get_running_loop().call_later(
+            RETURN_MS / MS_PER_SECOND, return_worker
+        )
+
     def _add_worker(self, entry: WorkerEntry) -> WorkerModel:
         model = WorkerModel(
             entry,
@@ -230,6 +253,7 @@
             self.rng,
             self.gangs,
         )
+        model.on_deadly_run = self.crash_worker
         self.workers[entry.id] = model
         self.history.labels[entry.id] = entry.labels
         self.history.zones[entry.id] = entry.availability_zone
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -18,6 +18,7 @@
     StaleTokenError,
     StartOrder,
     StartResult,
+    WorkerDisconnectedError,
     WorkerDownError,
     WorkerEntry,
     WorkerOutcomeUnknownError,
@@ -40,6 +41,9 @@
 ORDER_TIMEOUT_MS = 500
 ENDS_PER_REPLY = 500
 
+# A task of a deadly job crashes its worker this long after its start.
+DEADLY_RUN_MS = 10
+
 
 class _Run:
     def __init__(
@@ -75,6 +79,7 @@
         clock_rate: Rate of its clock relative to simulation time.
         delivering_late: Whether the order in execution arrived after its
             sender's time-out.
+        on_deadly_run: Called when a task of a deadly job crashes the worker.
     """
 
     def __init__(
@@ -94,6 +99,7 @@
         self.runs_never_end = False
         self.clock_rate = 1.0
         self.delivering_late = False
+        self.on_deadly_run: Callable[[WorkerModel], None] = WorkerModel.crash
         self._clock = clock
         self._history = history
         self._specs = specs
@@ -171,6 +177,7 @@
         """Crashes; the address refuses connections from now on."""
         self.crash()
         self.has_left = True
+        self._end_event.set()
 
     def leave(self) -> None:
         """Exits after draining."""
@@ -195,6 +202,8 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(order.wait_ms / MS_PER_SECOND):
                     await self._end_event.wait()
+            if self.has_left:
+                raise WorkerDisconnectedError(self.entry.id)
             self._check_token(order.token)
         reports = [
             RunReport(run.task, run.run, run.checkpoint, run.percent, 0.0)
@@ -235,6 +244,10 @@
                 self.delivering_late,
             )
         )
+        if order.task.job in self._history.deadly:
+            asyncio.get_running_loop().call_later(
+                DEADLY_RUN_MS / MS_PER_SECOND, self.on_deadly_run, self
+            )
         self._schedule(run)
         return StartResult.STARTED
 
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -38,11 +38,11 @@
         "rack": f"rack-{number}",
         "labels": ("plain",),
         "born": 1,
+        "address": f"10.0.0.{number}:80",
     } | more
     return WorkerEntry(
         id=f"w-{number}",
         service="pool",
-        address="",
         capacity=Resources(cores * 1000, 64_000, 0),
         **values,
     )
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from limpetyard.errors import ChartError
 from limpetyard.jobs import (
     Job,
@@ -18,6 +20,18 @@
 QUEUE = QueueParams("q", "s")
 
 
+class _OlderTaskProgress(msgspec.Struct, array_like=True):
+    # Stored progress of a task in 0.3.0.
+    occurrence: int
+    step: int
+    index: int
+    done: bool
+    run: int
+    ended_runs: list[int]
+    failure_count: int
+    checkpoint: str
+
+
 def spec(*steps: StepSpec, **fields) -> JobSpec:
     """Returns the specification of a job with these steps."""
     return JobSpec("0" * 16, QUEUE, "payload", steps, **fields)
@@ -106,6 +120,29 @@
             (3, 1, {2, 3}, "half"),
         )
 
+    def test_crash_score(self):
+        """The count of crashes survives a takeover."""
+        job = Job(spec(StepSpec(1)), 0.0)
+        job.task(0, 0, 0).run = 1
+        job.task(0, 0, 0).crash_score = 1
+        restored = Job(job.spec, 0.0)
+        apply_progress(restored, encode_progress(job, 9.0), 0.0)
+        self.assertEqual(restored.task(0, 0, 0).crash_score, 1)
+
+    def test_progress_of_and_for_older_builds(self):
+        """Builds without a count of crashes share records with this one."""
+        job = Job(spec(StepSpec(1)), 0.0)
+        job.task(0, 0, 0).run = 2
+        stored = msgspec.msgpack.decode(encode_progress(job, 9.0))
+        (mark,) = stored["marks"]
+        older = msgspec.msgpack.Decoder(_OlderTaskProgress)
+        self.assertEqual(older.decode(msgspec.msgpack.encode(mark)).run, 2)
+        stored["marks"] = [mark[:8]]
+        restored = Job(job.spec, 0.0)
+        apply_progress(restored, msgspec.msgpack.encode(stored), 0.0)
+        self.assertEqual(restored.task(0, 0, 0).run, 2)
+        self.assertEqual(restored.task(0, 0, 0).crash_score, 0)
+
     def test_final(self):
         """A job in a final state is restored without its tasks."""
         job = Job(spec(StepSpec(1)), 0.0)
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -1,6 +1,7 @@
 """Tests of complete nodes on a simulated platform in virtual time."""
 
 import asyncio
+import collections
 import unittest
 from unittest import mock
 
@@ -578,6 +579,111 @@
         self.run_scenario(scenario)
 
 
+class CrashTest(SiteTestCase):
+    """Tasks that crash their workers, and innocent ones beside them."""
+
+    DEADLY = 9
+
+    def check_deadly(
+        self, max_starts: int, take_over_s: float = 0.0, **job_args
+    ) -> None:
+        """Submits a deadly job between innocent ones; only it must fail.
+
+        Args:
+            max_starts: Largest number of starts of one of its tasks.
+            take_over_s: Time after which the owner is killed; 0 for never.
+            **job_args: Arguments of `job` for the deadly job.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            site.history.deadly.add(f"{self.DEADLY:016x}")
+            serving = JobSpec(
+                f"{8:016x}",
+                QUEUE,
+                "payload",
+                (StepSpec(4, SMALL, long_running=True, per_worker=2),),
+            )
+            self.assertTrue(await site.submit(serving))
+            await self.submit(site, range(3), run_ms=2000)
+            await self.submit(
+                site, range(self.DEADLY, self.DEADLY + 1), **job_args
+            )
+            if take_over_s:
+                await asyncio.sleep(take_over_s)
+                await site.kill_node(site.owner())
+            state = await site.wait_for(
+                f"{self.DEADLY:016x}", ("failed",), 30_000
+            )
+            self.assertEqual(state, "failed")
+            await self.submit(site, range(3, 6))
+            await self.complete(site, range(6))
+            await asyncio.sleep(5)
+            self.assertEqual(site.unplaced_long_running(), [])
+            self.assertIn(
+                await site.query_state(serving.id), ("queued", "running")
+            )
+
+        site = self.run_scenario(scenario)
+        starts = collections.Counter(
+            entry.task
+            for entry in site.history.of(RunStarted)
+            if entry.task.job == f"{self.DEADLY:016x}"
+        )
+        self.assertLessEqual(max(starts.values()), max_starts)
+
+    def test_deadly_task(self):
+        """A task that crashes its workers is started for ever."""
+        self.check_deadly(3, count=1)
+
+    def test_deadly_job(self):
+        """Equal tasks that crash workers at the same time are all counted."""
+        self.check_deadly(3, count=4)
+
+    def test_deadly_task_and_a_takeover(self):
+        """A task that crashes its workers is started for ever.
+
+        The crash that the owner had not seen proven is not counted.
+        """
+        self.check_deadly(4, take_over_s=1.0, count=1)
+
+    def test_counted_crash_and_a_takeover(self):
+        """A new owner counts the crashes of a task anew.
+
+        It also counts the second one, of which the first owner saw no proof.
+        """
+        self.check_deadly(3, take_over_s=3.6, count=1)
+
+    def test_flapping_zone(self):
+        """Innocent tasks on workers of a zone that flaps are given up."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit(site, range(12), run_ms=400)
+            for first in range(12, 24, 3):
+                for worker in list(site.workers.values()):
+                    if worker.entry.availability_zone == "zone-0":
+                        site.crash_worker(worker)
+                await asyncio.sleep(5)
+                await self.submit(site, range(first, first + 3), run_ms=400)
+            await self.complete(site, range(24))
+
+        self.run_scenario(scenario)
+
+    def test_flapping_worker(self):
+        """Innocent tasks on a worker that flaps are given up."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            for first in range(0, 24, 4):
+                await self.submit(site, range(first, first + 4), run_ms=300)
+                await asyncio.sleep(0.05)
+                for worker in list(site.workers.values()):
+                    if worker.entry.address == "10.0.0.1:80":
+                        site.crash_worker(worker)
+                await asyncio.sleep(5)
+            await self.complete(site, range(24))
+
+        self.run_scenario(scenario)
+
+
 class ZoneOutageTest(SiteTestCase):
     """Zones that operators have taken out of service."""
 
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -1,5 +1,6 @@
 """Client of workers against a stand-in worker over HTTP."""
 
+import asyncio
 import random
 import unittest
 
@@ -16,6 +17,7 @@
     StaleTokenError,
     StartOrder,
     StartResult,
+    WorkerDisconnectedError,
     WorkerDownError,
     WorkerEntry,
     WorkerOutcomeUnknownError,
@@ -137,6 +139,24 @@
         result = await self.workers.start(self.entry, self.order())
         self.assertIs(result, StartResult.UNHEALTHY)
 
+    async def test_closed_connection(self):
+        """A crash that closes the connection is taken for a time-out."""
+        poll = self.workers.poll(self.entry, PollRequest(1, 0, None, 300), 5000)
+        polling = asyncio.ensure_future(poll)
+        while not self.server.last_body:
+            await asyncio.sleep(0.01)
+        for connection in self.runner.server.connections:
+            connection.transport.abort()
+        with self.assertRaises(WorkerDisconnectedError):
+            await polling
+
+    async def test_time_out(self):
+        """A time-out is taken for a crash that closed the connection."""
+        order = PollRequest(1, 0, None, 300)
+        with self.assertRaises(WorkerOutcomeUnknownError) as caught:
+            await self.workers.poll(self.entry, order, 100)
+        self.assertNotIsInstance(caught.exception, WorkerDisconnectedError)
+
     async def test_connection_refused(self):
         """A refused connection is distinguished from a time-out."""
         with self.assertRaises(WorkerDownError):
