Do not send a start to a worker that has shrunk since it was planned

The capacity of a worker may shrink and grow while it runs. Planning was right already: it reads the capacity from the latest entry, counts a negative rest as no room for gangs and best-effort tasks too, and uses a capacity that has grown again.

A start is now withdrawn if the runs known on its worker, its own included, exceed the capacity; its task waits again, and a gang is stopped as a whole, as for other withdrawn starts.

The stand-in can change the capacity of a worker and publish its entry. It judges starts by the larger capacity for a second, as the entry must be read.

Failed before: test_orders ShrunkWorkerTest.test_no_room_left (3 != 2 starts sent). The other new tests passed before: PlacementTest test_capacity_shrinks, test_idle_cores_shrink, test_capacity_grows, and CapacityTest. They fail if the engine keeps the first entry of a worker; the first and third also if the cached load of a worker ignores its capacity.

--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -441,6 +441,11 @@
         )
         return until_ms
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether the runs reserve more than the capacity, which may shrink."""
+        return not Resources().fits(self.free_resources())
+
     def free_resources(self) -> Resources:
         """Returns the resources that are not reserved by runs."""
         capacity = self.entry.capacity
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -223,10 +223,12 @@
         """Returns whether a start order for a run may be sent now.
 
         The run may have been stopped since it was planned, and the worker may
-        have become silent or have rejected the start before this one.
+        have become silent, have rejected the start before this one, or have
+        less capacity.
         """
         return (
             run.state is RunState.ORDERED
+            and not worker.is_overcommitted
             and worker.is_responsive(now_ms)
             and now_ms >= worker.backoff_until_ms
             and self._may_order()
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -225,6 +225,15 @@
         )
         return self._add_worker(successor)
 
+    def resize_worker(self, model: WorkerModel, cores: int) -> None:
+        """Changes the number of cores of a worker and publishes its entry."""
+        capacity = msgspec.structs.replace(
+            model.entry.capacity, cores_milli=cores * 1000
+        )
+        model.resize(capacity)
+        entry = msgspec.msgpack.encode(model.entry)
+        self.store.write("workers", model.entry.id, entry)
+
     def crash_worker(self, model: WorkerModel) -> None:
         """Crashes a worker, which is back after `RETURN_MS`.
 
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable
 
@@ -24,7 +25,7 @@
     WorkerOutcomeUnknownError,
     WrongWorkerError,
 )
-from limpetyard.jobs import JobSpec, StepSpec, TaskKey
+from limpetyard.jobs import JobSpec, Resources, StepSpec, TaskKey
 from standins.platform._gangs import Gangs
 from standins.platform._history import (
     DrainAnnounced,
@@ -41,6 +42,10 @@
 ORDER_TIMEOUT_MS = 500
 ENDS_PER_REPLY = 500
 
+# A start may exceed a capacity that shrank within this time, as the owner may
+# not have read the directory entry yet.
+SHRUNK_GRACE_MS = 1000
+
 # A task of a deadly job crashes its worker this long after its start.
 DEADLY_RUN_MS = 10
 
@@ -99,6 +104,9 @@
         self.runs_never_end = False
         self.clock_rate = 1.0
         self.delivering_late = False
+        # Capacity before the last change, and when that was.
+        self._former_capacity = entry.capacity
+        self._resized_ms = -math.inf
         self.on_deadly_run: Callable[[WorkerModel], None] = WorkerModel.crash
         self._clock = clock
         self._history = history
@@ -131,6 +139,12 @@
             DrainAnnounced(self._clock.now_ms(), self.entry.id, self.entry.born)
         )
 
+    def resize(self, capacity: Resources) -> None:
+        """Changes the capacity; runs beyond it go on."""
+        self._former_capacity = self.entry.capacity
+        self._resized_ms = self._clock.now_ms()
+        self.entry = msgspec.structs.replace(self.entry, capacity=capacity)
+
     def clock_ms(self) -> float:
         """Returns the worker's own clock, 0 at the start of the incarnation."""
         return (self._clock.now_ms() - self._started_ms) * self.clock_rate
@@ -288,8 +302,13 @@
     def _exceeds_capacity(self) -> bool:
         cores = sum(r.step.reserved.cores_milli for r in self._runs.values())
         memory = sum(r.step.reserved.memory_mb for r in self._runs.values())
-        capacity = self.entry.capacity
-        return cores > capacity.cores_milli or memory > capacity.memory_mb
+        capacities = [self.entry.capacity]
+        if self._clock.now_ms() - self._resized_ms < SHRUNK_GRACE_MS:
+            capacities.append(self._former_capacity)
+        return all(
+            cores > capacity.cores_milli or memory > capacity.memory_mb
+            for capacity in capacities
+        )
 
     def _schedule(self, run: _Run) -> None:
         end_kind = RunEndKind.DONE.value
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -3,6 +3,8 @@
 import math
 import unittest
 
+import msgspec
+
 from limpetyard.engine import (
     Engine,
     EngineParams,
@@ -246,6 +248,46 @@
         self.submit(job(2, StepSpec(1, ONE_CORE)))
         self.assertEqual(self.plan(Start), [])
 
+    def resize(self, number: int, cores: int, memory_mb: int = 64_000) -> None:
+        """Publishes another capacity of a worker."""
+        capacity = Resources(cores * 1000, memory_mb, 0)
+        resized = msgspec.structs.replace(entry(number), capacity=capacity)
+        self.engine.set_entry(resized, self.now_ms)
+
+    def test_capacity_shrinks(self):
+        """A start exceeds a capacity that shrank below what is running."""
+        self.submit(job(1, StepSpec(8, ONE_CORE, long_running=True)))
+        self.assertEqual(len(self.start_all()), 8)
+        for number in range(2):
+            self.resize(number, 2, 1000)
+        for step in (
+            StepSpec(1, ONE_CORE),
+            StepSpec(2, ONE_CORE, gang=True),
+            StepSpec(1, Resources(0, 100, 0)),
+            StepSpec(1, Resources(100, 0, 0)),
+            StepSpec(1, Resources(100, 0, 0), fills=True),
+        ):
+            self.submit(job(2, step))
+            self.assertEqual(self.plan(Start), [], step)
+            self.engine.drop_job(f"{2:016x}")
+
+    def test_idle_cores_shrink(self):
+        """Best-effort tasks start on cores that a worker no longer has."""
+        for number in range(2):
+            self.resize(number, 1)
+        filling = StepSpec(9, ONE_CORE, fills=True)
+        self.submit(job(1, filling))
+        self.assertEqual(len(self.start_all()), 2)
+
+    def test_capacity_grows(self):
+        """A capacity that has grown again is not used."""
+        self.resize(0, 1)
+        self.resize(1, 1)
+        self.submit(job(1, StepSpec(8, ONE_CORE)))
+        self.assertEqual(len(self.start_all()), 2)
+        self.resize(0, 4)
+        self.assertEqual(len(self.start_all()), 3)
+
     def test_zone_out(self):
         """No task starts in a zone that is out of service."""
         self.engine.zones_out = frozenset({"zone-0"})
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -4,6 +4,8 @@
 import unittest
 from collections.abc import Coroutine
 
+import msgspec
+
 from limpetyard._clock import ManualClock
 from limpetyard.engine import (
     Engine,
@@ -251,6 +253,42 @@
         self.assertEqual(len(self.client.starts), 3)
 
 
+class ShrunkWorkerTest(DispatchTestCase):
+    """Starts that were planned before the capacity of their worker shrank."""
+
+    async def start_on(self, cores: int) -> int:
+        """Returns how many of three starts are sent.
+
+        The capacity shrinks while the first one is under way.
+        """
+        starts = self.plan(1, 3)
+        worker = self.engine.workers["w-0"]
+        tasks = [
+            asyncio.create_task(self.dispatcher.execute(start))
+            for start in starts
+        ]
+        await self.settle()
+        capacity = Resources(cores * 1000, 8000)
+        resized = msgspec.structs.replace(worker.entry, capacity=capacity)
+        self.engine.set_entry(resized, 1000.0)
+        for number in range(3):
+            if number < len(self.client.starts):
+                self.client.starts[number][2].set_result(StartResult.STARTED)
+            await self.settle()
+        await asyncio.gather(*tasks)
+        return len(self.client.starts)
+
+    async def test_no_room_left(self):
+        """A start is sent to a worker that is known to have no more room."""
+        self.assertEqual(await self.start_on(2), 2)
+        self.assertEqual(len(self.runs()), 2)
+        self.assertEqual(len(self.job.waiting_tasks(0, 0)), 1)
+
+    async def test_room_left(self):
+        """Starts that still fit are not sent."""
+        self.assertEqual(await self.start_on(3), 3)
+
+
 class StopTest(DispatchTestCase):
     """Number of stop orders in flight."""
 
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -579,6 +579,27 @@
         self.run_scenario(scenario)
 
 
+class CapacityTest(SiteTestCase):
+    """Workers whose capacity changes while they run tasks."""
+
+    def test_shrinks_and_grows(self):
+        """Starts exceed a capacity that has shrunk, or not use it regrown."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit(site, range(8), count=12, run_ms=700)
+            for cores in (2, 1, 8, 3, 8):
+                for worker in list(site.workers.values())[:4]:
+                    site.resize_worker(worker, cores)
+                await asyncio.sleep(1.5)
+            await self.submit(site, range(8, 12), count=12, run_ms=700)
+            await asyncio.sleep(0.5)
+            running = [len(w.running()) for w in site.workers.values()]
+            self.assertEqual(max(running[:4]), 8)
+            await self.complete(site, range(12))
+
+        self.run_scenario(scenario)
+
+
 class CrashTest(SiteTestCase):
     """Tasks that crash their workers, and innocent ones beside them."""
 
