--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -640,9 +640,8 @@
             await self.complete(site, range(6))
             await asyncio.sleep(5)
             self.assertEqual(site.unplaced_long_running(), [])
-            self.assertIn(
-                await site.query_state(serving.id), ("queued", "running")
-            )
+            state = await site.wait_for(serving.id, ("running",), 5000)
+            self.assertEqual(state, "running")
 
         site = self.run_scenario(scenario)
         starts = collections.Counter(
