Judge by a reply of the advice service only the workers of its request

What callers would see: a step whose permitted workers have room does not start (LOST).

Cause: a reply was matched to the latest request of the step. A late reply to an earlier one marked the workers of the later request as rejected, for good, and its own reply was dropped. A reply after the end of a job kept tickets for good.

A reply is now applied to the workers of its own request, and ignored for jobs that have ended; a request is repeated after 3 s, longer than its time-out. The new tests (test_reply_to_an_earlier_request, test_reply_for_a_job_that_has_ended) name the request in the reply, which the code before could not.

--- a/src/limpetyard/engine/_advice.py
+++ b/src/limpetyard/engine/_advice.py
@@ -20,8 +20,9 @@
 # Minimum remaining validity of a ticket at placement.
 TICKET_MARGIN_MS = 300
 
-# Time after which a request without a reply is repeated.
-ADVICE_RETRY_MS = 2000
+# Time after which a request without a reply is repeated; longer than the
+# time-out of the call.
+ADVICE_RETRY_MS = 3000
 
 # Job, occurrence and number of a step.
 StepKey = tuple[str, int, int]
@@ -36,20 +37,22 @@
     Attributes:
         tickets: Ticket and the end of its validity, by worker.
         rejected: Workers that are not permitted.
-        requested: Workers in the request whose reply is awaited.
+        asked: Incarnation of each worker when it was last in a request, by id.
+        requested: Workers in the latest request, if its reply is awaited.
         requested_ms: When that request was planned.
     """
 
-    __slots__ = ("rejected", "requested", "requested_ms", "tickets")
+    __slots__ = ("asked", "rejected", "requested", "requested_ms", "tickets")
 
     def __init__(self):
         self.tickets: dict[Incarnation, tuple[str, float]] = {}
         self.rejected: set[Incarnation] = set()
-        self.requested: tuple[Incarnation, ...] = ()
+        self.asked: dict[str, int] = {}
+        self.requested: tuple[str, ...] = ()
         self.requested_ms = float("-inf")
 
 
-class AdviceBook:
+class AdviceCache:
     """Tickets, rejections and pending requests of all steps."""
 
     __slots__ = ("_jobs",)
@@ -61,28 +64,36 @@
         steps = self._jobs.setdefault(step_key[0], {})
         return steps.setdefault(step_key, _StepAdvice())
 
-    def add(self, step_key: StepKey, tickets: list[Ticket]) -> None:
-        """Adds the reply to the latest request for a step.
+    def add(self, request: RequestAdvice, tickets: list[Ticket]) -> None:
+        """Adds the reply to a request, which need not be the latest one.
+
+        Ignores replies for jobs that have ended.
 
         Args:
-            step_key: Key of the step.
+            request: The request.
             tickets: Tickets whose `valid_ms` is the time on this process's
                 clock until which they are valid.
         """
-        advice = self._advice(step_key)
+        step_key = (request.job, request.occurrence, request.step)
+        advice = self._jobs.get(request.job, {}).get(step_key)
+        if advice is None:
+            return
         permitted = {ticket.worker: ticket for ticket in tickets}
-        for incarnation in advice.requested:
-            ticket = permitted.get(incarnation[0])
+        for worker_id in request.workers:
+            incarnation = (worker_id, advice.asked[worker_id])
+            ticket = permitted.get(worker_id)
             if ticket is None:
                 advice.rejected.add(incarnation)
             else:
                 advice.tickets[incarnation] = (ticket.ticket, ticket.valid_ms)
-        advice.requested = ()
+        if request.workers == advice.requested:
+            advice.requested = ()
 
     def drop_ticket(self, step_key: StepKey, worker: Worker) -> None:
         """Drops a ticket that the worker did not accept."""
-        advice = self._advice(step_key)
-        advice.tickets.pop((worker.id, worker.born), None)
+        advice = self._jobs.get(step_key[0], {}).get(step_key)
+        if advice is not None:
+            advice.tickets.pop((worker.id, worker.born), None)
 
     def drop_job(self, job_id: str) -> None:
         """Drops everything about a job."""
@@ -123,6 +134,7 @@
             return None
         unknown.sort(key=lambda c: -c.free_resources.cores_milli)
         workers = [c.worker for c in unknown[:MAX_ADVICE_WORKERS]]
-        advice.requested = tuple((w.id, w.born) for w in workers)
+        advice.asked |= {worker.id: worker.born for worker in workers}
+        advice.requested = tuple(worker.id for worker in workers)
         advice.requested_ms = now_ms
-        return RequestAdvice(*step_key, tuple(w.id for w in workers))
+        return RequestAdvice(*step_key, advice.requested)
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -11,7 +11,7 @@
 
 from limpetyard._events import event
 from limpetyard.engine._crashes import CrashTracker
-from limpetyard.engine._effects import Effect, Start, Stop
+from limpetyard.engine._effects import Effect, RequestAdvice, Start, Stop
 from limpetyard.engine._interference import InterferenceModel
 from limpetyard.engine._pacing import pace, update_interference
 from limpetyard.engine._params import EngineParams
@@ -194,10 +194,10 @@
             worker.recorded = born == worker.born
 
     def add_tickets(
-        self, job: str, occurrence: int, step: int, tickets: list[Ticket]
+        self, request: RequestAdvice, tickets: list[Ticket]
     ) -> None:
         """Adds tickets to run a step on workers; see `Planner`."""
-        self._planner.add_tickets(job, occurrence, step, tickets)
+        self._planner.add_tickets(request, tickets)
 
     def mark_entry_missing(self, worker_id: str, now_ms: float) -> None:
         """Records that a worker has no directory entry any more."""
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -8,10 +8,10 @@
 import math
 from typing import TYPE_CHECKING
 
-from limpetyard.engine._advice import AdviceBook
+from limpetyard.engine._advice import AdviceCache
 from limpetyard.engine._crashes import split_suspects
 from limpetyard.engine._draining import drain_worker
-from limpetyard.engine._effects import Effect, Start
+from limpetyard.engine._effects import Effect, RequestAdvice, Start
 from limpetyard.engine._placement import PLACERS, Candidate, placer_name
 from limpetyard.engine._ranking import Ranking, ServiceRound
 from limpetyard.engine._step_worker_client import Ticket
@@ -47,7 +47,7 @@
     def __init__(self, engine: "Engine"):
         self._engine = engine
         self._wait_reporter = WaitReporter(engine)
-        self._advice = AdviceBook()
+        self._advice = AdviceCache()
         # When each draining worker last had its turn, by id.
         self._drained_ms: dict[str, float] = {}
         # Receivers of the tasks placed in this round.
@@ -164,18 +164,16 @@
             )
 
     def add_tickets(
-        self, job: str, occurrence: int, step: int, tickets: list[Ticket]
+        self, request: RequestAdvice, tickets: list[Ticket]
     ) -> None:
         """Adds the tickets of a reply of the advice service.
 
         Args:
-            job: Id of the job.
-            occurrence: Number of the occurrence.
-            step: Number of the step.
+            request: The request.
             tickets: Tickets whose `valid_ms` is the time on this process's
                 clock until which they are valid.
         """
-        self._advice.add((job, occurrence, step), tickets)
+        self._advice.add(request, tickets)
 
     def drop_ticket(self, task: Task, worker: Worker) -> None:
         """Drops a ticket that the worker did not accept."""
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -301,9 +301,7 @@
             return
         now_ms = self._clock.now_ms()
         self._engine.add_tickets(
-            effect.job,
-            effect.occurrence,
-            effect.step,
+            effect,
             [Ticket(t.worker, t.ticket, now_ms + t.valid_ms) for t in tickets],
         )
         self._replan()
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -399,7 +399,7 @@
         self.assertIsInstance(request, RequestAdvice)
         self.assertEqual(self.plan(), [])
         ticket = Ticket("w-1", "t", self.now_ms + 3000)
-        self.engine.add_tickets(spec.id, 0, 0, [ticket])
+        self.engine.add_tickets(request, [ticket])
         starts = self.plan(Start)
         self.assertEqual({(s.worker, s.ticket) for s in starts}, {("w-1", "t")})
 
--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_lasting_tasks.py
@@ -425,7 +425,7 @@
                 for worker in request.workers
                 if worker in permitted
             ]
-            self.engine.add_tickets(spec.id, 0, 0, tickets)
+            self.engine.add_tickets(request, tickets)
 
         until_ms = self.now_ms + LONGEST_WAIT_MS
         start = self.start_of(task.key, until_ms, self.poll_all, advise)
@@ -442,6 +442,32 @@
         start, asked = self.start_permitted(step, 1, {"w-0", "w-39"})
         self.assertIsNotNone(start, f"{len(asked)} requests")
 
+    def test_reply_to_an_earlier_request(self):
+        """A late reply makes permitted workers of the next request rejected."""
+        spec = job(1, LASTING, advice=AdviceParams(5, 1, 90_000))
+        self.submit(spec)
+        (first,) = self.plan(RequestAdvice)
+        self.now_ms += 4000
+        for number in range(10, 40):
+            self.poll(f"w-{number}")
+        (second,) = self.plan(RequestAdvice)
+        self.assertIn("w-39", set(second.workers) - set(first.workers))
+        self.engine.add_tickets(first, [])
+        self.assertEqual(self.plan(RequestAdvice), [])
+        ticket = Ticket("w-39", "t", self.now_ms + 90_000)
+        self.engine.add_tickets(second, [ticket])
+        (start,) = self.plan(Start)
+        self.assertEqual(start.worker, "w-39")
+
+    def test_reply_for_a_job_that_has_ended(self):
+        """Tickets of ended jobs are kept for good."""
+        spec = job(1, LASTING, advice=AdviceParams(5, 1, 90_000))
+        self.submit(spec)
+        (request,) = self.plan(RequestAdvice)
+        self.engine.cancel_job(spec.id, self.now_ms)
+        self.engine.add_tickets(request, [Ticket("w-0", "t", 90_000.0)])
+        self.assertEqual(self.engine._planner._advice._jobs, {})
+
     def test_ticket_that_is_not_accepted(self):
         """A task starts with a ticket that its worker has rejected."""
         spec = job(1, LASTING, advice=AdviceParams(5, 1, 90_000))
@@ -450,7 +476,7 @@
             (request,) = self.plan(RequestAdvice)
             ticket = Ticket("w-0", "t", self.now_ms + 90_000)
             self.assertIn("w-0", request.workers)
-            self.engine.add_tickets(spec.id, 0, 0, [ticket])
+            self.engine.add_tickets(request, [ticket])
             (start,) = self.plan(Start)
             self.engine.on_start_reply(
                 start, StartResult.BAD_TICKET, self.now_ms
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -441,8 +441,7 @@
                 for name in effect.workers
                 if self.rng.random() < 0.5
             ]
-            key = (effect.job, effect.occurrence, effect.step)
-            self.engine.add_tickets(*key, tickets)
+            self.engine.add_tickets(effect, tickets)
 
 
 class UnmetNeedTest(test_engine.EngineTestCase):
