Drop no absent run while a reply lacks some ended runs

What callers would see: a task runs again after it was done (TWICE).

Cause: a worker returns at most 500 ended runs in a reply. A run whose end was further back is neither running nor ended in that reply, and was taken as gone.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -406,6 +406,9 @@
                 run.proven = True
                 self.crashes.clear(run.task)
         worker.reset_failures_if_healthy(now_ms)
+        if not reply.has_all_ends:
+            # The end of an absent run may be among those that are missing.
+            return
         absent = [key for key in worker.runs if key not in reported]
         for key in absent:
             run = worker.runs[key]
--- a/src/limpetyard/engine/_step_worker_client.py
+++ b/src/limpetyard/engine/_step_worker_client.py
@@ -144,12 +144,15 @@
         clock_ms: Reading of the worker's clock.
         runs: Current runs.
         ends: Ended runs that are not acknowledged yet, in order.
+        has_all_ends: Whether `ends` is complete; the others follow in replies
+            to later polls.
     """
 
     born: int
     clock_ms: float
     runs: list[RunReport]
     ends: list[RunEndReport]
+    has_all_ends: bool = True
 
 
 class StartOrder(msgspec.Struct, frozen=True):
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -39,6 +39,9 @@
 # An order without a reply within this time is sent again.
 ORDER_TIMEOUT_MS = 500
 
+# A worker returns at most this many ended runs in one reply.
+MAX_ENDS_PER_REPLY = 500
+
 # Results of rejected start orders by the reason in the 409 reply.
 _START_RESULTS = {
     "old": StartResult.STALE_RUN,
@@ -200,6 +203,7 @@
             hold_reply.clock_ms,
             [_decode_run(row) for row in hold_reply.running],
             [_decode_run_end(row) for row in hold_reply.ended_runs],
+            len(hold_reply.ended_runs) < MAX_ENDS_PER_REPLY,
         )
 
     @translate_decode_errors(WorkerOutcomeUnknownError)
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -228,6 +228,7 @@
             self.clock_ms(),
             reports,
             self._ends[:ENDS_PER_REPLY],
+            len(self._ends) <= ENDS_PER_REPLY,
         )
 
     async def start(self, order: StartOrder) -> StartResult:
