Let a start order expire with the latest of its sends, after 3 s

What callers would see: a task runs twice (TWICE) if a reply between two sends of a start is processed late: the second order may then expire before the first, and only the second expiry was kept. And starts are rejected as late while the event loop is late, since the estimate of the worker's clock is behind by that.

The latest expiry is kept, and an order is valid for 3 s instead of 2 s.

--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -1,6 +1,7 @@
 """State of a worker and of the runs on it, as known to the owner."""
 
 import enum
+import math
 from typing import TYPE_CHECKING
 
 from limpetyard.engine._step_worker_client import RunReport, WorkerEntry
@@ -84,7 +85,7 @@
             it, whichever was first; None before that. The reply to a poll that
             is sent later shows whether the run exists.
         start_expires_ms: Time on the worker's clock from which it rejects all
-            start orders that were sent; infinite if that is not known.
+            start orders that this owner sent; infinite if it sent none.
         checkpoint: Latest checkpoint that was reported.
         speed_percent: Share of its full speed that the run was last given.
         at_full_speed: Whether the last report showed the run at 100 % speed.
@@ -142,6 +143,12 @@
             and alive_ms - self.acked_ms >= PROVEN_RUN_MS
         )
 
+    def add_start_expiry(self, until_ms: float) -> None:
+        """Records a start order and when it expires on the worker's clock."""
+        if math.isinf(self.start_expires_ms):
+            self.start_expires_ms = until_ms
+        self.start_expires_ms = max(self.start_expires_ms, until_ms)
+
     def apply_report(self, report: RunReport, now_ms: float) -> None:
         """Updates the run from a report of the worker that arrived now."""
         if self.acked_ms is None:
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -30,9 +30,11 @@
 # Maximum number of times that an unanswered start order is sent.
 START_ATTEMPTS = 2
 
-# Time after which a worker rejects a start order that it receives late. The
-# lease of a responsive worker lasts longer, as each poll renews it.
-START_VALID_MS = 2000
+# Time after which a worker rejects a start order that it receives late. It runs
+# on the worker's clock, and from this owner's estimate of that clock, which is
+# behind by up to the age of the reply that it comes from. The lease of a
+# responsive worker lasts longer, as each poll renews it.
+START_VALID_MS = 3000
 
 # Maximum number of start orders that are accepted and not done, so that the
 # replies to all of them are processed within the time-out of an order.
@@ -189,7 +191,7 @@
                 effect.ticket,
             )
             sends += 1
-            run.start_expires_ms = until_ms
+            run.add_start_expiry(until_ms)
             if not attempt:
                 queued_ms = now_ms - run.placed_ms
             try:
