Stop a gang if a member is rejected or never starts

What callers would see: members of a gang end alone (GANG), as one of them was rejected by its worker or its unanswered start has expired.

Cause: the others were stopped only if a start was withdrawn.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -416,6 +416,8 @@
             if was_acked or run.start_expires_ms < reply.clock_ms:
                 del worker.runs[key]
                 self._release_run(worker, run, now_ms)
+                if run.step.gang and not was_acked:
+                    self._stop_gang(run)
 
     def _adopt_run(
         self, worker: Worker, report: RunReport, now_ms: float
@@ -572,6 +574,8 @@
             reason=result.value,
         )
         worker.backoff_until_ms = now_ms + REJECTED_START_BACKOFF_MS
+        if run.step.gang:
+            self._stop_gang(effect)
         task = self.find_task(effect.task)
         if task is not None and task.worker == worker.id:
             if result is StartResult.BAD_TICKET:
@@ -611,7 +615,7 @@
         ):
             self.release_task(task, now_ms)
 
-    def _stop_gang(self, member: Start) -> None:
+    def _stop_gang(self, member: Start | WorkerRun) -> None:
         """Marks the runs that were planned with a member of a gang."""
         for worker in self.workers.values():
             for run in worker.runs.values():
