Back off from tasks whose starts are rejected

What callers would see: a task does not start although its worker has room (LOST), as another one whose starts are always rejected comes first.

Cause: any rejection held back the worker for 500 ms, also one that says nothing about the worker, and withdrew the starts queued behind; the rejected task waited 100 ms and, being the oldest, came first again.

Only lack of room and of health hold back the worker now.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -47,10 +47,18 @@
 # Time after which a stop order without a reply is repeated.
 STOP_RETRY_MS = 500
 
-# Time for which a worker gets no new work after it rejected a start, such as
-# for lack of room or health. Its next report shows what it runs.
+# Rejections of a start that say something about the worker rather than about
+# the order.
+WORKER_REJECTIONS = (StartResult.NO_ROOM, StartResult.UNHEALTHY)
+
+# Time for which a worker gets no new work after such a rejection. Its next
+# report shows what it runs.
 REJECTED_START_BACKOFF_MS = 500
 
+# Maximum of the exponential backoff of a task whose starts are rejected. It is
+# longer than that of the worker, so that other tasks get a turn.
+MAX_REJECTED_BACKOFF_MS = 1600
+
 # A worker whose directory entry is missing for longer than this counts as
 # departed. After an outage of the store, entries are back within two seconds.
 MISSING_ENTRY_GRACE_MS = 2500
@@ -555,6 +563,9 @@
         if result is StartResult.STARTED:
             run.acked_ms = now_ms
             worker.silent_starts = 0
+            task = self.find_task(effect.task)
+            if task is not None:
+                task.rejections = 0
             if run.state is RunState.ORDERED:
                 run.state = RunState.RUNNING
             self._record_job_start(effect.task.job, now_ms)
@@ -573,7 +584,8 @@
             worker=worker.id,
             reason=result.value,
         )
-        worker.backoff_until_ms = now_ms + REJECTED_START_BACKOFF_MS
+        if result in WORKER_REJECTIONS:
+            worker.backoff_until_ms = now_ms + REJECTED_START_BACKOFF_MS
         if run.step.gang:
             self._stop_gang(effect)
         task = self.find_task(effect.task)
@@ -581,13 +593,19 @@
             if result is StartResult.BAD_TICKET:
                 self._planner.drop_ticket(task, worker)
             self.release_task(task, now_ms)
-            task.retry_at_ms = now_ms + FAILED_TASK_BACKOFF_MS
+            task.avoided_worker = worker.id
+            # Limits the size of the shift.
+            doublings = min(task.rejections, 10)
+            task.rejections += 1
+            task.retry_at_ms = now_ms + min(
+                FAILED_TASK_BACKOFF_MS << doublings, MAX_REJECTED_BACKOFF_MS
+            )
 
     def _avoid_worker(self, run: WorkerRun, worker: Worker) -> None:
         """Makes the task of a run prefer other workers for its next run."""
         task = self.find_task(run.task)
         if task is not None and task.worker == worker.id:
-            task.failed_on = worker.id
+            task.avoided_worker = worker.id
 
     def on_start_withdrawn(self, effect: Start, now_ms: float) -> None:
         """Handles a start order that was never sent: drops the run.
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -94,7 +94,7 @@
         others = [
             entry
             for candidate, entry in self._entries.items()
-            if candidate.worker.id != task.failed_on
+            if candidate.worker.id != task.avoided_worker
             and not (task.failure_count and candidate.worker.failures)
         ]
         entries = others or self._entries.values()
--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -171,7 +171,7 @@
     ) -> None:
         """Records a failed run; fails the job at the last allowed attempt."""
         worker.record_failure(now_ms)
-        task.failed_on = worker.id
+        task.avoided_worker = worker.id
         task.retry_at_ms = now_ms + FAILED_TASK_BACKOFF_MS
         if task.step.long_running:
             # Limits the size of the shift.
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -44,8 +44,10 @@
         failure_count: Number of failed runs.
         early_failures: Number of runs of a long-running task that failed soon
             after their start, since the last one that did not.
-        failed_on: Worker of the last run that failed or whose start order was
-            not answered, or "".
+        rejections: Number of its start orders that were rejected since the
+            last one that was not.
+        avoided_worker: Worker of the last run that failed, or whose start order
+            was rejected or not answered, or "".
         crash_score: Score of the workers that crashed under runs that were not
             proven by then, since a run last was; see
             `limpetyard.engine._crashes`.
@@ -72,12 +74,13 @@
         "crashed_workers",
         "early_failures",
         "ended_runs",
-        "failed_on",
+        "avoided_worker",
         "failure_count",
         "idle_since_ms",
         "isolate_until_ms",
         "key",
         "may_be_running",
+        "rejections",
         "retry_at_ms",
         "run",
         "state",
@@ -111,7 +114,8 @@
         self.ended_runs: set[int] = set()
         self.failure_count = 0
         self.early_failures = 0
-        self.failed_on = ""
+        self.rejections = 0
+        self.avoided_worker = ""
         self.crash_score = 0
         self.crashed_workers: list[str] = []
         self.isolate_until_ms: float | None = None
@@ -127,7 +131,7 @@
     @property
     def has_failed(self) -> bool:
         """Whether a run of the task has failed."""
-        return bool(self.failure_count or self.failed_on)
+        return bool(self.failure_count or self.avoided_worker)
 
     def fire(self, event: str) -> None:
         """Applies an event of the task state machine."""
--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_lasting_tasks.py
@@ -18,6 +18,7 @@
     RunEndKind,
     RunEndReport,
     RunReport,
+    RunState,
     Start,
     StartResult,
     Stop,
@@ -401,6 +402,71 @@
         )
 
 
+class RejectedStartTest(LastingTestCase):
+    """Start orders that are rejected."""
+
+    workers = 1
+
+    def test_rejected_task_keeps_others_waiting(self):
+        """A task whose starts are always rejected is always tried first."""
+        for reason in (StartResult.NO_ROOM, StartResult.STALE_RUN):
+            with self.subTest(reason):
+                self.setUp()
+                bad = self.submit(job(1, LASTING)).task(0, 0, 0)
+                good = self.submit(job(2, LASTING)).task(0, 0, 0)
+                until_ms = self.now_ms + LONGEST_WAIT_MS
+                while good.state == "waiting" and self.now_ms < until_ms:
+                    self.now_ms += 100
+                    self.poll_all()
+                    self.reply_in_turn(self.plan(Start), bad.key, reason)
+                self.assertEqual(good.state, "placed")
+
+    def reply_in_turn(
+        self, starts: list[Start], rejected: TaskKey, reason: StartResult
+    ) -> None:
+        """Replies to starts as `OrderDispatcher` sends them, one by one."""
+        for start in starts:
+            worker = self.engine.workers[start.worker]
+            if self.now_ms < worker.backoff_until_ms:
+                self.engine.on_start_withdrawn(start, self.now_ms)
+                continue
+            result = StartResult.STARTED
+            if start.task == rejected:
+                result = reason
+            self.engine.on_start_reply(start, result, self.now_ms)
+
+    def test_member_of_a_gang(self):
+        """The other members of a gang wait for a member that was rejected."""
+        self.submit(job(1, StepSpec(2, ONE_CORE, gang=True)))
+        first, _ = self.plan(Start)
+        self.engine.on_start_reply(first, StartResult.EXPIRED, self.now_ms)
+        worker = self.engine.workers["w-0"]
+        (other,) = worker.runs.values()
+        self.assertIs(other.state, RunState.STOPPING)
+
+    def test_page_of_ends_is_full(self):
+        """A run that has ended is lost, as its end follows in a later reply."""
+        task = self.submit(job(1, LASTING)).task(0, 0, 0)
+        self.start_all()
+        worker = self.engine.workers["w-0"]
+        for has_all_ends, state in ((False, "placed"), (True, "waiting")):
+            self.now_ms += 100
+            reply = PollReply(1, self.now_ms, [], [], has_all_ends)
+            self.engine.on_poll_reply(
+                worker, self.now_ms - 50, reply, self.now_ms
+            )
+            self.assertEqual(task.state, state)
+
+    def test_expiry_of_two_orders(self):
+        """A run is dropped while the earlier of two orders may start it."""
+        self.submit(job(1, LASTING))
+        self.plan(Start)
+        (run,) = self.engine.workers["w-0"].runs.values()
+        for until_ms in (2000, 1900):
+            run.add_start_expiry(until_ms)
+        self.assertEqual(run.start_expires_ms, 2000)
+
+
 class AdvisedTest(LastingTestCase):
     """Lasting tasks of queues with advice."""
 
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -236,7 +236,7 @@
         others = [
             c
             for c in allowed
-            if c.worker.id != task.failed_on
+            if c.worker.id != task.avoided_worker
             and not (task.failure_count and c.worker.failures)
         ]
         scored = [
--- a/tests/logbook/test_job_history.py
+++ b/tests/logbook/test_job_history.py
@@ -72,7 +72,7 @@
             findings,
         )
 
-    def test_failed_on_worker(self):
+    def test_avoided_worker_worker(self):
         """Failed runs are reported with their worker."""
         end = line(
             2, "run_ended", task=f"{JOB}.0.0.0", worker="w-3", how="failed"
