Delete the record of a gone worker also after a refused append

What callers would see: after each later takeover, tasks that have ended wait 5 to 10 s for a worker that is long gone (LOST).

Cause: the worker was dropped from the engine before its record was deleted, and a refused deletion was never tried again.

Its id is kept until the deletion has succeeded. test_refused_while_a_worker_is_forgotten failed before.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -151,6 +151,8 @@
         self._append_done = asyncio.Event()
         # Stored incarnation and draining flag of each worker, by id.
         self._recorded_workers: dict[str, tuple[int, bool]] = {}
+        # Workers whose record is to be deleted, by id.
+        self._removed_workers: set[str] = set()
         self._poll_tasks: dict[str, asyncio.Task] = {}
         self._orders_suspended = False
 
@@ -507,7 +509,10 @@
             and job.stored_state == job.state
             and now_ms - job.ended_ms > self._retention_ms
         ]
-        removed = self.engine.remove_gone_workers(now_ms)
+        self._removed_workers.update(self.engine.remove_gone_workers(now_ms))
+        # One that is listed again meanwhile is recorded anew.
+        self._removed_workers.difference_update(self.engine.workers)
+        removed = sorted(self._removed_workers)
         records = [
             KeyedRecord(WORKER_KEY_PREFIX + worker, None) for worker in removed
         ]
@@ -523,6 +528,7 @@
             return
         for job_id in expired_jobs:
             self.engine.drop_job(job_id)
+        self._removed_workers.difference_update(removed)
         for worker in removed:
             self._recorded_workers.pop(worker, None)
 
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -8,6 +8,7 @@
 from limpetyard.errors import RequestError
 from limpetyard.jobs import JobSpec, Resources, StepSpec
 from limpetyard.node import CellOwner
+from limpetyard.store import RefusalKind, StoreRefusedError, Writer
 from standins.platform import (
     LinkedWorkerClient,
     SimulatedSite,
@@ -392,6 +393,32 @@
         with mock.patch("limpetyard.node._owner.PURGE_INTERVAL_MS", 50):
             self.run_scenario(scenario)
 
+    def test_refused_while_a_worker_is_forgotten(self):
+        """The record of a worker that is gone stays after a refused append.
+
+        Each later owner would wait for this worker.
+        """
+        append = Writer.append
+        refusals = []
+
+        async def refuse_first_deletion(writer, records) -> None:
+            deletes = any(record.value is None for record in records)
+            if deletes and not refusals:
+                refusals.append(records)
+                raise StoreRefusedError(RefusalKind.BUSY, "test")
+            await append(writer, records)
+
+        async def scenario(site: SimulatedSite) -> None:
+            site.workers["w-5"].leave()
+            await asyncio.sleep(20)
+            self.assertEqual(len(refusals), 1)
+            latest = site.store.partition("jobs", 0).latest
+            self.assertNotIn("w/w-5", latest)
+            self.assertIn("w/w-4", latest)
+
+        with mock.patch.object(Writer, "append", refuse_first_deletion):
+            self.run_scenario(scenario)
+
     def test_refusing(self):
         """A rejected job never runs, and the error contains a retry time."""
 
