Place long-running tasks that fail early after others

What callers would see: a long-running task does not run (LOST), as two others that fail at once take the probes of the only worker with room in turn.

Cause: the backoff of a failing task ends before the second next probe, and then it came first by submission.

--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -274,6 +274,18 @@
         waiting = self._waiting.get((occurrence, step), {})
         return [waiting[index] for index in sorted(waiting)]
 
+    def early_failures(self, step: int) -> int:
+        """Returns the fewest early failures of a waiting task of a step."""
+        return min(
+            (
+                task.early_failures
+                for (_, number), waiting in self._waiting.items()
+                if number == step
+                for task in waiting.values()
+            ),
+            default=0,
+        )
+
     def mark_task_done(self, task: Task) -> None:
         """Marks a task as done; idempotent."""
         if task.state == "done":
--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_lasting_tasks.py
@@ -1,6 +1,7 @@
 """Tests that long-running tasks restart soon, wherever their run ended."""
 
 import asyncio
+import functools
 import heapq
 import itertools
 import random
@@ -124,6 +125,34 @@
         self.start_of(None, self.now_ms + LONGEST_WAIT_MS, fail)
         self.assertEqual([t.state for t in others], ["placed"] * 4)
 
+    def test_failing_tasks_take_every_probe_of_one_worker(self):
+        """Tasks that fail at once keep another from the only worker."""
+        for number in (1, 3):
+            with self.subTest(failing=number):
+                self.workers = 1
+                self.setUp()
+                bad = {f"{n:016x}" for n in range(number)}
+                for n in range(number):
+                    self.submit(job(n, LASTING))
+                good = self.submit(job(9, LASTING)).task(0, 0, 0)
+                for start in self.start_all():
+                    self.end(start, RunEndKind.FAILED)
+                start = self.start_of(
+                    good.key,
+                    self.now_ms + LONGEST_WAIT_MS,
+                    functools.partial(self.fail_runs, bad),
+                )
+                self.assertIsNotNone(start)
+
+    def fail_runs(self, jobs: set[str]) -> None:
+        """Has w-0 report that the runs of some jobs failed."""
+        ends = tuple(
+            (run.task, run.run, RunEndKind.FAILED)
+            for run in self.engine.workers["w-0"].runs.values()
+            if run.task.job in jobs
+        )
+        self.poll("w-0", ends)
+
     def test_slowed_probe(self):
         """A best-effort probe that is slowed keeps others from starting."""
         for number in (1, 2, 3):
