Wait only for the worker whose restart released a task

What callers would see: a long-running task whose worker restarted does not start while other workers restart one after another (LOST).

Cause: the task was marked as possibly running anywhere, and waited until every worker of the service was confirmed; a rolling restart goes on for longer.

Only a late order to that worker can start the last run again, so the task waits for the confirmation of that worker or the end of its lease. test_restarts_of_other_workers failed before.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -517,7 +517,7 @@
             self._release_run(worker, run, now_ms)
             task = self.find_task(run.task)
             if task is not None:
-                task.may_be_running = True
+                task.restarted_worker = worker.id
         if runs:
             worker.prior_lease_end_ms = max(
                 worker.prior_lease_end_ms, lease_end_ms
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -6,6 +6,7 @@
 
 import itertools
 import math
+from collections.abc import Container
 from typing import TYPE_CHECKING
 
 from limpetyard.engine._advice import AdviceCache
@@ -68,7 +69,8 @@
         Returns:
             Starts, and requests for advice that must precede starts.
         """
-        unconfirmed_services = self._unconfirmed_services(now_ms)
+        unconfirmed = self._unconfirmed_workers(now_ms)
+        unconfirmed_services = set(unconfirmed.values())
         self._placed = []
         rounds: dict[str, ServiceRound] = {}
         left = math.inf if max_starts is None else max_starts
@@ -90,6 +92,7 @@
             waiting = _startable(
                 job.waiting_tasks(occurrence, step),
                 service in unconfirmed_services,
+                unconfirmed,
                 now_ms,
             )
             if waiting:
@@ -104,7 +107,7 @@
                 left -= sum(type(e) is Start for e in step_effects)
                 effects += step_effects
         self._wait_reporter.report(
-            RoundState(now_ms, rounds, unconfirmed_services, left)
+            RoundState(now_ms, rounds, unconfirmed, left)
         )
         self._drain_workers(rounds, now_ms)
         return effects
@@ -191,15 +194,17 @@
             job.make_due(job.due + 1)
             job.dirty = True
 
-    def _unconfirmed_services(self, now_ms: float) -> dict[str, str]:
-        """Returns services in which runs of an earlier owner may exist.
+    def _unconfirmed_workers(self, now_ms: float) -> dict[str, str]:
+        """Returns workers with possible runs of an earlier owner or life.
 
-        Such runs may be on a worker that has not yet replied to a poll with
-        this owner's token and whose earlier lease may not have expired. The
-        value is the id of one such worker of the service.
+        Such a worker has not yet replied to a poll with its present token, and
+        earlier leases may not have expired.
+
+        Returns:
+            Service of each of these workers, by worker id.
         """
         return {
-            worker.entry.service: worker.id
+            worker.id: worker.entry.service
             for worker in self._engine.workers.values()
             if not worker.token_confirmed and now_ms < worker.prior_lease_end_ms
         }
@@ -427,6 +432,7 @@
         """Records the placement of a task and returns its start order."""
         worker: Worker = candidate.worker
         task.may_be_running = False
+        task.restarted_worker = ""
         task.run = run_number
         task.worker = worker.id
         task.fire("place")
@@ -455,7 +461,10 @@
 
 
 def _startable(
-    waiting: list[Task], is_unconfirmed: bool, now_ms: float
+    waiting: list[Task],
+    is_unconfirmed: bool,
+    unconfirmed: Container[str],
+    now_ms: float,
 ) -> list[Task]:
     """Returns the tasks that may start now.
 
@@ -463,6 +472,7 @@
         waiting: Waiting tasks.
         is_unconfirmed: Whether runs of an earlier owner may exist in the
             service.
+        unconfirmed: Ids of the workers on which they may.
         now_ms: Current time.
     """
     return [
@@ -470,6 +480,7 @@
         for task in waiting
         if task.retry_at_ms <= now_ms
         and not (task.may_be_running and is_unconfirmed)
+        and task.restarted_worker not in unconfirmed
     ]
 
 
--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -18,6 +18,9 @@
 # Time between two reports on the same step.
 REPORT_INTERVAL_MS = 2000
 
+# Time between two looks at the waiting steps.
+LOOK_INTERVAL_MS = 500
+
 # Maximum number of reports in one round; the longest waits come first.
 MAX_REPORTS = 10
 
@@ -47,8 +50,8 @@
     Attributes:
         now_ms: Time of the round.
         rounds: Workers by service, of the services that were looked at.
-        unconfirmed: Some unconfirmed worker of each service in which runs of
-            an earlier owner may exist.
+        unconfirmed: Service of each worker on which a run of an earlier owner
+            or incarnation may exist, by worker id.
         starts_left: Number of starts that were not used.
     """
 
@@ -70,18 +73,28 @@
 # Returns the input that made a step wait, or None if the reason does not apply.
 Reason = Callable[[WaitingStep, RoundState], str | None]
 
-# The planner applies them in the order of their names.
 REASONS: Registry[Reason] = Registry("reason to wait")
 
+# The first of these that applies is reported.
+REASON_ORDER = (
+    "backoff",
+    "earlier_owner",
+    "restarted_worker",
+    "no_worker",
+    "start_limit",
+    "no_room",
+)
+
 
 class WaitReporter:
     """Logs steps whose long-running tasks wait for long."""
 
-    __slots__ = ("_engine", "_first_round_ms", "_reported_ms")
+    __slots__ = ("_engine", "_first_round_ms", "_looked_ms", "_reported_ms")
 
     def __init__(self, engine: "Engine"):
         self._engine = engine
         self._first_round_ms: float | None = None
+        self._looked_ms = -math.inf
         # When each waiting step was last reported, by job, occurrence and step.
         self._reported_ms: dict[tuple, float] = {}
 
@@ -89,6 +102,9 @@
         """Logs the steps that have waited longest, with the reason."""
         if self._first_round_ms is None:
             self._first_round_ms = state.now_ms
+        if state.now_ms - self._looked_ms < LOOK_INTERVAL_MS:
+            return
+        self._looked_ms = state.now_ms
         steps = self._waiting_steps(state.now_ms)
         keys = {step.task.key[:3] for step in steps}
         self._reported_ms = {
@@ -131,7 +147,7 @@
 
 def explain(step: WaitingStep, state: RoundState) -> tuple[str, str]:
     """Returns the first reason that applies to a step, and its input."""
-    for name in REASONS:
+    for name in REASON_ORDER:
         detail = REASONS.get(name)(step, state)
         if detail is not None:
             return name, detail
@@ -155,8 +171,9 @@
     """A run of an earlier owner may exist on a worker."""
     if not step.task.may_be_running:
         return None
-    worker = state.unconfirmed.get(step.job.spec.queue.service)
-    return None if worker is None else f"unconfirmed: {worker}"
+    service = step.job.spec.queue.service
+    workers = [w for w, other in state.unconfirmed.items() if other == service]
+    return f"unconfirmed: {workers[0]}" if workers else None
 
 
 @REASONS.register("no_room")
@@ -187,3 +204,10 @@
 @REASONS.register("start_limit")
 def _start_limit(step: WaitingStep, state: RoundState) -> str | None:
     return "no start left in this round" if state.starts_left <= 0 else None
+
+
+@REASONS.register("restarted_worker")
+def _restarted_worker(step: WaitingStep, state: RoundState) -> str | None:
+    """A late order may start the task's last run again on its worker."""
+    worker = step.task.restarted_worker
+    return f"unconfirmed: {worker}" if worker in state.unconfirmed else None
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -62,6 +62,9 @@
         worker_born: Incarnation of that worker.
         may_be_running: Whether a run that an earlier owner started may still
             exist on some worker.
+        restarted_worker: Worker that restarted with a run of the task, or "". A
+            late order to its earlier incarnation may start that run again until
+            the worker is confirmed.
         idle_since_ms: When the task last returned to the waiting state, or
             None.
         retry_at_ms: Time before which the task is not started again.
@@ -81,6 +84,7 @@
         "key",
         "may_be_running",
         "rejections",
+        "restarted_worker",
         "retry_at_ms",
         "run",
         "state",
@@ -125,6 +129,7 @@
         self.stored_worker = ""
         self.stored_born = 0
         self.may_be_running = False
+        self.restarted_worker = ""
         self.idle_since_ms: float | None = None
         self.retry_at_ms = 0.0
 
--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_lasting_tasks.py
@@ -215,6 +215,26 @@
         )
         self.assertIsNotNone(start)
 
+    def test_restarts_of_other_workers(self):
+        """A task whose worker restarted waits for others that restart later."""
+        task = self.submit(job(1, LASTING)).task(0, 0, 0)
+        self.start_all()
+        own, *others = self.engine.workers
+        self.assertEqual(task.worker, own)
+        self.submit(job(2, StepSpec(4, ONE_CORE, per_worker=1)))
+        self.start_all()
+        self.now_ms += 1000
+        self.poll_all()
+        for worker_id in (own, others[0]):
+            number = int(worker_id[2:])
+            self.engine.set_entry(entry(number, born=2), self.now_ms)
+        self.assertNotIn(task.key, [s.task for s in self.plan(Start)])
+        self.now_ms += 100
+        reply = PollReply(2, self.now_ms, [], [])
+        worker = self.engine.workers[own]
+        self.engine.on_poll_reply(worker, self.now_ms, reply, self.now_ms)
+        self.assertIn(task.key, [s.task for s in self.plan(Start)])
+
     def test_older_end_after_a_found_run(self):
         """The late end of an older run makes a task start a second time."""
         task = self.adopt()
