Leave standby only if no member of the group answers

What callers would see: the cell moves away from a healthy owner, as a node on standby joins the group.

Cause: two missed calls to the preferred member sufficed.

If any other member of the assignments answers, the group is not empty, and its assignments will change by themselves. Only a node that reaches no member joins again, with doubling delays. test_preferred_member_unreachable failed before; test_unreachable_for_long guards the doubling.

--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -49,10 +49,10 @@
 # On standby, the member for which the node stands by is called this often.
 LIVENESS_CHECK_MS = 1500
 
-# A node on standby joins again if that member has not answered for this long:
-# the group may have no member left to assign its cells to. The time doubles, up
-# to a maximum, until the member answers: it may only be unreachable, and each
-# join moves cells.
+# A node on standby joins again if that member has not answered for this long
+# and no other member answers: the group may have none left to assign its cells
+# to. The time doubles, up to a maximum, until the member answers, since the
+# members may only be unreachable, and each join moves cells.
 INITIAL_UNANSWERED_MS = 2500
 MAX_UNANSWERED_MS = 40_000
 
@@ -231,9 +231,11 @@
         )
 
     async def _watch_preferred_member(self) -> None:
-        """Returns once the preferred member has not answered for too long.
+        """Returns once the group seems to have no member left.
 
-        Another member may become the preferred one meanwhile.
+        That is when the preferred member has not answered for too long, and no
+        other member of the assignments answers either. Another member may
+        become the preferred one meanwhile.
         """
         member, answered_ms = "", 0.0
         while preferred := self._preferred_member():
@@ -244,12 +246,22 @@
                 self._unanswered_limit_ms = INITIAL_UNANSWERED_MS
             unanswered_ms = self._clock.now_ms() - answered_ms
             if unanswered_ms >= self._unanswered_limit_ms:
-                event("member_silent", member=member, age_ms=unanswered_ms)
-                self._unanswered_limit_ms = min(
-                    2 * self._unanswered_limit_ms, MAX_UNANSWERED_MS
-                )
-                return
+                if not await self._any_member_answers():
+                    break
+                answered_ms = self._clock.now_ms()
             await asyncio.sleep(LIVENESS_CHECK_MS / MS_PER_SECOND)
+        else:
+            return
+        event("member_silent", member=member, age_ms=unanswered_ms)
+        self._unanswered_limit_ms = min(
+            2 * self._unanswered_limit_ms, MAX_UNANSWERED_MS
+        )
+
+    async def _any_member_answers(self) -> bool:
+        """Calls all members of the assignments; returns whether one answers."""
+        members = set(self._assigned_members.values()) - {"", self.name}
+        answers = await asyncio.gather(*map(self._answers, members))
+        return any(answers)
 
     def _check_due_in_ms(self) -> float:
         """Returns the time until the next read on standby."""
--- a/tests/node/test_standby.py
+++ b/tests/node/test_standby.py
@@ -115,6 +115,33 @@
         site = self.run_scenario(scenario)
         self.assertEqual(len(site.history.of(RunStarted)), 8 * 8)
 
+    def test_preferred_member_unreachable(self):
+        """A node joins because only the member it stands by for is silent.
+
+        Each join may move the cell.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            owner = site.owner()
+            preferred = min(large_hosts(site), key=lambda h: h.node.member.name)
+            preferred.peer_link.cut = True
+            await asyncio.sleep(SETTLED_S)
+            self.assertNotIn("standby_left", self.changes)
+            self.assertIs(site.owner(), owner)
+
+        self.run_scenario(scenario)
+
+    def test_unreachable_for_long(self):
+        """A node cut off from all members joins and leaves again and again."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            small = next(h for h in site.hosts if h not in large_hosts(site))
+            small.peer_link.cut = True
+            await asyncio.sleep(120)
+
+        self.run_scenario(scenario)
+        self.assertLessEqual(self.changes.count("standby_left"), 5)
+
     def test_large_node_joins_many_small_ones(self):
         """A large node gets a cell although there are more members than cells.
 
