Give long-running tasks one more crash before they are given up

What callers would see: a long-running job is shown as failed (LOST) after two coincident crashes of workers, each within half a second of a start.

The higher limit of 5 holds for long-running tasks now: three lone crashes.

--- a/src/limpetyard/engine/_crashes.py
+++ b/src/limpetyard/engine/_crashes.py
@@ -26,11 +26,12 @@
 LONE_CRASH = 2
 SHARED_CRASH = 1
 
-# Score of a task at which its job fails. While workers also crash for other
-# reasons, an innocent task is likelier to be hit several times. Even if every
+# Score of a task at which its job fails. It is higher while workers also crash
+# for other reasons, as an innocent task is likelier to be hit several times
+# then, and for long-running tasks, whose jobs are worth more. Even if every
 # crash is shared, a task is started no more than five times.
 MAX_SCORE = 4
-MAX_SCORE_AMID_OTHERS = 5
+MAX_SCORE_IF_DOUBTFUL = 5
 
 # A suspect that has waited for this long to be isolated is placed as any other
 # task, since a long-running one must not wait.
@@ -109,8 +110,10 @@
             workers=" ".join(task.crashed_workers),
             score=task.crash_score,
         )
-        amid_others = any(not crash.has_suspects for crash in self._recent)
-        limit = MAX_SCORE_AMID_OTHERS if amid_others else MAX_SCORE
+        doubtful = task.step.long_running or any(
+            not crash.has_suspects for crash in self._recent
+        )
+        limit = MAX_SCORE_IF_DOUBTFUL if doubtful else MAX_SCORE
         if task.crash_score >= limit:
             self._engine.end_job(job, "fail", now_ms)
 
