--- a/standins/platform/_lasting.py
+++ b/standins/platform/_long_running.py
@@ -32,7 +32,7 @@
 ROOM_FACTOR = 2
 
 
-class LastingTaskWatch:
+class LongRunningTaskWatch:
     """Records in the history each long-running task that waits too long.
 
     Timed jobs are left out, as their tasks are not due at once.
@@ -75,8 +75,8 @@
 
     def _add_job(self, entry: JobAccepted) -> None:
         spec = entry.spec
-        lasting = spec.steps[0].long_running and not spec.timed
-        if not lasting or spec.id in self._specs:
+        watched = spec.steps[0].long_running and not spec.timed
+        if not watched or spec.id in self._specs:
             return
         self._specs[spec.id] = spec
         for index in range(spec.steps[0].count):
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -30,8 +30,8 @@
     StateReturned,
     ZoneChanged,
 )
-from standins.platform._lasting import LastingTaskWatch
 from standins.platform._link import Link, LinkRefusedError, LinkTimeoutError
+from standins.platform._long_running import LongRunningTaskWatch
 from standins.platform._processor import Processor
 from standins.platform._store import LinkedStoreClient, StoreModel
 from standins.platform._virtual_time import VirtualClock
@@ -274,7 +274,7 @@
     async def start(self) -> None:
         """Publishes a configuration and starts all nodes."""
         self.publish()
-        watch = LastingTaskWatch(self)
+        watch = LongRunningTaskWatch(self)
         for work in (self._heartbeats(), watch.run()):
             self._tasks.append(asyncio.ensure_future(work))
         for host in self.hosts:
--- a/tests/engine/test_lasting_tasks.py
+++ b/tests/engine/test_long_running.py
@@ -61,10 +61,10 @@
 # Most ended runs in one reply of a worker.
 ENDS_PER_REPLY = 500
 
-LASTING = StepSpec(1, ONE_CORE, long_running=True)
+LONG_RUNNING = StepSpec(1, ONE_CORE, long_running=True)
 
 
-class LastingTestCase(EngineTestCase):
+class LongRunningTestCase(EngineTestCase):
     """Base of tests that let time pass until a task starts."""
 
     def start_of(
@@ -103,14 +103,14 @@
             self.poll(worker_id)
 
 
-class ProbationTest(LastingTestCase):
-    """Lasting tasks that wait for a worker on probation."""
+class ProbationTest(LongRunningTestCase):
+    """Long-running tasks that wait for a worker on probation."""
 
     workers = 4
 
     def test_failing_task_takes_every_probe(self):
         """One task that fails at once keeps others from starting anywhere."""
-        failing = self.submit(job(1, LASTING)).task(0, 0, 0)
+        failing = self.submit(job(1, LONG_RUNNING)).task(0, 0, 0)
 
         def fail():
             for worker in list(self.engine.workers.values()):
@@ -136,8 +136,8 @@
                 self.setUp()
                 bad = {f"{n:016x}" for n in range(number)}
                 for n in range(number):
-                    self.submit(job(n, LASTING))
-                good = self.submit(job(9, LASTING)).task(0, 0, 0)
+                    self.submit(job(n, LONG_RUNNING))
+                good = self.submit(job(9, LONG_RUNNING)).task(0, 0, 0)
                 for start in self.start_all():
                     self.end(start, RunEndKind.FAILED)
                 start = self.start_of(
@@ -163,7 +163,7 @@
         self.engine.workers["w-0"].failures = 2
         self.submit(job(1, StepSpec(1, ONE_CORE, run_ms=60_000, fills=True)))
         (probe,) = self.start_all()
-        waiting = self.submit(job(2, LASTING))
+        waiting = self.submit(job(2, LONG_RUNNING))
         slowed = RunReport(probe.task, probe.run, "", 50, 500.0)
         run = self.engine.workers["w-0"].runs[probe.task, probe.run]
 
@@ -177,14 +177,14 @@
         self.assertIsNotNone(start)
 
 
-class InheritedTest(LastingTestCase):
-    """Lasting tasks that may run on a worker that does not reply."""
+class InheritedTest(LongRunningTestCase):
+    """Long-running tasks that may run on a worker that does not reply."""
 
     workers = 4
 
     def adopt(self):
         """Returns a task whose run was found on w-0, and its key."""
-        submitted = self.submit(job(1, LASTING), loaded=True)
+        submitted = self.submit(job(1, LONG_RUNNING), loaded=True)
         task = submitted.task(0, 0, 0)
         report = RunReport(task.key, 5, "", 100, 0.0)
         self.poll("w-0", extra=(report,))
@@ -236,7 +236,7 @@
 
     def test_restarts_of_other_workers(self):
         """A task whose worker restarted waits for others that restart later."""
-        task = self.submit(job(1, LASTING)).task(0, 0, 0)
+        task = self.submit(job(1, LONG_RUNNING)).task(0, 0, 0)
         self.start_all()
         own, *others = self.engine.workers
         self.assertEqual(task.worker, own)
@@ -291,7 +291,7 @@
         return FenceResult(True, leases)
 
 
-class OwnersInSeriesTest(LastingTestCase):
+class OwnersInSeriesTest(LongRunningTestCase):
     """Owners that each last for three seconds, beside a silent worker."""
 
     workers = 1
@@ -306,7 +306,7 @@
 
     def check_start(self, is_reached: bool) -> None:
         """Checks that a task whose run ended starts under some owner."""
-        spec = job(1, LASTING)
+        spec = job(1, LONG_RUNNING)
         task = self.submit(spec).task(0, 0, 0)
         self.add(entry(5))
         self.engine.workers["w-5"].grant_lease(self.now_ms, LEASE_MS)
@@ -349,12 +349,12 @@
         self.poll("w-0", first_poll=True)
 
 
-class SilentStartTest(LastingTestCase):
+class SilentStartTest(LongRunningTestCase):
     """Start orders that get no reply."""
 
     def test_reported_run_that_vanishes(self):
         """A run that a reply showed and later ones lack stays placed."""
-        task = self.submit(job(1, LASTING)).task(0, 0, 0)
+        task = self.submit(job(1, LONG_RUNNING)).task(0, 0, 0)
         (start,) = self.plan(Start)
         self.now_ms += 200
         self.poll(start.worker)
@@ -368,7 +368,7 @@
 
     def test_worker_that_answers_polls_only(self):
         """A run that was never confirmed keeps its task until a stop is."""
-        task = self.submit(job(1, LASTING)).task(0, 0, 0)
+        task = self.submit(job(1, LONG_RUNNING)).task(0, 0, 0)
         (start,) = self.plan(Start)
         worker = self.engine.workers[start.worker]
         (run,) = worker.runs.values()
@@ -383,7 +383,7 @@
 
     def test_worker_that_never_answers_starts(self):
         """A task is placed again and again where no start is answered."""
-        task = self.submit(job(1, LASTING)).task(0, 0, 0)
+        task = self.submit(job(1, LONG_RUNNING)).task(0, 0, 0)
         tried = []
         until_ms = self.now_ms + 2 * LONGEST_WAIT_MS
         while self.now_ms < until_ms and len(set(tried)) < 2:
@@ -413,8 +413,8 @@
                     worker.grant_lease(self.now_ms, LEASE_MS)
 
 
-class RoomTest(LastingTestCase):
-    """Placement of many lasting tasks beside others."""
+class RoomTest(LongRunningTestCase):
+    """Placement of many long-running tasks beside others."""
 
     workers = 0
 
@@ -470,7 +470,7 @@
         )
 
 
-class RejectedStartTest(LastingTestCase):
+class RejectedStartTest(LongRunningTestCase):
     """Start orders that are rejected."""
 
     workers = 1
@@ -480,8 +480,8 @@
         for reason in (StartResult.NO_ROOM, StartResult.STALE_RUN):
             with self.subTest(reason):
                 self.setUp()
-                bad = self.submit(job(1, LASTING)).task(0, 0, 0)
-                good = self.submit(job(2, LASTING)).task(0, 0, 0)
+                bad = self.submit(job(1, LONG_RUNNING)).task(0, 0, 0)
+                good = self.submit(job(2, LONG_RUNNING)).task(0, 0, 0)
                 until_ms = self.now_ms + LONGEST_WAIT_MS
                 while good.state == "waiting" and self.now_ms < until_ms:
                     self.now_ms += 100
@@ -514,7 +514,7 @@
 
     def test_page_of_ends_is_full(self):
         """A run that has ended is lost, as its end follows in a later reply."""
-        task = self.submit(job(1, LASTING)).task(0, 0, 0)
+        task = self.submit(job(1, LONG_RUNNING)).task(0, 0, 0)
         self.start_all()
         worker = self.engine.workers["w-0"]
         for has_all_ends, state in ((False, "placed"), (True, "waiting")):
@@ -527,7 +527,7 @@
 
     def test_expiry_of_two_orders(self):
         """A run is dropped while the earlier of two orders may start it."""
-        self.submit(job(1, LASTING))
+        self.submit(job(1, LONG_RUNNING))
         self.plan(Start)
         (run,) = self.engine.workers["w-0"].runs.values()
         for until_ms in (2000, 1900):
@@ -535,8 +535,8 @@
         self.assertEqual(run.start_expires_ms, 2000)
 
 
-class AdvisedTest(LastingTestCase):
-    """Lasting tasks of queues with advice."""
+class AdvisedTest(LongRunningTestCase):
+    """Long-running tasks of queues with advice."""
 
     workers = 40
 
@@ -567,7 +567,7 @@
 
     def test_permitted_worker_beyond_the_first_request(self):
         """Each request names the same 30 workers, none of them permitted."""
-        start, asked = self.start_permitted(LASTING, 0, {"w-39"})
+        start, asked = self.start_permitted(LONG_RUNNING, 0, {"w-39"})
         self.assertIsNotNone(start, f"{len(asked)} requests, {set(asked)}")
 
     def test_permitted_worker_at_the_limit(self):
@@ -578,7 +578,7 @@
 
     def test_reply_to_an_earlier_request(self):
         """A late reply makes permitted workers of the next request rejected."""
-        spec = job(1, LASTING, advice=AdviceParams(5, 1, 90_000))
+        spec = job(1, LONG_RUNNING, advice=AdviceParams(5, 1, 90_000))
         self.submit(spec)
         (first,) = self.plan(RequestAdvice)
         self.now_ms += 4000
@@ -595,7 +595,7 @@
 
     def test_reply_for_a_job_that_has_ended(self):
         """Tickets of ended jobs are kept for good."""
-        spec = job(1, LASTING, advice=AdviceParams(5, 1, 90_000))
+        spec = job(1, LONG_RUNNING, advice=AdviceParams(5, 1, 90_000))
         self.submit(spec)
         (request,) = self.plan(RequestAdvice)
         self.engine.cancel_job(spec.id, self.now_ms)
@@ -604,7 +604,7 @@
 
     def test_ticket_that_is_not_accepted(self):
         """A task starts with a ticket that its worker has rejected."""
-        spec = job(1, LASTING, advice=AdviceParams(5, 1, 90_000))
+        spec = job(1, LONG_RUNNING, advice=AdviceParams(5, 1, 90_000))
         self.submit(spec)
         for _ in range(2):
             (request,) = self.plan(RequestAdvice)
@@ -747,11 +747,13 @@
         }
         for worker in self.workers.values():
             self.listed[worker.entry.id] = worker.entry
-        lasting = {"long_running": True, "checkpoints": True}
+        step_args = {"long_running": True, "checkpoints": True}
         self.specs = [
-            job(1, StepSpec(3, ONE_CORE, **lasting)),
-            job(2, StepSpec(2, ONE_CORE, per_worker=1, **lasting)),
-            job(3, StepSpec(2, ONE_CORE, target_ms=50, **lasting), priority=1),
+            job(1, StepSpec(3, ONE_CORE, **step_args)),
+            job(2, StepSpec(2, ONE_CORE, per_worker=1, **step_args)),
+            job(
+                3, StepSpec(2, ONE_CORE, target_ms=50, **step_args), priority=1
+            ),
             job(4, StepSpec(9, ONE_CORE, run_ms=900), max_attempts=99),
             job(
                 5,
@@ -759,7 +761,7 @@
                 max_attempts=99,
             ),
         ]
-        self.lasting = [
+        self.long_running = [
             TaskKey(spec.id, 0, 0, index)
             for spec in self.specs[:3]
             for index in range(spec.steps[0].count)
@@ -997,8 +999,8 @@
             for worker in self.workers.values():
                 worker.lapse(self.now_ms)
                 for key, start_ms in list(worker.runs.items()):
-                    lasts = key[0] in self.lasting
-                    if not lasts and self.now_ms - start_ms > 900:
+                    is_long_running = key[0] in self.long_running
+                    if not is_long_running and self.now_ms - start_ms > 900:
                         worker.end(key, RunEndKind.DONE)
             if self.likely(0.06):
                 self.disturb()
@@ -1046,7 +1048,7 @@
 class RandomEventsTest(unittest.TestCase):
     """Random events on simulated workers, then six seconds of calm."""
 
-    def test_every_lasting_task_runs_once(self):
+    def test_every_task_runs_once(self):
         """A task without a run, or with two of them, after random events."""
         self.check_seeds(SEEDS, ENDS_PER_REPLY)
 
@@ -1065,7 +1067,7 @@
         "limpetyard.engine._crashes.MAX_SCORE_IF_DOUBTFUL", math.inf
     )
     def check_seed(self, seed: int, ends_per_reply: int) -> None:
-        """Checks the lasting tasks after random events.
+        """Checks the long-running tasks after random events.
 
         Workers restart so often that a task may be given up for it, which is
         not what this test is about.
@@ -1078,5 +1080,5 @@
         except AssertionError as exc:
             raise AssertionError(f"{exc}\n" + "\n".join(cell.log)) from exc
         running = [t for w in cell.workers.values() for t, _ in w.runs]
-        counts = {t.name: running.count(t) for t in cell.lasting}
+        counts = {t.name: running.count(t) for t in cell.long_running}
         self.assertEqual(set(counts.values()), {1}, f"{counts} {cell.log}")
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -23,7 +23,7 @@
 RECOVERY_S = 25.0
 
 # Long-running jobs that are not cancelled.
-LASTING_JOB_COUNT = 3
+LONG_RUNNING_JOB_COUNT = 3
 
 # Longest wait for each job after that: enough for the longest jobs on the
 # smallest site.
@@ -295,7 +295,7 @@
         await site.query_state(spec.id)
 
 
-async def _lasting_client(
+async def _long_running_client(
     site: SimulatedSite, number: int, rng: random.Random
 ) -> None:
     """Submits a long-running job that lasts to the end of the storm."""
@@ -328,8 +328,8 @@
     await asyncio.sleep(2)
     clients = [_client(site, n, rng) for n in range(JOB_COUNT)]
     clients += [
-        _lasting_client(site, JOB_COUNT + n, rng)
-        for n in range(LASTING_JOB_COUNT)
+        _long_running_client(site, JOB_COUNT + n, rng)
+        for n in range(LONG_RUNNING_JOB_COUNT)
     ]
     injectors = [_inject_faults(site, rng) for _ in range(rng.randint(1, 3))]
     await asyncio.gather(*clients, *injectors)
--- a/tests/node/test_lasting_tasks.py
+++ b/tests/node/test_long_running.py
@@ -19,7 +19,7 @@
 CALM_S = 20
 
 
-def lasting_job(count: int = TASKS) -> JobSpec:
+def long_running_job(count: int = TASKS) -> JobSpec:
     """Returns a job of long-running tasks, at most two on a worker."""
     need = Resources(1000, 500, 0)
     step = StepSpec(count, need, long_running=True, per_worker=2)
@@ -27,7 +27,7 @@
 
 
 def note_fault(site: SimulatedSite) -> None:
-    """Records that a fault happens now, for `LastingTaskWatch`."""
+    """Records that a fault happens now, for `LongRunningTaskWatch`."""
     now_ms = site.clock.now_ms()
     site.history.fault_windows.append((now_ms, now_ms))
 
@@ -57,7 +57,7 @@
     return max(owners, key=lambda entry: entry[0])[1]
 
 
-class LastingTaskTestCase(unittest.TestCase):
+class LongRunningTestCase(unittest.TestCase):
     """Runs scenarios on a site with one job of long-running tasks."""
 
     def run_scenario(
@@ -69,7 +69,7 @@
             site = SimulatedSite(len(cores), workers, processor_cores=cores)
             await site.start()
             await asyncio.sleep(SETTLED_S)
-            self.assertTrue(await site.submit(lasting_job()))
+            self.assertTrue(await site.submit(long_running_job()))
             await asyncio.sleep(SETTLED_S)
             await scenario(site)
             await asyncio.sleep(CALM_S)
@@ -81,7 +81,7 @@
         return site
 
 
-class OwnerLostTest(LastingTaskTestCase):
+class OwnerLostTest(LongRunningTestCase):
     """The owner does not answer its successor while a worker is gone."""
 
     def test_tasks_of_a_worker_lost_with_the_owner(self):
@@ -158,11 +158,11 @@
         self.run_scenario(scenario)
 
 
-class WatchTest(LastingTaskTestCase):
+class WatchTest(LongRunningTestCase):
     """The check of long-running tasks itself."""
 
     def test_planner_that_starts_nothing(self):
-        """The check of `LastingTaskWatch` reported nothing.
+        """The check of `LongRunningTaskWatch` reported nothing.
 
         A failed task is not started again until the check must have seen it.
         """
@@ -171,7 +171,7 @@
             site = SimulatedSite(3, 4)
             await site.start()
             await asyncio.sleep(SETTLED_S)
-            await site.submit(lasting_job())
+            await site.submit(long_running_job())
             await asyncio.sleep(SETTLED_S)
             with mock.patch.object(Planner, "place", lambda *args: []):
                 fail_task(site)
@@ -186,7 +186,7 @@
         self.assertTrue(found[0].startswith("LOST"))
 
 
-class StandbyTest(LastingTaskTestCase):
+class StandbyTest(LongRunningTestCase):
     """All large nodes are lost while the small ones stand by."""
 
     def test_assignments_of_dead_members_stay(self):
