--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -142,6 +142,7 @@
         """
         now_ms = self._clock.now_ms()
         token = worker.token
+        entry = worker.entry
         lease_until_ms = None
         if worker.is_responsive(now_ms):
             lease_until_ms = worker.grant_lease(now_ms, self._lease_ms)
@@ -151,11 +152,11 @@
         )
         try:
             reply = await self._workers.poll(
-                worker.entry, request, wait_ms + POLL_TIMEOUT_MARGIN_MS
+                entry, request, wait_ms + POLL_TIMEOUT_MARGIN_MS
             )
         except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
             # A later incarnation may have another address by now.
-            if worker.token == token:
+            if worker.token == token and worker.entry.address == entry.address:
                 self._report_failure(worker, exc, now_ms)
             raise
         if worker.token != token:
