Select isolated workers once in a round

Cause: each step with suspects looked at all runs of all workers again, and compared each worker with each recent crash.

The workers without unproven runs are selected and ordered once in a round, and a round looks at 24 steps with suspects. test_cost_of_suspects failed before.

--- a/src/limpetyard/engine/_crashes.py
+++ b/src/limpetyard/engine/_crashes.py
@@ -12,10 +12,9 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from limpetyard._events import event
-from limpetyard.engine._ranking import Score
 from limpetyard.engine._step_worker_client import WorkerEntry
 from limpetyard.engine._worker import Worker, WorkerRun
-from limpetyard.jobs import StepSpec, Task, TaskKey
+from limpetyard.jobs import Task, TaskKey
 
 if TYPE_CHECKING:
     from limpetyard.engine._engine import Engine
@@ -147,38 +146,29 @@
             self._engine.jobs[key.job].dirty = True
 
     def isolated(
-        self,
-        candidates: "list[Candidate]",
-        score: Score,
-        step: StepSpec,
-        step_key: tuple[str, int, int],
-        now_ms: float,
+        self, candidates: "list[Candidate]", now_ms: float
     ) -> "list[Candidate]":
-        """Returns the workers for suspects of a step, best first.
+        """Returns the workers without unproven runs, best for suspects first.
 
-        They have no unproven runs. Those without a recent crash on their
-        machine come first, then those with few in their zone, and few runs.
+        Those without a recent crash on their machine come first, then those
+        with few in their zone, and few runs.
         """
         self._forget_old(now_ms)
-        isolated = [
-            candidate
-            for candidate in candidates
-            if not candidate.worker.unproven_runs()
-            and candidate.allows(step, step_key)
-            and score(candidate, step, step_key) is not None
-        ]
-        return sorted(isolated, key=self._risk)
-
-    def _risk(self, candidate: "Candidate") -> tuple[bool, int, int]:
-        entry = candidate.entry
-        crashed = [crash.entry for crash in self._recent]
-        return (
-            any(entry.address == other.address for other in crashed),
-            sum(
-                entry.availability_zone == other.availability_zone
-                for other in crashed
-            ),
-            len(candidate.worker.runs),
+        addresses = {crash.entry.address for crash in self._recent}
+        zones = collections.Counter(
+            crash.entry.availability_zone for crash in self._recent
+        )
+
+        def risk(candidate: "Candidate") -> tuple[bool, int, int]:
+            entry = candidate.entry
+            return (
+                entry.address in addresses,
+                zones[entry.availability_zone],
+                len(candidate.worker.runs),
+            )
+
+        return sorted(
+            (c for c in candidates if not c.worker.unproven_runs()), key=risk
         )
 
 
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -33,6 +33,10 @@
 # zone that drains has hundreds.
 MAX_DRAINED_RUNS = 48
 
+# Steps with suspects that one round looks at; after a crash of a zone, hundreds
+# may wait for isolated workers.
+MAX_SUSPECT_STEPS = 24
+
 
 class Planner:
     """Decides which tasks start on which workers."""
@@ -42,6 +46,7 @@
         "_drained_ms",
         "_engine",
         "_placed",
+        "_suspect_steps_left",
         "_wait_reporter",
     )
 
@@ -53,6 +58,8 @@
         self._drained_ms: dict[str, float] = {}
         # Receivers of the tasks placed in this round.
         self._placed: list[Candidate] = []
+        # Number of steps with suspects that this round may still look at.
+        self._suspect_steps_left = MAX_SUSPECT_STEPS
 
     def place(
         self, now_ms: float, wall_ms: float, max_starts: int | None = None
@@ -72,6 +79,7 @@
         unconfirmed = self._unconfirmed_workers(now_ms)
         unconfirmed_services = set(unconfirmed.values())
         self._placed = []
+        self._suspect_steps_left = MAX_SUSPECT_STEPS
         rounds: dict[str, ServiceRound] = {}
         left = math.inf if max_starts is None else max_starts
         effects: list[Effect] = []
@@ -327,22 +335,42 @@
         left: float,
         now_ms: float,
     ) -> list[Effect]:
-        """Places suspects, each isolated from other unproven runs."""
-        if not suspects:
-            return []
+        """Places suspects, each isolated from other unproven runs.
+
+        Args:
+            job: The job.
+            step_key: Job, occurrence and number of the step.
+            suspects: Tasks to place.
+            service_round: Workers of the service of the job.
+            candidates: Those that may run the step.
+            left: Number of starts that are left in this round.
+            now_ms: Current time.
+        """
+        starts: list[Effect] = []
+        if not suspects or self._suspect_steps_left <= 0:
+            return starts
+        self._suspect_steps_left -= 1
         step = job.spec.steps[step_key[2]]
         score = PLACERS.get(placer_name(step)).score
-        isolated = self._engine.crashes.isolated(
-            candidates, score, step, step_key, now_ms
+        isolated = service_round.isolated(
+            lambda all_: self._engine.crashes.isolated(all_, now_ms)
         )
-        return [
-            self._place_task(job, task, self._next_run(task), candidate, now_ms)
-            for task, candidate in zip(
-                suspects[: int(min(left, len(suspects)))],
-                isolated,
-                strict=False,
-            )
+        fitting = [
+            candidate
+            for candidate in isolated
+            if candidate.allows(step, step_key)
+            and score(candidate, step, step_key) is not None
         ]
+        allowed = set(candidates)
+        fitting = [c for c in fitting if c in allowed]
+        count = int(min(left, len(suspects)))
+        for task, candidate in zip(suspects[:count], fitting, strict=False):
+            isolated.remove(candidate)
+            run_number = self._next_run(task)
+            starts.append(
+                self._place_task(job, task, run_number, candidate, now_ms)
+            )
+        return starts
 
     def _place_ranked(
         self,
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -172,14 +172,26 @@
         candidates: Workers that may get new work.
     """
 
-    __slots__ = ("_by_label", "_rankings", "_unmet", "candidates")
+    __slots__ = ("_by_label", "_isolated", "_rankings", "_unmet", "candidates")
 
     def __init__(self, candidates: list["Candidate"]):
         self.candidates = candidates
+        self._isolated: list[Candidate] | None = None
         self._by_label: dict[str, list[Candidate]] = {}
         self._rankings: dict[tuple, Ranking] = {}
         self._unmet = UnmetNeeds()
 
+    def isolated(
+        self, select: Callable[[list["Candidate"]], list["Candidate"]]
+    ) -> list["Candidate"]:
+        """Returns the workers left for suspects, selected once in a round.
+
+        The caller removes each that receives one.
+        """
+        if self._isolated is None:
+            self._isolated = select(self.candidates)
+        return self._isolated
+
     def labelled(self, label: str) -> list["Candidate"]:
         """Returns the workers with a label; all workers for ""."""
         if not label:
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -33,7 +33,7 @@
 from limpetyard.engine._planner import Planner
 from limpetyard.engine._ranking import Ranking
 from limpetyard.engine._urgency import urgency
-from limpetyard.engine._worker import RunState
+from limpetyard.engine._worker import RunState, Worker
 from limpetyard.jobs import AdviceParams, Resources, StepSpec
 from tests.engine import test_engine
 from tests.engine.test_engine import LEASE_MS, ONE_CORE, entry, job
@@ -108,6 +108,26 @@
         self.assertLessEqual(len(calls), 30 * WORKERS)
 
 
+class SuspectCostTest(test_engine.EngineTestCase):
+    """Many tasks whose workers have crashed."""
+
+    workers = WORKERS
+
+    def test_cost_of_suspects(self):
+        """The cost of a round grows with suspects times workers."""
+        for number in range(300):
+            spec = job(number, StepSpec(1, ONE_CORE))
+            self.submit(spec).task(0, 0, 0).crash_score = 1
+        unproven_runs = Worker.unproven_runs
+        looks = mock.Mock(side_effect=unproven_runs)
+        with mock.patch.object(
+            Worker, "unproven_runs", lambda worker: looks(worker)
+        ):
+            starts = self.plan(Start)
+        self.assertGreater(len(starts), 0)
+        self.assertLessEqual(looks.call_count, 2 * WORKERS)
+
+
 class BudgetTest(test_engine.EngineTestCase):
     """Limit on the starts of one round."""
 
