Count the crash of a worker that is lost in silence

What callers would see: a task that crashes its workers is started for ever (BUDGET) where crashed machines neither refuse connections nor return at their address.

Without an entry and without an answer for 6 s after its lease, such a worker counts as a crash of the lower weight, as it may be cut off. test_lost_for_good_in_silence failed before.

--- a/src/limpetyard/engine/_crashes.py
+++ b/src/limpetyard/engine/_crashes.py
@@ -20,8 +20,8 @@
     from limpetyard.engine._engine import Engine
     from limpetyard.engine._placement import Candidate
 
-# What a crash adds to the score of a task: if its job alone had unproven runs
-# on the worker, and if others had some or this is not known.
+# What a crash adds to the score of a task: if it is proven and the job alone
+# had unproven runs on the worker, and otherwise.
 LONE_CRASH = 2
 SHARED_CRASH = 1
 
@@ -64,8 +64,10 @@
         self._engine = engine
         self._recent: collections.deque[_Crash] = collections.deque()
 
-    def record_crash(self, worker: Worker, now_ms: float) -> bool:
-        """Counts a proven crash for each task with an unproven run.
+    def record_crash(
+        self, worker: Worker, now_ms: float, proven: bool = True
+    ) -> bool:
+        """Counts a crash for each task with an unproven run.
 
         Does nothing if the crash is known, or if the worker was draining, as it
         has departed then.
@@ -84,10 +86,10 @@
         worker.lost_runs.clear()
         for run in runs:
             # One run counts once, though the worker may still be polled.
-            run.proven = True
+            run.crash_counted = True
         lone = len({run.task.job for run in runs}) == 1
         known = worker.replied_ms is not None
-        added = LONE_CRASH if lone and known else SHARED_CRASH
+        added = LONE_CRASH if lone and known and proven else SHARED_CRASH
         for run in {run.task: run for run in runs}.values():
             self._count(worker, run, added, now_ms)
         return bool(runs)
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -67,6 +67,10 @@
 # tasks. Most crashed workers are back, and thereby prove the crash, in seconds.
 CRASH_PROOF_WAIT_MS = 20_000
 
+# Time after a lapse from which a worker without an entry counts as crashed
+# though nothing proves it.
+UNPROVEN_CRASH_MS = 6000
+
 
 class ChangeBatch:
     """Changes that one append to the store makes durable.
@@ -227,10 +231,9 @@
         if worker.missing_since_ms is None:
             return False
         if not worker.entry.draining:
-            return (
-                now_ms - worker.missing_since_ms > MISSING_ENTRY_GRACE_MS
-                and self.crashes.record_crash(worker, now_ms)
-            )
+            return self._is_missing_long(
+                worker, now_ms
+            ) and self.crashes.record_crash(worker, now_ms)
         if not (worker.runs or worker.prior_lease_end_ms > now_ms):
             return False
         event("worker_left", worker=worker.id, runs=len(worker.runs))
@@ -279,14 +282,18 @@
         time, a crash would count against tasks. One that is known to have ended
         need not be missing for long.
         """
+        for worker in self.workers.values():
+            if (
+                worker.lost_runs
+                and now_ms - worker.lapsed_ms > UNPROVEN_CRASH_MS
+                and self._is_missing_long(worker, now_ms)
+            ):
+                self.crashes.record_crash(worker, now_ms, proven=False)
         departed_ids = [
             worker.id
             for worker in self.workers.values()
             if worker.missing_since_ms is not None
-            and (
-                worker.ended
-                or now_ms - worker.missing_since_ms > MISSING_ENTRY_GRACE_MS
-            )
+            and (worker.ended or self._is_missing_long(worker, now_ms))
             and not worker.runs
             and now_ms > worker.runs_until_ms
             and not (
@@ -298,6 +305,12 @@
             del self.workers[worker_id]
         return departed_ids
 
+    def _is_missing_long(self, worker: Worker, now_ms: float) -> bool:
+        since_ms = worker.missing_since_ms
+        return (
+            since_ms is not None and now_ms - since_ms > MISSING_ENTRY_GRACE_MS
+        )
+
     def on_poll_reply(
         self, worker: Worker, sent_ms: float, reply: PollReply, now_ms: float
     ) -> bool:
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -510,6 +510,7 @@
             and now_ms - job.ended_ms > self._retention_ms
         ]
         self._removed_workers.update(self.engine.remove_gone_workers(now_ms))
+        self._on_change()
         # One that is listed again meanwhile is recorded anew.
         self._removed_workers.difference_update(self.engine.workers)
         removed = sorted(self._removed_workers)
--- a/tests/engine/test_crashes.py
+++ b/tests/engine/test_crashes.py
@@ -12,9 +12,12 @@
     MAX_SCORE,
     SHARED_CRASH,
 )
-from limpetyard.engine._engine import MISSING_ENTRY_GRACE_MS
+from limpetyard.engine._engine import (
+    MISSING_ENTRY_GRACE_MS,
+    UNPROVEN_CRASH_MS,
+)
 from limpetyard.engine._worker import PROVEN_RUN_MS
-from limpetyard.jobs import StepSpec, Task
+from limpetyard.jobs import StepSpec, Task, apply_progress, encode_progress
 from tests.engine.test_engine import (
     ONE_CORE,
     EngineTestCase,
@@ -184,6 +187,45 @@
         self.assertEqual(self.worker(start).runs, {})
         return self.worker(start)
 
+    def test_lost_for_good_in_silence(self):
+        """A worker that neither answers nor returns counts for nothing."""
+        start = self.start_one()
+        worker = self.lapse(start)
+        self.engine.mark_entry_missing(worker.id, self.now_ms)
+        self.now_ms += UNPROVEN_CRASH_MS + 1
+        for _ in range(2):
+            self.engine.remove_gone_workers(self.now_ms)
+        self.assertEqual(self.task(start).crash_score, SHARED_CRASH)
+
+    def test_worker_that_answers_after_all(self):
+        """A refused connection counts although the worker goes on."""
+        start = self.start_one()
+        self.refuse(start)
+        self.assertEqual(self.task(start).crash_score, LONE_CRASH)
+        for _ in range(2):
+            self.poll_all(PROVEN_RUN_MS)
+        self.assertEqual(self.task(start).crash_score, 0)
+
+    def test_place_is_kept_until_the_proof(self):
+        """A new owner that stores progress forgets where a suspect ran."""
+        start = self.start_one()
+        self.replace(start)
+        (again,) = self.start_all()
+        engine = self.engine
+        for _ in range(2):
+            stored = encode_progress(engine.jobs[start.task.job], 0.0)
+            engine = Engine(engine.epoch + 1, engine.params)
+            engine.add_job(self.engine.jobs[start.task.job].spec, 0.0, True)
+            apply_progress(engine.jobs[start.task.job], stored, self.now_ms)
+        task = engine.find_task(start.task)
+        self.assertEqual(task.suspect_place, (again.worker, 1))
+
+    def test_counted_crash_is_not_stored(self):
+        """A crash is counted by this owner and again by the next one."""
+        start = self.start_one()
+        self.refuse(start)
+        self.assertEqual(self.task(start).suspect_place, ("", 0))
+
     def test_lapse_before_the_proof(self):
         """A crash that is proven after the lease expired does not count."""
         start = self.start_one()
