Keep the place of a suspect until its crash is proven, and count it once

Causes: a new owner's first append of progress erased where the suspect had run, as the task waits there. A counted run was marked as proven, so that the score was not cleared if the worker answered after all, and the next owner counted the same crash again.

The place is stored until a crash of it is counted or cleared, or the task is placed; counting has a mark of its own.

--- a/src/limpetyard/engine/_crashes.py
+++ b/src/limpetyard/engine/_crashes.py
@@ -72,6 +72,12 @@
         Does nothing if the crash is known, or if the worker was draining, as it
         has departed then.
 
+        Args:
+            worker: The worker.
+            now_ms: Current time.
+            proven: Whether it is certain that the worker has crashed. It may
+                also be cut off for good.
+
         Returns:
             Whether a crash was counted.
         """
@@ -103,6 +109,8 @@
             return
         task.crash_score += added
         task.crashed_workers.append(worker.id)
+        task.crash_counted_run = run.run
+        task.stored_worker = ""
         job.dirty = True
         event(
             "task_crashes_workers",
@@ -145,6 +153,7 @@
         if task is not None and task.crash_score:
             task.crash_score = 0
             task.crashed_workers.clear()
+            task.stored_worker = ""
             self._engine.jobs[key.job].dirty = True
 
     def isolated(
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -271,6 +271,7 @@
             job,
             step_key,
             suspects,
+            service_round,
             service_round.labelled(step.label),
             left,
             now_ms,
@@ -314,7 +315,13 @@
         elif left > 0:
             suspects, others = split_suspects(waiting, now_ms)
             starts = self._place_suspects(
-                job, step_key, suspects, permitted, left, now_ms
+                job,
+                step_key,
+                suspects,
+                service_round,
+                permitted,
+                left,
+                now_ms,
             )
             score = PLACERS.get(placer_name(step)).score
             ranking = Ranking(score, step, step_key, permitted, self._placed)
@@ -331,6 +338,7 @@
         job: Job,
         step_key: tuple[str, int, int],
         suspects: list[Task],
+        service_round: ServiceRound,
         candidates: list[Candidate],
         left: float,
         now_ms: float,
@@ -461,6 +469,7 @@
         worker: Worker = candidate.worker
         task.may_be_running = False
         task.restarted_worker = ""
+        task.stored_worker = ""
         task.run = run_number
         task.worker = worker.id
         task.fire("place")
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -92,9 +92,10 @@
         measurement: Measurement in the last report.
         paused_since_ms: Since when the run has been given 0 % speed, or None.
         placed_ms: When the run was placed.
-        proven: Whether a crash of the worker does not count against the task:
-            the run was reported at least `PROVEN_RUN_MS` after its start, or
-            the crash was counted. See also `is_proven`.
+        proven: Whether the run was reported at least `PROVEN_RUN_MS` after its
+            start, so that a crash of the worker does not count against the
+            task. See also `is_proven`.
+        crash_counted: Whether such a crash was counted.
         last_stop_ms: When the last stop order was planned; infinite once a
             stop order was acknowledged.
     """
@@ -103,6 +104,7 @@
         "acked_ms",
         "at_full_speed",
         "checkpoint",
+        "crash_counted",
         "last_stop_ms",
         "measurement",
         "paused_since_ms",
@@ -130,6 +132,7 @@
         self.paused_since_ms: float | None = None
         self.placed_ms = now_ms
         self.proven = False
+        self.crash_counted = False
         self.last_stop_ms = float("-inf")
 
     def is_proven(self, alive_ms: float) -> bool:
@@ -315,7 +318,11 @@
     def unproven_runs(self) -> list[WorkerRun]:
         """Returns the runs against which a crash of the worker counts."""
         runs = [*self.runs.values(), *self.lost_runs]
-        return [run for run in runs if not run.is_proven(self.alive_ms)]
+        return [
+            run
+            for run in runs
+            if not run.crash_counted and not run.is_proven(self.alive_ms)
+        ]
 
     def record_reply(self, now_ms: float) -> None:
         """Records that the current incarnation replied to a poll."""
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -52,10 +52,12 @@
             proven by then, since a run last was; see
             `limpetyard.engine._crashes`.
         crashed_workers: Those of these workers that this owner has seen.
+        crash_counted_run: Latest run under which such a crash was counted.
         isolate_until_ms: Time until which the task, if it has such crashes,
             waits for a worker of its own, or None before it is to be placed.
         stored_worker: Worker of the run that an earlier owner stored if the
-            task had such crashes, or "".
+            task had such crashes, or ""; until the task is placed, or a crash
+            of it is counted or cleared.
         stored_born: Incarnation of that worker.
         checkpoint: Checkpoint to resume from, or "".
         worker: Worker of the latest run while the task is placed, else "".
@@ -73,6 +75,7 @@
     __slots__ = (
         "_waiting",
         "checkpoint",
+        "crash_counted_run",
         "crash_score",
         "crashed_workers",
         "early_failures",
@@ -121,6 +124,7 @@
         self.rejections = 0
         self.avoided_worker = ""
         self.crash_score = 0
+        self.crash_counted_run = 0
         self.crashed_workers: list[str] = []
         self.isolate_until_ms: float | None = None
         self.checkpoint = ""
@@ -138,6 +142,20 @@
         """Whether a run of the task has failed."""
         return bool(self.failure_count or self.avoided_worker)
 
+    @property
+    def suspect_place(self) -> tuple[str, int]:
+        """Worker and incarnation whose crash would count against the task.
+
+        ("", 0) if the task is no suspect, or if there is none.
+        """
+        if not self.crash_score:
+            return ("", 0)
+        if self.worker and self.run != self.crash_counted_run:
+            return (self.worker, self.worker_born)
+        if self.stored_worker:
+            return (self.stored_worker, self.stored_born)
+        return ("", 0)
+
     def fire(self, event: str) -> None:
         """Applies an event of the task state machine."""
         self.state = TASK_CHART.next(self.state, event)
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -29,7 +29,7 @@
         checkpoint: Checkpoint to resume from, or "".
         crash_score: Score of the workers that crashed under the task; see
             `limpetyard.jobs.Task`.
-        worker: Worker of the latest run if the task is placed and has such
+        worker: Worker whose crash would count against the task if it has such
             crashes, else "".
         born: Incarnation of that worker.
     """
@@ -107,8 +107,7 @@
             task.failure_count,
             task.checkpoint,
             task.crash_score,
-            task.worker if task.crash_score else "",
-            task.worker_born,
+            *task.suspect_place,
         )
         for task in job.tasks.values()
         if task.run
--- a/tests/engine/test_crashes.py
+++ b/tests/engine/test_crashes.py
@@ -1,6 +1,7 @@
 """Tests of tasks that crash workers, and of innocent tasks beside them."""
 
 from limpetyard.engine import (
+    Engine,
     RunEndKind,
     RunReport,
     Start,
