--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -63,12 +63,13 @@
 # departed. After an outage of the store, entries are back within two seconds.
 MISSING_ENTRY_GRACE_MS = 2500
 
-# Time after a lapse for which a worker is kept whose crash would count against
-# tasks. Most crashed workers are back, and thereby prove the crash, in seconds.
+# Time after the end of its lease for which a worker is kept whose crash would
+# count against tasks. Most crashed workers are back, and thereby prove the
+# crash, in seconds.
 CRASH_PROOF_WAIT_MS = 20_000
 
-# Time after a lapse from which a worker without an entry counts as crashed
-# though nothing proves it.
+# Time after the end of its lease from which a worker without a directory entry
+# counts as crashed though nothing proves it.
 UNPROVEN_CRASH_MS = 6000
 
 
@@ -278,9 +279,10 @@
     def remove_gone_workers(self, now_ms: float) -> list[str]:
         """Drops departed workers and returns their ids.
 
-        A worker is kept as long as a run may exist on it or, for a limited
-        time, a crash would count against tasks. One that is known to have ended
-        need not be missing for long.
+        Counts the crashes of those that were lost in silence. A worker is kept
+        as long as a run may exist on it or, for a limited time, a crash would
+        count against tasks. One that is known to have ended need not be missing
+        for long.
         """
         for worker in self.workers.values():
             if (
@@ -466,7 +468,8 @@
                 task.fire("place")
                 task.run = report.run
                 task.worker = worker.id
-                # An owner starts a run only once no other run can exist.
+                # No owner starts a run while another one may exist, except for
+                # late orders to a worker that has restarted.
                 task.may_be_running = False
                 job.mark_running()
                 job.started_ms = now_ms
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -203,9 +203,10 @@
             job.dirty = True
 
     def _unconfirmed_workers(self, now_ms: float) -> dict[str, str]:
-        """Returns workers with possible runs of an earlier owner or life.
+        """Returns the workers on which earlier runs may exist.
 
-        Such a worker has not yet replied to a poll with its present token, and
+        These are runs of an earlier owner or of an earlier incarnation. Such a
+        worker has not yet replied to a poll with its present token, and
         earlier leases may not have expired.
 
         Returns:
