Restart long-running tasks where they were, unless they fail early

The cause is SUSPECTED, not shown.

Since the backoff of failing long-running tasks, each failure counted as early, also that of a task that had run for long, and made it leave its worker. Serving tasks are packed; one that moves meets best-effort tasks whose pace was set for other neighbours.

A task whose run lasted over a second starts again at once and where it was, as before that change. test_late_failure failed before.

--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -91,9 +91,8 @@
             return
         if end.kind is RunEndKind.FAILED:
             placed_ms = run.placed_ms if run is not None else now_ms
-            if now_ms - placed_ms > HEALTHY_RUN_MS:
-                task.early_failures = 0
-            self._record_failure(worker, job, task, now_ms)
+            early = now_ms - placed_ms <= HEALTHY_RUN_MS
+            self._record_failure(worker, job, task, now_ms, early)
         self._engine.release_task(task, now_ms)
 
     def _handle_outdated_end(
@@ -122,7 +121,7 @@
         task.ended_runs.add(end.run)
         job.dirty = True
         if end.kind is RunEndKind.FAILED:
-            self._record_failure(worker, job, task, now_ms)
+            self._record_failure(worker, job, task, now_ms, early=True)
         elif end.kind is RunEndKind.DONE:
             self._stop_runs(task)
             self._finish_task(job, task, now_ms)
@@ -167,24 +166,46 @@
             job.mark_task_done(other)
 
     def _record_failure(
-        self, worker: Worker, job: Job, task: Task, now_ms: float
+        self, worker: Worker, job: Job, task: Task, now_ms: float, early: bool
     ) -> None:
-        """Records a failed run; fails the job at the last allowed attempt."""
+        """Records a failed run; fails the job at the last allowed attempt.
+
+        Args:
+            worker: Worker of the run.
+            job: The job.
+            task: The task.
+            now_ms: Current time.
+            early: Whether the run failed soon after its start.
+        """
         worker.record_failure(now_ms)
-        task.avoided_worker = worker.id
-        task.retry_at_ms = now_ms + FAILED_TASK_BACKOFF_MS
         if task.step.long_running:
-            # Limits the size of the shift.
-            doublings = min(task.early_failures, 10)
-            task.early_failures += 1
-            task.retry_at_ms = now_ms + min(
-                INITIAL_LONG_RUNNING_BACKOFF_MS << doublings,
-                MAX_LONG_RUNNING_BACKOFF_MS,
-            )
+            self._record_long_running_failure(worker, task, now_ms, early)
             return
+        task.avoided_worker = worker.id
+        task.retry_at_ms = now_ms + FAILED_TASK_BACKOFF_MS
         task.failure_count += 1
         if (
             task.failure_count >= job.spec.queue.max_attempts
             and not job.is_final
         ):
             self._engine.end_job(job, "fail", now_ms)
+
+    def _record_long_running_failure(
+        self, worker: Worker, task: Task, now_ms: float, early: bool
+    ) -> None:
+        """Backs off from a long-running task that fails early.
+
+        Others start again at once, and where they were: a serving task that
+        moves meets best-effort tasks that were paced for other neighbours.
+        """
+        if not early:
+            task.early_failures = 0
+            return
+        task.avoided_worker = worker.id
+        # Limits the size of the shift.
+        doublings = min(task.early_failures, 10)
+        task.early_failures += 1
+        task.retry_at_ms = now_ms + min(
+            INITIAL_LONG_RUNNING_BACKOFF_MS << doublings,
+            MAX_LONG_RUNNING_BACKOFF_MS,
+        )
--- a/tests/engine/test_long_running.py
+++ b/tests/engine/test_long_running.py
@@ -156,6 +156,17 @@
         )
         self.poll("w-0", ends)
 
+    def test_late_failure(self):
+        """A task that fails after a while waits, or leaves its worker."""
+        task = self.submit(job(1, LONG_RUNNING)).task(0, 0, 0)
+        (start,) = self.start_all()
+        self.now_ms += 2000
+        self.poll_all()
+        self.end(start, RunEndKind.FAILED)
+        self.assertEqual((task.early_failures, task.avoided_worker), (0, ""))
+        (again,) = self.plan(Start)
+        self.assertEqual(again.worker, start.worker)
+
     def test_slowed_probe(self):
         """A best-effort probe that is slowed keeps others from starting."""
         for number in (1, 2, 3):
