--- a/src/limpetyard/engine/_crashes.py
+++ b/src/limpetyard/engine/_crashes.py
@@ -28,7 +28,8 @@
 # Score of a task at which its job fails. It is higher while workers also crash
 # for other reasons, as an innocent task is likelier to be hit several times
 # then, and for long-running tasks, whose jobs are worth more. Even if every
-# crash is shared, a task is started no more than five times.
+# crash is shared, five counted ones suffice; those that are proven only after a
+# takeover may not be counted.
 MAX_SCORE = 4
 MAX_SCORE_IF_DOUBTFUL = 5
 
