Store the place of a long-running task before it is started there

Cause: where a task was started is known to the owner alone.

Ruled out: writing behind (a start within the window is unknown, so a second run is possible), a record for each worker (rewritten by each start), digests between owners (nobody knows who is next), a shorter bound on leases (running work would not outlast an outage of the store of 9 s).

Change: the place of a long-running task is stored in the next batch before its start is sent; starts of other tasks do not wait. The next owner waits for the stored place only. Places are believed only if the owner just before kept to this.

UnrecordedPlaceTest shows the check crying with the new guard taken out.

Conclusion: tasks wait only for the worker on which they were.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -80,15 +80,20 @@
         jobs: State of each job in the append, by id.
         received_ends: Incarnation of each worker and number of its last ended
             run that was processed, by worker id.
+        places: Long-running tasks whose place changes, and the new place.
     """
 
-    __slots__ = ("jobs", "received_ends")
+    __slots__ = ("jobs", "places", "received_ends")
 
     def __init__(
-        self, jobs: dict[str, str], received_ends: dict[str, tuple[int, int]]
+        self,
+        jobs: dict[str, str],
+        received_ends: dict[str, tuple[int, int]],
+        places: list[tuple[Task, str]],
     ):
         self.jobs = jobs
         self.received_ends = received_ends
+        self.places = places
 
 
 class Engine:
@@ -104,6 +109,8 @@
         dirty_workers: Whether ended runs were processed that are not stored.
         predecessor_until_ms: Time until which the previous owner may still
             start tasks, including those of jobs that arrive now.
+        places_trusted: Whether the previous owner stored the places of
+            long-running tasks before it started them.
         interference: Model of the effect of best-effort tasks on tail
             latencies.
         crashes: Counts crashes of workers for each task.
@@ -120,6 +127,7 @@
         "jobs",
         "open_jobs",
         "params",
+        "places_trusted",
         "predecessor_until_ms",
         "workers",
         "zones_out",
@@ -134,6 +142,7 @@
         self.zones_out: frozenset[str] = frozenset()
         self.dirty_workers = False
         self.predecessor_until_ms = float("-inf")
+        self.places_trusted = False
         self.interference = InterferenceModel()
         self.crashes = CrashTracker(self)
         self._run_end_handler = RunEndHandler(self)
@@ -159,6 +168,8 @@
         self.open_jobs[spec.id] = job
         if loaded or now_ms < self.predecessor_until_ms:
             job.mark_inherited()
+            if not self.places_trusted:
+                job.forget_places()
         return job
 
     def cancel_job(self, job_id: str, now_ms: float) -> None:
@@ -468,9 +479,11 @@
                 task.fire("place")
                 task.run = report.run
                 task.worker = worker.id
+                job.dirty |= task.step.long_running
                 # No owner starts a run while another one may exist, except for
                 # late orders to a worker that has restarted.
                 task.may_be_running = False
+                task.possible_worker = ""
                 job.mark_running()
                 job.started_ms = now_ms
             else:
@@ -514,6 +527,8 @@
             task.fire("release")
             task.worker = ""
             task.idle_since_ms = now_ms
+            if task.step.long_running:
+                self.jobs[task.key.job].dirty = True
 
     def _start_incarnation(
         self, worker: Worker, born: int, now_ms: float
@@ -746,10 +761,28 @@
             if worker.last_received_end > worker.last_acked_end
         }
         self.dirty_workers = False
+        places: list[tuple[Task, str]] = []
         for job in jobs:
             job.dirty = False
+            for task in job.long_running_tasks():
+                if task.recorded_place != task.place:
+                    task.recorded_place = None
+                    places.append((task, task.place))
         return jobs, ChangeBatch(
-            {j.spec.id: j.state for j in jobs}, received_ends
+            {j.spec.id: j.state for j in jobs}, received_ends, places
+        )
+
+    def is_place_recorded(self, key: TaskKey, worker: str) -> bool:
+        """Returns whether a later owner would know of a run on a worker.
+
+        Always true for tasks that are not long-running: a later owner waits for
+        any worker on which they may run.
+        """
+        task = self.find_task(key)
+        return (
+            task is None
+            or not task.step.long_running
+            or task.recorded_place == worker
         )
 
     def on_stored(self, batch: ChangeBatch) -> None:
@@ -761,6 +794,8 @@
         for job_id, state in batch.jobs.items():
             if job_id in self.jobs:
                 self.jobs[job_id].stored_state = state
+        for task, place in batch.places:
+            task.recorded_place = place
         for worker_id, (born, last_received_end) in batch.received_ends.items():
             worker = self.workers.get(worker_id)
             if worker is not None and worker.born == born:
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -6,7 +6,7 @@
 
 import itertools
 import math
-from collections.abc import Container
+from collections.abc import Collection, Mapping
 from typing import TYPE_CHECKING
 
 from limpetyard.engine._advice import AdviceCache
@@ -77,7 +77,8 @@
             Starts, and requests for advice that must precede starts.
         """
         unconfirmed = self._unconfirmed_workers(now_ms)
-        unconfirmed_services = set(unconfirmed.values())
+        unconfirmed_by_service = _by_service(unconfirmed)
+        self._confirm_places(unconfirmed, now_ms)
         self._placed = []
         self._suspect_steps_left = MAX_SUSPECT_STEPS
         rounds: dict[str, ServiceRound] = {}
@@ -99,7 +100,7 @@
                 continue
             waiting = _startable(
                 job.waiting_tasks(occurrence, step),
-                service in unconfirmed_services,
+                unconfirmed_by_service.get(service, ()),
                 unconfirmed,
                 now_ms,
             )
@@ -218,6 +219,17 @@
             if not worker.token_confirmed and now_ms < worker.prior_lease_end_ms
         }
 
+    def _confirm_places(
+        self, unconfirmed: Mapping[str, str], now_ms: float
+    ) -> None:
+        """Confirms the places of the jobs of each service that is confirmed."""
+        if now_ms < self._engine.predecessor_until_ms:
+            return
+        for job in self._engine.open_jobs.values():
+            service = job.spec.queue.service
+            if not job.places_known and service not in unconfirmed.values():
+                job.confirm_places()
+
     def _candidates(self, service: str, now_ms: float) -> list[Candidate]:
         """Returns the workers of a service that may get new work."""
         engine = self._engine
@@ -469,6 +481,7 @@
         """Records the placement of a task and returns its start order."""
         worker: Worker = candidate.worker
         task.may_be_running = False
+        task.possible_worker = ""
         task.restarted_worker = ""
         task.stored_worker = ""
         task.run = run_number
@@ -483,6 +496,9 @@
             worker.isolated_run = run
             # The next owner then counts a crash of this worker.
             job.dirty = True
+        if task.recorded_place != worker.id:
+            # A long-running task starts once its place is stored.
+            job.dirty |= task.step.long_running
         self._engine.add_run(worker, run)
         candidate.reserve(run)
         self._placed.append(candidate)
@@ -498,27 +514,35 @@
         )
 
 
+def _by_service(unconfirmed: Mapping[str, str]) -> dict[str, set[str]]:
+    """Returns ids of workers by their service, given the reverse."""
+    by_service: dict[str, set[str]] = {}
+    for worker_id, service in unconfirmed.items():
+        by_service.setdefault(service, set()).add(worker_id)
+    return by_service
+
+
 def _startable(
     waiting: list[Task],
-    is_unconfirmed: bool,
-    unconfirmed: Container[str],
+    unconfirmed: Collection[str],
+    all_unconfirmed: Collection[str],
     now_ms: float,
 ) -> list[Task]:
     """Returns the tasks that may start now.
 
     Args:
         waiting: Waiting tasks.
-        is_unconfirmed: Whether runs of an earlier owner may exist in the
-            service.
-        unconfirmed: Ids of the workers on which they may.
+        unconfirmed: Ids of the workers of the service on which runs of an
+            earlier owner or incarnation may exist.
+        all_unconfirmed: The same for all services.
         now_ms: Current time.
     """
     return [
         task
         for task in waiting
         if task.retry_at_ms <= now_ms
-        and not (task.may_be_running and is_unconfirmed)
-        and task.restarted_worker not in unconfirmed
+        and not task.may_run_on(unconfirmed)
+        and task.restarted_worker not in all_unconfirmed
     ]
 
 
--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -169,11 +169,11 @@
 @REASONS.register("earlier_owner")
 def _earlier_owner(step: WaitingStep, state: RoundState) -> str | None:
     """A run of an earlier owner may exist on a worker."""
-    if not step.task.may_be_running:
-        return None
     service = step.job.spec.queue.service
     workers = [w for w, other in state.unconfirmed.items() if other == service]
-    return f"unconfirmed: {workers[0]}" if workers else None
+    if not step.task.may_run_on(workers):
+        return None
+    return f"unconfirmed: {step.task.possible_worker or workers[0]}"
 
 
 @REASONS.register("no_room")
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -1,6 +1,6 @@
 """State of a job and its tasks."""
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import NamedTuple
 
 from limpetyard._chart import StateChart
@@ -64,6 +64,10 @@
         worker_born: Incarnation of that worker.
         may_be_running: Whether a run that an earlier owner started may still
             exist on some worker.
+        possible_worker: The only worker on which such a run may exist, "" if on
+            none, or None if it may exist on any.
+        recorded_place: What the store has as `place`, or None while an append
+            that changes it is in progress.
         restarted_worker: Worker that restarted with a run of the task, or "". A
             late order to its earlier incarnation may start that run again until
             the worker is confirmed.
@@ -86,6 +90,8 @@
         "isolate_until_ms",
         "key",
         "may_be_running",
+        "possible_worker",
+        "recorded_place",
         "rejections",
         "restarted_worker",
         "retry_at_ms",
@@ -133,6 +139,8 @@
         self.stored_worker = ""
         self.stored_born = 0
         self.may_be_running = False
+        self.possible_worker: str | None = None
+        self.recorded_place: str | None = ""
         self.restarted_worker = ""
         self.idle_since_ms: float | None = None
         self.retry_at_ms = 0.0
@@ -156,6 +164,27 @@
             return (self.stored_worker, self.stored_born)
         return ("", 0)
 
+    @property
+    def place(self) -> str:
+        """Worker on which runs may exist, or "".
+
+        Kept for long-running tasks only, if the places of the job are known.
+        """
+        earlier = self.restarted_worker or self.possible_worker
+        return self.worker or earlier or ""
+
+    def may_run_on(self, unconfirmed: Collection[str]) -> bool:
+        """Returns whether an earlier owner's run may exist on some workers.
+
+        Args:
+            unconfirmed: Ids of the workers on which such runs may exist.
+        """
+        if not self.may_be_running:
+            return False
+        if self.possible_worker is None:
+            return bool(unconfirmed)
+        return self.possible_worker in unconfirmed
+
     def fire(self, event: str) -> None:
         """Applies an event of the task state machine."""
         self.state = TASK_CHART.next(self.state, event)
@@ -184,6 +213,8 @@
         dirty: Whether the job has changes that are not stored yet.
         inherited: Whether an earlier owner may have started tasks of the job,
             including tasks of occurrences that are not due yet here.
+        places_known: Whether the store has had the place of each long-running
+            task, before it was started there, since the job was accepted.
         estimates: Estimates that depend on the specification only, kept by
             the planner; None before they are needed.
     """
@@ -196,6 +227,7 @@
         "ended_ms",
         "estimates",
         "inherited",
+        "places_known",
         "spec",
         "started_ms",
         "state",
@@ -215,6 +247,7 @@
         self.ended_ms: float | None = None
         self.dirty = False
         self.inherited = False
+        self.places_known = True
         self.estimates: tuple | None = None
         self._remaining: dict[tuple[int, int], int] = {}
         # Waiting tasks of each step that is not done, by index.
@@ -241,6 +274,8 @@
                     key = TaskKey(self.spec.id, occurrence, number, index)
                     task = Task(key, step, waiting)
                     task.may_be_running = self.inherited
+                    if step.long_running and self.places_known:
+                        task.possible_worker = ""
                     self.tasks[occurrence, number, index] = task
         self.due = max(self.due, occurrences)
 
@@ -259,6 +294,27 @@
         for task in self.tasks.values():
             task.may_be_running = True
 
+    def forget_places(self) -> None:
+        """Records that long-running tasks may have been started anywhere."""
+        self.places_known = False
+        self.dirty = True
+        for task in self.tasks.values():
+            task.possible_worker = None
+
+    def confirm_places(self) -> None:
+        """Records that no unknown run of an earlier owner exists."""
+        self.places_known = True
+        self.dirty = True
+        for task in self.long_running_tasks():
+            task.possible_worker = task.possible_worker or ""
+
+    def long_running_tasks(self) -> Iterator[Task]:
+        """Yields the long-running tasks."""
+        if any(step.long_running for step in self.spec.steps):
+            for task in self.tasks.values():
+                if task.step.long_running:
+                    yield task
+
     def step_tasks(self, occurrence: int, step: int) -> Iterator[Task]:
         """Yields the tasks of one step of one occurrence."""
         for index in range(self.spec.steps[step].count):
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -32,6 +32,8 @@
         worker: Worker whose crash would count against the task if it has such
             crashes, else "".
         born: Incarnation of that worker.
+        place: Worker on which a run of a long-running task may exist, or "";
+            see `JobProgress.places_known`.
     """
 
     occurrence: int
@@ -45,6 +47,7 @@
     crash_score: int = 0
     worker: str = ""
     born: int = 0
+    place: str = ""
 
 
 class JobProgress(msgspec.Struct):
@@ -55,12 +58,15 @@
         due: Number of occurrences that have become due.
         marks: Progress of the tasks that have run; empty in a final state.
         ended_ms: Unix milliseconds at which a final state was reached, or 0.
+        places_known: Whether no long-running task was started anywhere but at
+            the place that is stored for it.
     """
 
     state: str
     due: int
     marks: list[TaskProgress]
     ended_ms: float = 0.0
+    places_known: bool = False
 
 
 _progress_decoder = msgspec.msgpack.Decoder(JobProgress)
@@ -91,7 +97,7 @@
     marks = [] if job.is_final else _task_progress(job)
     ended_ms = wall_ms if job.is_final else 0.0
     return msgspec.msgpack.encode(
-        JobProgress(job.state, job.due, marks, ended_ms)
+        JobProgress(job.state, job.due, marks, ended_ms, job.places_known)
     )
 
 
@@ -108,6 +114,7 @@
             task.checkpoint,
             task.crash_score,
             *task.suspect_place,
+            task.place if task.step.long_running else "",
         )
         for task in job.tasks.values()
         if task.run
@@ -126,6 +133,10 @@
         msgspec.MsgspecError: If `data` is not valid progress.
     """
     progress = _progress_decoder.decode(data)
+    if progress.places_known:
+        job.confirm_places()
+    else:
+        job.forget_places()
     job.make_due(progress.due)
     for mark in progress.marks:
         task = job.task(mark.occurrence, mark.step, mark.index)
@@ -138,6 +149,8 @@
         task.checkpoint = mark.checkpoint
         task.crash_score = max(task.crash_score, mark.crash_score)
         task.stored_worker, task.stored_born = mark.worker, mark.born
+        if task.step.long_running and job.places_known:
+            task.possible_worker = task.recorded_place = mark.place
         if mark.done:
             job.mark_task_done(task)
     if progress.state != job.state:
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -1,10 +1,11 @@
 """Executes the effects of the engine and reports their results to it."""
 
 import asyncio
+import contextlib
 import weakref
 from collections.abc import Callable, Coroutine
 
-from limpetyard._clock import Clock
+from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
 from limpetyard.engine import (
     AdviceClient,
@@ -40,6 +41,9 @@
 # replies to all of them are processed within the time-out of an order.
 MAX_STARTS_IN_FLIGHT = 48
 
+# Interval at which a start that waits for the store is checked again.
+RECORD_CHECK_MS = 500
+
 # Maximum number of stop orders in flight. The time-out of an order begins when
 # it is sent, so many of them must not wait for each other's replies.
 MAX_STOPS_IN_FLIGHT = 96
@@ -54,12 +58,14 @@
 
     __slots__ = (
         "_advice",
+        "_append_done",
         "_clock",
         "_end_ownership",
         "_engine",
         "_lease_ms",
         "_may_order",
         "_replan",
+        "_recorded_starts",
         "_start_locks",
         "_starts",
         "_stop_locks",
@@ -78,6 +84,7 @@
         may_order: Callable[[], bool],
         end_ownership: Callable[[str], None],
         replan: Callable[[], None],
+        append_done: asyncio.Event,
     ):
         """Initializes a dispatcher.
 
@@ -91,6 +98,7 @@
                 ownership has ended, nor while orders are suspended.
             end_ownership: Ends the ownership for a reason.
             replan: Requests another round of planning.
+            append_done: Pulsed (set and at once cleared) after each append.
         """
         self._engine = engine
         self._workers = workers
@@ -100,6 +108,9 @@
         self._may_order = may_order
         self._end_ownership = end_ownership
         self._replan = replan
+        self._append_done = append_done
+        # Limits the starts that one append releases.
+        self._recorded_starts = asyncio.Semaphore(MAX_STARTS_IN_FLIGHT)
         # Task and run of each start that is accepted and not done.
         self._starts: set[tuple] = set()
         self._start_locks: weakref.WeakValueDictionary[str, asyncio.Lock] = (
@@ -125,8 +136,11 @@
         """Accepts an effect and returns the coroutine that executes it.
 
         A start counts against `free_starts` at once, until the coroutine has
-        ended or is dropped.
+        ended or is dropped, unless it waits for the store: a slow store must
+        not hold back the others.
         """
+        if isinstance(effect, Start) and not self._is_recorded(effect):
+            return self._start_when_recorded(effect)
         execution = _EXECUTORS[type(effect)](self, effect)
         if isinstance(effect, Start):
             key = (effect.task, effect.run)
@@ -140,6 +154,27 @@
         """Executes one effect."""
         await self.accept(effect)
 
+    def _is_recorded(self, effect: Start) -> bool:
+        return self._engine.is_place_recorded(effect.task, effect.worker)
+
+    async def _start_when_recorded(self, effect: Start) -> None:
+        """Starts a run once a later owner would know of its worker.
+
+        If the run must not start any more, it is withdrawn.
+        """
+        while not self._is_recorded(effect):
+            worker = self._engine.workers.get(effect.worker)
+            run = worker and worker.runs.get((effect.task, effect.run))
+            if run is None:
+                return
+            if not self._may_start(worker, run, self._clock.now_ms()):
+                break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RECORD_CHECK_MS / MS_PER_SECOND):
+                    await self._append_done.wait()
+        async with self._recorded_starts:
+            await self._start(effect)
+
     async def _start(self, effect: Start) -> None:
         """Sends a start order after earlier ones to the same worker."""
         try:
@@ -172,7 +207,8 @@
                 result = StartResult.STARTED
                 break
             until_ms = None
-            if self._may_start(worker, run, now_ms):
+            recorded = self._is_recorded(effect)
+            if recorded and self._may_start(worker, run, now_ms):
                 until_ms = worker.grant_lease(
                     now_ms, min(START_VALID_MS, self._lease_ms)
                 )
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -43,6 +43,7 @@
     JOBS_TOPIC,
     OWNER_PRODUCER,
     OWNERS_TOPIC,
+    PLACES_KEY,
     WORKER_KEY_PREFIX,
     WORKERS_TOPIC,
 )
@@ -95,6 +96,10 @@
 PURGE_INTERVAL_MS = 5000
 
 
+# Length of a stored epoch.
+EPOCH_BYTES = 8
+
+
 class CellOwner(Service):
     """One term of ownership of a cell by this node.
 
@@ -155,6 +160,9 @@
         self._removed_workers: set[str] = set()
         self._poll_tasks: dict[str, asyncio.Task] = {}
         self._orders_suspended = False
+        # Whether it is stored that this owner stores the places of long-running
+        # tasks.
+        self._places_recorded = False
 
     @property
     def deciding(self) -> bool:
@@ -290,6 +298,7 @@
             self._may_order,
             self.end_ownership,
             self._plan_needed.set,
+            self._append_done,
         )
         self._poller = WorkerPoller(
             self.engine,
@@ -344,9 +353,13 @@
         Any task may be running, and any worker may have runs, until fencing the
         previous owner or polling the worker shows otherwise.
         """
+        places_trusted = self._has_stored_places()
+        self.engine.places_trusted = places_trusted
         self._recorded_workers = await self._record_applier.apply_collected()
         for job in self.engine.open_jobs.values():
             job.mark_inherited()
+            if not places_trusted:
+                job.forget_places()
         for worker in self.engine.workers.values():
             worker.prior_lease_end_ms = float("inf")
         self.engine.predecessor_until_ms = (
@@ -357,6 +370,18 @@
         self._apply_predecessor_bounds()
         self._track_workers()
 
+    def _has_stored_places(self) -> bool:
+        """Returns whether the places of long-running tasks are stored.
+
+        False after an owner of an earlier release, also if such an owner was
+        followed by one that did not store this in time.
+        """
+        last_epoch = self._predecessor.epoch
+        return last_epoch == self.engine.epoch - 1 and last_epoch in (
+            0,
+            self._record_applier.places_epoch(),
+        )
+
     def _on_records(self) -> None:
         """Handles records that were applied to the engine."""
         if self.deciding:
@@ -374,7 +399,7 @@
                 self._poll_tasks[worker_id] = self._spawn(
                     self._poll_worker(worker_id)
                 )
-        if self._unrecorded_workers():
+        if self._unrecorded_workers() or not self._places_recorded:
             self._persist_needed.set()
 
     async def _poll_worker(self, worker_id: str) -> None:
@@ -451,12 +476,17 @@
             worker.id: (worker.born, worker.entry.draining)
             for worker in workers
         }
+        if not self._places_recorded:
+            # Last, as jobs whose places are not known must be stored before.
+            epoch = self.engine.epoch.to_bytes(EPOCH_BYTES)
+            records.append(KeyedRecord(PLACES_KEY, epoch))
         if records:
             try:
                 await self._writer.append(records)
             except StoreError:
                 self.engine.on_store_rejected(batch)
                 raise
+        self._places_recorded = True
         self._recorded_workers.update(recorded)
         self.engine.on_stored(batch)
         self.engine.set_recorded_workers(self._recorded_workers)
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -58,6 +58,11 @@
         """Whether it is certain that the owner issues no more orders."""
         return self._fence_result.confirmed
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the owner, or 0 if there was none."""
+        return self._claim.offset + 1 if self._claim is not None else 0
+
     async def read(self) -> None:
         """Reads the claim of the previous owner.
 
@@ -86,7 +91,7 @@
         Args:
             epoch: Epoch of the new ownership.
         """
-        last_epoch = self._claim.offset + 1 if self._claim is not None else 0
+        last_epoch = self.epoch
         self._is_latest = last_epoch == epoch - 1
         await self._fence_once(epoch, last_epoch)
         self._log_fencing(epoch, last_epoch)
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -15,7 +15,7 @@
     apply_progress,
     decode_spec,
 )
-from limpetyard.node._store_layout import WORKER_KEY_PREFIX
+from limpetyard.node._store_layout import PLACES_KEY, WORKER_KEY_PREFIX
 from limpetyard.store import StoredRecord
 
 # Records applied in one iteration of the event loop while a cell is loaded.
@@ -71,6 +71,19 @@
         # Stored incarnation and draining flag of each worker, by id.
         self._recorded_workers: dict[str, tuple[int, bool]] = {}
 
+    def places_epoch(self) -> int:
+        """Returns the epoch of the latest owner that stored places.
+
+        That is one that stored the place of each long-running task before it
+        started the task there. Returns 0 if there was none. Must be called
+        before `apply_collected`.
+        """
+        epoch = 0
+        for record in self._collected:
+            if record.key == PLACES_KEY and record.value is not None:
+                epoch = int.from_bytes(record.value)
+        return epoch
+
     async def apply_collected(self) -> dict[str, tuple[int, bool]]:
         """Applies the collected records, a few in each loop iteration.
 
--- a/src/limpetyard/node/_store_layout.py
+++ b/src/limpetyard/node/_store_layout.py
@@ -24,6 +24,10 @@
 # Key of an ownership claim.
 CLAIM_KEY = "owner"
 
+# Key, in the topic of jobs, of the epoch of the latest owner that stores the
+# place of a long-running task before it is started there.
+PLACES_KEY = "places"
+
 # Key prefix, before the id, of workers that may have received orders.
 WORKER_KEY_PREFIX = "w/"
 
--- a/tests/node/test_long_running.py
+++ b/tests/node/test_long_running.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from limpetyard.engine import Engine
 from limpetyard.engine._planner import Planner
 from limpetyard.jobs import JobSpec, Resources, StepSpec
 from standins.platform import SimulatedSite, run_in_virtual_time, violations
@@ -158,6 +159,51 @@
         self.run_scenario(scenario)
 
 
+class UnrecordedPlaceTest(unittest.TestCase):
+    """An owner that the store does not answer restarts a task elsewhere."""
+
+    def run_scenario(self) -> list[str]:
+        """Returns the violations.
+
+        The task fails soon after its start. The owner, cut off from the store,
+        may start it on another worker. Then it freezes, and no other node
+        reaches the worker that it has just used.
+        """
+
+        async def main() -> SimulatedSite:
+            site = SimulatedSite(3, 4)
+            await site.start()
+            await asyncio.sleep(SETTLED_S)
+            self.assertTrue(await site.submit(long_running_job(1)))
+            while not any(w.running() for w in site.workers.values()):
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.3)
+            owner = site.owner()
+            owner.store_link.cut = True
+            fail_task(site)
+            await asyncio.sleep(0.4)
+            site.freeze(owner)
+            for worker in site.workers.values():
+                if worker.running():
+                    for host in site.hosts:
+                        host.worker_links[worker.entry.id].cut = True
+            await asyncio.sleep(4)
+            await site.stop()
+            return site
+
+        return violations(run_in_virtual_time(main()).history)
+
+    def test_owner_waits_for_the_store(self):
+        """The next owner starts the task a second time."""
+        self.assertEqual(self.run_scenario(), [])
+
+    def test_owner_that_does_not_wait(self):
+        """Without the wait, the task runs twice."""
+        with mock.patch.object(Engine, "is_place_recorded", lambda *_: True):
+            found = self.run_scenario()
+        self.assertTrue(any(v.startswith("TWICE") for v in found), found)
+
+
 class WatchTest(LongRunningTestCase):
     """The check of long-running tasks itself."""
 
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -217,6 +217,7 @@
             lambda: True,
             self.fail,
             lambda: None,
+            asyncio.Event(),
         )
         (start,) = engine.plan(0.0, 0.0)
         await dispatcher.execute(start)
