Slow best-effort tasks by measured strain, not by prediction

Cause: best-effort tasks were slowed as soon as the predicted headroom of a serving task fell under 1.05, and restored above 1.25.

Change: pacers are registered. The new one, measured, waits for a third of the limit of strain (harmMs), slows what interferes, pauses it at half of the limit, and all at 0.7 of it whatever it believes; it acts again only once reports show the effect. Lost orders are repeated.

Tests: test_paused_task_is_stopped allows the new pacer as many reports as its limit and the longest pause have; the old bound stays for predicted, and so does test_paced_near_the_target.

--- a/src/limpetyard/engine/__init__.py
+++ b/src/limpetyard/engine/__init__.py
@@ -7,6 +7,7 @@
 
 from limpetyard.engine._effects import Effect, Pace, RequestAdvice, Start, Stop
 from limpetyard.engine._engine import ChangeBatch, Engine
+from limpetyard.engine._pacing import DEFAULT_PACER, PACERS
 from limpetyard.engine._params import EngineParams
 from limpetyard.engine._step_worker_client import (
     AdviceClient,
@@ -36,7 +37,9 @@
 )
 
 __all__ = [
+    "DEFAULT_PACER",
     "MIN_CLOCK_RATE",
+    "PACERS",
     "AdviceClient",
     "ChangeBatch",
     "Effect",
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -11,12 +11,23 @@
 
 from limpetyard._events import event
 from limpetyard.engine._crashes import CrashTracker
-from limpetyard.engine._effects import Effect, RequestAdvice, Start, Stop
+from limpetyard.engine._effects import (
+    Effect,
+    Pace,
+    RequestAdvice,
+    Start,
+    Stop,
+)
 from limpetyard.engine._interference import InterferenceModel
-from limpetyard.engine._pacing import pace, update_interference
+from limpetyard.engine._pacing import (
+    PACERS,
+    adopted_strain_ms,
+    update_interference,
+)
 from limpetyard.engine._params import EngineParams
 from limpetyard.engine._planner import Planner
 from limpetyard.engine._run_ends import FAILED_TASK_BACKOFF_MS, RunEndHandler
+from limpetyard.engine._speeds import repeat_failed
 from limpetyard.engine._step_worker_client import (
     PollReply,
     RunReport,
@@ -117,6 +128,7 @@
     """
 
     __slots__ = (
+        "_pace",
         "_planner",
         "_run_end_handler",
         "_workers_by_job",
@@ -147,6 +159,7 @@
         self.crashes = CrashTracker(self)
         self._run_end_handler = RunEndHandler(self)
         self._planner = Planner(self)
+        self._pace = PACERS.get(params.pacer)
         # Ids of the workers that have got runs of a job, by its id, until it
         # ends.
         self._workers_by_job: dict[str, set[str]] = {}
@@ -488,6 +501,9 @@
                 job.started_ms = now_ms
             else:
                 run.state = RunState.STOPPING
+        if run.step.target_ms and report.measurement > run.step.target_ms:
+            # It may have been over its target since long before.
+            run.over_since_ms = now_ms - adopted_strain_ms(self.params)
         run.acked_ms = now_ms
         run.proven = task is None or not task.crash_score
         self.add_run(worker, run)
@@ -693,6 +709,13 @@
             if run.acked_ms is None:
                 run.acked_ms = now_ms
 
+    def on_pace_failed(self, effect: Pace) -> None:
+        """Handles an order for a speed that got no reply: it is repeated."""
+        worker = self.workers.get(effect.worker)
+        run = worker and worker.runs.get((effect.task, effect.run))
+        if run and run.speed_percent == effect.percent:
+            run.pace_failed = True
+
     def plan(
         self, now_ms: float, wall_ms: float, max_starts: int | None = None
     ) -> list[Effect]:
@@ -711,8 +734,10 @@
         self._expire_leases(now_ms)
         effects: list[Effect] = self._due_stops(now_ms)
         effects += self._planner.place(now_ms, wall_ms, max_starts)
+        limit_ms = self.params.strain_limit_ms
         for worker in self.workers.values():
-            effects += pace(worker, self.interference, now_ms)
+            effects += self._pace(worker, self.interference, limit_ms, now_ms)
+            effects += repeat_failed(worker)
         return effects
 
     def _expire_leases(self, now_ms: float) -> None:
--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -1,17 +1,23 @@
-"""Slows best-effort tasks next to serving tasks close to their latency target.
+"""Policies that slow best-effort tasks for the sake of serving tasks.
 
 A best-effort task (`StepSpec.fills`) uses only cores that others leave idle. A
 serving task has a target for its tail latency. The headroom of a serving task
 is its target divided by its tail latency.
 """
 
-from limpetyard.engine._effects import Effect, Pace
+import math
+from collections.abc import Callable
+
+from limpetyard._registry import Registry
+from limpetyard.engine._effects import Effect
 from limpetyard.engine._interference import (
     HEADROOM_AT_TARGET,
     InterferenceModel,
     tail_headroom,
 )
-from limpetyard.engine._placement import WorkerLoad, serving_runs, worker_load
+from limpetyard.engine._params import EngineParams
+from limpetyard.engine._placement import serving_runs, worker_load
+from limpetyard.engine._speeds import pause_all, restore, slow, stop_paused
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 
 # Thresholds of the lowest predicted headroom on a worker. Below SLOW_BELOW,
@@ -26,13 +32,30 @@
 # full only after it.
 MEASUREMENT_WINDOW_MS = 500
 
-# A best-effort task that would be slowed below this is paused instead. Also the
-# smallest increase of a speed, except for an increase to full speed.
-MIN_SPEED_PERCENT = 10
+# Shares of `EngineParams.strain_limit_ms` for which a serving task may be over
+# its target before best-effort tasks are slowed, before those that interfere
+# are paused, and before all are. The rest is left for a report, an order and
+# its effect.
+SLOW_SHARE = 1 / 3
+PAUSE_SHARE = 1 / 2
+PAUSE_ALL_SHARE = 0.7
+
+# Time after lowering a speed until reports show its full effect: the order, and
+# a measurement that begins after it.
+SETTLING_MS = MEASUREMENT_WINDOW_MS + 200
+
+# Sets the speeds of the best-effort tasks on a worker, given the model, the
+# limit of strain in milliseconds and the current time. Returns orders for the
+# runs whose speed changes.
+Pacer = Callable[[Worker, InterferenceModel, float, float], list[Effect]]
+PACERS: Registry[Pacer] = Registry("pacer")
+
+DEFAULT_PACER = "measured"
+
 
-# A best-effort task that has been paused for longer than this is stopped, so
-# that it resumes from its checkpoint on another worker.
-MAX_PAUSE_MS = 1000
+def adopted_strain_ms(params: EngineParams) -> float:
+    """Returns for how long a found run counts as over its target."""
+    return SLOW_SHARE * params.strain_limit_ms
 
 
 def update_interference(
@@ -57,55 +80,139 @@
             )
 
 
-def pace(
-    worker: Worker, interference: InterferenceModel, now_ms: float
+def _slow_as_measured(
+    worker: Worker,
+    strained: WorkerRun,
+    runs: list[WorkerRun],
+    interference: InterferenceModel,
+) -> list[Effect]:
+    headroom = tail_headroom(strained.measurement, strained.step.target_ms)
+    image = strained.step.image
+    return slow(worker, image, runs, SLOW_TO - headroom, interference)
+
+
+def _pause_interfering(
+    worker: Worker,
+    strained: WorkerRun,
+    runs: list[WorkerRun],
+    interference: InterferenceModel,
+) -> list[Effect]:
+    return slow(worker, strained.step.image, runs, math.inf, interference)
+
+
+def _pause_all(
+    worker: Worker,
+    strained: WorkerRun,
+    runs: list[WorkerRun],
+    interference: InterferenceModel,
 ) -> list[Effect]:
-    """Sets the speed of the best-effort tasks on a worker.
+    return pause_all(worker, runs)
+
+
+# Given a worker, the serving run that has been over its target for longest, the
+# best-effort runs and the model, returns orders for the runs whose speed
+# changes.
+Mitigation = Callable[
+    [Worker, WorkerRun, list[WorkerRun], InterferenceModel], list[Effect]
+]
+
+# What is done from each share of the limit of strain on, longest first.
+MITIGATIONS: tuple[tuple[float, Mitigation], ...] = (
+    (PAUSE_ALL_SHARE, _pause_all),
+    (PAUSE_SHARE, _pause_interfering),
+    (SLOW_SHARE, _slow_as_measured),
+)
 
-    Marks runs that have been paused for longer than `MAX_PAUSE_MS` as stopping.
 
-    Returns:
-        Orders for the runs whose speed changes.
+@PACERS.register("measured")
+def pace_by_measurement(
+    worker: Worker,
+    interference: InterferenceModel,
+    strain_limit_ms: float,
+    now_ms: float,
+) -> list[Effect]:
+    """Slows tasks once a serving task has been over its target for a while.
+
+    The load of serving tasks varies within seconds, and most excesses end
+    sooner than a slowed task could make up for. Acts by `MITIGATIONS`, and
+    waits for the effect before it acts again. Restores speeds when the
+    predicted headroom allows it.
     """
-    load = worker_load(worker)
-    running = RunState.RUNNING
-    best_effort_runs = [
-        run for run in load.best_effort_runs if run.state is running
-    ]
-    if not best_effort_runs:
+    runs = _running_best_effort(worker)
+    if not runs:
         return []
-    lowest, limiting_image = _lowest_headroom(load, interference, now_ms)
+    strained = _longest_over_target(worker)
     effects: list[Effect] = []
+    if strained is not None:
+        share = (now_ms - strained.over_since_ms) / strain_limit_ms
+        if now_ms - worker.slowed_ms >= SETTLING_MS and share >= SLOW_SHARE:
+            mitigate = next(m for least, m in MITIGATIONS if share >= least)
+            effects = mitigate(worker, strained, runs, interference)
+            worker.slowed_ms = now_ms
+    elif any(run.speed_percent < 100 for run in runs):
+        lowest, image = _lowest_headroom(worker, interference, now_ms)
+        spare = lowest - RESTORE_DOWN_TO
+        effects = restore(worker, image, runs, spare, interference)
+    stop_paused(runs, now_ms)
+    return effects
+
+
+@PACERS.register("predicted")
+def pace_by_prediction(
+    worker: Worker,
+    interference: InterferenceModel,
+    strain_limit_ms: float,
+    now_ms: float,
+) -> list[Effect]:
+    """Slows tasks as soon as the predicted headroom is low."""
+    runs = _running_best_effort(worker)
+    if not runs:
+        return []
+    lowest, limiting_image = _lowest_headroom(worker, interference, now_ms)
     if limiting_image is not None and lowest < SLOW_BELOW:
-        effects = _slow(
-            worker,
-            limiting_image,
-            best_effort_runs,
-            SLOW_TO - lowest,
-            interference,
-        )
+        shortfall = SLOW_TO - lowest
+        effects = slow(worker, limiting_image, runs, shortfall, interference)
     else:
-        effects = _restore(
-            worker,
-            limiting_image,
-            best_effort_runs,
-            lowest - RESTORE_DOWN_TO,
-            interference,
-        )
-    for run in best_effort_runs:
-        if run.speed_percent > 0:
-            run.paused_since_ms = None
-        elif run.paused_since_ms is None:
-            run.paused_since_ms = now_ms
-        elif now_ms - run.paused_since_ms > MAX_PAUSE_MS:
-            run.state = RunState.STOPPING
+        spare = lowest - RESTORE_DOWN_TO
+        effects = restore(worker, limiting_image, runs, spare, interference)
+    stop_paused(runs, now_ms)
     return effects
 
 
+@PACERS.register("none")
+def pace_never(
+    worker: Worker,
+    interference: InterferenceModel,
+    strain_limit_ms: float,
+    now_ms: float,
+) -> list[Effect]:
+    """Changes no speed. For comparison only: nothing limits the strain."""
+    return []
+
+
+def _running_best_effort(worker: Worker) -> list[WorkerRun]:
+    # A member of an enum is slow to look up, and there are many runs.
+    running = RunState.RUNNING
+    return [
+        run
+        for run in worker_load(worker).best_effort_runs
+        if run.state is running
+    ]
+
+
+def _longest_over_target(worker: Worker) -> WorkerRun | None:
+    """Returns the serving run that has been over its target for longest."""
+    over = [
+        run for run in serving_runs(worker) if run.over_since_ms is not None
+    ]
+    return min(over, key=lambda run: run.over_since_ms, default=None)
+
+
 def _lowest_headroom(
-    load: WorkerLoad, interference: InterferenceModel, now_ms: float
+    worker: Worker, interference: InterferenceModel, now_ms: float
 ) -> tuple[float, str | None]:
     """Returns the lowest predicted headroom and the serving image with it."""
+    load = worker_load(worker)
     losses: dict[str, float] = {}
     lowest, limiting_image = float("inf"), None
     for job, image in load.serving_images:
@@ -118,100 +225,3 @@
         if headroom < lowest:
             lowest, limiting_image = headroom, image
     return lowest, limiting_image
-
-
-def _weights(
-    limiting_image: str | None,
-    runs: list[WorkerRun],
-    interference: InterferenceModel,
-) -> dict[str, float]:
-    """Returns the headroom lost per core of each image of some runs."""
-    images = {run.step.image for run in runs}
-    if limiting_image is None:
-        return dict.fromkeys(images, 0.0)
-    return {
-        image: interference.weight(limiting_image, image) for image in images
-    }
-
-
-def _slow(
-    worker: Worker,
-    limiting_image: str,
-    best_effort_runs: list[WorkerRun],
-    shortfall: float,
-    interference: InterferenceModel,
-) -> list[Effect]:
-    """Slows tasks, the most interfering first, until `shortfall` is covered.
-
-    A task that would fall below `MIN_SPEED_PERCENT` is paused.
-
-    Args:
-        worker: Worker of the runs.
-        limiting_image: Serving image with the lowest headroom.
-        best_effort_runs: Runs to choose from.
-        shortfall: Headroom to regain.
-        interference: Model that gives the loss of headroom that each run
-            causes.
-    """
-    effects: list[Effect] = []
-    running = [run for run in best_effort_runs if run.speed_percent > 0]
-    weights = _weights(limiting_image, running, interference)
-    for run in sorted(running, key=lambda run: -weights[run.step.image]):
-        cores = run.step.need.cores_milli / 1000 * run.speed_percent / 100
-        headroom_loss = weights[run.step.image] * cores
-        if shortfall <= 0 or headroom_loss <= 0:
-            continue
-        percent = int(
-            run.speed_percent * max(0.0, 1 - shortfall / headroom_loss)
-        )
-        percent = percent if percent >= MIN_SPEED_PERCENT else 0
-        shortfall -= headroom_loss * (1 - percent / run.speed_percent)
-        effects.append(_set_speed(worker, run, percent))
-    return effects
-
-
-def _restore(
-    worker: Worker,
-    limiting_image: str | None,
-    best_effort_runs: list[WorkerRun],
-    spare: float,
-    interference: InterferenceModel,
-) -> list[Effect]:
-    """Speeds tasks up, the least interfering first, until `spare` is used.
-
-    A speed is not raised by less than `MIN_SPEED_PERCENT`, except to 100 %.
-
-    Args:
-        worker: Worker of the runs.
-        limiting_image: Serving image with the lowest headroom, or None.
-        best_effort_runs: Runs to choose from.
-        spare: Headroom that may be used up.
-        interference: Model that gives the loss of headroom that each run
-            causes.
-    """
-    effects: list[Effect] = []
-    slowed = [run for run in best_effort_runs if run.speed_percent < 100]
-    if spare <= 0 or not slowed:
-        return effects
-    weights = _weights(limiting_image, slowed, interference)
-    for run in sorted(slowed, key=lambda run: weights[run.step.image]):
-        if spare <= 0:
-            break
-        full_speed_loss = (
-            weights[run.step.image] * run.step.need.cores_milli / 1000
-        )
-        increase = 100 - run.speed_percent
-        if full_speed_loss > 0:
-            increase = min(increase, int(100 * spare / full_speed_loss))
-        percent = run.speed_percent + increase
-        if percent < 100 and increase < MIN_SPEED_PERCENT:
-            continue
-        spare -= full_speed_loss * increase / 100
-        effects.append(_set_speed(worker, run, percent))
-    return effects
-
-
-def _set_speed(worker: Worker, run: WorkerRun, percent: int) -> Pace:
-    """Records a new speed of a run and returns the order for the worker."""
-    run.speed_percent = percent
-    return Pace(worker.id, run.task, run.run, percent)
--- a/src/limpetyard/engine/_params.py
+++ b/src/limpetyard/engine/_params.py
@@ -13,9 +13,14 @@
         remote_factor: Factor by which a task takes longer outside the rack
             that holds its data.
         gang_timeout_ms: Time that a member of a gang waits for the others.
+        strain_limit_ms: Longest time for which best-effort tasks may keep a
+            serving task over its latency target.
+        pacer: Name of the policy that paces best-effort tasks.
     """
 
     lease_ms: float
     self_fence_ms: float
     remote_factor: float = 1.5
     gang_timeout_ms: float = 3000.0
+    strain_limit_ms: float = 4000.0
+    pacer: str = "measured"
--- a/src/limpetyard/engine/_placement.py
+++ b/src/limpetyard/engine/_placement.py
@@ -121,6 +121,7 @@
         "_has_probe",
         "_headroom_cache",
         "_interference",
+        "_is_strained",
         "_load",
         "_now_ms",
         "free_resources",
@@ -136,6 +137,7 @@
         self._headroom_cache: list[tuple[str, float]] | None = None
         self._interference = interference
         self._has_probe = False
+        self._is_strained: bool | None = None
         load = worker_load(worker)
         # None after a reservation, since the worker may have got the run.
         self._load: WorkerLoad | None = load
@@ -217,6 +219,15 @@
         """
         return self._current_load().count_runs(owner)
 
+    def is_strained(self) -> bool:
+        """Returns whether a serving run here is over its latency target."""
+        if self._is_strained is None:
+            self._is_strained = any(
+                run.over_since_ms is not None
+                for run in serving_runs(self.worker)
+            )
+        return self._is_strained
+
     def has_serving_runs(self) -> bool:
         """Returns whether a run here has a latency target."""
         return bool(self._current_load().serving_images)
@@ -369,9 +380,10 @@
 
     The interference is relative to that of other images on the same worker; see
     `Candidate.excess_interference`. Ties go to the worker with the most
-    headroom, then to the one with the most idle cores.
+    headroom, then to the one with the most idle cores. A worker whose serving
+    tasks are over their targets gets none, as it would soon have to be slowed.
     """
-    if candidate.lacks_idle_cores(step):
+    if candidate.lacks_idle_cores(step) or candidate.is_strained():
         return None
     cores = step.need.cores_milli / 1000
     headroom = candidate.headroom_with(step.image, cores)
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -90,6 +90,9 @@
         speed_percent: Share of its full speed that the run was last given.
         at_full_speed: Whether the last report showed the run at 100 % speed.
         measurement: Measurement in the last report.
+        over_since_ms: Since when the reported tail latency has been over the
+            target, or None.
+        pace_failed: Whether the last order for its speed got no reply.
         paused_since_ms: Since when the run has been given 0 % speed, or None.
         placed_ms: When the run was placed.
         proven: Whether the run was reported at least `PROVEN_RUN_MS` after its
@@ -107,6 +110,8 @@
         "crash_counted",
         "last_stop_ms",
         "measurement",
+        "over_since_ms",
+        "pace_failed",
         "paused_since_ms",
         "placed_ms",
         "proven",
@@ -129,6 +134,8 @@
         self.speed_percent = 100
         self.at_full_speed = False
         self.measurement = 0.0
+        self.over_since_ms: float | None = None
+        self.pace_failed = False
         self.paused_since_ms: float | None = None
         self.placed_ms = now_ms
         self.proven = False
@@ -161,6 +168,10 @@
         self.checkpoint = report.checkpoint or self.checkpoint
         self.at_full_speed = report.percent >= 100
         self.measurement = report.measurement
+        if not self.step.target_ms or self.measurement <= self.step.target_ms:
+            self.over_since_ms = None
+        elif self.over_since_ms is None:
+            self.over_since_ms = now_ms
 
 
 class Worker:
@@ -176,6 +187,7 @@
             `token`, so that it rejects orders of earlier owners.
         runs: Runs that may exist on the worker, by task and run number.
         latest_load: What `worker_load` returned last, or None.
+        slowed_ms: When the speed of a best-effort task was last lowered.
         last_received_end: Number of the last ended run that was processed.
         last_acked_end: Number of the last ended run that is stored, and that
             the worker therefore need not report again.
@@ -232,6 +244,7 @@
         "replied_ms",
         "runs",
         "silent_starts",
+        "slowed_ms",
         "token_confirmed",
     )
 
@@ -245,6 +258,7 @@
         self.recorded = False
         self.runs: dict[tuple[TaskKey, int], WorkerRun] = {}
         self.latest_load: WorkerLoad | None = None
+        self.slowed_ms = float("-inf")
         self.last_received_end = 0
         self.last_acked_end = 0
         self.lease_end_ms = 0.0
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -145,6 +145,8 @@
             SELF_FENCE_MS,
             cfg.remote_factor,
             cfg.gang_timeout_ms,
+            cfg.strain_limit_ms,
+            cfg.pacer,
         )
         name = member_name(
             cfg.node, cfg.peers, self._nonce, cfg.processor_cores
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -318,6 +318,7 @@
             StaleTokenError,
         ) as exc:
             event("order_failed", order="pace", reason=exc)
+            self._engine.on_pace_failed(effect)
             return
         event(
             "task_paced",
--- a/src/limpetyard/node/_settings.py
+++ b/src/limpetyard/node/_settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from limpetyard._addresses import parse_host_port
+from limpetyard.engine import DEFAULT_PACER, PACERS
 from limpetyard.errors import SettingError
 
 
@@ -29,6 +30,9 @@
         state_kept_ms: Time for which the state of an ended job is retained.
         leave_ms: Time between the signal to leave and the kill.
         metrics: IP:port on which metrics are served, or "" for none.
+        strain_limit_ms: Longest time for which best-effort tasks may keep a
+            serving task over its latency target.
+        pacer: Name of the policy that paces best-effort tasks.
         processor_cores: Processor capacity of this VM in cores of normal speed,
             0 if unknown.
     """
@@ -47,6 +51,8 @@
     state_kept_ms: float = 120_000.0
     leave_ms: float = 6000.0
     metrics: str = ""
+    strain_limit_ms: float = 4000.0
+    pacer: str = DEFAULT_PACER
     processor_cores: float = 0.0
 
     def check(self) -> None:
@@ -67,10 +73,14 @@
             "longest_lease_ms",
             "state_kept_ms",
             "leave_ms",
+            "strain_limit_ms",
         )
         for name in positive:
             if getattr(self, name) <= 0:
                 raise SettingError(name, getattr(self, name), "more than 0")
+        if self.pacer not in set(PACERS):
+            known = "one of " + ", ".join(PACERS)
+            raise SettingError("pacer", self.pacer, known)
         cores = self.processor_cores
         if not (math.isfinite(cores) and cores >= 0):
             raise SettingError("processor_cores", cores, "0 or more, finite")
--- a/src/limpetyard/noded.py
+++ b/src/limpetyard/noded.py
@@ -22,6 +22,7 @@
 from limpetyard.platform._operator_records import SiteViewUpdater
 from limpetyard.platform._settings import (
     METRICS_PORT_ENV,
+    PACER_ENV,
     SETTINGS_ENV,
     load_settings,
 )
@@ -71,9 +72,8 @@
 
 def read_settings() -> NodeSettings:
     """Reads the settings file that the environment names."""
-    return load_settings(
-        os.environ.get(SETTINGS_ENV, ""), os.environ.get(METRICS_PORT_ENV, "")
-    )
+    names = (SETTINGS_ENV, METRICS_PORT_ENV, PACER_ENV)
+    return load_settings(*(os.environ.get(name, "") for name in names))
 
 
 def report_changed_settings(cfg: NodeSettings) -> None:
--- a/src/limpetyard/platform/_settings.py
+++ b/src/limpetyard/platform/_settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from limpetyard.engine import DEFAULT_PACER
 from limpetyard.errors import SettingError
 from limpetyard.node import NodeSettings
 
@@ -16,6 +17,10 @@
 # not contain it.
 METRICS_PORT_ENV = "LIMPETYARD_METRICS_PORT"
 
+# Environment variable that holds the name of the policy that paces best-effort
+# tasks.
+PACER_ENV = "LIMPETYARD_PACER"
+
 
 class _ListenAddresses(msgspec.Struct, rename="camel"):
     frontend: str
@@ -30,6 +35,7 @@
     remote_factor: float = 1.5
     gang_timeout_ms: float = 3000.0
     grace_s: float = msgspec.field(default=6.0, name="graceS")
+    harm_ms: Annotated[float, msgspec.Meta(gt=0)] = 4000.0
     status_s: float = msgspec.field(default=120.0, name="status_s")
 
 
@@ -55,12 +61,15 @@
     advice: str = ""
 
 
-def load_settings(path: str, metrics_port: str = "") -> NodeSettings:
+def load_settings(
+    path: str, metrics_port: str = "", pacer: str = ""
+) -> NodeSettings:
     """Reads and checks a settings file.
 
     Args:
         path: Path of the file.
         metrics_port: Port for metrics, or "" to serve none.
+        pacer: Policy that paces best-effort tasks, or "" for the default.
 
     Raises:
         SettingError: If the file cannot be read or a setting is not valid. The
@@ -78,12 +87,14 @@
         raise SettingError(
             SETTINGS_ENV, path, f"valid settings ({exc})"
         ) from exc
-    cfg = _to_node_settings(file, metrics_port)
+    cfg = _to_node_settings(file, metrics_port, pacer)
     cfg.check()
     return cfg
 
 
-def _to_node_settings(file: _SettingsFile, metrics_port: str) -> NodeSettings:
+def _to_node_settings(
+    file: _SettingsFile, metrics_port: str, pacer: str
+) -> NodeSettings:
     ip = file.listen_addrs.control_plane.rpartition(":")[0]
     return NodeSettings(
         file.node_name,
@@ -100,5 +111,7 @@
         file.bounds.status_s * 1000,
         file.bounds.grace_s * 1000,
         f"{ip}:{metrics_port}" if metrics_port else "",
+        file.bounds.harm_ms,
+        pacer or DEFAULT_PACER,
         file.limits.cpu_quota * file.limits.cpu_cores,
     )
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from limpetyard.engine import (
+    DEFAULT_PACER,
     Engine,
     EngineParams,
     Pace,
@@ -20,6 +21,7 @@
     Ticket,
     WorkerEntry,
 )
+from limpetyard.engine._speeds import MAX_PAUSE_MS
 from limpetyard.jobs import (
     AdviceParams,
     JobSpec,
@@ -60,11 +62,13 @@
     """Base of tests of an engine whose workers have replied to a poll."""
 
     workers = 2
+    pacer = DEFAULT_PACER
 
     def setUp(self):
         """Creates the engine and its workers."""
         self.now_ms = 1000.0
-        self.engine = Engine(3, EngineParams(LEASE_MS, 5000))
+        params = EngineParams(LEASE_MS, 5000, pacer=self.pacer)
+        self.engine = Engine(3, params)
         self.ends: dict[str, int] = {}
         for number in range(self.workers):
             self.add(entry(number))
@@ -757,6 +761,8 @@
     """Best-effort tasks next to serving tasks."""
 
     workers = 1
+    # Paused within the limit of strain, stopped after the longest pause.
+    reports_to_stop = math.ceil((4000 + MAX_PAUSE_MS) / 500) + 1
 
     def report_measurements(self, tail_ms: float, cores: float) -> None:
         """Has the worker report measurements.
@@ -798,15 +804,6 @@
         self.submit(job(2, best_effort))
         self.start_all()
 
-    def test_paced_near_the_target(self):
-        """A best-effort task is slowed if a tail latency nears its target."""
-        self.start_serving()
-        self.report_measurements(17.5, 2.0)
-        self.report_measurements(17.5, 2.0)
-        effects = self.plan(Pace)
-        self.assertEqual(len(effects), 1)
-        self.assertLess(effects[0].percent, 100)
-
     def test_not_paced_far_from_the_target(self):
         """A best-effort task keeps its speed while headroom is large."""
         self.start_serving()
@@ -814,10 +811,32 @@
             self.report_measurements(6.0, 2.0)
             self.assertEqual(self.plan(Pace), [])
 
+    def test_no_start_beside_strain(self):
+        """A task starts where the next report would have it slowed."""
+        self.start_serving()
+        self.report_measurements(19.0, 0.0)
+        step = StepSpec(1, Resources(10, 100, 0), image="quiet", fills=True)
+        self.submit(job(3, step))
+        self.assertEqual(self.plan(Start), [])
+        for _ in range(4):
+            self.report_measurements(6.0, 2.0)
+        self.assertEqual(len(self.plan(Start)), 1)
+
+    def test_lost_order_is_repeated(self):
+        """A task whose order was lost keeps the speed that it had."""
+        self.start_serving()
+        effects = []
+        while not effects:
+            self.report_measurements(40.0, 2.0)
+            effects = self.plan(Pace)
+        self.engine.on_pace_failed(effects[0])
+        self.assertEqual(self.plan(Pace), effects)
+        self.assertEqual(self.plan(Pace), [])
+
     def test_paused_task_is_stopped(self):
         """A best-effort task that is paused for too long is stopped."""
         self.start_serving()
-        for _ in range(8):
+        for _ in range(self.reports_to_stop):
             self.report_measurements(40.0, 2.0)
             effects = self.plan()
             if any(isinstance(effect, Stop) for effect in effects):
@@ -825,6 +844,22 @@
         self.fail("the best-effort task was never stopped")
 
 
+class PredictedPaceTest(BestEffortTest):
+    """The same with tasks that are slowed by the predicted headroom."""
+
+    pacer = "predicted"
+    reports_to_stop = 8
+
+    def test_paced_near_the_target(self):
+        """A best-effort task is slowed if a tail latency nears its target."""
+        self.start_serving()
+        self.report_measurements(17.5, 2.0)
+        self.report_measurements(17.5, 2.0)
+        effects = self.plan(Pace)
+        self.assertEqual(len(effects), 1)
+        self.assertLess(effects[0].percent, 100)
+
+
 class ServingPlacementTest(EngineTestCase):
     """Packing of serving tasks."""
 
--- a/tests/engine/test_pacing_cost.py
+++ b/tests/engine/test_pacing_cost.py
@@ -14,17 +14,16 @@
     Start,
     Stop,
 )
-from limpetyard.engine import _engine as engine_module
 from limpetyard.engine import _placement as placement
 from limpetyard.engine._interference import InterferenceModel, _Baseline
 from limpetyard.engine._pacing import (
-    MAX_PAUSE_MS,
-    MIN_SPEED_PERCENT,
+    PACERS,
     RESTORE_DOWN_TO,
     SLOW_BELOW,
     SLOW_TO,
 )
 from limpetyard.engine._planner import Planner
+from limpetyard.engine._speeds import MAX_PAUSE_MS, MIN_SPEED_PERCENT
 from limpetyard.engine._worker import RunState, Worker
 from limpetyard.jobs import Resources, StepSpec
 from tests.engine import test_engine, test_planning_cost
@@ -71,6 +70,7 @@
     """Calls in a round in which nothing has changed."""
 
     workers = WORKERS
+    pacer = "predicted"
 
     def start_mix(self) -> None:
         """Starts best-effort tasks of two images beside serving tasks."""
@@ -360,8 +360,8 @@
     return old + increase, loss * increase / 100
 
 
-def reference_pace(worker, model, now_ms):
-    """Paces as `pace` does, with a loss of headroom for each serving run."""
+def reference_pace(worker, model, strain_limit_ms, now_ms):
+    """Paces by prediction, with a loss of headroom for each serving run."""
     runs = [
         run
         for run in worker.runs.values()
@@ -406,6 +406,10 @@
 class BusyCell(test_planning_cost.RandomCell):
     """A random cell whose tail latencies come close to their targets."""
 
+    def __init__(self, seed: int, pace):
+        super().__init__(seed, Planner)
+        self.engine._pace = pace
+
     def poll(self, worker) -> None:
         """Has a worker report its runs, few of which have ended."""
         rng = self.rng
@@ -438,9 +442,8 @@
         paced = 0
         for seed in range(32):
             with self.subTest(seed=seed):
-                played = BusyCell(seed, Planner).play()
-                with mock.patch.object(engine_module, "pace", reference_pace):
-                    expected = BusyCell(seed, Planner).play()
+                played = BusyCell(seed, PACERS.get("predicted")).play()
+                expected = BusyCell(seed, reference_pace).play()
                 self.assertEqual(played, expected)
                 paced += sum(isinstance(e, Pace) for r in played for e in r)
         self.assertGreater(paced, 0)
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -319,6 +319,8 @@
             return None
         headroom, excess = float("inf"), None
         for run in serving_runs(worker):
+            if run.over_since_ms is not None:
+                return None
             image = run.step.image
             weight = model.weight(image, step.image)
             left = model.predicted_baseline(run.task.job, now_ms) - sum(
