Wait for two fifths of the limit of strain before slowing tasks

Change: slowed from 0.4, interfering ones paused from 0.6.

Also: bench colocation, the pacers side by side.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 import sys
 from pathlib import Path
 
-from bench import decisions, path, recovery, scale, shares, slots
+from bench import colocation, decisions, path, recovery, scale, shares, slots
 from bench.report import Section
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -24,6 +24,7 @@
     "path": path.measure_section,
     "scale": scale.measure_section,
     "recovery": recovery.measure_section,
+    "colocation": colocation.measure_section,
 }
 
 
--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -36,8 +36,8 @@
 # its target before best-effort tasks are slowed, before those that interfere
 # are paused, and before all are. The rest is left for a report, an order and
 # its effect.
-SLOW_SHARE = 1 / 3
-PAUSE_SHARE = 1 / 2
+SLOW_SHARE = 0.4
+PAUSE_SHARE = 0.6
 PAUSE_ALL_SHARE = 0.7
 
 # Time after lowering a speed until reports show its full effect: the order, and
