--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -10,6 +10,7 @@
 import math
 
 from limpetyard._events import event
+from limpetyard.engine._census import Census
 from limpetyard.engine._crashes import CrashTracker
 from limpetyard.engine._effects import (
     Effect,
@@ -129,6 +130,7 @@
     """
 
     __slots__ = (
+        "_census",
         "_offered_loads",
         "_pace",
         "_planner",
@@ -162,6 +164,7 @@
         self._offered_loads: dict[str, OfferedLoad] = {}
         self._run_end_handler = RunEndHandler(self)
         self._planner = Planner(self)
+        self._census = Census(self)
         self._pace = PACERS.get(params.pacer)
         # Ids of the workers that have got runs of a job, by its id, until it
         # ends.
@@ -748,6 +751,7 @@
         for worker in self.workers.values():
             effects += self._pace(worker, self.interference, limit_ms, now_ms)
             effects += repeat_failed(worker)
+        self._census.count_if_due(now_ms)
         return effects
 
     def _expire_leases(self, now_ms: float) -> None:
--- a/src/limpetyard/logbook/_plots.py
+++ b/src/limpetyard/logbook/_plots.py
@@ -9,7 +9,7 @@
 from limpetyard.logbook._time_series import Point, ReportSeries
 
 WIDTH_IN = 11
-HEIGHT_IN = 14
+HEIGHT_IN = 18
 DOTS_PER_INCH = 100
 
 
@@ -24,7 +24,7 @@
         OSError: If the file cannot be written.
     """
     figure = Figure((WIDTH_IN, HEIGHT_IN), DOTS_PER_INCH, layout="constrained")
-    acceptance, first, running, rejections = figure.subplots(4)
+    acceptance, first, running, work, rejections = figure.subplots(5)
     _draw_maxima(
         acceptance,
         series.acceptance_ms,
@@ -36,7 +36,13 @@
     running.step(*_columns(series.running), where="post")
     running.set_title("current runs")
     running.set_ylabel("runs")
-    for axes in (acceptance, first, running):
+    for name, points in sorted(series.work.items()):
+        work.step(*_columns(points), where="post", label=name)
+    work.set_title("tasks by kind and state")
+    work.set_ylabel("tasks")
+    if series.work:
+        work.legend(fontsize="small", ncols=3)
+    for axes in (acceptance, first, running, work):
         axes.set_xlabel("second")
         for at_s in series.takeovers:
             axes.axvline(at_s, color="grey", linestyle=":")
--- a/src/limpetyard/logbook/_time_series.py
+++ b/src/limpetyard/logbook/_time_series.py
@@ -32,6 +32,8 @@
         running: Number of current runs, as logged by the owners.
         takeovers: Times of takeovers, seconds since the first line.
         rejections: Number of rejected requests by error kind.
+        work: Counts of the owners by kind of work and state, such as
+            "filling paused".
     """
 
     acceptance_ms: dict[str, list[Point]] = dataclasses.field(
@@ -43,6 +45,9 @@
     running: list[Point] = dataclasses.field(default_factory=list)
     takeovers: list[float] = dataclasses.field(default_factory=list)
     rejections: Counter = dataclasses.field(default_factory=Counter)
+    work: dict[str, list[Point]] = dataclasses.field(
+        default_factory=lambda: defaultdict(list)
+    )
 
 
 def read_series(lines: Iterable[LogLine]) -> ReportSeries:
@@ -97,7 +102,19 @@
     series.running.append(Point(at_s, len(runs)))
 
 
+def _add_work(
+    series: ReportSeries, line: LogLine, at_s: float, runs: set
+) -> None:
+    for state in WORK_STATES:
+        name = f"{line.fields.get('kind', '')} {state}"
+        series.work[name].append(Point(at_s, line.number(state)))
+
+
+# Fields of a count of work that are plotted.
+WORK_STATES = ("waiting", "running", "paused", "over_target")
+
 _HANDLERS = {
+    "work_counted": _add_work,
     "job_accepted": _add_acceptance,
     "job_begun": _add_first_start,
     "cell_taken_over": _add_takeover,
--- a/tests/logbook/test_time_series.py
+++ b/tests/logbook/test_time_series.py
@@ -15,6 +15,17 @@
     line(3, "cell_taken_over", cell=0, epoch=2),
     line(3, "run_found", task="a.0.0.0", run=1),
     line(4, "request_refused", kind="not_ready"),
+    line(
+        4,
+        "work_counted",
+        kind="filling",
+        waiting=3,
+        running=5,
+        stopping=0,
+        slowed=2,
+        paused=1,
+        over_target=0,
+    ),
     line(5, "run_ended", task="a.0.0.0", run=1, how="done"),
 ]
 
@@ -29,6 +40,8 @@
         self.assertEqual(series.first_start_ms, {"q": [Point(1, 1000)]})
         self.assertEqual(series.takeovers, [2])
         self.assertEqual(series.rejections, {"not_ready": 1})
+        self.assertEqual(series.work["filling waiting"], [Point(3, 3)])
+        self.assertEqual(series.work["filling paused"], [Point(3, 1)])
 
     def test_found_run_is_one_run(self):
         """A run that a new owner finds after a takeover is counted once."""
@@ -41,6 +54,7 @@
             path = Path(directory) / "day.svg"
             draw(read_series(LINES), str(path))
             self.assertIn("current runs", path.read_text())
+            self.assertIn("filling paused", path.read_text())
 
     def test_empty(self):
         """Empty logs yield a plot without points."""
