--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -173,14 +173,14 @@
 class SettingsTest(unittest.TestCase):
     """The settings file."""
 
-    def load(self, text: str):
+    def load(self, text: str, **environment: str):
         """Loads a settings file with this text."""
         import tempfile
 
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
             file.write(text)
             file.flush()
-            return load_settings(file.name)
+            return load_settings(file.name, **environment)
 
     GOOD = """
         nodeName = "n"
@@ -248,6 +248,37 @@
                     str(caught.exception), f"{key}|processor_cores"
                 )
 
+    def test_best_effort(self):
+        """Pacer, limit of strain and reserve have defaults and are set."""
+        cfg = self.load(self.GOOD)
+        self.assertEqual(
+            (cfg.pacer, cfg.strain_limit_ms, cfg.reserved_share),
+            ("measured", 4000, 0.05),
+        )
+        text = self.GOOD.replace("graceS = 5", "graceS = 5\nharmMs = 4500")
+        cfg = self.load(text, pacer="predicted", reserved="0")
+        self.assertEqual(
+            (cfg.pacer, cfg.strain_limit_ms, cfg.reserved_share),
+            ("predicted", 4500, 0),
+        )
+
+    def test_bad_best_effort(self):
+        """The error names the setting and what it must be."""
+        cases = (
+            ({"pacer": "often"}, "pacer.*measured, none, predicted"),
+            ({"reserved": "much"}, "LIMPETYARD_RESERVED_SHARE.*a number"),
+            ({"reserved": "0.7"}, "reserved_share.*0 to 0.5"),
+            ({"reserved": "nan"}, "reserved_share.*0 to 0.5"),
+        )
+        for environment, expected in cases:
+            with self.subTest(environment):
+                with self.assertRaises(SettingError) as caught:
+                    self.load(self.GOOD, **environment)
+                self.assertRegex(str(caught.exception), expected)
+        text = self.GOOD.replace("graceS = 5", "graceS = 5\nharmMs = 0")
+        with self.assertRaises(SettingError):
+            self.load(text)
+
     def test_missing(self):
         """A missing file raises an error."""
         with self.assertRaises(SettingError):
