--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -208,6 +208,11 @@
         ("path", "method", "kind", "detail"),
         "A caller's request was rejected, for the given reason.",
     ),
+    "room_counted": EventKind(
+        ("workers", "free_cores", "most_on_one"),
+        "Every 2 s: cores not reserved on workers that answer, and the most on"
+        " one of them.",
+    ),
     "run_ended": EventKind(
         ("task", "run", "worker", "how", "age_ms"),
         "A worker reported the end of a run.",
@@ -286,6 +291,19 @@
     "vm_list_unavailable": EventKind(
         ("reason",), "The VM list could not be read; the last one stays in use."
     ),
+    "work_counted": EventKind(
+        (
+            "kind",
+            "waiting",
+            "running",
+            "stopping",
+            "slowed",
+            "paused",
+            "over_target",
+        ),
+        "Every 2 s: tasks and runs by kind (serving, plain, filling); complete,"
+        " unlike lines about single runs.",
+    ),
     "worker_lapsed": EventKind(
         ("worker", "runs", "replied_ms"),
         "A worker was silent until its lease expired; its runs are lost.",
--- a/src/limpetyard/engine/_census.py
+++ b/src/limpetyard/engine/_census.py
@@ -56,7 +56,16 @@
         self._count_waiting(counts)
         self._count_runs(counts)
         for kind, number in sorted(counts.items()):
-            event("work_counted", kind=kind, **dataclasses.asdict(number))
+            event(
+                "work_counted",
+                kind=kind,
+                waiting=number.waiting,
+                running=number.running,
+                stopping=number.stopping,
+                slowed=number.slowed,
+                paused=number.paused,
+                over_target=number.over_target,
+            )
         free = [
             worker.free_resources().cores_milli / 1000
             for worker in self._engine.workers.values()
