--- a/src/limpetyard/node/_settings.py
+++ b/src/limpetyard/node/_settings.py
@@ -8,7 +8,7 @@
 from limpetyard.engine import DEFAULT_PACER, PACERS
 from limpetyard.errors import SettingError
 
-# Enough for one wide task on each fourth worker or so.
+# Enough for a wide task on every few workers.
 DEFAULT_RESERVED_SHARE = 0.05
 MAX_RESERVED_SHARE = 0.5
 
