--- a/standins/colocation.py
+++ b/standins/colocation.py
@@ -55,6 +55,10 @@
         burst: Factor on that during the second quarter of the time.
         pressure: Utilization that best-effort tasks add if they use all cores.
         images: Number of best-effort images; their pressures vary by three.
+        tasks_per_job: Tasks of a best-effort job.
+        task_ms: Length of each on cores of its own.
+        task_cores: Cores that each uses.
+        duration_s: Time that is played.
     """
 
     workers: int = 12
