Plan no more starts than may wait for the store

Cause: since the places of long-running tasks are stored first, a start that waits for the store did not count as one that may be planned. So each round of planning added 48 more, which queued in the dispatcher for up to 13 s (queued_ms), and a task whose run ended came behind all of them.

Change: such starts have a limit of their own, also 48, which the planner keeps. Tasks that start where the store already has them are exempt, so a slow store does not delay them. The slots after the append are gone.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -730,7 +730,11 @@
             run.pace_failed = True
 
     def plan(
-        self, now_ms: float, wall_ms: float, max_starts: int | None = None
+        self,
+        now_ms: float,
+        wall_ms: float,
+        max_starts: int | None = None,
+        max_unrecorded: int | None = None,
     ) -> list[Effect]:
         """Expires leases and plans stops, starts and changes of speed.
 
@@ -740,13 +744,17 @@
                 occurrences.
             max_starts: Largest number of starts, or None for no limit; see
                 `Planner.place`.
+            max_unrecorded: Largest number of those that must wait for the
+                store, or None for no limit.
 
         Returns:
             Effects for the caller to execute.
         """
         self._expire_leases(now_ms)
         effects: list[Effect] = self._due_stops(now_ms)
-        effects += self._planner.place(now_ms, wall_ms, max_starts)
+        effects += self._planner.place(
+            now_ms, wall_ms, max_starts, max_unrecorded
+        )
         limit_ms = self.params.strain_limit_ms
         for worker in self.workers.values():
             effects += self._pace(worker, self.interference, limit_ms, now_ms)
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -49,6 +49,7 @@
         "_placed",
         "_rooms",
         "_suspect_steps_left",
+        "_unrecorded_left",
         "_wait_reporter",
     )
 
@@ -62,11 +63,18 @@
         self._placed: list[Candidate] = []
         # Number of steps with suspects that this round may still look at.
         self._suspect_steps_left = MAX_SUSPECT_STEPS
+        # Number of starts that this round may still plan whose place is not
+        # stored yet.
+        self._unrecorded_left = math.inf
         # Room for long-running tasks in this round, by service.
         self._rooms: dict[str, LongRunningRoom] = {}
 
     def place(
-        self, now_ms: float, wall_ms: float, max_starts: int | None = None
+        self,
+        now_ms: float,
+        wall_ms: float,
+        max_starts: int | None = None,
+        max_unrecorded: int | None = None,
     ) -> list[Effect]:
         """Places ready tasks and moves runs off draining workers.
 
@@ -76,6 +84,8 @@
                 occurrences.
             max_starts: Largest number of starts, or None for no limit. A gang
                 that is wider than the rest of it still starts as a whole.
+            max_unrecorded: Largest number of starts of long-running tasks at a
+                place that is not stored yet, or None for no limit.
 
         Returns:
             Starts, and requests for advice that must precede starts.
@@ -88,6 +98,9 @@
         self._suspect_steps_left = MAX_SUSPECT_STEPS
         rounds: dict[str, ServiceRound] = {}
         left = math.inf if max_starts is None else max_starts
+        self._unrecorded_left = (
+            math.inf if max_unrecorded is None else max_unrecorded
+        )
         effects: list[Effect] = []
         for job, occurrence, step in self._ready_steps(now_ms, wall_ms):
             queue = job.spec.queue
@@ -109,6 +122,8 @@
                 unconfirmed,
                 now_ms,
             )
+            if self._needs_record(job.spec.steps[step]):
+                waiting = [task for task in waiting if task.recorded_place]
             if waiting:
                 step_effects = self._place_step(
                     job,
@@ -121,11 +136,20 @@
                 left -= sum(type(e) is Start for e in step_effects)
                 effects += step_effects
         self._wait_reporter.report(
-            RoundState(now_ms, rounds, unconfirmed, left)
+            RoundState(
+                now_ms,
+                rounds,
+                unconfirmed,
+                min(left, self._unrecorded_left),
+            )
         )
         self._drain_workers(rounds, now_ms)
         return effects
 
+    def _needs_record(self, step: StepSpec) -> bool:
+        """Returns whether tasks of a step may only start at stored places."""
+        return step.long_running and self._unrecorded_left <= 0
+
     def _ready_steps(
         self, now_ms: float, wall_ms: float
     ) -> list[tuple[Job, int, int]]:
@@ -409,12 +433,21 @@
         left: float,
         now_ms: float,
     ) -> list[Effect]:
-        """Places tasks until one does not fit or no start is left."""
+        """Places tasks until one does not fit or no start is left.
+
+        A task whose place must be stored already is passed over if it does not
+        fit there.
+        """
         starts: list[Effect] = []
         for task in waiting:
             if len(starts) >= left:
                 break
-            candidate = ranking.choose(task)
+            if self._needs_record(task.step):
+                candidate = ranking.find(task.recorded_place)
+                if candidate is None:
+                    continue
+            else:
+                candidate = ranking.choose(task)
             if candidate is not None and task.step.long_running:
                 room = self._room(job, service_round, now_ms)
                 candidate = room.take(candidate, task, task.key[:3])
@@ -521,9 +554,10 @@
             worker.isolated_run = run
             # The next owner then counts a crash of this worker.
             job.dirty = True
-        if task.recorded_place != worker.id:
-            # A long-running task starts once its place is stored.
-            job.dirty |= task.step.long_running
+        if task.step.long_running and task.recorded_place != worker.id:
+            # It starts once its place is stored.
+            job.dirty = True
+            self._unrecorded_left -= 1
         self._engine.add_run(worker, run)
         candidate.reserve(run)
         self._placed.append(candidate)
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -76,6 +76,14 @@
         """Whether no worker was suitable at the last choice."""
         return all(entry is None for entry in self._entries.values())
 
+    def find(self, worker: str | None) -> "Candidate | None":
+        """Returns the worker with an id if it may get a task, or None."""
+        self._update_scores()
+        for candidate, entry in self._entries.items():
+            if candidate.worker.id == worker:
+                return None if entry is None else candidate
+        return None
+
     def choose(self, task: Task) -> "Candidate | None":
         """Returns the best worker for a task, or None.
 
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -41,6 +41,10 @@
 # replies to all of them are processed within the time-out of an order.
 MAX_STARTS_IN_FLIGHT = 48
 
+# Maximum number of accepted starts of long-running tasks whose place is stored
+# first. They do not hold back the others while the store is slow.
+MAX_UNRECORDED_STARTS = 48
+
 # Interval at which a start that waits for the store is checked again.
 RECORD_CHECK_MS = 500
 
@@ -65,12 +69,12 @@
         "_lease_ms",
         "_may_order",
         "_replan",
-        "_recorded_starts",
         "_start_locks",
         "_starts",
         "_stop_locks",
         "_stop_slots",
         "_stops",
+        "_unrecorded_starts",
         "_workers",
     )
 
@@ -109,10 +113,10 @@
         self._end_ownership = end_ownership
         self._replan = replan
         self._append_done = append_done
-        # Limits the starts that one append releases.
-        self._recorded_starts = asyncio.Semaphore(MAX_STARTS_IN_FLIGHT)
-        # Task and run of each start that is accepted and not done.
+        # Task and run of each start that is accepted and not done. Those that
+        # waited for the store are in the second set.
         self._starts: set[tuple] = set()
+        self._unrecorded_starts: set[tuple] = set()
         self._start_locks: weakref.WeakValueDictionary[str, asyncio.Lock] = (
             weakref.WeakValueDictionary()
         )
@@ -132,22 +136,30 @@
         """
         return max(0, MAX_STARTS_IN_FLIGHT - len(self._starts))
 
+    @property
+    def free_unrecorded_starts(self) -> int:
+        """Number of starts that may be accepted now and wait for the store."""
+        return max(0, MAX_UNRECORDED_STARTS - len(self._unrecorded_starts))
+
     def accept(self, effect: Effect) -> Coroutine[None, None, None]:
         """Accepts an effect and returns the coroutine that executes it.
 
-        A start counts against `free_starts` at once, until the coroutine has
-        ended or is dropped, unless it waits for the store: a slow store must
-        not hold back the others.
+        A start counts against `free_starts` or, if it must wait for the store,
+        `free_unrecorded_starts` at once, until the coroutine has ended or is
+        dropped.
         """
-        if isinstance(effect, Start) and not self._is_recorded(effect):
-            return self._start_when_recorded(effect)
-        execution = _EXECUTORS[type(effect)](self, effect)
-        if isinstance(effect, Start):
-            key = (effect.task, effect.run)
-            self._starts.add(key)
-            # A coroutine that is cancelled before its first step does not
-            # execute its `finally` clause.
-            weakref.finalize(execution, self._starts.discard, key)
+        if not isinstance(effect, Start):
+            return _EXECUTORS[type(effect)](self, effect)
+        if self._is_recorded(effect):
+            execution, accepted = self._start(effect), self._starts
+        else:
+            execution = self._start_when_recorded(effect)
+            accepted = self._unrecorded_starts
+        key = (effect.task, effect.run)
+        accepted.add(key)
+        # A coroutine that is cancelled before its first step does not execute
+        # its `finally` clause.
+        weakref.finalize(execution, accepted.discard, key)
         return execution
 
     async def execute(self, effect: Effect) -> None:
@@ -162,18 +174,20 @@
 
         If the run must not start any more, it is withdrawn.
         """
-        while not self._is_recorded(effect):
-            worker = self._engine.workers.get(effect.worker)
-            run = worker and worker.runs.get((effect.task, effect.run))
-            if run is None:
-                return
-            if not self._may_start(worker, run, self._clock.now_ms()):
-                break
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RECORD_CHECK_MS / MS_PER_SECOND):
-                    await self._append_done.wait()
-        async with self._recorded_starts:
+        try:
+            while not self._is_recorded(effect):
+                worker = self._engine.workers.get(effect.worker)
+                run = worker and worker.runs.get((effect.task, effect.run))
+                if run is None:
+                    return
+                if not self._may_start(worker, run, self._clock.now_ms()):
+                    break
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(RECORD_CHECK_MS / MS_PER_SECOND):
+                        await self._append_done.wait()
             await self._start(effect)
+        finally:
+            self._unrecorded_starts.discard((effect.task, effect.run))
 
     async def _start(self, effect: Start) -> None:
         """Sends a start order after earlier ones to the same worker."""
@@ -347,7 +361,6 @@
 
 
 _EXECUTORS = {
-    Start: OrderDispatcher._start,
     Stop: OrderDispatcher._stop,
     Pace: OrderDispatcher._pace,
     RequestAdvice: OrderDispatcher._request_advice,
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -507,7 +507,10 @@
             took_ms = 0.0
             if self._may_order():
                 effects = self.engine.plan(
-                    now_ms, self._wall_ms(), self._dispatcher.free_starts
+                    now_ms,
+                    self._wall_ms(),
+                    self._dispatcher.free_starts,
+                    self._dispatcher.free_unrecorded_starts,
                 )
                 took_ms = self._clock.now_ms() - now_ms
                 self._report_plan(took_ms, len(effects))
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -180,7 +180,7 @@
 
     __slots__ = ("probed", "round")
 
-    def place(self, now_ms, wall_ms, max_starts=None):
+    def place(self, now_ms, wall_ms, max_starts=None, max_unrecorded=None):
         """Places tasks as `Planner.place` does, one by one."""
         candidates = self._candidates("pool", now_ms)
         unconfirmed = self._unconfirmed_workers(now_ms)
