Poll calm serving workers less often where there are many

Callers saw late starts on sites with hundreds of workers: an owner with 0.43 of a core polled each worker with serving tasks twice a second, 1,000 calls for 500 workers, and starts got what was left of its processor.

Sites with up to 250 workers are polled as before.

--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -23,6 +23,10 @@
 POLL_SERVING_WAIT_MS = 500
 POLL_WAIT_MS = 1000
 
+# Polls a second of all workers up to which those with a latency target, but
+# without best-effort runs to slow, are polled as often as the others.
+MAX_POLLS_PER_S = 500
+
 # Time-out of a poll beyond the time that the worker may delay its reply.
 POLL_TIMEOUT_MARGIN_MS = 600
 
@@ -146,7 +150,7 @@
         lease_until_ms = None
         if worker.is_responsive(now_ms):
             lease_until_ms = worker.grant_lease(now_ms, self._lease_ms)
-        wait_ms = _wait_ms(worker, lease_until_ms)
+        wait_ms = _wait_ms(worker, lease_until_ms, len(self._engine.workers))
         request = PollRequest(
             token, worker.last_acked_end, lease_until_ms, wait_ms
         )
@@ -195,11 +199,16 @@
             return
 
 
-def _wait_ms(worker: Worker, lease_until_ms: int | None) -> int:
+def _wait_ms(worker: Worker, lease_until_ms: int | None, workers: int) -> float:
     """Returns the time that the worker may delay its reply.
 
     This is 0 if the token is not confirmed, if the poll grants no lease, or if
     ends are not acknowledged yet.
+
+    Args:
+        worker: The worker.
+        lease_until_ms: End of the lease that the poll grants, or None.
+        workers: Number of workers that are polled.
     """
     confirmed_and_leased = worker.token_confirmed and lease_until_ms is not None
     if (
@@ -207,5 +216,10 @@
         or worker.last_received_end > worker.last_acked_end
     ):
         return 0
-    serving = any(run.step.target_ms for run in worker.runs.values())
-    return POLL_SERVING_WAIT_MS if serving else POLL_WAIT_MS
+    steps = [run.step for run in worker.runs.values()]
+    if not any(step.target_ms for step in steps):
+        return POLL_WAIT_MS
+    if any(step.fills for step in steps):
+        return POLL_SERVING_WAIT_MS
+    spaced_ms = workers * MS_PER_SECOND // MAX_POLLS_PER_S
+    return min(max(POLL_SERVING_WAIT_MS, spaced_ms), POLL_WAIT_MS)
--- a/tests/node/test_polling.py
+++ b/tests/node/test_polling.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from limpetyard.engine import (
     Engine,
     EngineParams,
@@ -13,7 +15,8 @@
     WorkerOutcomeUnknownError,
     WrongWorkerError,
 )
-from limpetyard.jobs import Resources, TaskKey
+from limpetyard.engine._worker import WorkerRun
+from limpetyard.jobs import Resources, StepSpec, TaskKey
 from limpetyard.node import _polling
 from standins.platform import run_in_virtual_time
 from standins.platform._virtual_time import VirtualClock
@@ -191,5 +194,69 @@
         self.assertLessEqual(len(client.polled), most)
 
 
+class PollIntervalTest(unittest.TestCase):
+    """How often calm workers are polled."""
+
+    serving = StepSpec(1, long_running=True, target_ms=10.0)
+    best_effort = StepSpec(1, image="f", fills=True)
+
+    def polls(self, workers: int, *steps: StepSpec) -> int:
+        """Returns the number of polls in 10 s of one worker of many.
+
+        Args:
+            workers: Number of workers; the others are not polled.
+            steps: Steps of the runs on the worker.
+        """
+
+        async def main() -> int:
+            clock = VirtualClock()
+            engine = Engine(1, EngineParams(4000, 5000))
+            client = _Workers(engine)
+            poller = _polling.WorkerPoller(
+                engine,
+                client,
+                clock,
+                4000,
+                lambda: True,
+                self.fail,
+                lambda: None,
+                asyncio.Event(),
+            )
+            entry = WorkerEntry(
+                "w", "pool", "", "z", "r", (), Resources(9000, 9000), 1
+            )
+            worker = engine.set_entry(entry, 0.0)
+            for number in range(1, workers):
+                other = msgspec.structs.replace(entry, id=f"other-{number}")
+                engine.set_entry(other, 0.0)
+            for index, step in enumerate(steps):
+                task = TaskKey("0" * 16, 0, 0, index)
+                run = WorkerRun(task, 1, step, clock.now_ms())
+                engine.add_run(worker, run)
+            polling = asyncio.create_task(poller.poll_until_removed("w"))
+            await asyncio.sleep(10)
+            polling.cancel()
+            return len(client.polled)
+
+        return run_in_virtual_time(main())
+
+    def test_serving_on_many_workers(self):
+        """Each of many workers was polled twice a second.
+
+        The polls took most of the owner's processor, although nothing depends
+        on tail latencies where no best-effort task runs.
+        """
+        self.assertLessEqual(self.polls(500, self.serving, self.serving), 11)
+
+    def test_serving_on_few_workers(self):
+        """The tail latencies on few workers are read too seldom."""
+        self.assertGreaterEqual(self.polls(50, self.serving), 18)
+
+    def test_serving_beside_best_effort(self):
+        """Tail latencies beside best-effort tasks are read too seldom."""
+        polls = self.polls(500, self.serving, self.best_effort)
+        self.assertGreaterEqual(polls, 18)
+
+
 if __name__ == "__main__":
     unittest.main()
