--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -143,8 +143,12 @@
                 await self._pause()
 
     async def _pause(self) -> None:
-        """Waits until a join is due or the assignments concern this node."""
-        pause_ms = self._ttl_ms / JOINS_PER_TTL
+        """Waits until a join is due or the assignments concern this node.
+
+        Slow answers and a busy event loop do not lengthen the interval.
+        """
+        due_ms = self.confirmed_ms + self._ttl_ms / JOINS_PER_TTL
+        pause_ms = max(0.0, due_ms - self._clock.now_ms())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(pause_ms / MS_PER_SECOND):
                 await self._assignment_changed.wait()
