Take a slot for a start only after earlier ones on its worker

Callers saw long-running tasks start late on sites with hundreds of workers.

Cause: a start took one of 48 slots and then waited for the earlier starts on its worker, of which one is sent at a time.

Evidence: SendSlotTest fails before: on the slots of one worker keep the other from a start, on the parent 6 starts are in flight for 4.

--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -37,13 +37,15 @@
 # responsive worker lasts longer, as each poll renews it.
 START_VALID_MS = 3000
 
-# Maximum number of start orders that are accepted and not done, so that the
-# replies to all of them are processed within the time-out of an order.
+# Maximum number of start orders in flight, so that the replies to all of them
+# are processed within the time-out of an order, and of accepted ones that need
+# not wait for the store.
 MAX_STARTS_IN_FLIGHT = 48
 
 # Maximum number of accepted starts of long-running tasks whose place is stored
-# first. They do not hold back the others while the store is slow.
-MAX_UNRECORDED_STARTS = 48
+# first. They do not hold back the others while the store is slow. Most of them
+# wait for an append or for earlier starts on the same worker.
+MAX_UNRECORDED_STARTS = 3 * MAX_STARTS_IN_FLIGHT
 
 # Interval at which a start that waits for the store is checked again.
 RECORD_CHECK_MS = 500
@@ -69,6 +71,7 @@
         "_lease_ms",
         "_may_order",
         "_replan",
+        "_send_slots",
         "_start_locks",
         "_starts",
         "_stop_locks",
@@ -117,6 +120,7 @@
         # waited for the store are in the second set.
         self._starts: set[tuple] = set()
         self._unrecorded_starts: set[tuple] = set()
+        self._send_slots = asyncio.Semaphore(MAX_STARTS_IN_FLIGHT)
         self._start_locks: weakref.WeakValueDictionary[str, asyncio.Lock] = (
             weakref.WeakValueDictionary()
         )
@@ -193,7 +197,8 @@
         """Sends a start order after earlier ones to the same worker."""
         try:
             lock = self._start_locks.setdefault(effect.worker, asyncio.Lock())
-            async with lock:
+            # A start that waits for its worker must not take a slot.
+            async with lock, self._send_slots:
                 worker = self._engine.workers.get(effect.worker)
                 if worker is not None:
                     await self._send_start(worker, effect)
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Coroutine
+from unittest import mock
 
 import msgspec
 
@@ -247,6 +248,39 @@
         self.assertEqual(self.runs(), [])
 
 
+class SendSlotTest(DispatchTestCase):
+    """Starts of long-running tasks once their places are stored."""
+
+    async def send(self, slots: int, workers: int, tasks: int) -> set[str]:
+        """Returns the workers that were sent a start; none of them answers.
+
+        Those of each worker are accepted one after another.
+        """
+        with mock.patch.object(_order_dispatch, "MAX_STARTS_IN_FLIGHT", slots):
+            self.setUp()
+        starts = self.plan(workers, tasks, long_running=True)
+        for start in sorted(starts, key=lambda s: s.worker):
+            order = asyncio.create_task(self.dispatcher.accept(start))
+            self.addCleanup(order.cancel)
+        await self.settle()
+        _, batch = self.engine.pop_dirty()
+        self.engine.on_stored(batch)
+        self.append_done.set()
+        self.append_done.clear()
+        await self.settle()
+        sent = [start[0] for start in self.client.starts]
+        self.assertEqual(len(sent), len(set(sent)))
+        return set(sent)
+
+    async def test_many_starts_for_one_worker(self):
+        """Starts that waited for their worker took the slots of all others."""
+        self.assertEqual(await self.send(4, 2, 12), {"w-0", "w-1"})
+
+    async def test_in_flight(self):
+        """More starts than allowed are in flight after an append."""
+        self.assertEqual(len(await self.send(4, 6, 48)), 4)
+
+
 class StartSlotTest(DispatchTestCase):
     """Number of start orders in flight."""
 
