Restart long-running tasks although a first start must wait

Callers saw that a long-running task whose run ended was not started again although a worker had room for it and a task that has run is always placed.

Cause: the planner places the tasks of a step by index and ends with the first one that the reserve refuses. A task that never ran, with a lower index, thus kept a later one from its restart for good, or took its room. In the same way tasks that fail early kept one of their own step, with a higher index, from ever starting on a worker on probation.

Change: within a step, restarts come first, then tasks by early failures. Once the reserve refuses a first start, only tasks that have run are placed. ReferencePlanner, which tells what EqualPlacementTest expects, has the same order.

Evidence: test_restart_behind_first_start failed before with and without a reserve (task 0, which never ran, is placed and the restart is not), and test_failing_tasks_of_the_same_step failed with the good task last (not started within 5 s).

--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -435,24 +435,31 @@
     ) -> list[Effect]:
         """Places tasks until one does not fit or no start is left.
 
-        A task whose place must be stored already is passed over if it does not
-        fit there.
+        Once the reserve holds a first start back, only tasks that have run are
+        placed. A task whose place must be stored already is passed over if it
+        does not fit there.
         """
         starts: list[Effect] = []
-        for task in waiting:
+        held_back = False
+        for task in sorted(waiting, key=_start_order):
             if len(starts) >= left:
                 break
+            if held_back and not task.run:
+                continue
             if self._needs_record(task.step):
                 candidate = ranking.find(task.recorded_place)
                 if candidate is None:
                     continue
             else:
                 candidate = ranking.choose(task)
-            if candidate is not None and task.step.long_running:
-                room = self._room(job, service_round, now_ms)
-                candidate = room.take(candidate, task, task.key[:3])
             if candidate is None:
                 break
+            if task.step.long_running:
+                room = self._room(job, service_round, now_ms)
+                candidate = room.take(candidate, task, task.key[:3])
+                if candidate is None:
+                    held_back = True
+                    continue
             run_number = self._next_run(task)
             starts.append(
                 self._place_task(job, task, run_number, candidate, now_ms)
@@ -605,6 +612,15 @@
     ]
 
 
+def _start_order(task: Task) -> tuple[int, bool]:
+    """Returns the sort key of a task of a step, first to start lowest.
+
+    Long-running tasks are ordered as their steps are by `urgency`, others not.
+    """
+    is_restart = task.step.long_running and task.is_restart
+    return (task.early_failures, not is_restart)
+
+
 def _fit_all(
     step: StepSpec,
     candidates: list[Candidate],
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -150,6 +150,17 @@
         """Whether a run of the task has failed."""
         return bool(self.failure_count or self.avoided_worker)
 
+    @property
+    def is_restart(self) -> bool:
+        """Whether a waiting task has run, and nothing is wrong with its runs.
+
+        One whose runs fail early, crash workers or are rejected is none: it
+        must not come before others again and again.
+        """
+        return self.run > 0 and not (
+            self.early_failures or self.rejections or self.crash_score
+        )
+
     @property
     def suspect_place(self) -> tuple[str, int]:
         """Worker and incarnation whose crash would count against the task.
--- a/tests/engine/test_long_running.py
+++ b/tests/engine/test_long_running.py
@@ -147,6 +147,25 @@
                 )
                 self.assertIsNotNone(start)
 
+    def test_failing_tasks_of_the_same_step(self):
+        """Tasks that fail at once keep another of their step waiting."""
+        for good in (0, 3):
+            with self.subTest(good=good):
+                self.workers = 1
+                self.setUp()
+                step = StepSpec(4, ONE_CORE, long_running=True)
+                submitted = self.submit(job(1, step))
+                task = submitted.task(0, 0, good)
+                task.retry_at_ms = self.now_ms + 500
+                for start in self.start_all():
+                    self.end(start, RunEndKind.FAILED)
+                start = self.start_of(
+                    task.key,
+                    self.now_ms + LONGEST_WAIT_MS,
+                    functools.partial(self.fail_runs, {submitted.spec.id}),
+                )
+                self.assertIsNotNone(start)
+
     def fail_runs(self, jobs: set[str]) -> None:
         """Has w-0 report that the runs of some jobs failed."""
         ends = tuple(
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -248,13 +248,25 @@
             self.probed |= {start.worker for start in starts}
             return starts
         starts = []
+        held_back = False
+        if step.long_running:
+            restarts = [t for t in waiting if t.is_restart]
+            waiting = restarts + sorted(
+                (t for t in waiting if t not in restarts),
+                key=lambda t: t.early_failures,
+            )
         for task in waiting:
+            if held_back and not task.run:
+                continue
             best = self._best(task, step, fitting, step_key, now_ms)
-            if best is not None and step.long_running:
-                room = self._room(a_job, self.round, now_ms)
-                best = room.take(best, task, step_key)
             if best is None:
                 break
+            if step.long_running:
+                room = self._room(a_job, self.round, now_ms)
+                best = room.take(best, task, step_key)
+                if best is None:
+                    held_back = True
+                    continue
             run = self._next_run(task)
             starts.append(self._place_task(a_job, task, run, best, now_ms))
             self.probed.add(best.worker.id)
--- a/tests/engine/test_reserve.py
+++ b/tests/engine/test_reserve.py
@@ -7,7 +7,7 @@
 
 import unittest
 
-from limpetyard.engine import Engine, EngineParams, Start
+from limpetyard.engine import Engine, EngineParams, RunEndKind, Start
 from limpetyard.engine._reserve import WINDOW_MS, OfferedLoad
 from limpetyard.jobs import Resources, StepSpec
 from tests.engine.test_engine import LEASE_MS, EngineTestCase, entry, job
@@ -73,6 +73,18 @@
         self.assertEqual(started[0].state, "waiting")
         self.assertIn(started[0].key, [s.task for s in self.plan(Start)])
 
+    def test_restart_behind_first_start(self):
+        """A first start of the same step that must wait blocks a restart."""
+        waiting = self.submit(job(1, serving(2 * FITTING * WORKERS)))
+        for index in range(3):
+            waiting.task(0, 0, index).retry_at_ms = self.now_ms + 1
+        started = self.start_all()
+        self.assertNotIn(0, [start.task.index for start in started])
+        self.end(started[-1], RunEndKind.LAPSED)
+        self.assertEqual(
+            [start.task for start in self.plan(Start)], [started[-1].task]
+        )
+
     def test_reserve_in_use(self):
         """Long-running tasks take the room of short tasks that run there."""
         self.fill()
