Restart long-running tasks before the backlog of first starts

Cause: long-running steps are ordered by priority, early failures and submission. A restart is at the place of its job's submission, so it waits for the first starts of all older jobs, some per round.

Change: among equal early failures, steps with a waiting restart come first. A task that fails early, crashes workers or is rejected is none, so it does not come before first starts again and again.

Evidence: 20 tasks of older jobs wait, 2 starts a round: a restart took 11 rounds (test_restart, test_late_failure), now 1. Tests of early failures and rejections fail if is_restart ignores these.

Limits: restarts that wait for an unconfirmed worker also move their step forward. A start that was planned but withdrawn counts as a run, as it does for the reserve.

--- a/src/limpetyard/engine/_urgency.py
+++ b/src/limpetyard/engine/_urgency.py
@@ -53,8 +53,9 @@
 
     Steps are ordered by group, then by the priority of the queue, then by the
     time left to start on time. Instead of the latter, long-running steps are
-    ordered by the early failures of their tasks, then by submission, and
-    best-effort steps by the total work of the job.
+    ordered by the early failures of their tasks, then by whether a task that
+    ran waits to start again, then by submission, and best-effort steps by the
+    total work of the job.
     """
     spec = job.spec
     if spec.steps[step].long_running:
@@ -62,6 +63,7 @@
             LONG_RUNNING,
             spec.queue.priority,
             job.early_failures(step),
+            not job.has_restart(step),
             job.submitted_ms,
         )
     if job.estimates is None:
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -376,6 +376,15 @@
             default=0,
         )
 
+    def has_restart(self, step: int) -> bool:
+        """Returns whether a waiting task of a step is a restart."""
+        return any(
+            task.is_restart
+            for (_, number), waiting in self._waiting.items()
+            if number == step
+            for task in waiting.values()
+        )
+
     def mark_task_done(self, task: Task) -> None:
         """Marks a task as done; idempotent."""
         if task.state == "done":
--- a/tests/engine/test_long_running.py
+++ b/tests/engine/test_long_running.py
@@ -207,6 +207,83 @@
         self.assertIsNotNone(start)
 
 
+class BacklogTest(LongRunningTestCase):
+    """A task that ran, behind a backlog of tasks that never ran.
+
+    The job of the former is the youngest. It has a worker of its own, so that
+    the limit on starts decides.
+    """
+
+    workers = 1
+    max_starts = 2
+
+    def setUp(self):
+        """Submits the backlog and then the job, starts it, adds workers."""
+        super().setUp()
+        self.add(entry(0, labels=("disk",)))
+        for number in range(1, 21):
+            step = StepSpec(1, ONE_CORE, long_running=True, label="plain")
+            self.submit(job(number, step))
+        self.now_ms += 10
+        step = StepSpec(2, ONE_CORE, long_running=True, label="disk")
+        self.young = self.submit(job(99, step))
+        self.young.task(0, 0, 1).retry_at_ms = self.now_ms + 1
+        (self.start,) = self.start_all()
+        for number in range(1, 9):
+            self.add(entry(number))
+
+    def rounds_to_start(self, index: int) -> int:
+        """Returns how many rounds it takes until a task is placed."""
+        task = self.young.task(0, 0, index)
+        rounds = 0
+        while task.state == "waiting":
+            rounds += 1
+            self.engine.plan(self.now_ms, 0.0, self.max_starts)
+        return rounds
+
+    def test_restart(self):
+        """A task whose run ended waits for all that never ran."""
+        self.end(self.start, RunEndKind.LAPSED)
+        self.assertEqual(self.rounds_to_start(0), 1)
+
+    def test_late_failure(self):
+        """A task that failed after a while waits for all that never ran."""
+        self.now_ms += 2000
+        self.poll_all()
+        self.end(self.start, RunEndKind.FAILED)
+        self.assertEqual(self.rounds_to_start(0), 1)
+
+    def test_no_restart(self):
+        """A step comes first although its waiting task never ran."""
+        self.assertGreater(self.rounds_to_start(1), 10)
+
+    def test_early_failure(self):
+        """A task that fails early comes before those that never ran."""
+        self.end(self.start, RunEndKind.FAILED)
+        for wait_ms in (0, LONGEST_WAIT_MS):
+            self.now_ms += wait_ms
+            self.poll_all()
+            starts = [
+                effect.task.job
+                for effect in self.engine.plan(self.now_ms, 0.0, 2)
+                if isinstance(effect, Start)
+            ]
+            self.assertEqual(len(starts), 2)
+            self.assertNotIn(self.young.spec.id, starts)
+
+    def test_rejected_start(self):
+        """A task whose starts are rejected comes before the others."""
+        self.end(self.start, RunEndKind.LAPSED)
+        self.rounds_to_start(0)
+        task = self.young.task(0, 0, 0)
+        again = Start("w-0", task.key, task.run, "payload", "cp", "", "serving")
+        self.engine.on_start_reply(again, StartResult.NO_ROOM, self.now_ms)
+        self.assertEqual((task.state, task.rejections), ("waiting", 1))
+        self.now_ms += LONGEST_WAIT_MS
+        self.poll_all()
+        self.assertGreater(self.rounds_to_start(0), 5)
+
+
 class InheritedTest(LongRunningTestCase):
     """Long-running tasks that may run on a worker that does not reply."""
 
