Remember in a round which first starts the reserve refuses

Cause: each step whose first starts the reserve holds back builds a ranking of its own, which scores all workers, and then scans all workers for one that may take the task, although an equal task was just refused.

Change: the room for long-running tasks remembers the label and need of a refused first start, and equal or larger ones of the round are dropped before their ranking is built. Nothing is remembered if only the limit for each worker held the task back. Tasks that have run are not dropped. The room only shrinks, except where a placement leaves a worker less than a piece: what could start there waits for the next round.

--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -319,6 +319,11 @@
             now_ms,
         )
         left -= len(isolated)
+        if step.long_running:
+            room = self._room(job, service_round, now_ms)
+            waiting = [task for task in waiting if not room.refuses(task)]
+            if not waiting:
+                return isolated
         score = PLACERS.get(placer_name(step)).score
         ranking = service_round.ranking(score, step, step_key, self._placed)
         starts = self._place_ranked(
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -238,7 +238,7 @@
 
     def is_task_unmet(self, step: StepSpec) -> bool:
         """Returns whether it is known that no single task of a step fits."""
-        need = _single_need(step)
+        need = single_need(step)
         return any(
             self._unmet.includes(kind, step.label, need)
             for kind in _kinds(step)
@@ -261,7 +261,7 @@
             return
         else:
             kind = _kinds(step)[-1]
-        self._unmet.add(kind, step.label, _single_need(step))
+        self._unmet.add(kind, step.label, single_need(step))
 
     def ranking(
         self,
@@ -302,7 +302,8 @@
     return ("room",)
 
 
-def _single_need(step: StepSpec) -> tuple:
+def single_need(step: StepSpec) -> tuple:
+    """Returns the need of one task."""
     need = step.need
     return (need.cores_milli, need.memory_mb, need.accelerators)
 
--- a/src/limpetyard/engine/_reserve.py
+++ b/src/limpetyard/engine/_reserve.py
@@ -12,6 +12,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from limpetyard.engine._ranking import UnmetNeeds, single_need
 from limpetyard.jobs import JobSpec, StepSpec, Task
 
 if TYPE_CHECKING:
@@ -79,9 +80,16 @@
 
 
 class LongRunningRoom:
-    """Decides in one round which long-running tasks of a service may start."""
+    """Decides in one round which long-running tasks of a service may start.
 
-    __slots__ = ("_candidates", "_left", "_piece")
+    A first start that is refused is remembered for the rest of the round, so
+    that hundreds of equal or wider ones need not look at all workers again. In
+    rare cases a later placement of the round leaves a worker less than a piece,
+    which short tasks then cannot lose any more; what could start there waits
+    for the next round.
+    """
+
+    __slots__ = ("_candidates", "_left", "_piece", "_refused")
 
     def __init__(
         self,
@@ -99,6 +107,8 @@
             now_ms: Current time.
         """
         self._candidates = candidates
+        # Needs of first starts that no worker may take.
+        self._refused = UnmetNeeds()
         sizes = [c.entry.capacity.cores_milli / 1000 for c in candidates]
         widest = max(sizes, default=0.0)
         width = load.width(now_ms) or DEFAULT_PIECE_SHARE * widest
@@ -138,8 +148,25 @@
             )
         if chosen is not None:
             self._left -= self._loss(chosen, step)
+        elif not self._has_room_beyond_limit(step):
+            self._refused.add(step.fills, step.label, single_need(step))
         return chosen
 
+    def refuses(self, task: Task) -> bool:
+        """Returns whether it is known that a task must wait."""
+        step = task.step
+        return not task.run and self._refused.includes(
+            step.fills, step.label, single_need(step)
+        )
+
+    def _has_room_beyond_limit(self, step: StepSpec) -> bool:
+        """Returns whether only a limit for each worker may hold a task back."""
+        return step.per_worker > 0 and any(
+            candidate.has_room(step) and self._may_take(candidate, step)
+            for candidate in self._candidates
+            if not step.label or step.label in candidate.entry.labels
+        )
+
     def _may_take(self, candidate: "Candidate", step: StepSpec) -> bool:
         loss = self._loss(candidate, step)
         return (
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -108,6 +108,72 @@
         self.assertLessEqual(len(calls), 30 * WORKERS)
 
 
+class HeldBackTest(test_engine.EngineTestCase):
+    """Long-running tasks that the reserve holds back."""
+
+    workers = 0
+    names = ("allows", "has_room", "fits", "fits_times")
+
+    def setUp(self):
+        """Adds workers whose whole room is reserved."""
+        super().setUp()
+        params = EngineParams(LEASE_MS, 5000, reserved_share=1.0)
+        self.engine = Engine(3, params)
+        for number in range(WORKERS):
+            self.add(entry(number))
+
+    def submit_serving(self, number: int, cores_milli: int, **more):
+        """Adds a job with long-running tasks of priority 0."""
+        need = Resources(cores_milli, 100 + number % 3, 0)
+        step = StepSpec(2, need, long_running=True, **more)
+        return self.submit(job(number, step, priority=0))
+
+    def test_idle_round(self):
+        """Each of many steps that must wait looks at all workers."""
+        for name, per_worker in {"unlimited": 0, "limited": 1}.items():
+            with self.subTest(name):
+                self.setUp()
+                for number in range(100):
+                    self.submit_serving(
+                        number,
+                        2500 + number % 4 * 500,
+                        label=("", "plain")[number % 2],
+                        per_worker=per_worker,
+                    )
+                with count_scores(*self.names) as calls:
+                    self.assertEqual(self.plan(Start), [])
+                self.assertLessEqual(len(calls), 30 * WORKERS)
+
+    def test_others_of_the_round(self):
+        """A step that must wait keeps one that must not from starting."""
+        self.submit_serving(0, 3000)
+        fits_twice = self.submit_serving(3, 2000)
+        ran = self.submit_serving(6, 3000)
+        ran.task(0, 0, 1).run = 1
+        ran.task(0, 0, 1).early_failures = 1
+        # Fits on no worker that is left, so that it is not refused.
+        self.submit_serving(9, 5000)
+        keys = {start.task for start in self.plan(Start)}
+        self.assertEqual(
+            keys,
+            {
+                fits_twice.task(0, 0, 0).key,
+                fits_twice.task(0, 0, 1).key,
+                ran.task(0, 0, 1).key,
+            },
+        )
+
+    def test_limit_for_each_worker(self):
+        """A step at its limit for each worker keeps others from starting."""
+        # The only worker that is left for the last task of the step.
+        self.add(entry(WORKERS, cores=1))
+        step = StepSpec(WORKERS + 1, ONE_CORE, long_running=True, per_worker=1)
+        self.submit(job(1, step))
+        other = StepSpec(WORKERS, ONE_CORE, long_running=True)
+        self.submit(job(2, other))
+        self.assertEqual(len(self.plan(Start)), 2 * WORKERS)
+
+
 class SuspectCostTest(test_engine.EngineTestCase):
     """Many tasks whose workers have crashed."""
 
