End an owner that was fenced before it knew its epoch

Callers could see a task start twice, on two workers, around a hand-over between three nodes: the second owner and the third each started it.

Cause: Node.fence ended only an owner that knows its epoch. One that had appended its claim and waited for the answer was left alone, but the reply told the next owner that it issues no more orders. When its claim was answered, it took the cell over and started tasks until an append, a worker or the group stopped it. Before its first start it must have appended once, so the store stops it unless the next owner's fence of the writer comes after that append; the next owner then starts new jobs at once, although the other may do so on workers that it has not polled.

Change: an owner remembers the highest epoch by which it was fenced and ends right after its claim if its own epoch is lower, with no step in between. A claim that it had to repeat may get a higher epoch; that one goes on. So the reply is true of this owner while its claim is unanswered.

Evidence: tests.node.test_fencing failed before with TWICE of the first task "on w-1 at 3413: also {('w-0', 1, 1)}" and passes. The third owner's fence of the writer is held in it until the second one has stored its workers, and each reaches workers that the other does not. tests.node has the two known failures of OwnerLostTest and no others; tests.exploring.test_storms passes.

Open: the reply says nothing of the owner before the one that is fenced.

--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -330,10 +330,10 @@
     def fence(self, cell: int, epoch: int) -> RemainingLeases | None:
         """See `LocalCells.fence`."""
         owner = self._owners.get(cell)
-        engine = owner.engine if owner is not None else None
-        if engine is not None and engine.epoch < epoch:
-            owner.end_ownership(f"epoch {epoch} has taken over")
-            self._save_leases(owner)
+        if owner is not None:
+            owner.fence(epoch)
+            if owner.ended:
+                self._save_leases(owner)
         expiries = self._former_leases.get(cell)
         return expiries.remaining(self._clock.now_ms()) if expiries else None
 
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -160,6 +160,8 @@
         self._removed_workers: set[str] = set()
         self._poll_tasks: dict[str, asyncio.Task] = {}
         self._orders_suspended = False
+        # Highest epoch by which this ownership was fenced.
+        self._fencing_epoch = 0
         # Whether it is stored that this owner stores the places of long-running
         # tasks.
         self._places_recorded = False
@@ -239,6 +241,9 @@
             await self._predecessor.read()
             await self._claim()
             self.state_machine.fire("claimed")
+            self._end_if_fenced()
+            if self.ended:
+                return
             self._spawn(self._fence_predecessor())
         await self._writer.fence()
         await self._load()
@@ -570,6 +575,18 @@
         for effect in effects:
             self._spawn(self._dispatcher.accept(effect))
 
+    def fence(self, epoch: int) -> None:
+        """Ends the ownership if its epoch is below `epoch`.
+
+        If its epoch is not known yet, this is done once it is.
+        """
+        self._fencing_epoch = max(self._fencing_epoch, epoch)
+        self._end_if_fenced()
+
+    def _end_if_fenced(self) -> None:
+        if self.engine is not None and self.engine.epoch < self._fencing_epoch:
+            self.end_ownership(f"epoch {self._fencing_epoch} has taken over")
+
     def end_ownership(self, reason: str) -> None:
         """Ends the ownership at once; no order is issued after this."""
         if self.ended:
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -60,6 +60,8 @@
     def fence(self, cell: int, epoch: int) -> RemainingLeases | None:
         """Ends this node's ownerships of a cell with an epoch below `epoch`.
 
+        One that does not know its epoch yet ends once it does.
+
         Returns:
             Remaining leases of the latest of them, or None if unknown.
         """
