Restart before first starts of any priority; space polls from 120 a second on

Callers saw long-running tasks of a low priority wait for the first starts of all tasks of higher ones, and owners on slow processors lose the cell while they start a backlog, as polls alone took more than their processor has.

A step with a task that ran and waits to start again now comes before others of any priority: it is one task, not a backlog. Serving workers without best-effort runs are polled once a second where all polls would exceed 120 a second, instead of 500.

--- a/src/limpetyard/engine/_urgency.py
+++ b/src/limpetyard/engine/_urgency.py
@@ -53,17 +53,17 @@
 
     Steps are ordered by group, then by the priority of the queue, then by the
     time left to start on time. Instead of the latter, long-running steps are
-    ordered by the early failures of their tasks, then by whether a task that
-    ran waits to start again, then by submission, and best-effort steps by the
-    total work of the job.
+    ordered by the early failures of their tasks, then by submission, and
+    best-effort steps by the total work of the job. Long-running steps with a
+    task that ran and waits to start again come first, whatever their priority.
     """
     spec = job.spec
     if spec.steps[step].long_running:
         return (
             LONG_RUNNING,
+            not job.has_restart(step),
             spec.queue.priority,
             job.early_failures(step),
-            not job.has_restart(step),
             job.submitted_ms,
         )
     if job.estimates is None:
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -25,7 +25,7 @@
 
 # Polls a second of all workers up to which those with a latency target, but
 # without best-effort runs to slow, are polled as often as the others.
-MAX_POLLS_PER_S = 500
+MAX_POLLS_PER_S = 120
 
 # Time-out of a poll beyond the time that the worker may delay its reply.
 POLL_TIMEOUT_MARGIN_MS = 600
