Let only restarts come before first starts, not their whole step

A step with restarts is now looked at twice, first for the restarts only, which excludes those in backoff.

--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -17,7 +17,7 @@
 from limpetyard.engine._ranking import Ranking, ServiceRound
 from limpetyard.engine._reserve import LongRunningRoom
 from limpetyard.engine._step_worker_client import Ticket
-from limpetyard.engine._urgency import urgency
+from limpetyard.engine._urgency import restart_urgency, urgency
 from limpetyard.engine._waiting import RoundState, WaitReporter
 from limpetyard.engine._worker import Worker, WorkerRun
 from limpetyard.jobs import Job, StepSpec, Task
@@ -102,7 +102,9 @@
             math.inf if max_unrecorded is None else max_unrecorded
         )
         effects: list[Effect] = []
-        for job, occurrence, step in self._ready_steps(now_ms, wall_ms):
+        for job, occurrence, step, restarts_only in self._ready_steps(
+            now_ms, wall_ms
+        ):
             queue = job.spec.queue
             if left <= 0 and queue.advice is None:
                 continue
@@ -122,8 +124,14 @@
                 unconfirmed,
                 now_ms,
             )
+            if restarts_only:
+                waiting = [task for task in waiting if task.is_restart]
             if self._needs_record(job.spec.steps[step]):
-                waiting = [task for task in waiting if task.recorded_place]
+                waiting = [
+                    task
+                    for task in waiting
+                    if rounds[service].recorded_place(task) is not None
+                ]
             if waiting:
                 step_effects = self._place_step(
                     job,
@@ -152,15 +160,21 @@
 
     def _ready_steps(
         self, now_ms: float, wall_ms: float
-    ) -> list[tuple[Job, int, int]]:
-        """Returns the ready steps with waiting tasks, most urgent first."""
+    ) -> list[tuple[Job, int, int, bool]]:
+        """Returns the ready steps with waiting tasks, most urgent first.
+
+        A step with restarts is returned twice, first for these only.
+        """
         steps = []
         for job in self._engine.open_jobs.values():
             if job.spec.timed:
                 self._make_due(job, wall_ms)
             for occurrence, step in job.waiting_steps():
                 key = urgency(job, step, now_ms)
-                steps.append((key, job, occurrence, step))
+                steps.append((key, job, occurrence, step, False))
+                if _may_restart_first(job, step):
+                    key = restart_urgency(job)
+                    steps.append((key, job, occurrence, step, True))
         steps.sort(key=lambda entry: entry[0])
         return [entry[1:] for entry in steps]
 
@@ -404,10 +418,14 @@
             now_ms: Current time.
         """
         starts: list[Effect] = []
-        if not suspects or self._suspect_steps_left <= 0:
+        step = job.spec.steps[step_key[2]]
+        if (
+            not suspects
+            or self._suspect_steps_left <= 0
+            or self._needs_record(step)
+        ):
             return starts
         self._suspect_steps_left -= 1
-        step = job.spec.steps[step_key[2]]
         score = PLACERS.get(placer_name(step)).score
         isolated = service_round.isolated(
             lambda all_: self._engine.crashes.isolated(all_, now_ms)
@@ -452,7 +470,7 @@
             if held_back and not task.run:
                 continue
             if self._needs_record(task.step):
-                candidate = ranking.find(task.recorded_place)
+                candidate = service_round.recorded_place(task)
                 if candidate is None:
                     continue
             else:
@@ -593,6 +611,17 @@
     return by_service
 
 
+def _may_restart_first(job: Job, step: int) -> bool:
+    """Returns whether a step has restarts that come before first starts."""
+    spec = job.spec.steps[step]
+    return (
+        spec.long_running
+        and not spec.gang
+        and job.spec.queue.advice is None
+        and job.has_restart(step)
+    )
+
+
 def _startable(
     waiting: list[Task],
     unconfirmed: Collection[str],
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -76,14 +76,6 @@
         """Whether no worker was suitable at the last choice."""
         return all(entry is None for entry in self._entries.values())
 
-    def find(self, worker: str | None) -> "Candidate | None":
-        """Returns the worker with an id if it may get a task, or None."""
-        self._update_scores()
-        for candidate, entry in self._entries.items():
-            if candidate.worker.id == worker:
-                return None if entry is None else candidate
-        return None
-
     def choose(self, task: Task) -> "Candidate | None":
         """Returns the best worker for a task, or None.
 
@@ -180,11 +172,19 @@
         candidates: Workers that may get new work.
     """
 
-    __slots__ = ("_by_label", "_isolated", "_rankings", "_unmet", "candidates")
+    __slots__ = (
+        "_by_id",
+        "_by_label",
+        "_isolated",
+        "_rankings",
+        "_unmet",
+        "candidates",
+    )
 
     def __init__(self, candidates: list["Candidate"]):
         self.candidates = candidates
         self._isolated: list[Candidate] | None = None
+        self._by_id = {c.worker.id: c for c in candidates}
         self._by_label: dict[str, list[Candidate]] = {}
         self._rankings: dict[tuple, Ranking] = {}
         self._unmet = UnmetNeeds()
@@ -200,6 +200,19 @@
             self._isolated = select(self.candidates)
         return self._isolated
 
+    def recorded_place(self, task: Task) -> "Candidate | None":
+        """Returns the worker that is stored for a task, or None.
+
+        None also if the task may not start there now.
+        """
+        candidate = self._by_id.get(task.recorded_place)
+        step = task.step
+        if candidate is None or (
+            step.label and step.label not in candidate.entry.labels
+        ):
+            return None
+        return candidate if candidate.allows(step, task.key[:3]) else None
+
     def labelled(self, label: str) -> list["Candidate"]:
         """Returns the workers with a label; all workers for ""."""
         if not label:
--- a/src/limpetyard/engine/_urgency.py
+++ b/src/limpetyard/engine/_urgency.py
@@ -8,10 +8,10 @@
 # its objective.
 LATE_FACTOR = 3.0
 
-# Groups of jobs, most urgent first: jobs that run until they are cancelled,
-# jobs that can complete on time, jobs that can only complete late but within
-# `LATE_FACTOR`, and jobs that can no longer do that.
-LONG_RUNNING, ON_TIME, LATE, MISSED = range(4)
+# Groups, most urgent first: long-running tasks to start again, jobs that run
+# until they are cancelled, jobs that can complete on time, jobs that can only
+# complete late but within `LATE_FACTOR`, and jobs that can no longer do that.
+RESTART, LONG_RUNNING, ON_TIME, LATE, MISSED = range(5)
 
 
 @functools.lru_cache(maxsize=4096)
@@ -54,14 +54,12 @@
     Steps are ordered by group, then by the priority of the queue, then by the
     time left to start on time. Instead of the latter, long-running steps are
     ordered by the early failures of their tasks, then by submission, and
-    best-effort steps by the total work of the job. Long-running steps with a
-    task that ran and waits to start again come first, whatever their priority.
+    best-effort steps by the total work of the job.
     """
     spec = job.spec
     if spec.steps[step].long_running:
         return (
             LONG_RUNNING,
-            not job.has_restart(step),
             spec.queue.priority,
             job.early_failures(step),
             job.submitted_ms,
@@ -84,3 +82,12 @@
     if spec.steps[step].fills:
         return (group, spec.queue.priority, core_ms)
     return (group, spec.queue.priority, slack)
+
+
+def restart_urgency(job: Job) -> tuple:
+    """Returns the sort key of the restarts of a job; see `urgency`.
+
+    They come before the first starts of all other long-running tasks, whatever
+    their priority, as these may be many.
+    """
+    return (RESTART, job.spec.queue.priority, job.submitted_ms)
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -152,7 +152,7 @@
 
     @property
     def is_restart(self) -> bool:
-        """Whether a waiting task has run, and nothing is wrong with its runs.
+        """Whether a waiting task has had a run, and none that went wrong.
 
         One whose runs fail early, crash workers or are rejected is none: it
         must not come before others again and again.
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -17,15 +17,15 @@
     WrongWorkerError,
 )
 
-# Maximum time that a worker delays its reply while no run ends. If it has runs
-# with a latency target, this is the interval that a latency measurement covers,
-# otherwise twice that.
+# Maximum time that a worker delays its reply while no run ends. The first one
+# is the interval that a latency measurement covers.
 POLL_SERVING_WAIT_MS = 500
 POLL_WAIT_MS = 1000
 
-# Polls a second of all workers up to which those with a latency target, but
-# without best-effort runs to slow, are polled as often as the others.
-MAX_POLLS_PER_S = 120
+# Workers with a latency target, but without best-effort runs to slow, are
+# polled less often, at most every `POLL_WAIT_MS`, where the polls of all
+# workers would exceed this rate.
+CALM_POLLS_PER_S = 120
 
 # Time-out of a poll beyond the time that the worker may delay its reply.
 POLL_TIMEOUT_MARGIN_MS = 600
@@ -221,5 +221,5 @@
         return POLL_WAIT_MS
     if any(step.fills for step in steps):
         return POLL_SERVING_WAIT_MS
-    spaced_ms = workers * MS_PER_SECOND // MAX_POLLS_PER_S
+    spaced_ms = workers * MS_PER_SECOND // CALM_POLLS_PER_S
     return min(max(POLL_SERVING_WAIT_MS, spaced_ms), POLL_WAIT_MS)
--- a/tests/engine/test_long_running.py
+++ b/tests/engine/test_long_running.py
@@ -253,6 +253,20 @@
         self.end(self.start, RunEndKind.FAILED)
         self.assertEqual(self.rounds_to_start(0), 1)
 
+    def test_restart_of_low_priority(self):
+        """A restart takes the first starts of its step along, or waits itself.
+
+        The others are of a higher priority.
+        """
+        self.end(self.start, RunEndKind.LAPSED)
+        young = msgspec.structs.replace(
+            self.young.spec,
+            queue=msgspec.structs.replace(self.young.spec.queue, priority=9),
+        )
+        self.young.spec = young
+        self.assertEqual(self.rounds_to_start(0), 1)
+        self.assertGreater(self.rounds_to_start(1), 5)
+
     def test_no_restart(self):
         """A step comes first although its waiting task never ran."""
         self.assertGreater(self.rounds_to_start(1), 10)
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -32,7 +32,7 @@
 )
 from limpetyard.engine._planner import Planner
 from limpetyard.engine._ranking import Ranking, ServiceRound
-from limpetyard.engine._urgency import urgency
+from limpetyard.engine._urgency import restart_urgency, urgency
 from limpetyard.engine._worker import RunState, Worker
 from limpetyard.jobs import AdviceParams, Resources, StepSpec
 from tests.engine import test_engine
@@ -263,12 +263,19 @@
                 ]
                 key = urgency(a_job, number, now_ms)
                 steps.append((key, a_job, occurrence, number, waiting))
+                step = a_job.spec.steps[number]
+                plain = not step.gang and a_job.spec.queue.advice is None
+                restarts = [task for task in waiting if task.is_restart]
+                if step.long_running and plain and restarts:
+                    key = restart_urgency(a_job)
+                    steps.append((key, a_job, occurrence, number, restarts))
         steps.sort(key=lambda row: row[0])
         self.probed = set()
         self._rooms = {}
         self.round = ServiceRound(candidates)
         effects = []
-        for _, a_job, occurrence, number, waiting in steps:
+        for _, a_job, occurrence, number, listed in steps:
+            waiting = [task for task in listed if task.state == "waiting"]
             if waiting:
                 key = (a_job.spec.id, occurrence, number)
                 effects += self._place(a_job, key, waiting, candidates, now_ms)
