--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -199,7 +199,7 @@
             return
 
 
-def _wait_ms(worker: Worker, lease_until_ms: int | None, workers: int) -> float:
+def _wait_ms(worker: Worker, lease_until_ms: int | None, workers: int) -> int:
     """Returns the time that the worker may delay its reply.
 
     This is 0 if the token is not confirmed, if the poll grants no lease, or if
