Send no start to a worker that has begun to drain while it waited

Starts wait for the store, for earlier ones on their worker and for a slot, and only the job, the room and the health of the worker were checked again when they were sent.

Draining workers and zones that are out of service are checked as well; the start is withdrawn then, and the task starts elsewhere. Both new tests of WithdrawnStartTest failed before (2 starts sent for 1). Storms of the tests, tests.node.test_whole_site and test_planned_starts pass.

--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -280,11 +280,13 @@
         """Returns whether a start order for a run may be sent now.
 
         The run may have been stopped since it was planned, and the worker may
-        have become silent, have rejected the start before this one, or have
-        less capacity.
+        have become silent, have rejected the start before this one, have less
+        capacity, drain, or be in a zone that is out of service.
         """
         return (
             run.state is RunState.ORDERED
+            and not worker.entry.draining
+            and worker.entry.availability_zone not in self._engine.zones_out
             and not worker.is_overcommitted
             and worker.is_responsive(now_ms)
             and now_ms >= worker.backoff_until_ms
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -469,6 +469,37 @@
         (run,) = self.runs()
         self.assertIs(run.state, RunState.STOPPING)
 
+    async def start_while(self, change) -> None:
+        """Changes what is known while a start waits for the one before it."""
+        starts = self.plan(1, 2)
+        tasks = [
+            asyncio.create_task(self.dispatcher.execute(start))
+            for start in starts
+        ]
+        await self.settle()
+        change(self.engine.workers["w-0"])
+        self.client.starts[0][2].set_result(StartResult.STARTED)
+        await self.settle()
+        self.assertEqual(len(self.client.starts), 1)
+        await asyncio.gather(*tasks)
+        self.assertEqual(len(self.job.waiting_tasks(0, 0)), 1)
+
+    async def test_worker_draining(self):
+        """A start that waited is sent to a worker that drains by then."""
+
+        def drain(worker) -> None:
+            worker.entry = msgspec.structs.replace(worker.entry, draining=True)
+
+        await self.start_while(drain)
+
+    async def test_zone_out(self):
+        """A start that waited is sent to a zone out of service by then."""
+
+        def take_out(worker) -> None:
+            self.engine.zones_out = frozenset(["z"])
+
+        await self.start_while(take_out)
+
     async def test_orders_suspended(self):
         """A run whose order was not sent occupies its worker."""
         (start,) = self.plan(1, 1)
