--- a/review/common/site_model.py
+++ b/review/common/site_model.py
@@ -336,8 +336,8 @@
 class Worker:
     """A minion: runs tasks under one lease, checks tokens, lists ends.
 
-    The payload of a job is JSON; `ms` in it is the run time of each task, 0 for
-    tasks that last.
+    The payload of a job is JSON: `ms` is the run time of each task, 0 for tasks
+    that last, and `tail` the tail latency in ms that each task reports, if any.
     """
 
     def __init__(self, name: str, number: int, site: "Site", cores: int):
@@ -508,7 +508,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(call["waitMs"] / 1000):
                     await self.changed.wait()
-        rows = [[t, r["run"], "", 100, 0] for t, r in self.runs.items()]
+        rows = [[t, r["run"], "", 100, r["tail"]] for t, r in self.runs.items()]
         return self._answer({"running": rows, "endedRuns": self.ends[:500]})
 
     async def _run_start(self, call: dict) -> web.Response:
@@ -527,7 +527,11 @@
         timer = loop.call_later(
             spec["ms"] / 1000 if spec["ms"] else 1e6, self._end, task, "done"
         )
-        self.runs[task] = {"run": run, "timer": timer}
+        self.runs[task] = {
+            "run": run,
+            "timer": timer,
+            "tail": spec.get("tail", 0),
+        }
         self._site.started(self, task, run)
         return self._answer({})
 
