--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 from pathlib import Path
 
 from site_model import Record, Site, job_id, main, now_ms, step
@@ -62,4 +63,5 @@
 
 
 if __name__ == "__main__":
-    main(Path(__file__).parent, case)
+    TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+    main(Path(__file__).parent, case, TROUBLE)
--- a/review/common/site_model.py
+++ b/review/common/site_model.py
@@ -845,16 +845,16 @@
     return {"count": count, "cpu": cpu, "memMb": mem, **more}
 
 
-def main(folder: Path, case) -> None:
+def main(folder: Path, case, trouble: bool) -> None:
     """Runs a case and exits with its status.
 
     Args:
         folder: Folder of the case, for `record.txt`.
-        case: Coroutine function of the record and of whether there is a
-            disruption; returns whether the rule held.
+        case: Coroutine function of the record and of `trouble`; returns
+            whether the rule held.
+        trouble: Whether there is a disruption.
     """
     record = Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"disruption: {'yes' if trouble else 'no'}")
 
     async def limited() -> bool:
