Wait for the lease of a draining worker that refuses connections

Callers: a task of a draining worker ran twice at the same time for up to 1.6 s (TWICE) when the worker was cut off by a network that refuses connections.

Cause: `Engine.on_connection_refused` took three things together as proof that a worker had departed: it was draining, its directory entry was gone, and its address refused connections. None of them proves it, nor do all of them: the store removes the entry of any worker that it has not heard from for three heartbeat intervals (4.5 s), a cut refuses connections as a closed port does, and a draining worker may stay for longer than it announced. Leases last 5 s, so the task was started elsewhere while the lease of the first run still ran.

Ruled out: the removal was not read too early, and no other path released the run: the only line before the second start is `worker_left` with `run_lost` of the run in state "running". Ruled out as a fix: waiting for the announced departure, which is a minimum.

Change: a refused connection releases no run. Runs end by a report, by another worker's answer at the address, by a new incarnation or by the end of the lease. Why tests had missed it: the stand-in reported a link that refuses as a time-out, and its entries never expired. It now refuses as the network does; a storm cuts off workers in this way, and a guard test takes the wait out.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -308,10 +308,6 @@
         ("worker", "runs", "replied_ms"),
         "A worker was silent until its lease expired; its runs are lost.",
     ),
-    "worker_left": EventKind(
-        ("worker", "runs"),
-        "A draining worker has left; its runs no longer exist.",
-    ),
     "worker_listed": EventKind(
         ("worker", "draining", "zone"),
         "A worker is new, or its draining state changed.",
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -256,27 +256,19 @@
             worker.missing_since_ms = now_ms
 
     def on_connection_refused(self, worker: Worker, now_ms: float) -> bool:
-        """Handles a refused connection: nothing listens at the address.
+        """Handles a refused connection.
 
-        On its own, this may be a fault of the network. A worker that was
-        draining and has no directory entry any more has departed, however: its
-        runs no longer exist, and their tasks need not wait for the lease. Any
-        other worker whose entry is gone for good has crashed.
+        The worker may have ended, but a network fault can refuse connections to
+        one that works on, and the directory drops the entry of a worker that
+        cannot reach it. So the runs may exist until their lease has expired.
+        Only a crash is recorded, for a worker whose entry is gone for good.
 
         Returns:
             Whether the state of a run or task has changed.
         """
-        if worker.missing_since_ms is None:
-            return False
-        if not worker.entry.draining:
-            return self._is_missing_long(
-                worker, now_ms
-            ) and self.crashes.record_crash(worker, now_ms)
-        if not (worker.runs or worker.prior_lease_end_ms > now_ms):
-            return False
-        event("worker_left", worker=worker.id, runs=len(worker.runs))
-        self._drop_ended_worker(worker, now_ms)
-        return True
+        return self._is_missing_long(
+            worker, now_ms
+        ) and self.crashes.record_crash(worker, now_ms)
 
     def on_worker_replaced(self, worker: Worker, now_ms: float) -> bool:
         """Handles a reply of another worker at the address of a worker.
--- a/src/limpetyard/logbook/_job_history.py
+++ b/src/limpetyard/logbook/_job_history.py
@@ -25,9 +25,7 @@
 )
 
 # Events of a worker that affect its runs.
-WORKER_EVENTS = frozenset(
-    {"worker_lapsed", "worker_left", "worker_listed", "worker_reborn"}
-)
+WORKER_EVENTS = frozenset({"worker_lapsed", "worker_listed", "worker_reborn"})
 
 # Shortest time without a line of the job that is reported as a gap,
 # milliseconds. Starts and polls take less unless something fails.
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -40,6 +40,9 @@
 SERVICE = "pool"
 QUEUE = QueueParams("queue", SERVICE, 0, 3, 2.0, 1000.0)
 HEARTBEAT_INTERVAL_MS = 1500
+
+# The store removes the entry of a worker after this many missing reports.
+MAX_MISSING_REPORTS = 3
 PEER_TIMEOUT_MS = 400
 POLL_INTERVAL_MS = 500
 DEADLINE_MS = 3000.0
@@ -483,14 +486,28 @@
             await asyncio.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
         return state
 
+    def isolate_worker(self, model: WorkerModel, isolated: bool) -> None:
+        """Cuts a worker off from all nodes and the store, or reconnects it.
+
+        Connections to it are refused meanwhile.
+        """
+        model.reaches_store = not isolated
+        for host in self.hosts:
+            host.worker_links[model.entry.id].refusing = isolated
+
     async def _heartbeats(self) -> None:
+        missing: dict[str, int] = {}
         while True:
             for worker in list(self.workers.values()):
                 key = worker.entry.id
-                if worker.up:
+                if worker.up and worker.reaches_store:
+                    missing[key] = 0
                     entry = msgspec.msgpack.encode(worker.entry)
                     self.store.write("workers", key, entry)
-                elif key in self.store.partition("workers", 0).latest:
+                    continue
+                missing[key] = missing.get(key, 0) + 1
+                expired = missing[key] >= MAX_MISSING_REPORTS or not worker.up
+                if expired and key in self.store.partition("workers", 0).latest:
                     self.store.write("workers", key, None)
             await asyncio.sleep(HEARTBEAT_INTERVAL_MS / MS_PER_SECOND)
 
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -78,6 +78,7 @@
         entry: Its directory entry.
         up: Whether it responds and runs tasks.
         has_left: Whether it has shut down; its address refuses connections.
+        reaches_store: Whether its reports reach the store.
         is_replaced: Whether another worker listens at its address.
         failure_rate: Fraction of its runs that fail.
         runs_never_end: Whether its runs never end.
@@ -99,6 +100,7 @@
         self.entry = entry
         self.up = True
         self.has_left = False
+        self.reaches_store = True
         self.is_replaced = False
         self.failure_rate = 0.0
         self.runs_never_end = False
@@ -132,9 +134,15 @@
         """Returns the simulation time."""
         return self._clock.now_ms()
 
-    def drain(self) -> None:
-        """Marks the directory entry as draining."""
-        self.entry = msgspec.structs.replace(self.entry, draining=True)
+    def drain(self, remaining_ms: float = 0.0) -> None:
+        """Marks the directory entry as draining.
+
+        Args:
+            remaining_ms: Announced minimum time until it departs.
+        """
+        self.entry = msgspec.structs.replace(
+            self.entry, draining=True, remaining_ms=remaining_ms
+        )
         self._history.add(
             DrainAnnounced(self._clock.now_ms(), self.entry.id, self.entry.born)
         )
@@ -432,7 +440,9 @@
 
         try:
             return await self.links[entry.id].call(deliver, timeout_ms)
-        except (LinkTimeoutError, LinkRefusedError):
+        except LinkRefusedError:
+            raise WorkerDownError(f"{entry.id} refuses connections") from None
+        except LinkTimeoutError:
             raise WorkerOutcomeUnknownError(entry.id) from None
 
     async def poll(
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -538,23 +538,25 @@
         self.poll(start.worker, born=2)
         self.assertEqual(len(self.plan(Start)), 1)
 
-    def test_worker_that_left(self):
-        """Tasks of a departed worker do not wait for its lease.
+    def test_draining_worker_that_refuses_connections(self):
+        """A draining worker that was cut off counted as departed: TWICE.
 
-        The worker must be draining, have no directory entry any more, and
-        refuse connections.
+        Its directory entry has expired and connections are refused, but its
+        lease has not ended.
         """
         self.submit(job(1, StepSpec(1, ONE_CORE)))
         (start,) = self.start_all()
-        number = int(start.worker[-1])
         worker = self.engine.workers[start.worker]
-        self.engine.on_connection_refused(worker, self.now_ms)
-        self.assertEqual(self.plan(Start), [])
-        self.engine.set_entry(entry(number, draining=True), self.now_ms)
-        self.engine.on_connection_refused(worker, self.now_ms)
-        self.assertEqual(self.plan(Start), [])
+        other = "w-1" if start.worker == "w-0" else "w-0"
+        draining = entry(int(start.worker[-1]), draining=True)
+        self.engine.set_entry(draining, self.now_ms)
         self.engine.mark_entry_missing(worker.id, self.now_ms)
-        self.engine.on_connection_refused(worker, self.now_ms)
+        lease_end_ms = worker.lease_end_ms
+        while self.now_ms < lease_end_ms:
+            self.engine.on_connection_refused(worker, self.now_ms)
+            self.assertEqual(self.plan(Start), [])
+            self.now_ms += 500
+            self.poll(other)
         self.assertEqual(len(self.plan(Start)), 1)
 
     def test_replaced_worker(self):
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -12,10 +12,11 @@
 
 import msgspec
 
+from limpetyard._clock import MS_PER_SECOND
 from limpetyard._registry import Registry
 from limpetyard.jobs import JobSpec, Resources, StepSpec
 from standins.platform import SimulatedSite, run_in_virtual_time, violations
-from standins.platform._site import QUEUE
+from standins.platform._site import HEARTBEAT_INTERVAL_MS, QUEUE
 from standins.platform._virtual_time import START_WALL_MS
 
 JOB_COUNT = 25
@@ -118,6 +119,22 @@
         host.worker_links[worker].cut = False
 
 
+@FAULTS.register("worker_refuses")
+async def _refuse_connections(site: SimulatedSite, rng: random.Random) -> None:
+    """Cuts off a worker, perhaps one that drains and then leaves."""
+    up = [worker for worker in site.workers.values() if worker.up]
+    worker = rng.choice(up)
+    leaves = len(up) > 3 and rng.random() < 0.5
+    if leaves:
+        worker.drain(remaining_ms=rng.uniform(2000, 8000))
+        await asyncio.sleep(HEARTBEAT_INTERVAL_MS / MS_PER_SECOND)
+    site.isolate_worker(worker, True)
+    await asyncio.sleep(rng.uniform(0.5, 8))
+    site.isolate_worker(worker, False)
+    if leaves:
+        worker.leave()
+
+
 @FAULTS.register("store_out")
 @_records_store_fault
 async def _store_outage(site: SimulatedSite, rng: random.Random) -> None:
--- a/tests/exploring/test_storms.py
+++ b/tests/exploring/test_storms.py
@@ -90,6 +90,13 @@
         ):
             self.assert_detects("TWICE")
 
+    def test_refused_connections(self):
+        """A refused connection counts as the end of a worker: TWICE."""
+        with mock.patch.object(
+            Engine, "on_connection_refused", Engine.on_worker_replaced
+        ):
+            self.assert_detects("TWICE")
+
     def test_acknowledge_after_store(self):
         """Ended runs are acknowledged before they are stored: TWICE."""
         pop_dirty = Engine.pop_dirty
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from limpetyard.engine._worker import RESPONSIVE_WITHIN_MS
 from limpetyard.errors import RequestError
 from limpetyard.jobs import JobSpec, Resources, StepSpec
 from limpetyard.node import CellOwner
@@ -16,7 +17,11 @@
     violations,
 )
 from standins.platform._history import RunStarted
-from standins.platform._site import PEER_TIMEOUT_MS, QUEUE
+from standins.platform._site import (
+    HEARTBEAT_INTERVAL_MS,
+    PEER_TIMEOUT_MS,
+    QUEUE,
+)
 
 SMALL = Resources(1000, 1000, 0)
 
@@ -28,6 +33,10 @@
 # Duration of leases. The tasks of a lost worker wait until its lease expires.
 LEASE_MS = 5000
 
+# Maximum time until tasks of a worker that was cut off start elsewhere: an
+# owner renews the lease for a while although no reply arrives.
+CUT_OFF_RECOVERY_MS = LEASE_MS + RESPONSIVE_WITHIN_MS + NODE_RECOVERY_MS
+
 
 def job(number: int, count: int = 4, run_ms: int = 500) -> JobSpec:
     """Returns a job of two steps."""
@@ -522,6 +531,51 @@
 
         self.run_scenario(scenario)
 
+    def check_refusing(self, take_over: bool) -> None:
+        """Cuts off a draining worker until its directory entry has expired.
+
+        It works on meanwhile, and connections to it are refused. Its tasks must
+        start elsewhere soon after its lease has expired, but not before.
+
+        Args:
+            take_over: Whether the owner is replaced in between.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit(site, range(3), run_ms=9000)
+            await asyncio.sleep(0.5)
+            victim = next(w for w in site.workers.values() if w.running())
+            tasks = set(victim.running())
+            victim.drain(remaining_ms=6000)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
+            at_ms = site.clock.now_ms()
+            site.isolate_worker(victim, True)
+            await asyncio.sleep(2)
+            if take_over:
+                site.store.reassign_partitions()
+            await asyncio.sleep(CUT_OFF_RECOVERY_MS / 1000 - 2)
+            self.assertNotIn(
+                victim.entry.id, site.store.partition("workers", 0).latest
+            )
+            restarted = {
+                entry.task
+                for entry in site.history.of(RunStarted)
+                if entry.at_ms > at_ms
+            }
+            self.assertLessEqual(tasks, restarted)
+            site.isolate_worker(victim, False)
+            await self.complete(site, range(3))
+
+        self.run_scenario(scenario)
+
+    def test_draining_worker_refuses_connections(self):
+        """A draining worker that was cut off counted as departed: TWICE."""
+        self.check_refusing(take_over=False)
+
+    def test_draining_worker_refuses_connections_of_a_new_owner(self):
+        """The same, with an owner that has not reached the worker at all."""
+        self.check_refusing(take_over=True)
+
     def check_replaced(self, take_over: bool) -> None:
         """Replaces a worker by another one; its tasks must not wait long.
 
