Hand over no lease of a worker that can run nothing

Callers: after a takeover within about 8 s of a worker's departure, tasks of accepted jobs waited up to 5.2 s for it, though it had run nothing.

Cause: an owner reported the lease of each worker to its successor, also of one that it knew to be idle: its token is confirmed and it has no run left, so neither this owner's orders nor an earlier owner's can run there. It also kept a drained worker on record for 2.5 s after its entry was gone.

Change: `Worker.runs_until_ms` is over for an idle worker; a drained worker needs no grace, as it gets no work if it is listed again.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -310,8 +310,8 @@
 
         Counts the crashes of those that were lost in silence. A worker is kept
         as long as a run may exist on it or, for a limited time, a crash would
-        count against tasks. One that is known to have ended need not be missing
-        for long.
+        count against tasks. One that has ended or drained need not be missing
+        for long, as it gets no work if it is listed again.
         """
         for worker in self.workers.values():
             if (
@@ -324,7 +324,11 @@
             worker.id
             for worker in self.workers.values()
             if worker.missing_since_ms is not None
-            and (worker.ended or self._is_missing_long(worker, now_ms))
+            and (
+                worker.ended
+                or worker.entry.draining
+                or self._is_missing_long(worker, now_ms)
+            )
             and not worker.runs
             and now_ms > worker.runs_until_ms
             and not (
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -295,9 +295,16 @@
             self._incarnations, MAX_INCARNATIONS - 1
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no run of any owner can exist on the worker."""
+        return self.token_confirmed and not self.runs
+
     @property
     def runs_until_ms(self) -> float:
         """Time until which a run of any owner may exist on the worker."""
+        if self.is_idle:
+            return 0.0
         return max(self.lease_end_ms, self.prior_lease_end_ms)
 
     @property
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -559,6 +559,23 @@
             self.poll(other)
         self.assertEqual(len(self.plan(Start)), 1)
 
+    def test_drained_worker(self):
+        """Later owners waited for a drained worker that had run nothing.
+
+        It is dropped once its entry is missing, but not while it has a run.
+        """
+        self.submit(job(1, StepSpec(1, ONE_CORE)))
+        (start,) = self.start_all()
+        worker = self.engine.workers[start.worker]
+        draining = entry(int(start.worker[-1]), draining=True)
+        self.engine.set_entry(draining, self.now_ms)
+        self.engine.mark_entry_missing(worker.id, self.now_ms)
+        self.assertEqual(self.engine.remove_gone_workers(self.now_ms), [])
+        self.end(start)
+        self.assertEqual(
+            self.engine.remove_gone_workers(self.now_ms), [worker.id]
+        )
+
     def test_replaced_worker(self):
         """Tasks of a replaced worker do not wait for its lease.
 
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -576,6 +576,23 @@
         """The same, with an owner that has not reached the worker at all."""
         self.check_refusing(take_over=True)
 
+    def test_idle_worker_leaves_before_a_takeover(self):
+        """Inherited tasks waited for a worker known to have run nothing."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            site.workers["w-5"].drain()
+            await asyncio.sleep(2 * HEARTBEAT_INTERVAL_MS / 1000)
+            site.workers["w-5"].leave()
+            await self.submit(site, range(3), run_ms=1000)
+            await asyncio.sleep(0.3)
+            site.store.reassign_partitions()
+            at_ms = site.clock.now_ms()
+            await self.complete(site, range(3))
+            took_ms = site.clock.now_ms() - at_ms
+            self.assertLess(took_ms, 2 * 1000 + NODE_RECOVERY_MS)
+
+        self.run_scenario(scenario)
+
     def check_replaced(self, take_over: bool) -> None:
         """Replaces a worker by another one; its tasks must not wait long.
 
