Hand over the lease of a worker with ends that are not stored

Cause: an owner counted a worker without runs as idle although it had read the end of a run that it could not store. Its successor then did not wait for the worker, which was cut off by then and would have reported that end again.

Evidence: storm seed 2066 (TWICE "was done"): the owner, cut off from the store, reads the end at 16.79 s; the worker is cut off at 17.24 s; the next owner takes over at 17.85 s and starts the task 22 ms later. Failed before: UnknownOutcomeTest.test_end_that_is_not_stored, storm seed 2066

Change: a worker is idle only if all its ends have been read and stored. After: both pass. 2066 and 2031 are regression seeds now.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -366,6 +366,7 @@
             return True
         worker.set_clock(reply.clock_ms, now_ms)
         worker.record_reply(now_ms)
+        worker.has_all_ends = reply.has_all_ends
         if not worker.token_confirmed:
             self._confirm_token(worker, now_ms)
             event(
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -191,6 +191,8 @@
         last_received_end: Number of the last ended run that was processed.
         last_acked_end: Number of the last ended run that is stored, and that
             the worker therefore need not report again.
+        has_all_ends: Whether the last reply listed all ends that are not
+            acknowledged.
         lease_end_ms: Time by which every lease granted by this owner has
             expired; 0 if none was granted.
         prior_lease_end_ms: Time until which a run of an earlier owner or
@@ -230,6 +232,7 @@
         "ended",
         "entry",
         "failures",
+        "has_all_ends",
         "isolated_run",
         "lapsed_ms",
         "last_acked_end",
@@ -261,6 +264,7 @@
         self.slowed_ms = float("-inf")
         self.last_received_end = 0
         self.last_acked_end = 0
+        self.has_all_ends = False
         self.lease_end_ms = 0.0
         self.prior_lease_end_ms = 0.0
         self.replied_ms: float | None = None
@@ -297,12 +301,17 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no run of any owner can exist on the worker."""
-        return self.token_confirmed and not self.runs
+        """Whether no run of any owner can exist, and all ends are stored."""
+        return (
+            self.token_confirmed
+            and not self.runs
+            and self.has_all_ends
+            and self.last_received_end <= self.last_acked_end
+        )
 
     @property
     def runs_until_ms(self) -> float:
-        """Time until which a run of any owner may exist on the worker."""
+        """Time until which a run may exist whose end no later owner knows."""
         if self.is_idle:
             return 0.0
         return max(self.lease_end_ms, self.prior_lease_end_ms)
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -572,10 +572,29 @@
         self.engine.mark_entry_missing(worker.id, self.now_ms)
         self.assertEqual(self.engine.remove_gone_workers(self.now_ms), [])
         self.end(start)
+        _, batch = self.engine.pop_dirty()
+        self.engine.on_stored(batch)
         self.assertEqual(
             self.engine.remove_gone_workers(self.now_ms), [worker.id]
         )
 
+    def test_end_that_is_not_stored(self):
+        """The next owner started a task again that was done: TWICE.
+
+        It did not wait for the worker, as the previous owner knew the end.
+        """
+        self.submit(job(1, StepSpec(1, ONE_CORE)))
+        (start,) = self.start_all()
+        self.end(start)
+        worker = self.engine.workers[start.worker]
+        self.assertGreater(worker.runs_until_ms, self.now_ms)
+        _, batch = self.engine.pop_dirty()
+        self.engine.on_stored(batch)
+        self.assertEqual(worker.runs_until_ms, 0.0)
+        reply = PollReply(1, self.now_ms, [], [], has_all_ends=False)
+        self.engine.on_poll_reply(worker, self.now_ms, reply, self.now_ms)
+        self.assertGreater(worker.runs_until_ms, self.now_ms)
+
     def test_replaced_worker(self):
         """Tasks of a replaced worker do not wait for its lease.
 
--- a/tests/exploring/test_storms.py
+++ b/tests/exploring/test_storms.py
@@ -25,7 +25,9 @@
 # 54, 96: a repeated stop order kept its run for ever.
 # 13, 37: a start order that was rejected when repeated had run before.
 # 9, 26: an occurrence that only the previous owner had found due.
-REGRESSION_SEEDS = (9, 12, 13, 26, 37, 52, 54, 64, 74, 80, 84, 96)
+# 2066: no wait for a worker with an end that was not stored.
+# 2031: a wait for a drained worker that had run nothing.
+REGRESSION_SEEDS = (9, 12, 13, 26, 37, 52, 54, 64, 74, 80, 84, 96, 2031, 2066)
 OTHER_SEEDS = range(1000, 1004)
 
 # With a safeguard disabled, one of these seeds must violate the rule.
