Use no directory entry with a value that cannot be stored

Callers: from the moment on at which another writer left one entry with a number beyond 64 bits among those of the workers, no job started (LOST); jobs were still accepted with 200.

Cause: a value that was read is written again, but the reader's bounds are wider than the writer's. JSON numbers of any size were decoded for `born` and the capacity; the owner stores each listed worker, and MessagePack has 64 bits. `OverflowError` is no error of the store, so the ownership ended, and each next owner, on any node, read the same entry. The same holds for sizes: an entry with one label of 200 KB, which the directory takes, makes a record of twice that, as the rack is the last label; the store refuses it, and with it every append of the owner.

Ruled out: the JSON decoder itself (it returns the number), the service of the entry (the owner stores workers of every service), and the follower (the log's `owner_failed` names the serializer).

It has moved to a module of its own, `platform/_worker_entries.py`. `entry_unreadable` tells the size.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -94,8 +94,9 @@
         "A worker reported the end of a run that was already replaced.",
     ),
     "entry_unreadable": EventKind(
-        ("worker", "reason"),
-        "A worker's entry cannot be decoded; the worker is not used.",
+        ("worker", "bytes", "reason"),
+        "An entry among those of the workers cannot be decoded, or a value is"
+        " out of bounds; it names no worker.",
     ),
     "entry_unusable": EventKind(
         ("worker", "state"),
--- a/src/limpetyard/noded.py
+++ b/src/limpetyard/noded.py
@@ -31,8 +31,8 @@
 from limpetyard.platform._worker_client import (
     PlatformAdviceClient,
     PlatformWorkerClient,
-    parse_worker_entry,
 )
+from limpetyard.platform._worker_entries import parse_worker_entry
 
 ADVICE_TIMEOUT_MS = 2000
 
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from limpetyard._events import event
 from limpetyard._http_client import (
     HttpClient,
     HttpResponse,
@@ -28,9 +27,8 @@
     WorkerOutcomeUnknownError,
     WrongWorkerError,
 )
-from limpetyard.jobs import Resources, TaskKey
+from limpetyard.jobs import TaskKey
 from limpetyard.platform._decode_errors import translate_decode_errors
-from limpetyard.store import StoredRecord
 
 # One poll and two orders at the same time; connections to workers are
 # expensive.
@@ -53,27 +51,6 @@
 _UNHEALTHY_STATUSES = (429, 503)
 
 
-class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-
-    def to_resources(self) -> Resources:
-        return Resources(self.cpu, self.mem_mb, self.gpus)
-
-
-class _DirectoryEntry(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str
-    state: str
-    born: int
-    capacity: _Capacity
-    labels: list[str] = []
-    # Minimum time until a draining worker departs.
-    remaining_ms: float = 0.0
-
-
 class _HoldRequest(msgspec.Struct, rename="camel", omit_defaults=True):
     # "/hold" renews the lease and returns the current and ended runs.
     fencing_token: int
@@ -142,36 +119,6 @@
     return TaskKey(job, int(occurrence), int(step), int(index))
 
 
-def parse_worker_entry(record: StoredRecord) -> WorkerEntry | None:
-    """Decodes a directory entry.
-
-    Returns:
-        The entry, or None if it is not valid or its state is unknown.
-    """
-    try:
-        entry = msgspec.json.decode(record.value, type=_DirectoryEntry)
-    except msgspec.MsgspecError as exc:
-        event("entry_unreadable", "WARNING", worker=record.key, reason=exc)
-        return None
-    if entry.state not in ("ready", "draining"):
-        event("entry_unusable", worker=record.key, state=entry.state)
-        return None
-    # Labels are the kind of the worker and its rack, in this order.
-    rack = entry.labels[-1] if len(entry.labels) > 1 else ""
-    return WorkerEntry(
-        record.key,
-        entry.service,
-        entry.address,
-        entry.zone,
-        rack,
-        tuple(entry.labels),
-        entry.capacity.to_resources(),
-        entry.born,
-        entry.state == "draining",
-        entry.remaining_ms,
-    )
-
-
 class PlatformWorkerClient:
     """Client of workers over HTTP.
 
--- /dev/null
+++ b/tests/node/test_odd_entries.py
@@ -0,0 +1,82 @@
+"""Odd entries of other writers among the directory entries of workers."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from limpetyard.jobs import JobSpec, StepSpec
+from limpetyard.platform._worker_entries import parse_worker_entry
+from limpetyard.store import StoredRecord
+from standins.platform import SimulatedSite, _site
+from standins.platform._site import QUEUE
+from tests.node.test_whole_site import NODE_RECOVERY_MS, SMALL, SiteTestCase
+from tests.platform.test_worker_entries import odd_entries
+
+OTHER_PREFIX = "other-"
+
+_read_entry = _site._read_entry
+
+
+def read_entry(record: StoredRecord):
+    """Decodes the entries of other writers as the platform's adapter does."""
+    if record.key.startswith(OTHER_PREFIX):
+        return parse_worker_entry(record)
+    return _read_entry(record)
+
+
+class OddEntryTest(SiteTestCase):
+    """The owner goes on whatever another writer leaves in the directory."""
+
+    def setUp(self):
+        """Reads the entries of other writers with the platform's adapter."""
+        patch = mock.patch.object(_site, "_read_entry", read_entry)
+        self.enterContext(patch)
+
+    def write_odd_entries(self, site: SimulatedSite) -> None:
+        """Writes all odd entries."""
+        for number, value in enumerate(odd_entries().values()):
+            site.store.write("workers", f"{OTHER_PREFIX}{number}", value)
+
+    async def check_scheduling(self, site: SimulatedSite, job_id: str) -> None:
+        """Completes a job that needs a worker that is listed from now on."""
+        site.add_worker(9)
+        step = StepSpec(7, SMALL, run_ms=200, per_worker=1)
+        self.assertTrue(
+            await site.submit(JobSpec(job_id, QUEUE, "payload", (step,)))
+        )
+        state = await site.wait_for(job_id, ("completed",), 5000)
+        self.assertEqual(state, "completed")
+
+    def test_while_following(self):
+        """An entry ended each ownership that read it: LOST."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            owner = site.owner().node._owners[0]
+            for number, value in enumerate(odd_entries().values()):
+                key = f"{OTHER_PREFIX}{number}"
+                site.store.write("workers", key, value)
+                await asyncio.sleep(0.3)
+                self.assertTrue(owner.deciding, value[:200])
+            self.assertFalse(
+                [w for w in owner.engine.workers if w.startswith(OTHER_PREFIX)]
+            )
+            await self.check_scheduling(site, "1" * 16)
+
+        self.run_scenario(scenario)
+
+    def test_at_a_takeover(self):
+        """An entry ended each ownership that loaded it: LOST."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.write_odd_entries(site)
+            await site.kill_node(site.owner())
+            await asyncio.sleep((1000 + NODE_RECOVERY_MS) / 1000)
+            owner = site.owner().node._owners[0]
+            await self.check_scheduling(site, "1" * 16)
+            self.assertTrue(owner.deciding)
+
+        self.run_scenario(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
