Skip directory entries that are nested deeply or name no address

Cause: `parse_worker_entry` caught the decoder's own errors only. Deep nesting, in a known field or in an unknown one, raises `RecursionError`, which ended each ownership that read the entry. An address was not looked at before it was used: a port out of range was reported as an undecodable reply twice a second, and a host name led to a look-up by name. An id that is too long for a key of the owner made the store refuse each append.

Change: `DECODE_ERRORS` holds all that decoding raises; id and address are checked when the entry is read, where the entry is reported as such. An entry whose other fields are good is not used either if a field that nobody knows cannot be read.

--- a/src/limpetyard/platform/_decode_errors.py
+++ b/src/limpetyard/platform/_decode_errors.py
@@ -1,4 +1,4 @@
-"""Error handling for replies that cannot be decoded."""
+"""Error handling for data that cannot be decoded."""
 
 import functools
 import struct
@@ -9,12 +9,16 @@
 
 T = TypeVar("T")
 
-# Exceptions raised by decoding a reply of an unexpected form.
+# Exceptions raised by decoding data of an unexpected form. Deep nesting raises
+# `RecursionError`, and numbers too large for a float or a socket
+# `OverflowError`.
 DECODE_ERRORS = (
     msgspec.MsgspecError,
     struct.error,
     IndexError,
     KeyError,
+    OverflowError,
+    RecursionError,
     TypeError,
     ValueError,
 )
--- a/src/limpetyard/platform/_worker_entries.py
+++ b/src/limpetyard/platform/_worker_entries.py
@@ -1,9 +1,11 @@
 """Decodes the directory entries that workers write to the store.
 
 Other writers may leave entries of any form among them. An entry is used only if
-every value is within bounds, so that what is decoded can be stored again.
+every value is within bounds, so that what is decoded can be stored again, sent
+in a header and used as an address.
 """
 
+import ipaddress
 from typing import Annotated
 
 import msgspec
@@ -11,8 +13,13 @@
 from limpetyard._events import event
 from limpetyard.engine import WorkerEntry
 from limpetyard.jobs import Resources
+from limpetyard.platform._decode_errors import DECODE_ERRORS
 from limpetyard.store import StoredRecord
 
+# Longest id of a worker, bytes. Keys of the store have at most 255 bytes, and
+# the owner stores the worker under its id with a prefix.
+MAX_ID_BYTES = 200
+
 # Longest name, characters, and largest number of labels. An entry within these
 # bounds is far smaller than the largest record of the store.
 MAX_NAME_LENGTH = 255
@@ -26,6 +33,8 @@
 # every JSON reader decodes exactly.
 MAX_TIME_MS = 1 << 53
 
+MAX_PORT = 65_535
+
 _Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 _Amount = Annotated[int, msgspec.Meta(ge=0, lt=CAPACITY_BOUND)]
 
@@ -64,11 +73,13 @@
 
     Returns:
         The entry, or None if it cannot be decoded, a value is out of bounds, or
-        its state is unknown.
+        its state is unknown. No content of a record raises an error.
     """
     try:
         entry = _decoder.decode(record.value)
-    except msgspec.MsgspecError as exc:
+        _check_id(record.key)
+        _check_address(entry.address)
+    except DECODE_ERRORS as exc:
         event(
             "entry_unreadable",
             "WARNING",
@@ -94,3 +105,31 @@
         entry.state == _DRAINING_STATE,
         entry.remaining_ms,
     )
+
+
+def _check_id(worker_id: str) -> None:
+    """Checks that an id can be part of a key and of a header.
+
+    Raises:
+        ValueError: If it cannot.
+    """
+    if not worker_id.isprintable() or not worker_id:
+        raise ValueError("the id is empty or not printable")
+    if len(worker_id.encode()) > MAX_ID_BYTES:
+        raise ValueError(f"the id is longer than {MAX_ID_BYTES} bytes")
+
+
+def _check_address(address: str) -> None:
+    """Checks that an address is of the form IP:port.
+
+    Raises:
+        ValueError: If it is not.
+    """
+    host, _, port = address.rpartition(":")
+    if host.startswith("[") and host.endswith("]") and "%" not in host:
+        ipaddress.IPv6Address(host[1:-1])
+    else:
+        ipaddress.IPv4Address(host)
+    is_number = port.isascii() and port.isdigit()
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"port {port!r} is not between 1 and {MAX_PORT}")
