Keep the configuration if a newer one is nested too deeply to read

Each node follows the operators' records, so one unreadable configuration would have ended the processes of all nodes, again and again.

Failed before: IngressTest.test_unreadable_configuration (RecursionError out of the reader). After: it passes; the previous configuration stays in force.

--- a/src/limpetyard/platform/_operator_records.py
+++ b/src/limpetyard/platform/_operator_records.py
@@ -5,6 +5,7 @@
 from limpetyard._events import event
 from limpetyard.jobs import AdviceParams, QueueParams
 from limpetyard.node import Queue, SiteConfig, SiteView
+from limpetyard.platform._decode_errors import DECODE_ERRORS
 from limpetyard.store import StoredRecord
 
 # Key of the record that holds the configuration.
@@ -104,7 +105,7 @@
             config = msgspec.json.decode(
                 record.value, type=_Config
             ).to_site_config()
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             event("config_unreadable", "ERROR", reason=exc)
             return
         if self._view.set_config(config):
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -128,6 +128,22 @@
         """Before the first configuration, requests get status 503."""
         self.assertEqual((await self.request("GET", "/p/")).status, 503)
 
+    async def test_unreadable_configuration(self):
+        """A configuration that is nested deeply ended every node.
+
+        The previous one stays in force, and the records after it count.
+        """
+        self.configure(7)
+        deep = b'{"version":8,"routes":[],"later":' + b"[" * 100_000
+        self.view_updater.apply(
+            [
+                StoredRecord(1, "config", deep + b"]" * 100_000 + b"}"),
+                StoredRecord(2, "evacuate/z", b"{}"),
+            ]
+        )
+        self.assertEqual(self.view.config.version, 7)
+        self.assertEqual(self.view.zones_out, {"z"})
+
     async def test_statuses(self):
         """Each outcome maps to its status code."""
         self.configure()
