Reject a job that cannot be read or stored with status 400

A job that was nested deeply, or with an amount beyond 64 bits, was answered with status 500, as the error was none of those expected; the node went on and nothing was stored.

Failed before: ParseJobTest.test_what_cannot_be_stored (23 bodies). After: it passes, and so does test_largest_amounts, which is new.

--- a/src/limpetyard/jobs/_spec.py
+++ b/src/limpetyard/jobs/_spec.py
@@ -8,6 +8,11 @@
 MAX_STEPS = 64
 MAX_TASKS = 10_000
 MAX_OCCURRENCES = 10_000
+
+# Largest amount in a step, in the unit of its field. The stored form of a job
+# has integers of 64 bits.
+MAX_AMOUNT = 1 << 53
+
 ID_LENGTH = 16
 _ID_CHARS = frozenset("0123456789abcdef")
 
@@ -222,3 +227,7 @@
     for name, value in amounts.items():
         if value < 0:
             raise InvalidJobError(f"step {number}: {name} {value} is negative")
+        if value > MAX_AMOUNT:
+            raise InvalidJobError(
+                f"step {number}: {name} is above {MAX_AMOUNT}"
+            )
--- a/src/limpetyard/platform/_ingress.py
+++ b/src/limpetyard/platform/_ingress.py
@@ -16,6 +16,7 @@
     check_spec,
 )
 from limpetyard.node import JobService, Queue, SiteView
+from limpetyard.platform._decode_errors import DECODE_ERRORS
 
 # Deadline of a request without a valid Deadline-Ms header.
 DEFAULT_DEADLINE_MS = 3000.0
@@ -103,7 +104,7 @@
     """
     try:
         job = _job_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         raise InvalidJobError(f"body: {exc}") from exc
     spec = JobSpec(
         job_id,
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -2,11 +2,18 @@
 
 import unittest
 
+import msgspec
 from aiohttp.test_utils import make_mocked_request
 
 from limpetyard._error_kinds import ErrorKind
 from limpetyard.errors import RequestError, SettingError
-from limpetyard.jobs import InvalidJobError, QueueParams, Resources
+from limpetyard.jobs import (
+    InvalidJobError,
+    QueueParams,
+    Resources,
+    decode_spec,
+    encode_spec,
+)
 from limpetyard.node import SiteView
 from limpetyard.platform._ingress import Ingress, parse_job
 from limpetyard.platform._operator_records import SiteViewUpdater
@@ -74,6 +81,29 @@
                 parse_job(ID, QUEUE_PARAMS, body, 5.0)
             self.assertIn(expected, str(caught.exception))
 
+    def test_what_cannot_be_stored(self):
+        """A job that cannot be read or stored got status 500, not 400."""
+        deep = b'{"spec":"x","steps":[{}],"later":' + b"[" * 100_000
+        bodies = [deep + b"]" * 100_000 + b"}"]
+        for field in (
+            *("cpu", "memMb", "gpus", "estimatedMs", "antiAffinity"),
+            *("targetMs", "maxUnavailable"),
+        ):
+            for number in (b"%d" % 2**64, b"%d" % 2**127, b"%d" % 2**53 + b"1"):
+                step = b'{"%b":%b}' % (field.encode(), number)
+                bodies.append(b'{"spec":"x","steps":[%b]}' % step)
+        bodies.append(b'{"spec":"x","steps":[{"estimatedMs":1e300}]}')
+        for body in bodies:
+            with self.subTest(body[:60]), self.assertRaises(InvalidJobError):
+                parse_job(ID, QUEUE_PARAMS, body, 5.0)
+
+    def test_largest_amounts(self):
+        """What is accepted can be stored."""
+        step = {"cpu": 2**53, "estimatedMs": 2**53, "antiAffinity": 2**53}
+        body = msgspec.json.encode({"spec": "x", "steps": [step]})
+        spec = parse_job(ID, QUEUE_PARAMS, body, 5.0)
+        self.assertEqual(decode_spec(encode_spec(spec)), spec)
+
     def test_bad_id(self):
         """An id is 16 hexadecimal digits."""
         for job_id in ("", "xyz", ID + "0", "g" * 16):
