Discard a worker's reply with a number that cannot be stored

What answers at an address of the directory need not be a worker.

Change: the rows of a reply have types with bounds, shared with those of the directory entries (`platform/_bounds.py`); such a reply counts as undecodable, as other malformed ones did.

Failed before: UndecodableReplyTest.test_workers (6 of the new bodies). After: it passes.

--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -1,7 +1,5 @@
 """Clients of the platform's workers and of its advice service."""
 
-import math
-
 import msgspec
 
 from limpetyard._http_client import (
@@ -28,6 +26,7 @@
     WrongWorkerError,
 )
 from limpetyard.jobs import TaskKey
+from limpetyard.platform._bounds import Count, Time
 from limpetyard.platform._decode_errors import translate_decode_errors
 
 # One poll and two orders at the same time; connections to workers are
@@ -59,11 +58,45 @@
     wait_ms: int = 0
 
 
+class _RunRow(msgspec.Struct, array_like=True):
+    task: str
+    run: Count
+    checkpoint: str | None
+    percent: float
+    measurement: float | None = None
+
+    def to_report(self) -> RunReport:
+        return RunReport(
+            parse_task_key(self.task),
+            self.run,
+            self.checkpoint or "",
+            self.percent,
+            self.measurement or 0.0,
+        )
+
+
+class _EndRow(msgspec.Struct, array_like=True):
+    number: Count
+    task: str
+    run: Count
+    how: str
+    checkpoint: str | None
+
+    def to_report(self) -> RunEndReport:
+        return RunEndReport(
+            self.number,
+            parse_task_key(self.task),
+            self.run,
+            RunEndKind(self.how),
+            self.checkpoint or "",
+        )
+
+
 class _HoldReply(msgspec.Struct, rename="camel"):
-    clock_ms: float
-    born: int = 0
-    running: list[list] = []
-    ended_runs: list[list] = []
+    clock_ms: Time
+    born: Count = 0
+    running: list[_RunRow] = []
+    ended_runs: list[_EndRow] = []
 
 
 class _RunStartRequest(msgspec.Struct, rename="camel", omit_defaults=True):
@@ -148,8 +181,8 @@
         return PollReply(
             hold_reply.born,
             hold_reply.clock_ms,
-            [_decode_run(row) for row in hold_reply.running],
-            [_decode_run_end(row) for row in hold_reply.ended_runs],
+            [row.to_report() for row in hold_reply.running],
+            [row.to_report() for row in hold_reply.ended_runs],
             len(hold_reply.ended_runs) < MAX_ENDS_PER_REPLY,
         )
 
@@ -307,18 +340,3 @@
     _check_reply(entry, reply)
     if reply.status != 200:
         raise WorkerOutcomeUnknownError(f"{entry.id}: status {reply.status}")
-
-
-def _decode_run(row: list) -> RunReport:
-    measurement = row[4] if len(row) > 4 and row[4] is not None else 0.0
-    measurement = 0.0 if math.isnan(measurement) else float(measurement)
-    return RunReport(
-        parse_task_key(row[0]), row[1], row[2] or "", row[3], measurement
-    )
-
-
-def _decode_run_end(row: list) -> RunEndReport:
-    number, task, run, how, checkpoint = row[:5]
-    return RunEndReport(
-        number, parse_task_key(task), run, RunEndKind(how), checkpoint or ""
-    )
--- a/src/limpetyard/platform/_worker_entries.py
+++ b/src/limpetyard/platform/_worker_entries.py
@@ -13,6 +13,7 @@
 from limpetyard._events import event
 from limpetyard.engine import WorkerEntry
 from limpetyard.jobs import Resources
+from limpetyard.platform._bounds import Count, Time
 from limpetyard.platform._decode_errors import DECODE_ERRORS
 from limpetyard.store import StoredRecord
 
@@ -29,10 +30,6 @@
 # accelerators: that of a run that fills any worker.
 CAPACITY_BOUND = 1 << 40
 
-# Largest time, in Unix milliseconds or as a duration in milliseconds, that
-# every JSON reader decodes exactly.
-MAX_TIME_MS = 1 << 53
-
 MAX_PORT = 65_535
 
 _Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
@@ -56,13 +53,11 @@
     address: _Name
     zone: _Name
     state: _Name
-    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+    born: Count
     capacity: _Capacity
     labels: Annotated[list[_Name], msgspec.Meta(max_length=MAX_LABELS)] = []
     # Minimum time until a draining worker departs.
-    remaining_ms: Annotated[
-        float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)
-    ] = 0.0
+    remaining_ms: Time = 0.0
 
 
 _decoder = msgspec.json.Decoder(_DirectoryEntry)
--- a/tests/platform/test_decode_errors.py
+++ b/tests/platform/test_decode_errors.py
@@ -21,8 +21,29 @@
 
 TASK = TaskKey("0" * 16, 0, 0, 0)
 
-# Not JSON, JSON of another type, and rows of too few columns.
-BODIES = (b"", b"\xff\xfe", b"[]", b'{"running": [["x"]], "clockMs": 1}')
+RUN = b'{"clockMs":1,"born":7,"running":[["%b.0.1.2",%b,"",100,%b]]}'
+END = b'{"clockMs":1,"born":7,"endedRuns":[[%b,"%b.0.1.2",%b,"done",""]]}'
+JOB = b"0" * 16
+LARGE = b"%d" % 2**64
+
+# Not JSON, JSON of another type, rows of too few columns, values of another
+# type, deep nesting, and numbers that cannot be stored.
+BODIES = (
+    b"",
+    b"\xff\xfe",
+    b"[]",
+    b'{"running": [["x"]], "clockMs": 1}',
+    b'{"clockMs":1,"later":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    b'{"clockMs":1e300,"born":7}',
+    b'{"clockMs":1,"born":%b}' % LARGE,
+    RUN % (JOB, LARGE, b"1"),
+    RUN % (JOB, b"-1", b"1"),
+    RUN % (JOB, b"1", b'"1"'),
+    RUN % (b"9" * 5000, b"1", b"[1]"),
+    END % (LARGE, JOB, b"1"),
+    END % (b"1", JOB, LARGE),
+    END % (b"1", b"x.y", b"1"),
+)
 
 
 class UndecodableReplyTest(unittest.IsolatedAsyncioTestCase):
@@ -44,7 +65,10 @@
         self.addAsyncCleanup(self.runner.cleanup)
 
     async def test_workers(self):
-        """After an undecodable reply the state of the worker is unknown."""
+        """After an undecodable reply the state of the worker is unknown.
+
+        A number that could not be stored ended each ownership.
+        """
         workers = PlatformWorkerClient()
         self.addAsyncCleanup(workers.close)
         for self.body in BODIES:
