Quote the key after which the next page of a list is read

Cause: the last key of a page stood in the query as it was. With a blank in it the store's HTTP server refuses the request, so that an owner never loads the list; with "%" the next page begins after another key, and workers in between are not known. Any writer can leave such a key, and lists of more than 500 entries have several pages.

Failed before: PlatformStoreTest.test_odd_key_at_the_end_of_a_page ("1 A" is refused, "1%42" hides a key, "1#A" reads one twice). After: it passes.

--- a/src/limpetyard/platform/_store.py
+++ b/src/limpetyard/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+from urllib.parse import quote
 
 import msgspec
 
@@ -164,7 +165,7 @@
         """See `limpetyard.store.Store.read_latest`."""
         path = f"/log-newest?topic={_wire_topic(topic)}&part={partition}"
         if after:
-            path += f"&after={after}"
+            path += f"&after={quote(after, safe='')}"
         reply = await self._call("GET", path, None)
         _check_reply(reply)
         page = msgspec.json.decode(reply.body, type=_LatestReply)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """Client of the store against the stand-in store over HTTP."""
 
+import asyncio
 import unittest
 
 from aiohttp import web
@@ -9,9 +10,11 @@
 from limpetyard.store import (
     FencedError,
     KeyedRecord,
+    KeyFollower,
     Producer,
     RefusalKind,
     SequenceError,
+    StoredRecord,
     StoreOffsetTrimmedError,
     StoreRefusedError,
 )
@@ -62,6 +65,26 @@
         self.assertEqual(len(page.records) + len(rest.records), 700)
         self.assertEqual(page.records[1].value, b"new")
 
+    async def test_odd_key_at_the_end_of_a_page(self):
+        """The rest of the list was never read, or read from another key."""
+        first = [KeyedRecord(f"0{n:03}", b"1") for n in range(499)]
+        last = [KeyedRecord(key, b"1") for key in ("1%B", "1z", "2")]
+        for odd in ("1%A", "1%42", "1&A", "1#A", "1+A", "1 A", "1\u00e9"):
+            with self.subTest(odd):
+                self.model.drop_history(("jobs",))
+                records = [*first, KeyedRecord(odd, b"1"), *last]
+                await self.store.append("jobs", 0, records)
+                loaded: list[StoredRecord] = []
+                follower = KeyFollower(
+                    self.store, BootClock(), "jobs", 0, loaded.extend
+                )
+                async with asyncio.timeout(5):
+                    await follower.load()
+                self.assertEqual(
+                    sorted(record.key for record in loaded),
+                    sorted(record.key for record in records),
+                )
+
     async def test_fenced(self):
         """An append with a lower epoch is rejected."""
         await self.store.append("jobs", 0, [], Producer("owner", 5, 0))
