Write no control characters to the log

A key of another writer is part of log lines. Only line feeds were replaced: a carriage return or an escape sequence split or hid lines, and a lone surrogate could not be encoded.

--- a/src/limpetyard/_events.py
+++ b/src/limpetyard/_events.py
@@ -168,8 +168,10 @@
 
 def _quote(value: object) -> str:
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
-    plain = text and not any(c in text for c in ' "=\n')
+    plain = text and text.isprintable() and not any(c in text for c in ' "=')
     if plain:
         return text
-    escaped = text.replace('"', "'").replace("\n", " ")
+    escaped = "".join(
+        c if c.isprintable() else " " for c in text.replace('"', "'")
+    )
     return f'"{escaped}"'
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -63,6 +63,13 @@
         )
         self.addCleanup(logger.remove)
 
+    def test_control_characters(self):
+        """A key of another writer split a line or cost it its text."""
+        event("test_odd_text", key="a\r\n\x1b[2J\x85\u2028\ud800b")
+        (line,) = self.lines
+        self.assertTrue(line.rstrip("\n").isprintable(), line)
+        self.assertIn("b", line)
+
     def test_pairs(self):
         """Values with spaces or quotes are quoted."""
         event("a", number=1.5, text='two "words"')
