Record a worker anew that is listed while its record is deleted

Callers: none seen; a task could have run twice after a takeover. Found by reading the code for what a later owner knows of a worker.

Cause: the owner forgot that a worker was recorded only once the deletion of its record was answered. If the worker was listed again before, it counted as recorded and got tasks, and then its record was deleted.

Failed before: StoreFaultTest.test_worker_returns_while_it_is_forgotten. After: it passes; the record is written again after the deletion, which one writer keeps in order.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -560,6 +560,9 @@
                 records.append(KeyedRecord(prefix + job_id, None))
         if not records:
             return
+        # One that is listed again before the reply must be recorded anew.
+        for worker in removed:
+            self._recorded_workers.pop(worker, None)
         try:
             await self._writer.append(records)
         except StoreError as exc:
@@ -568,8 +571,6 @@
         for job_id in expired_jobs:
             self.engine.drop_job(job_id)
         self._removed_workers.difference_update(removed)
-        for worker in removed:
-            self._recorded_workers.pop(worker, None)
 
     def _execute(self, effects: list[Effect]) -> None:
         for effect in effects:
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -426,6 +426,40 @@
         with mock.patch.object(Writer, "append", refuse_first_deletion):
             self.run_scenario(scenario)
 
+    def test_worker_returns_while_it_is_forgotten(self):
+        """A worker was used whose record was just being deleted.
+
+        A later owner would not have waited for it.
+        """
+        append = Writer._append
+        deleting, deleted = asyncio.Event(), asyncio.Event()
+
+        async def delay_deletion(writer, records) -> None:
+            deletes = any(record.value is None for record in records)
+            if deletes:
+                deleting.set()
+                await asyncio.sleep(4)
+            await append(writer, records)
+            if deletes:
+                deleted.set()
+
+        async def scenario(site: SimulatedSite) -> None:
+            model = site.workers["w-5"]
+            site.isolate_worker(model, True)
+            await deleting.wait()
+            site.isolate_worker(model, False)
+            engine = site.owner().node._owners[0].engine
+            while not deleted.is_set():
+                worker = engine.workers.get("w-5")
+                self.assertFalse(worker is not None and worker.recorded)
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(3)
+            self.assertTrue(engine.workers["w-5"].recorded)
+            self.assertIn("w/w-5", site.store.partition("jobs", 0).latest)
+
+        with mock.patch.object(Writer, "_append", delay_deletion):
+            self.run_scenario(scenario)
+
     def test_refusing(self):
         """A rejected job never runs, and the error contains a retry time."""
 
