Wait at a takeover only for workers that have been recorded

Callers: with one entry in the directory of a worker that never replies, jobs of a lost owner went on after up to 10 s (LOST), at each takeover.

Cause: each listed worker was recorded at once, and a new owner took it that any listed worker may have runs. An owner sends no start before a worker has confirmed its token and is recorded, so a worker that has never replied can't have any, nor can one that is listed but not recorded.

Change: a worker is recorded once it has replied, and a new owner waits for recorded workers only.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -355,8 +355,9 @@
     async def _build_state(self) -> None:
         """Builds the engine's state from the loaded records.
 
-        Any task may be running, and any worker may have runs, until fencing the
-        previous owner or polling the worker shows otherwise.
+        Any task may be running, and any worker that an earlier owner recorded
+        may have runs, until fencing the previous owner or polling the worker
+        shows otherwise.
         """
         places_trusted = self._has_stored_places()
         self.engine.places_trusted = places_trusted
@@ -365,7 +366,8 @@
             job.mark_inherited()
             if not places_trusted:
                 job.forget_places()
-        for worker in self.engine.workers.values():
+        for worker_id in self._recorded_workers:
+            worker = self.engine.workers[worker_id]
             worker.prior_lease_end_ms = float("inf")
         self.engine.predecessor_until_ms = (
             self._clock.now_ms() + self._params.self_fence_ms
@@ -412,11 +414,16 @@
         self._poll_tasks.pop(worker_id, None)
 
     def _unrecorded_workers(self) -> list[Worker]:
-        """Returns workers whose incarnation or draining flag is not stored."""
+        """Returns workers whose incarnation or draining flag is not stored.
+
+        One that has never replied gets no orders, so later owners need not know
+        of it.
+        """
         return [
             worker
             for worker in self.engine.workers.values()
-            if self._recorded_workers.get(worker.id)
+            if (worker.token_confirmed or worker.id in self._recorded_workers)
+            and self._recorded_workers.get(worker.id)
             != (worker.born, worker.entry.draining)
         ]
 
--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_odd_entries.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from limpetyard.jobs import JobSpec, StepSpec
 from limpetyard.platform._worker_entries import parse_worker_entry
 from limpetyard.store import StoredRecord
@@ -77,6 +79,43 @@
 
         self.run_scenario(scenario)
 
+    def add_silent_workers(
+        self, site: SimulatedSite, service: str, count: int
+    ) -> None:
+        """Adds well-formed entries of workers that never reply."""
+        for number in range(count):
+            entry = msgspec.structs.replace(
+                site.workers["w-0"].entry,
+                id=f"a-{number}",
+                service=service,
+                address=f"10.9.{number // 200}.{number % 200}:80",
+            )
+            site._add_worker(entry)
+            for host in site.hosts:
+                host.worker_links[entry.id].cut = True
+
+    async def check_takeover(self, site: SimulatedSite) -> None:
+        """Kills the owner; inherited and new jobs must complete soon."""
+        await self.submit(site, range(3))
+        await site.kill_node(site.owner())
+        at_ms = site.clock.now_ms()
+        await self.complete(site, range(3))
+        await self.submit(site, range(3, 4))
+        await self.complete(site, range(3, 4))
+        took_ms = site.clock.now_ms() - at_ms
+        self.assertLess(took_ms, 2 * (2 * 500 + NODE_RECOVERY_MS))
+
+    def test_worker_that_never_replied(self):
+        """Inherited tasks waited for a worker that no owner ever reached."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.add_silent_workers(site, _site.SERVICE, 1)
+            await asyncio.sleep(3)
+            await self.check_takeover(site)
+            self.assertNotIn("w/a-0", site.store.partition("jobs", 0).latest)
+
+        self.run_scenario(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
