Poll no worker of a service that no queue names

Callers: with 200 silent entries of another service in the directory, jobs went on 10 s after the owner was lost (LOST).

Cause: the owner polled each listed worker. At a takeover, 24 first polls are under way at a time, each for 600 ms if it gets no answer, so that the entries of another writer came before the workers.

Change: an owner polls the workers of the services that a queue or a job names, and recorded ones; it looks again when a queue or a job names another service. Failed before: OddEntryTest.test_service_of_no_queue (10.0 s, bound 5 s). After: it passes; test_service_that_is_added passes before and after.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -192,6 +192,11 @@
         self.offered_load(spec.queue.service).add(spec, now_ms)
         return job
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Services of all jobs that were added."""
+        return frozenset(self._offered_loads)
+
     def offered_load(self, service: str) -> OfferedLoad:
         """Returns the load of the short tasks of a service."""
         if service not in self._offered_loads:
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -159,6 +159,8 @@
         # Workers whose record is to be deleted, by id.
         self._removed_workers: set[str] = set()
         self._poll_tasks: dict[str, asyncio.Task] = {}
+        # Services whose workers are polled.
+        self._tracked_services: frozenset[str] = frozenset()
         self._orders_suspended = False
         # Highest epoch by which this ownership was fenced.
         self._fencing_epoch = 0
@@ -400,15 +402,28 @@
         self._plan_needed.set()
 
     def _track_workers(self) -> None:
-        """Starts polling new workers and requests that they be recorded."""
-        for worker_id in self.engine.workers:
-            if worker_id not in self._poll_tasks:
-                self._poll_tasks[worker_id] = self._spawn(
-                    self._poll_worker(worker_id)
+        """Starts polling new workers and requests that they be recorded.
+
+        Workers of a service that no queue names are polled only if they are
+        recorded: an entry of another writer may lead anywhere.
+        """
+        self._tracked_services = self._services()
+        for worker in self.engine.workers.values():
+            is_used = (
+                worker.entry.service in self._tracked_services
+                or worker.id in self._recorded_workers
+            )
+            if is_used and worker.id not in self._poll_tasks:
+                self._poll_tasks[worker.id] = self._spawn(
+                    self._poll_worker(worker.id)
                 )
         if self._unrecorded_workers() or not self._places_recorded:
             self._persist_needed.set()
 
+    def _services(self) -> frozenset[str]:
+        """Returns the services of all queues and jobs."""
+        return self._view.services | self.engine.services
+
     async def _poll_worker(self, worker_id: str) -> None:
         await self._poller.poll_until_removed(worker_id)
         self._poll_tasks.pop(worker_id, None)
@@ -516,6 +531,8 @@
             self._plan_needed.clear()
             now_ms = self._clock.now_ms()
             self.engine.zones_out = self._view.zones_out
+            if self._services() != self._tracked_services:
+                self._track_workers()
             took_ms = 0.0
             if self._may_order():
                 effects = self.engine.plan(
--- a/src/limpetyard/node/_site.py
+++ b/src/limpetyard/node/_site.py
@@ -57,14 +57,16 @@
     Attributes:
         config: Latest version, or None before the first one is read.
         queues: Queues of that version.
+        services: Services that these queues name.
         zones_out: Availability zones that are out of service.
     """
 
-    __slots__ = ("config", "queues", "zones_out")
+    __slots__ = ("config", "queues", "services", "zones_out")
 
     def __init__(self):
         self.config: SiteConfig | None = None
         self.queues = QueueTable(())
+        self.services: frozenset[str] = frozenset()
         self.zones_out: frozenset[str] = frozenset()
 
     def set_config(self, config: SiteConfig) -> bool:
@@ -77,4 +79,5 @@
             return False
         self.config = config
         self.queues = QueueTable(config.queues)
+        self.services = frozenset(q.params.service for q in config.queues)
         return True
--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_odd_entries.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from limpetyard.jobs import JobSpec, StepSpec
+from limpetyard.node import Queue, SiteConfig
 from limpetyard.platform._worker_entries import parse_worker_entry
 from limpetyard.store import StoredRecord
 from standins.platform import SimulatedSite, _site
@@ -105,6 +106,18 @@
         took_ms = site.clock.now_ms() - at_ms
         self.assertLess(took_ms, 2 * (2 * 500 + NODE_RECOVERY_MS))
 
+    def test_service_of_no_queue(self):
+        """Polls of workers of an unknown service held up a takeover."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.add_silent_workers(site, "other", 200)
+            await asyncio.sleep(3)
+            await self.check_takeover(site)
+            engine = site.owner().node._owners[0].engine
+            self.assertIn("a-0", engine.workers)
+
+        self.run_scenario(scenario)
+
     def test_worker_that_never_replied(self):
         """Inherited tasks waited for a worker that no owner ever reached."""
 
@@ -116,6 +129,30 @@
 
         self.run_scenario(scenario)
 
+    def test_service_that_is_added(self):
+        """Workers of a service are used once a queue names it."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            entry = msgspec.structs.replace(
+                site.workers["w-0"].entry,
+                id="a-0",
+                service="added",
+                address="10.9.0.0:80",
+            )
+            site._add_worker(entry)
+            await asyncio.sleep(3)
+            queue = msgspec.structs.replace(QUEUE, name="q2", service="added")
+            config = SiteConfig(9, (Queue("host", "/q2/", queue),), 1 << 18)
+            record = msgspec.msgpack.encode(config)
+            site.store.write("operators", "config", record)
+            await asyncio.sleep(1)
+            job = JobSpec("1" * 16, queue, "payload", (StepSpec(1, SMALL),))
+            self.assertTrue(await site.submit(job))
+            state = await site.wait_for(job.id, ("completed",), 3000)
+            self.assertEqual(state, "completed")
+
+        self.run_scenario(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
