Count a crash only against runs that have begun

Callers: a job was shown as failed for good, although no run of it had ever begun (LOST), when both its start orders met workers that had lost power shortly before.

Cause: `CrashTracker.record_crash` counted a crash against each run that was not proven, and an order without a reply is a run that may exist. What may exist has to be waited for, but is no evidence against a task: an order to a worker that is down is not answered either. Two crashes of 2 points make 4, the limit. The same inference had two more places: a stop order, which a worker acknowledges for any run, counted as a sign of the run; and the place of a suspect was stored when it was placed, so that the next owner counted a crash under a run that may never have begun.

Ruled out: attempts (`failure_count`), which only ends reported as failed raise; the log has two `task_crashes_workers` (score 2 and 4) and no `run_ended`.

Change: a crash counts against runs that the worker has accepted or reported. Others on the worker still halve the blame. A suspect's place is stored once its run has begun. The price: a task that crashes its worker before the reply to its start arrives is found later.

--- a/src/limpetyard/engine/_crashes.py
+++ b/src/limpetyard/engine/_crashes.py
@@ -1,11 +1,11 @@
 """Crashes of workers, and the tasks that may have caused them.
 
 A task may crash each worker that starts it. A crashed worker reports no ends,
-so such a task is found by the runs that were not yet proven when their worker
-crashed. Innocent tasks are among them. A task that was found once is therefore
-a suspect: it is isolated from other tasks that are not proven, until a run of
-it is proven. Each crash adds to its score, less if other jobs may have been the
-cause. At a limit, the job fails.
+so such a task is found by the runs that had begun and were not yet proven when
+their worker crashed. Innocent tasks are among them. A task that was found once
+is therefore a suspect: it is isolated from other tasks that are not proven,
+until a run of it is proven. Each crash adds to its score, less if other jobs
+may have been the cause. At a limit, the job fails.
 """
 
 import collections
@@ -68,10 +68,11 @@
     def record_crash(
         self, worker: Worker, now_ms: float, proven: bool = True
     ) -> bool:
-        """Counts a crash for each task with an unproven run.
+        """Counts a crash for each task with an unproven run that has begun.
 
-        Does nothing if the crash is known, or if the worker was draining, as it
-        has departed then.
+        A start order without a reply shows nothing: it may have met a worker
+        that had crashed before. Does nothing if the crash is known, or if the
+        worker was draining, as it has departed then.
 
         Args:
             worker: The worker.
@@ -85,7 +86,8 @@
         if worker.crashed or worker.entry.draining:
             return False
         worker.crashed = True
-        runs = worker.unproven_runs()
+        unproven = worker.unproven_runs()
+        runs = [run for run in unproven if run.began]
         # The others may have crashed long before this owner's term.
         if runs or worker.replied_ms is not None:
             self._forget_old(now_ms)
@@ -94,7 +96,7 @@
         for run in runs:
             # One run counts once, though the worker may still be polled.
             run.crash_counted = True
-        lone = len({run.task.job for run in runs}) == 1
+        lone = len({run.task.job for run in unproven}) == 1
         known = worker.replied_ms is not None
         added = LONE_CRASH if lone and known and proven else SHARED_CRASH
         for run in {run.task: run for run in runs}.values():
@@ -138,6 +140,7 @@
                 if worker is None or not task.crash_score:
                     continue
                 run = WorkerRun(task.key, task.run, task.step, now_ms)
+                run.began = True
                 if worker.born == task.stored_born:
                     worker.lost_runs.append(run)
                     worker.lapsed_ms = now_ms
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -459,6 +459,7 @@
             run = worker.runs.get((report.task, report.run))
             if run is None:
                 run = self._adopt_run(worker, report, now_ms)
+            self._mark_begun(worker, run)
             run.apply_report(report, now_ms)
             if (
                 not run.proven
@@ -623,6 +624,7 @@
         if not run:
             return
         if result is StartResult.STARTED:
+            self._mark_begun(worker, run)
             run.acked_ms = now_ms
             worker.silent_starts = 0
             task = self.find_task(effect.task)
@@ -663,6 +665,20 @@
                 FAILED_TASK_BACKOFF_MS << doublings, MAX_REJECTED_BACKOFF_MS
             )
 
+    def _mark_begun(self, worker: Worker, run: WorkerRun) -> None:
+        """Records that a run has begun, and has it stored if a crash counts."""
+        if run.began:
+            return
+        run.began = True
+        task = self.find_task(run.task)
+        if (
+            task is not None
+            and (task.worker, task.run) == (worker.id, run.run)
+            and task.crash_score
+        ):
+            task.begun_run = run.run
+            self.jobs[run.task.job].dirty = True
+
     def _avoid_worker(self, run: WorkerRun, worker: Worker) -> None:
         """Makes the task of a run prefer other workers for its next run."""
         task = self.find_task(run.task)
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -582,8 +582,6 @@
         task.worker_born = worker.born
         if task.crash_score:
             worker.isolated_run = run
-            # The next owner then counts a crash of this worker.
-            job.dirty = True
         if task.step.long_running and task.recorded_place != worker.id:
             # It starts once its place is stored.
             job.dirty = True
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -84,6 +84,9 @@
         acked_ms: When the worker acknowledged an order for the run or reported
             it, whichever was first; None before that. The reply to a poll that
             is sent later shows whether the run exists.
+        began: Whether the worker has accepted a start order for the run or
+            reported it. An order without a reply may have met a worker that was
+            down, and a stop order is acknowledged for any run.
         start_expires_ms: Time on the worker's clock from which it rejects all
             start orders that this owner sent; infinite if it sent none.
         checkpoint: Latest checkpoint that was reported.
@@ -106,6 +109,7 @@
     __slots__ = (
         "acked_ms",
         "at_full_speed",
+        "began",
         "checkpoint",
         "crash_counted",
         "last_stop_ms",
@@ -129,6 +133,7 @@
         self.step = step
         self.state = RunState.ORDERED
         self.acked_ms: float | None = None
+        self.began = False
         self.start_expires_ms = float("inf")
         self.checkpoint = ""
         self.speed_percent = 100
@@ -350,7 +355,10 @@
         )
 
     def unproven_runs(self) -> list[WorkerRun]:
-        """Returns the runs against which a crash of the worker counts."""
+        """Returns the runs that may have crashed the worker if it crashes now.
+
+        Includes runs that may never have begun.
+        """
         runs = [*self.runs.values(), *self.lost_runs]
         return [
             run
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -53,6 +53,7 @@
             `limpetyard.engine._crashes`.
         crashed_workers: Those of these workers that this owner has seen.
         crash_counted_run: Latest run under which such a crash was counted.
+        begun_run: Latest run that has begun while the task had such crashes.
         isolate_until_ms: Time until which the task, if it has such crashes,
             waits for a worker of its own, or None before it is to be placed.
         stored_worker: Worker of the run that an earlier owner stored if the
@@ -78,6 +79,7 @@
 
     __slots__ = (
         "_waiting",
+        "begun_run",
         "checkpoint",
         "crash_counted_run",
         "crash_score",
@@ -131,6 +133,7 @@
         self.avoided_worker = ""
         self.crash_score = 0
         self.crash_counted_run = 0
+        self.begun_run = 0
         self.crashed_workers: list[str] = []
         self.isolate_until_ms: float | None = None
         self.checkpoint = ""
@@ -169,7 +172,8 @@
         """
         if not self.crash_score:
             return ("", 0)
-        if self.worker and self.run != self.crash_counted_run:
+        has_begun = self.run == self.begun_run
+        if self.worker and has_begun and self.run != self.crash_counted_run:
             return (self.worker, self.worker_born)
         if self.stored_worker:
             return (self.stored_worker, self.stored_born)
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -804,6 +804,30 @@
         """
         self.check_deadly(3, take_over_s=3.6, count=1)
 
+    def test_orders_to_workers_that_are_down(self):
+        """A job failed though no run of it had begun: LOST.
+
+        Its start orders met workers that had lost power shortly before.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit(site, range(1), count=1)
+            await self.complete(site, range(1))
+            (used,) = {e.worker for e in site.history.of(RunStarted)}
+            first = site.workers[used]
+            (second,) = set(site.workers.values()) - {first}
+            first.crash()
+            await self.submit(site, range(1, 2), count=1)
+            await asyncio.sleep(1.85)
+            second.crash()
+            await asyncio.sleep(0.15)
+            first.restart()
+            await asyncio.sleep(1.85)
+            second.restart()
+            await self.complete(site, range(1, 2))
+
+        self.run_scenario(scenario, workers=2)
+
     def test_flapping_zone(self):
         """Innocent tasks on workers of a zone that flaps are given up."""
 
