Count no crash that nothing proves in full, and retract it on a reply

Cause: a worker whose entry was gone for 2.5 s and whose address refused connections counted as crashed for certain. A cut does both. The count also stayed when the worker replied again.

Change: only another worker's answer and a new incarnation prove a crash. What is counted without a proof is halved, and taken back when the same incarnation replies, also after the owner had dropped the worker (`crash_retracted`). `task_crashes_workers` tells whether the crash was proven.

Failed before: CountTest.test_proofs_of_a_crash (refuse: 2 in place of 1), test_worker_that_answers_after_all, test_lost_worker_that_answers_after_all. The first two asserted the full count. After: they pass.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -75,6 +75,10 @@
         ("reason",),
         "A configuration is invalid; the previous one stays in force.",
     ),
+    "crash_retracted": EventKind(
+        ("task", "run", "worker", "score"),
+        "A worker replies of which a crash was counted; the score is lowered.",
+    ),
     "daemon_crashed": EventKind(("reason",), "The daemon ends with an error."),
     "daemon_draining": EventKind(
         ("drain_ms",), "The daemon received a stop signal and drains."
@@ -271,8 +275,9 @@
         ("cell", "reason"), "A takeover failed and is retried."
     ),
     "task_crashes_workers": EventKind(
-        ("task", "run", "workers", "score"),
-        "A worker crashed under an unproven run; a high score fails the job.",
+        ("task", "run", "workers", "score", "proven"),
+        "A worker crashed, perhaps unproven, under a run that had begun; a high"
+        " score fails the job.",
     ),
     "task_paced": EventKind(
         ("task", "worker", "percent"),
--- a/src/limpetyard/engine/_crashes.py
+++ b/src/limpetyard/engine/_crashes.py
@@ -48,22 +48,27 @@
     Attributes:
         at_ms: When the crash was proven.
         entry: Directory entry of the worker.
+        incarnation: Id and incarnation of the worker.
         has_suspects: Whether runs on the worker were not proven.
     """
 
     at_ms: float
     entry: WorkerEntry
+    incarnation: tuple[str, int]
     has_suspects: bool
 
 
 class CrashTracker:
     """Scores tasks by the crashes of their workers, and isolates suspects."""
 
-    __slots__ = ("_engine", "_recent")
+    __slots__ = ("_counted", "_engine", "_recent")
 
     def __init__(self, engine: "Engine"):
         self._engine = engine
         self._recent: collections.deque[_Crash] = collections.deque()
+        # Runs against which a crash was counted, and what it added, by id and
+        # incarnation of the worker.
+        self._counted: dict[tuple[str, int], list[tuple[WorkerRun, int]]] = {}
 
     def record_crash(
         self, worker: Worker, now_ms: float, proven: bool = True
@@ -88,10 +93,12 @@
         worker.crashed = True
         unproven = worker.unproven_runs()
         runs = [run for run in unproven if run.began]
+        incarnation = (worker.id, worker.born)
         # The others may have crashed long before this owner's term.
         if runs or worker.replied_ms is not None:
             self._forget_old(now_ms)
-            self._recent.append(_Crash(now_ms, worker.entry, bool(runs)))
+            crash = _Crash(now_ms, worker.entry, incarnation, bool(runs))
+            self._recent.append(crash)
         worker.lost_runs.clear()
         for run in runs:
             # One run counts once, though the worker may still be polled.
@@ -99,12 +106,41 @@
         lone = len({run.task.job for run in unproven}) == 1
         known = worker.replied_ms is not None
         added = LONE_CRASH if lone and known and proven else SHARED_CRASH
-        for run in {run.task: run for run in runs}.values():
-            self._count(worker, run, added, now_ms)
+        counted = {run.task: run for run in runs}.values()
+        if counted:
+            self._counted[incarnation] = [(run, added) for run in counted]
+        for run in counted:
+            self._count(worker, run, added, now_ms, proven)
         return bool(runs)
 
+    def retract_crash(self, worker: Worker) -> None:
+        """Takes back what a crash has counted, as the worker replies.
+
+        A job that has failed stays so.
+        """
+        for run, added in self._counted.pop((worker.id, worker.born), ()):
+            run.crash_counted = False
+            task = self._engine.find_task(run.task)
+            if task is None or worker.id not in task.crashed_workers:
+                continue
+            task.crash_score = max(0, task.crash_score - added)
+            task.crashed_workers.remove(worker.id)
+            self._engine.jobs[run.task.job].dirty = True
+            event(
+                "crash_retracted",
+                task=run.task.name,
+                run=run.run,
+                worker=worker.id,
+                score=task.crash_score,
+            )
+
     def _count(
-        self, worker: Worker, run: WorkerRun, added: int, now_ms: float
+        self,
+        worker: Worker,
+        run: WorkerRun,
+        added: int,
+        now_ms: float,
+        proven: bool = True,
     ) -> None:
         job = self._engine.open_jobs.get(run.task.job)
         task = self._engine.find_task(run.task)
@@ -121,6 +157,7 @@
             run=run.run,
             workers=" ".join(task.crashed_workers),
             score=task.crash_score,
+            proven=proven,
         )
         doubtful = task.step.long_running or any(
             not crash.has_suspects for crash in self._recent
@@ -149,7 +186,7 @@
 
     def _forget_old(self, now_ms: float) -> None:
         while self._recent and now_ms - self._recent[0].at_ms > RECENT_CRASH_MS:
-            self._recent.popleft()
+            self._counted.pop(self._recent.popleft().incarnation, None)
 
     def clear(self, key: TaskKey) -> None:
         """Clears the score of a task that did not crash its worker."""
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -265,15 +265,15 @@
 
         The worker may have ended, but a network fault can refuse connections to
         one that works on, and the directory drops the entry of a worker that
-        cannot reach it. So the runs may exist until their lease has expired.
-        Only a crash is recorded, for a worker whose entry is gone for good.
+        cannot reach it. So the runs may exist until their lease has expired,
+        and the crash of a worker whose entry is gone for good is not proven.
 
         Returns:
             Whether the state of a run or task has changed.
         """
         return self._is_missing_long(
             worker, now_ms
-        ) and self.crashes.record_crash(worker, now_ms)
+        ) and self.crashes.record_crash(worker, now_ms, proven=False)
 
     def on_worker_replaced(self, worker: Worker, now_ms: float) -> bool:
         """Handles a reply of another worker at the address of a worker.
@@ -370,6 +370,7 @@
                 self._start_incarnation(worker, reply.born, now_ms)
             return True
         worker.set_clock(reply.clock_ms, now_ms)
+        self.crashes.retract_crash(worker)
         worker.record_reply(now_ms)
         worker.has_all_ends = reply.has_all_ends
         if not worker.token_confirmed:
