Withdraw a start whose connections were all refused

Callers: a task that was placed on a worker that had just gone waited up to 5 s for its lease, although no order for it had been sent.

Cause: a refused connection was taken for an order without a reply, whose run may exist; the run was kept as "stopping" until the lease was over or the crash proven. A refused connection shows nothing about the worker, but it does show that this order was not sent.

Change: if all attempts were refused, the start is withdrawn, its lease is taken back, and the worker gets no other start for a while. If any attempt may have arrived, nothing changes.

Failed before: StartTest.test_refused_connections and test_answered_after_a_refused_connection. After: they pass.

--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -23,6 +23,7 @@
     Stop,
     Ticket,
     Worker,
+    WorkerDownError,
     WorkerOutcomeUnknownError,
     WorkerRun,
     WrongWorkerError,
@@ -209,12 +210,14 @@
     async def _send_start(self, worker: Worker, effect: Start) -> None:
         """Sends a start order, at most `START_ATTEMPTS` times.
 
-        Withdraws the start if the run must not start any more and no order for
-        it was sent.
+        Withdraws the start if no order for it was sent: if the run must not
+        start any more, or if all connections were refused.
         """
         token = worker.token
         result = None
         sends = 0
+        # Whether an earlier attempt may have been executed.
+        may_have_begun = False
         queued_ms = 0.0
         for attempt in range(START_ATTEMPTS):
             now_ms = self._clock.now_ms()
@@ -225,14 +228,9 @@
                 # A poll has shown that an unanswered attempt was executed.
                 result = StartResult.STARTED
                 break
-            until_ms = None
-            recorded = self._is_recorded(effect)
-            if recorded and self._may_start(worker, run, now_ms):
-                until_ms = worker.grant_lease(
-                    now_ms, min(START_VALID_MS, self._lease_ms)
-                )
+            until_ms = self._grant_start(worker, run, effect, now_ms)
             if until_ms is None:
-                if not attempt:
+                if not may_have_begun:
                     self._engine.on_start_withdrawn(effect, now_ms)
                     return
                 break
@@ -251,19 +249,28 @@
                 queued_ms = now_ms - run.placed_ms
             try:
                 result = await self._workers.start(worker.entry, order)
-                if attempt and result is not StartResult.STARTED:
+                if may_have_begun and result is not StartResult.STARTED:
                     # The unanswered first attempt may have started a run,
                     # which may have ended already. The result is unknown.
                     result = None
                 break
+            except WorkerDownError as exc:
+                event("order_failed", order="start", reason=exc)
+                worker.revoke_lease(until_ms)
             except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
                 event("order_failed", order="start", reason=exc)
+                may_have_begun = True
             except StaleTokenError:
                 if worker.token == token:
                     self._end_ownership(
                         f"worker {worker.id} has seen a higher fencing token"
                     )
                 return
+        if result is None and not may_have_begun:
+            now_ms = self._clock.now_ms()
+            worker.record_silent_start(now_ms)
+            self._engine.on_start_withdrawn(effect, now_ms)
+            return
         event(
             "task_started",
             task=effect.task.name,
@@ -276,6 +283,19 @@
         )
         self._engine.on_start_reply(effect, result, self._clock.now_ms())
 
+    def _grant_start(
+        self, worker: Worker, run: WorkerRun, effect: Start, now_ms: float
+    ) -> int | None:
+        """Grants the lease of a start order; None if it must not be sent.
+
+        The result is the time on the worker's clock at which the order expires.
+        """
+        if not self._is_recorded(effect):
+            return None
+        if not self._may_start(worker, run, now_ms):
+            return None
+        return worker.grant_lease(now_ms, min(START_VALID_MS, self._lease_ms))
+
     def _may_start(self, worker: Worker, run: WorkerRun, now_ms: float) -> bool:
         """Returns whether a start order for a run may be sent now.
 
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -16,6 +16,7 @@
     Start,
     StartResult,
     Stop,
+    WorkerDownError,
     WorkerEntry,
     WorkerOutcomeUnknownError,
 )
@@ -23,17 +24,24 @@
 from limpetyard.node import _order_dispatch
 from limpetyard.node._order_dispatch import START_VALID_MS, OrderDispatcher
 
+REFUSED = "refused"
+
 
 class _ScriptedWorkerClient:
-    """Worker client that replies to starts from a list; None means no reply."""
+    """Worker client that replies to starts from a list.
+
+    None means no reply, and REFUSED that the connection is refused.
+    """
 
-    def __init__(self, replies: list[StartResult | None]):
+    def __init__(self, replies: list[StartResult | str | None]):
         self.replies = replies
 
     async def start(self, entry, order) -> StartResult:
         reply = self.replies.pop(0)
         if reply is None:
             raise WorkerOutcomeUnknownError(entry.id)
+        if reply is REFUSED:
+            raise WorkerDownError(entry.id)
         return reply
 
 
@@ -65,9 +73,36 @@
             lambda: None,
             asyncio.Event(),
         )
+        lease_end_ms = worker.lease_end_ms
         await dispatcher.execute(effect)
+        self.granted = worker.lease_end_ms > lease_end_ms
+        self.task = engine.find_task(effect.task)
+        self.worker = worker
         return worker.runs.get((effect.task, effect.run))
 
+    async def test_refused_connections(self):
+        """A task waited for the lease of a worker that had got no order.
+
+        The worker gets no other start for a while.
+        """
+        self.assertIsNone(await self.start(REFUSED, REFUSED))
+        self.assertEqual(self.task.state, "waiting")
+        self.assertFalse(self.granted)
+        self.assertGreater(self.worker.backoff_until_ms, 1000.0)
+
+    async def test_answered_after_a_refused_connection(self):
+        """The reply to the only attempt that was sent is known to be true."""
+        run = await self.start(REFUSED, StartResult.STARTED)
+        self.assertIs(run.state, RunState.RUNNING)
+        self.assertIsNone(await self.start(REFUSED, StartResult.NO_ROOM))
+
+    async def test_unanswered_beside_a_refused_connection(self):
+        """One attempt that may have been executed keeps the run."""
+        for replies in ((None, REFUSED), (REFUSED, None)):
+            run = await self.start(*replies)
+            self.assertIs(run.state, RunState.STOPPING)
+            self.assertTrue(self.granted)
+
     async def test_answered(self):
         """A started run is running; a rejected one does not exist."""
         run = await self.start(StartResult.STARTED)
