Test of a previous owner that refuses connections; it fails

An owner that is cut off from the store and the other nodes goes on renewing the lease of a worker for up to 5 s, if it reaches no worker that its successor has reached.

--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -99,6 +99,10 @@
         return await self.processor.serve(work)
 
 
+class _PeerRefusedError(PeerUnavailableError):
+    """The connection to a node was refused."""
+
+
 class _SimulatedPeers:
     """Client of the other nodes over the link of one node."""
 
@@ -114,6 +118,8 @@
 
         async def handle():
             await peer.peer_link.thawed.wait()
+            if peer.peer_link.refusing:
+                raise LinkRefusedError
             if peer.peer_link.cut or peer.node is not node:
                 raise LinkTimeoutError
             return await peer.serve(execute())
@@ -123,7 +129,9 @@
 
         try:
             return await self._host.peer_link.call(handle, PEER_TIMEOUT_MS)
-        except (LinkTimeoutError, LinkRefusedError):
+        except LinkRefusedError:
+            raise _PeerRefusedError(member) from None
+        except LinkTimeoutError:
             raise PeerUnavailableError(member) from None
 
     async def job_state(self, member: str, job_id: str) -> str:
@@ -149,8 +157,9 @@
             leases = await self._call(
                 member, lambda node: node.fence(cell, epoch)
             )
-        except PeerUnavailableError:
-            return FenceResult(False)
+        except PeerUnavailableError as exc:
+            # As `HttpPeerClient` takes a refused connection.
+            return FenceResult(isinstance(exc, _PeerRefusedError))
         return FenceResult(True, leases)
 
 
--- a/tests/node/test_fencing.py
+++ b/tests/node/test_fencing.py
@@ -143,5 +143,36 @@
         self.assertEqual(len(site.history.of(RunStarted)), 2)
 
 
+class RefusedFenceTest(SiteTestCase):
+    """A network fault refuses connections to a previous owner that works on."""
+
+    def test_owner_cut_off_from_the_others(self):
+        """A refused connection counts as the end of the previous owner: TWICE.
+
+        It is cut off from the store and the other nodes, but renews the leases
+        of the only worker that it reaches until it fences itself. A successor,
+        which reaches the others, waits for a lease from the refused fence on.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit(site, range(3), run_ms=15_000)
+            await asyncio.sleep(STAGE_S)
+            previous = site.owner()
+            worker = next(w for w in site.workers.values() if w.running())
+            cut = [previous.store_link, previous.peer_link]
+            for host in site.hosts:
+                for worker_id, link in host.worker_links.items():
+                    if (worker_id == worker.entry.id) != (host is previous):
+                        cut.append(link)
+            for link in cut:
+                link.refusing = True
+            await asyncio.sleep(12)
+            for link in cut:
+                link.refusing = False
+            await self.complete(site, range(3))
+
+        self.run_scenario(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
