Answer "no such job" only after reading the accepted jobs to their end

Callers: a DELETE or a GET a few ms after the 2xx of its POST was answered with 410, and the job ran on.

Cause: the owner counted its view as current if it had read the end of the jobs within 2 s, and an accepted job takes a few ms to be read. A long poll confirms what was there when it was sent, up to a second before.

Change: an owner that does not know a job reads the topic to its end, by a read that begins after the question; requests at the same time share it.

Failed before: NoFaultTest.test_cancel_right_after_the_acceptance, test_state_right_after_the_acceptance.

--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -253,7 +253,7 @@
     async def _query_state(self, job_id: str) -> str:
         member = self._get_member()
         if 0 in member.assigned_cells:
-            return self._cells.job_state(job_id)
+            return await self._cells.job_state(job_id)
         owner = await member.assigned_member(0)
         return await self._peers.job_state(owner, job_id)
 
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -37,7 +37,7 @@
     OPERATORS_TOPIC,
     member_name,
 )
-from limpetyard.store import KeyFollower, Store, StoredRecord
+from limpetyard.store import KeyFollower, Store, StoredRecord, StoreError
 
 # Number of cells that jobs and workers are divided into. There is currently one
 # cell, number 0.
@@ -305,15 +305,18 @@
             raise PeerUnavailableError("this node does not own the cell")
         return owner
 
-    def job_state(self, job_id: str) -> str:
+    async def job_state(self, job_id: str) -> str:
         """See `LocalCells.job_state`."""
         owner = self._deciding_owner()
+        if job_id not in owner.engine.jobs:
+            # It may have been accepted since the last read.
+            try:
+                await owner.read_jobs()
+            except StoreError as exc:
+                raise PeerUnavailableError(f"jobs not read: {exc}") from exc
+            owner = self._deciding_owner()
         job = owner.engine.jobs.get(job_id)
         if job is None:
-            if not owner.jobs_current:
-                raise PeerUnavailableError(
-                    "jobs topic not read to its end recently"
-                )
             raise JobNotFoundError(job_id)
         return job.stored_state if job.is_final else job.state
 
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -88,10 +88,6 @@
 # Delay after a failed takeover or an append that the store refused.
 STORE_RETRY_MS = 100
 
-# The owner reports a job as not found only if it has read the jobs topic to its
-# end within this time.
-JOBS_MAX_AGE_MS = 2000
-
 # Time between two purges of ended jobs and removed workers.
 PURGE_INTERVAL_MS = 5000
 
@@ -151,6 +147,7 @@
         self._record_applier: RecordApplier | None = None
         self._predecessor = Predecessor(cell, store, peers, clock, params)
         self._persist_lock = asyncio.Lock()
+        self._read_lock = asyncio.Lock()
         self._plan_needed = asyncio.Event()
         self._persist_needed = asyncio.Event()
         self._append_done = asyncio.Event()
@@ -178,13 +175,18 @@
         """Whether this ownership has ended."""
         return self.state_machine.state == "ended"
 
-    @property
-    def jobs_current(self) -> bool:
-        """Whether the jobs topic was read to its end recently."""
-        confirmed_ms = self._jobs_follower and self._jobs_follower.confirmed_ms
-        if not confirmed_ms:
-            return False
-        return self._clock.now_ms() - confirmed_ms < JOBS_MAX_AGE_MS
+    async def read_jobs(self) -> None:
+        """Reads the jobs topic to its end, as it is now or later.
+
+        Reads that are requested at the same time share one call.
+
+        Raises:
+            StoreError: If the store did not answer.
+        """
+        asked_ms = self._clock.now_ms()
+        async with self._read_lock:
+            while self._jobs_follower.confirmed_ms < asked_ms:
+                await self._jobs_follower.read(wait_ms=0)
 
     @Service.task
     async def _run_ownership(self) -> None:
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -47,11 +47,11 @@
     owner or has not read enough to reply.
     """
 
-    def job_state(self, job_id: str) -> str:
+    async def job_state(self, job_id: str) -> str:
         """Returns the state of a job.
 
         Raises:
-            JobNotFoundError: If there is no such job.
+            JobNotFoundError: If no such job was accepted before the call.
         """
 
     def queue_pending(self, queue: str) -> int:
@@ -195,7 +195,7 @@
         """
         parts = req.path.strip("/").split("/")
         try:
-            return self._dispatch(parts)
+            return await self._dispatch(parts)
         except JobNotFoundError:
             return web.Response(status=_HTTP_GONE)
         except PeerUnavailableError as exc:
@@ -203,12 +203,13 @@
         except (IndexError, ValueError):
             return web.Response(status=404)
 
-    def _dispatch(self, parts: list[str]) -> web.Response:
+    async def _dispatch(self, parts: list[str]) -> web.Response:
         collection = parts[1]
         if collection == "alive":
             return web.Response()
         if collection == "jobs":
-            return _json_response(_StateReply(self._cells.job_state(parts[2])))
+            state = await self._cells.job_state(parts[2])
+            return _json_response(_StateReply(state))
         if collection == "queues":
             return _json_response(
                 _PendingReply(self._cells.queue_pending(parts[2]))
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -1,6 +1,7 @@
 """A simulated site: nodes, workers, store, operators and clients."""
 
 import asyncio
+import inspect
 import random
 from collections.abc import Coroutine, Sequence
 
@@ -125,7 +126,8 @@
             return await peer.serve(execute())
 
         async def execute():
-            return operation(node)
+            reply = operation(node)
+            return await reply if inspect.isawaitable(reply) else reply
 
         try:
             return await self._host.peer_link.call(handle, PEER_TIMEOUT_MS)
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -133,6 +133,38 @@
 
         self.run_scenario(scenario)
 
+    async def submit_before_the_owner_reads(self, site: SimulatedSite):
+        """Submits a job that the owner reads later; returns another node."""
+        owner = site.owner()
+        owner.store_link.delay_ms = 50.0
+        await asyncio.sleep(1)
+        entry_host = next(host for host in site.hosts if host is not owner)
+        self.assertTrue(await site.submit(job(0), entry_host))
+        return entry_host
+
+    def test_cancel_right_after_the_acceptance(self):
+        """The cancellation was answered with "no such job": UNASKED."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            host = await self.submit_before_the_owner_reads(site)
+            await host.job_service.cancel(job(0).id, 3000)
+            await asyncio.sleep(2)
+            self.assertEqual(await site.query_state(job(0).id), "cancelled")
+            site.history.cancel_requests.add(job(0).id)
+
+        self.run_scenario(scenario)
+
+    def test_state_right_after_the_acceptance(self):
+        """An accepted job was answered with "no such job": LOST."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            host = await self.submit_before_the_owner_reads(site)
+            state = await host.job_service.state(job(0).id, 3000)
+            self.assertIn(state, ("queued", "running"))
+            await self.complete(site, range(1))
+
+        self.run_scenario(scenario)
+
     def test_cancel(self):
         """A cancelled job is reported as cancelled and its runs stop."""
 
