Store done occurrences as ranges and forget their tasks

Cause: the progress of a job had one entry for each task that had ever run, in one record. The record exceeded what the store takes, and the store refused it with the changes of all other jobs, for ever.

Change: a job with several occurrences forgets the tasks of one that is done, and its progress holds such occurrences as ranges. Up to 1,000 done tasks it has marks as before, since builds without ranges would start the tasks again. A run of a forgotten task that a worker reports late is stopped, and counts with the size of its step.

Ruled out: pieces of a bounded size, which would still be written again with each end: 262 KB every 15 ms. 3,000 done occurrences of 32 tasks take under 4 KB now.

Failed before: RecordsTest.test_long_schedule.

Open: no record harms its own job alone yet; a job without times creates all its tasks at once.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -495,7 +495,10 @@
         job = self.jobs.get(report.task.job)
         task = self.find_reported_task(report.task)
         if task is None:
-            run = WorkerRun(report.task, report.run, UNKNOWN_STEP, now_ms)
+            step = job and job.step_of_done(*report.task[1:3])
+            run = WorkerRun(
+                report.task, report.run, step or UNKNOWN_STEP, now_ms
+            )
             run.state = RunState.STOPPING
         else:
             run = WorkerRun(report.task, report.run, task.step, now_ms)
--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -162,7 +162,7 @@
         A member ends as DONE only if all others succeeded; see `RunEndKind`.
         """
         _, occurrence, step, _ = task.key
-        for other in job.step_tasks(occurrence, step):
+        for other in list(job.step_tasks(occurrence, step)):
             job.mark_task_done(other)
 
     def _record_failure(
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from limpetyard._chart import StateChart
+from limpetyard.jobs._occurrences import OccurrenceSet
 from limpetyard.jobs._spec import JobSpec, StepSpec
 
 JOB_CHART = StateChart.load("step_job")
@@ -226,6 +227,8 @@
             earlier owner started, when this owner read it.
         ended_ms: When the job reached a final state, or None.
         dirty: Whether the job has changes that are not stored yet.
+        done_occurrences: Occurrences, of a job with several, of which all tasks
+            are done. The job has forgotten these tasks.
         inherited: Whether an earlier owner may have started tasks of the job,
             including tasks of occurrences that are not due yet here.
         places_known: Whether the store has had the place of each long-running
@@ -238,6 +241,7 @@
         "_remaining",
         "_waiting",
         "dirty",
+        "done_occurrences",
         "due",
         "ended_ms",
         "estimates",
@@ -256,6 +260,7 @@
         self.state = JOB_CHART.initial
         self.stored_state = JOB_CHART.initial
         self.tasks: dict[tuple[int, int, int], Task] = {}
+        self.done_occurrences = OccurrenceSet()
         self.due = 0
         self.submitted_ms = submitted_ms
         self.started_ms: float | None = None
@@ -282,6 +287,8 @@
             occurrences: Number of occurrences that are due.
         """
         for occurrence in range(self.due, occurrences):
+            if occurrence in self.done_occurrences:
+                continue
             for number, step in enumerate(self.spec.steps):
                 self._remaining[occurrence, number] = step.count
                 waiting = self._waiting[occurrence, number] = {}
@@ -300,7 +307,7 @@
         return spec.first_due_ms + occurrence * spec.interval_ms
 
     def task(self, occurrence: int, step: int, index: int) -> Task | None:
-        """Returns a task, or None if the job has no such task."""
+        """Returns a task; None if there is none, or its occurrence is done."""
         return self.tasks.get((occurrence, step, index))
 
     def mark_inherited(self) -> None:
@@ -331,14 +338,25 @@
                     yield task
 
     def step_tasks(self, occurrence: int, step: int) -> Iterator[Task]:
-        """Yields the tasks of one step of one occurrence."""
+        """Yields the tasks of one step of one occurrence.
+
+        Yields none if the occurrence is done as a whole.
+        """
         for index in range(self.spec.steps[step].count):
-            yield self.tasks[occurrence, step, index]
+            task = self.tasks.get((occurrence, step, index))
+            if task is not None:
+                yield task
+
+    def step_of_done(self, occurrence: int, step: int) -> StepSpec | None:
+        """Returns a step of an occurrence that is done as a whole, or None."""
+        if occurrence not in self.done_occurrences:
+            return None
+        return dict(enumerate(self.spec.steps)).get(step)
 
     def remaining_tasks(self, occurrence: int, step: int) -> int:
         """Returns how many tasks of a step are not done.
 
-        Returns 1 if the occurrence is not due.
+        Returns 1 if the occurrence is not due or is done as a whole.
         """
         return self._remaining.get((occurrence, step), 1)
 
@@ -399,8 +417,41 @@
         self._remaining[occurrence, step] -= 1
         if not self._remaining[occurrence, step]:
             del self._waiting[occurrence, step]
+            self._forget_if_done(occurrence)
         self.dirty = True
 
+    def _forget_if_done(self, occurrence: int) -> None:
+        """Forgets the tasks of an occurrence that is done, if there are others.
+
+        A long schedule would grow without bound.
+        """
+        steps = range(len(self.spec.steps))
+        if self.spec.occurrences == 1 or any(
+            self._remaining[occurrence, step] for step in steps
+        ):
+            return
+        self.done_occurrences.add(occurrence)
+        for step in steps:
+            del self._remaining[occurrence, step]
+            for index in range(self.spec.steps[step].count):
+                del self.tasks[occurrence, step, index]
+
+    def restore_done(self, occurrences: OccurrenceSet) -> None:
+        """Restores the occurrences that are done.
+
+        Must be called before `make_due`, but for a job without times, whose
+        occurrences are due from the start.
+        """
+        self.done_occurrences = occurrences
+        for occurrence in range(self.due):
+            if occurrence not in occurrences:
+                continue
+            for number, step in enumerate(self.spec.steps):
+                del self._remaining[occurrence, number]
+                del self._waiting[occurrence, number]
+                for index in range(step.count):
+                    del self.tasks[occurrence, number, index]
+
     @property
     def all_done(self) -> bool:
         """Whether every task of every occurrence is done."""
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -4,6 +4,7 @@
 
 from limpetyard._events import event
 from limpetyard.jobs._job import FINAL_STATES, Job
+from limpetyard.jobs._occurrences import OccurrenceSet
 from limpetyard.jobs._spec import JobSpec
 
 # Prefixes of record keys, followed by the id of the job: an accepted job, a
@@ -12,6 +13,10 @@
 CANCELLED_PREFIX = "c/"
 PROGRESS_PREFIX = "p/"
 
+# Most marks of tasks whose occurrence is done. Beyond, such occurrences are
+# stored as ranges, so that the record of a long schedule stays small.
+MAX_DONE_MARKS = 1000
+
 _spec_decoder = msgspec.msgpack.Decoder(JobSpec)
 
 
@@ -61,6 +66,8 @@
         ended_ms: Unix milliseconds at which a final state was reached, or 0.
         places_known: Whether no long-running task was started anywhere but at
             the place that is stored for it.
+        done: First and last number of each range of occurrences that are done
+            and have no marks.
     """
 
     state: str
@@ -68,6 +75,7 @@
     marks: list[TaskProgress]
     ended_ms: float = 0.0
     places_known: bool = False
+    done: list[tuple[int, int]] = []
 
 
 _progress_decoder = msgspec.msgpack.Decoder(JobProgress)
@@ -95,13 +103,37 @@
         wall_ms: Current time of day in Unix milliseconds, stored with a final
             state.
     """
-    marks = [] if job.is_final else _task_progress(job)
+    marks, done = [], []
+    if not job.is_final:
+        marks = _task_progress(job)
+        if _has_marks_of_done(job):
+            marks += _marks_of_done(job)
+        else:
+            done = job.done_occurrences.ranges()
     ended_ms = wall_ms if job.is_final else 0.0
     return msgspec.msgpack.encode(
-        JobProgress(job.state, job.due, marks, ended_ms, job.places_known)
+        JobProgress(job.state, job.due, marks, ended_ms, job.places_known, done)
     )
 
 
+def _has_marks_of_done(job: Job) -> bool:
+    """Returns whether tasks of done occurrences get marks.
+
+    Builds that know no ranges would start the tasks again otherwise.
+    """
+    tasks = sum(step.count for step in job.spec.steps)
+    return len(job.done_occurrences) * tasks <= MAX_DONE_MARKS
+
+
+def _marks_of_done(job: Job) -> list[TaskProgress]:
+    return [
+        TaskProgress(occurrence, step, index, True, 1, [], 0, "")
+        for occurrence in job.done_occurrences.numbers()
+        for step, step_spec in enumerate(job.spec.steps)
+        for index in range(step_spec.count)
+    ]
+
+
 def _task_progress(job: Job) -> list[TaskProgress]:
     return [
         TaskProgress(
@@ -138,6 +170,7 @@
         job.confirm_places()
     else:
         job.forget_places()
+    job.restore_done(OccurrenceSet(progress.done))
     job.make_due(progress.due)
     for mark in progress.marks:
         task = job.task(mark.occurrence, mark.step, mark.index)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -134,6 +134,67 @@
         apply_progress(restored, encode_progress(job, 9.0), 0.0)
         self.assertTrue(restored.step_ready(0, 1))
 
+    def done_schedule(self, done: int, occurrences: int = 5000) -> Job:
+        """Returns a schedule of 32 tasks each, of which some are done."""
+        schedule = spec(
+            StepSpec(32),
+            occurrences=occurrences,
+            first_due_ms=1.0,
+            interval_ms=1.0,
+        )
+        job = Job(schedule, 0.0)
+        for occurrence in range(done + 2):
+            job.make_due(occurrence + 1)
+            for task in list(job.step_tasks(occurrence, 0)):
+                task.run = 70_000
+                if occurrence < done:
+                    job.mark_task_done(task)
+        return job
+
+    def test_long_schedule(self):
+        """The progress of a long schedule outgrew a record of the store: LOST.
+
+        The job forgets tasks of occurrences that are done.
+        """
+        job = self.done_schedule(3000)
+        self.assertEqual(len(job.tasks), 2 * 32)
+        stored = encode_progress(job, 9.0)
+        self.assertLess(len(stored), 4096)
+        restored = Job(job.spec, 0.0)
+        apply_progress(restored, stored, 0.0)
+        self.assertEqual(set(restored.tasks), set(job.tasks))
+        self.assertEqual(restored.due, 3002)
+        self.assertIsNone(restored.task(2999, 0, 0))
+        self.assertEqual(list(restored.open_steps()), [(3000, 0), (3001, 0)])
+
+    def test_short_schedule_for_older_builds(self):
+        """Older builds, which know no ranges, read which tasks are done."""
+        job = self.done_schedule(30)
+        stored = msgspec.msgpack.decode(encode_progress(job, 9.0))
+        self.assertEqual(stored["done"], [])
+        done = {tuple(mark[:3]) for mark in stored["marks"] if mark[3]}
+        self.assertEqual(
+            done, {(k, 0, i) for k in range(30) for i in range(32)}
+        )
+        restored = Job(job.spec, 0.0)
+        apply_progress(restored, encode_progress(job, 9.0), 0.0)
+        self.assertEqual(restored.done_occurrences.ranges(), [(0, 29)])
+
+    def test_occurrences_without_times(self):
+        """Done occurrences that are due from the start are forgotten too."""
+        job = Job(spec(StepSpec(400), occurrences=5), 0.0)
+        for occurrence in (0, 2, 3):
+            for task in list(job.step_tasks(occurrence, 0)):
+                job.mark_task_done(task)
+        restored = Job(job.spec, 0.0)
+        apply_progress(restored, encode_progress(job, 9.0), 0.0)
+        self.assertEqual(restored.done_occurrences.ranges(), [(0, 0), (2, 3)])
+        self.assertEqual(len(restored.tasks), 800)
+        for occurrence in (1, 4):
+            for task in list(restored.step_tasks(occurrence, 0)):
+                restored.mark_task_done(task)
+        self.assertTrue(restored.all_done)
+
     def test_crash_score(self):
         """The count of crashes survives a takeover."""
         job = Job(spec(StepSpec(1)), 0.0)
