--- a/tests/exploring/test_storms.py
+++ b/tests/exploring/test_storms.py
@@ -87,7 +87,7 @@
                 CellOwner, "_may_order", lambda owner: not owner.ended
             ),
         ):
-            self.assert_detects("TWICE", range(80, 160))
+            self.assert_detects("TWICE", range(260, 340))
 
     def test_silent_workers(self):
         """An owner does not wait for the leases of silent workers: TWICE."""
