--- a/tests/soak.py
+++ b/tests/soak.py
@@ -11,6 +11,7 @@
 import logging
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -83,6 +84,21 @@
             return f"{ADDRESS}:{port}"
 
 
+def has_hangup(pid: int, mask: str) -> bool:
+    """Returns whether SIGHUP is in a mask of signals of a process.
+
+    Args:
+        pid: Id of the process.
+        mask: Name of the mask in the status of the process.
+    """
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except FileNotFoundError:
+        return False
+    (value,) = re.findall(rf"{mask}:\s+(\w+)", status)
+    return bool(int(value, 16) & 1 << (signal.SIGHUP - 1))
+
+
 class Server:
     """HTTP server that can refuse connections or leave calls unanswered.
 
@@ -136,6 +152,7 @@
         self._path = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
         text = SETTINGS.format(
             name=name,
             frontend=self.frontend,
@@ -147,17 +164,18 @@
 
     async def start(self) -> None:
         """Starts the process; does nothing if it is up."""
-        if self.is_up:
-            return
-        env = os.environ | {"LIMPETYARD_SETTINGS": str(self._path)}
-        with self._log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "limpetyard.noded"),
-                env=env,
-                stdout=log,
-                stderr=log,
-            )
-        self.expected_down = False
+        async with self._starting:
+            if self.is_up:
+                return
+            env = os.environ | {"LIMPETYARD_SETTINGS": str(self._path)}
+            with self._log.open("ab") as log:
+                self._process = await asyncio.create_subprocess_exec(
+                    *(sys.executable, "-m", "limpetyard.noded"),
+                    env=env,
+                    stdout=log,
+                    stderr=log,
+                )
+            self.expected_down = False
 
     @property
     def is_up(self) -> bool:
@@ -174,6 +192,13 @@
         if self.is_up:
             self._process.send_signal(number)
 
+    @property
+    def handles_hangup(self) -> bool:
+        """Whether SIGHUP does not end the process, as of a starting Python."""
+        return self.is_up and any(
+            has_hangup(self._process.pid, mask) for mask in ("SigIgn", "SigCgt")
+        )
+
     async def end(self, number: int) -> None:
         """Ends the process by a signal, but not one that is started then."""
         process = self._process
@@ -396,7 +421,7 @@
 @FAULTS.register("hup")
 async def _hup(soak: Soak) -> None:
     for node in soak.nodes:
-        if not node.expected_down:
+        if node.handles_hangup:
             node.send_signal(signal.SIGHUP)
 
 
--- a/tests/test_noded.py
+++ b/tests/test_noded.py
@@ -1,27 +1,17 @@
 """Signals to a node process that starts."""
 
 import asyncio
-import re
 import signal
 import sys
 import tempfile
 import unittest
 from pathlib import Path
 
-from tests.soak import SETTINGS, free_address
+from tests.soak import SETTINGS, free_address, has_hangup
 
-# Bit of SIGHUP in the masks of /proc/PID/status.
-HUP_BIT = 1 << (signal.SIGHUP - 1)
 START_S = 10.0
 
 
-def is_in_mask(pid: int, mask: str) -> bool:
-    """Returns whether SIGHUP is in a mask of signals of a process."""
-    text = Path(f"/proc/{pid}/status").read_text()
-    (value,) = re.findall(rf"{mask}:\s+(\w+)", text)
-    return bool(int(value, 16) & HUP_BIT)
-
-
 class StartTest(unittest.IsolatedAsyncioTestCase):
     """A node process until it serves."""
 
@@ -42,10 +32,10 @@
         )
         self.addCleanup(process.kill)
         async with asyncio.timeout(START_S):
-            while not is_in_mask(process.pid, "SigIgn"):
-                self.assertFalse(is_in_mask(process.pid, "SigCgt"))
+            while not has_hangup(process.pid, "SigIgn"):
+                self.assertFalse(has_hangup(process.pid, "SigCgt"))
                 await asyncio.sleep(0.001)
-            while not is_in_mask(process.pid, "SigCgt"):
+            while not has_hangup(process.pid, "SigCgt"):
                 process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.01)
         self.assertIsNone(process.returncode)
