--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_foreign_entries.py
@@ -1,4 +1,4 @@
-"""Odd entries of other writers among the directory entries of workers."""
+"""Entries of other writers among the directory entries of workers."""
 
 import asyncio
 import unittest
@@ -13,7 +13,7 @@
 from standins.platform import SimulatedSite, _site
 from standins.platform._site import QUEUE
 from tests.node.test_whole_site import NODE_RECOVERY_MS, SMALL, SiteTestCase
-from tests.platform.test_worker_entries import odd_entries
+from tests.platform.test_worker_entries import malformed_entries
 
 OTHER_PREFIX = "other-"
 
@@ -27,7 +27,7 @@
     return _read_entry(record)
 
 
-class OddEntryTest(SiteTestCase):
+class ForeignEntryTest(SiteTestCase):
     """The owner goes on whatever another writer leaves in the directory."""
 
     def setUp(self):
@@ -35,9 +35,9 @@
         patch = mock.patch.object(_site, "_read_entry", read_entry)
         self.enterContext(patch)
 
-    def write_odd_entries(self, site: SimulatedSite) -> None:
-        """Writes all odd entries."""
-        for number, value in enumerate(odd_entries().values()):
+    def write_malformed_entries(self, site: SimulatedSite) -> None:
+        """Writes all malformed entries."""
+        for number, value in enumerate(malformed_entries().values()):
             site.store.write("workers", f"{OTHER_PREFIX}{number}", value)
 
     async def check_scheduling(self, site: SimulatedSite, job_id: str) -> None:
@@ -55,7 +55,7 @@
 
         async def scenario(site: SimulatedSite) -> None:
             owner = site.owner().node._owners[0]
-            for number, value in enumerate(odd_entries().values()):
+            for number, value in enumerate(malformed_entries().values()):
                 key = f"{OTHER_PREFIX}{number}"
                 site.store.write("workers", key, value)
                 await asyncio.sleep(0.3)
@@ -71,7 +71,7 @@
         """An entry ended each ownership that loaded it: LOST."""
 
         async def scenario(site: SimulatedSite) -> None:
-            self.write_odd_entries(site)
+            self.write_malformed_entries(site)
             await site.kill_node(site.owner())
             await asyncio.sleep((1000 + NODE_RECOVERY_MS) / 1000)
             owner = site.owner().node._owners[0]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -65,14 +65,14 @@
         self.assertEqual(len(page.records) + len(rest.records), 700)
         self.assertEqual(page.records[1].value, b"new")
 
-    async def test_odd_key_at_the_end_of_a_page(self):
+    async def test_reserved_characters_at_the_end_of_a_page(self):
         """The rest of the list was never read, or read from another key."""
         first = [KeyedRecord(f"0{n:03}", b"1") for n in range(499)]
         last = [KeyedRecord(key, b"1") for key in ("1%B", "1z", "2")]
-        for odd in ("1%A", "1%42", "1&A", "1#A", "1+A", "1 A", "1\u00e9"):
-            with self.subTest(odd):
+        for key in ("1%A", "1%42", "1&A", "1#A", "1+A", "1 A", "1\u00e9"):
+            with self.subTest(key):
                 self.model.drop_history(("jobs",))
-                records = [*first, KeyedRecord(odd, b"1"), *last]
+                records = [*first, KeyedRecord(key, b"1"), *last]
                 await self.store.append("jobs", 0, records)
                 loaded: list[StoredRecord] = []
                 follower = KeyFollower(
--- a/tests/platform/test_worker_entries.py
+++ b/tests/platform/test_worker_entries.py
@@ -1,4 +1,4 @@
-"""Directory entries of workers, and odd ones of other writers."""
+"""Directory entries of workers, and malformed ones of other writers."""
 
 import json
 import unittest
@@ -29,7 +29,7 @@
     "seq": 4,
 }
 
-# Neither can be stored in 64 bits.
+# None of them can be stored in 64 bits.
 LARGE_NUMBERS = (2**64, 2**127, -(2**63) - 1, 10**400)
 
 # Deeper than the recursion limit of the decoder.
@@ -47,9 +47,9 @@
     return encode(**{field: None}).replace(b"null", value)
 
 
-def odd_entries() -> dict[str, bytes]:
+def malformed_entries() -> dict[str, bytes]:
     """Returns entries of other writers that name no worker, by a label."""
-    odd = {
+    entries = {
         "empty": b"",
         "binary": bytes(range(256)),
         "null": b"null",
@@ -60,31 +60,29 @@
         "many labels": encode(labels=["x"] * (MAX_LABELS + 1)),
         "long label": encode(labels=["x" * (MAX_NAME_LENGTH + 1)]),
         "huge label": encode(labels=["a", "x" * 200_000]),
-        "unknown state": encode(state="odd"),
+        "unknown state": encode(state="unknown"),
         "never leaves": encode(remainingMs=1e300),
     }
+    # Some of these fields are not read, but an entry is skipped as a whole.
     for field in VALID:
-        # Nothing that names no field of a worker can make an entry odd.
-        depths = {
-            f"{field} of deep lists": nested(field, b"[", b"]"),
-            f"{field} of deep objects": nested(field, b'{"a":', b"}"),
-        }
-        odd |= depths
+        deep_objects = nested(field, b'{"a":', b"}")
+        entries[f"{field} of deep lists"] = nested(field, b"[", b"]")
+        entries[f"{field} of deep objects"] = deep_objects
     for field in ("service", "address", "zone", "state"):
-        odd[f"{field} missing"] = json.dumps(
+        entries[f"{field} missing"] = json.dumps(
             {k: v for k, v in VALID.items() if k != field}
         ).encode()
         for value in (None, 7, [], {}, "x" * (MAX_NAME_LENGTH + 1)):
             label = f"{field}={str(value)[:10]}"
-            odd[label] = encode(**{field: value})
+            entries[label] = encode(**{field: value})
     for number in (*LARGE_NUMBERS, -1, 1.5, "1", None, True):
         label = str(number)[:10]
-        odd[f"born={label}"] = encode(born=number)
+        entries[f"born={label}"] = encode(born=number)
         for amount in ("cpu", "memMb", "gpus"):
             capacity = VALID["capacity"] | {amount: number}
-            odd[f"{amount}={label}"] = encode(capacity=capacity)
+            entries[f"{amount}={label}"] = encode(capacity=capacity)
     for number in LARGE_NUMBERS:
-        odd[f"remainingMs={str(number)[:10]}"] = encode(remainingMs=number)
+        entries[f"remainingMs={str(number)[:10]}"] = encode(remainingMs=number)
     for address in (
         "10.0.0.1",
         "10.0.0.1:",
@@ -104,8 +102,8 @@
         "[::1%eth0]:80",
         "",
     ):
-        odd[f"address={address!r}"] = encode(address=address)
-    return odd
+        entries[f"address={address!r}"] = encode(address=address)
+    return entries
 
 
 class WorkerEntryTest(unittest.TestCase):
@@ -127,9 +125,9 @@
         self.assertEqual(decoded.capacity, Resources(16_000, 32_768, 1))
         self.assertIsNotNone(self.parse(encode(address="[::1]:80")))
 
-    def test_odd_entries(self):
-        """Odd entries ended each owner or were polled for ever: LOST."""
-        for label, value in odd_entries().items():
+    def test_malformed_entries(self):
+        """Malformed entries ended each owner or were polled for ever: LOST."""
+        for label, value in malformed_entries().items():
             with self.subTest(label):
                 self.assertIsNone(self.parse(value))
 
@@ -140,7 +138,7 @@
         self.assertIsNotNone(self.parse(shallow))
         self.assertIsNotNone(self.parse(encode(later=2**127)))
 
-    def test_odd_ids(self):
+    def test_malformed_ids(self):
         """An id that can be part of no key or header ended or misled owners."""
         for worker_id in (
             "",
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -46,7 +46,7 @@
 )
 from standins.platform._store import StoreModel
 from standins.platform._worker import WorkerModel
-from tests.platform.test_worker_entries import odd_entries
+from tests.platform.test_worker_entries import malformed_entries
 
 ADDRESS = "127.0.0.1"
 HOST = "queue.example"
@@ -477,9 +477,9 @@
     await listener.start()
 
 
-@FAULTS.register("odd_entries")
-async def _odd_entries(soak: Soak) -> None:
-    entries = list(odd_entries().values())
+@FAULTS.register("malformed_entries")
+async def _malformed_entries(soak: Soak) -> None:
+    entries = list(malformed_entries().values())
     for number in range(20):
         value = soak.rng.choice(entries)
         soak.store.write("workers", f"other-{number}", value)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -65,7 +65,7 @@
 
     def test_control_characters(self):
         """A key of another writer split a line or cost it its text."""
-        event("test_odd_text", key="a\r\n\x1b[2J\x85\u2028\ud800b")
+        event("test_text", key="a\r\n\x1b[2J\x85\u2028\ud800b")
         (line,) = self.lines
         self.assertTrue(line.rstrip("\n").isprintable(), line)
         self.assertIn("b", line)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
-    """Signals, cuts and odd entries, overlapping, violate no rule."""
+    """Signals, cuts and malformed entries, overlapping, violate no rule."""
 
     async def test_short_soak(self):
         """Whole processes survive what the storms do to simulated ones."""
