Take the soak's ports from the range of its process; two tests seen red once

The soak took random ports from the ranges that the tests' processes have for themselves (standins.site.free_port); it uses that function now.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -14,7 +14,6 @@
 import re
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -46,6 +45,7 @@
 )
 from standins.platform._store import StoreModel
 from standins.platform._worker import WorkerModel
+from standins.site import free_port
 from tests.platform.test_worker_entries import malformed_entries
 
 ADDRESS = "127.0.0.1"
@@ -73,15 +73,8 @@
 
 
 def free_address() -> str:
-    """Returns an address that is free now.
-
-    Its port is below those that outgoing connections get.
-    """
-    while True:
-        port = random.SystemRandom().randint(10_000, 30_000)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind((ADDRESS, port))
-            return f"{ADDRESS}:{port}"
+    """Returns an address that is free now."""
+    return f"{ADDRESS}:{free_port()}"
 
 
 def has_hangup(pid: int, mask: str) -> bool:
