Test of workers that are replaced while the cell passes on

The users' record shows long-running tasks that wait for 10 to 12 s during an upgrade: nodes restart in turn every 2 s, the cell goes to each of them, and workers leave one by one. The test passes on the current code; without stored places, and with the leases of idle workers handed over, it reports LOST.

--- a/tests/node/test_long_running.py
+++ b/tests/node/test_long_running.py
@@ -6,15 +6,21 @@
 
 from limpetyard.engine import Engine
 from limpetyard.engine._planner import Planner
+from limpetyard.engine._worker import Worker
 from limpetyard.jobs import JobSpec, Resources, StepSpec
+from limpetyard.node import CellOwner
 from standins.platform import SimulatedSite, run_in_virtual_time, violations
 from standins.platform._site import QUEUE
+from standins.platform._worker import WorkerModel
 from tests.node.test_whole_site import LEASE_MS
 
 TASKS = 6
 LARGE = 2.15
 MIXED = (0.3, 0.4, 0.3, 0.5, LARGE, LARGE)
 
+# Time for which a draining worker still serves.
+NOTICE_MS = 6000
+
 # Time in which the site settles, and calm after the faults.
 SETTLED_S = 6
 CALM_S = 20
@@ -47,7 +53,10 @@
 
 
 def newest_owner(site: SimulatedSite):
-    """Returns the VM of the newest owner, also while others are frozen."""
+    """Returns the VM of the newest owner, also while others are frozen.
+
+    Returns None if no node has loaded the cell.
+    """
     owners = [
         (owner.engine.epoch, host)
         for host in site.hosts
@@ -55,7 +64,7 @@
         and (owner := host.node._owners.get(0)) is not None
         and owner.deciding
     ]
-    return max(owners, key=lambda entry: entry[0])[1]
+    return max(owners, default=(0, None), key=lambda entry: entry[0])[1]
 
 
 class LongRunningTestCase(unittest.TestCase):
@@ -232,6 +241,52 @@
         self.assertTrue(found[0].startswith("LOST"))
 
 
+class RollingUpgradeTest(LongRunningTestCase):
+    """The cell passes on every 2 s while workers are replaced one by one."""
+
+    async def upgrade(self, site: SimulatedSite) -> None:
+        """Replaces all workers, and lets a task end at each takeover."""
+        outgoing = list(site.workers.values())
+        leaving = []
+        for number, worker in enumerate(outgoing):
+            site.add_worker(len(outgoing) + number)
+            worker.drain(remaining_ms=NOTICE_MS)
+            leaving.append(asyncio.ensure_future(crash_later(worker)))
+            if number % 3 == 0:
+                await self.pass_on(site)
+            await asyncio.sleep(0.7)
+        for _ in range(4):
+            await self.pass_on(site)
+            await asyncio.sleep(2)
+        await asyncio.gather(*leaving)
+
+    async def pass_on(self, site: SimulatedSite) -> None:
+        """Assigns the cell to another node; a task fails in between."""
+        site.store.reassign_partitions()
+        while newest_owner(site) is not None:
+            await asyncio.sleep(0.001)
+        fail_task(site)
+
+    def test_tasks_of_draining_workers(self):
+        """LOST: tasks waited for the leases of workers that had left."""
+        self.run_scenario(self.upgrade, workers=14)
+
+    def test_tasks_of_draining_workers_without_guards(self):
+        """Without stored places and the leases of idle workers it is LOST."""
+        with (
+            mock.patch.object(CellOwner, "_has_stored_places", lambda _: False),
+            mock.patch.object(Worker, "is_idle", False),
+            self.assertRaisesRegex(AssertionError, "LOST"),
+        ):
+            self.run_scenario(self.upgrade, workers=14)
+
+
+async def crash_later(worker: WorkerModel) -> None:
+    """Ends a draining worker in silence, after its notice."""
+    await asyncio.sleep(NOTICE_MS / 1000)
+    worker.crash()
+
+
 class StandbyTest(LongRunningTestCase):
     """All large nodes are lost while the small ones stand by."""
 
