Pass over previous owners that have never loaded the cell

What users saw: tasks of a worker that was lost while the cell passed on did not start again for 9 s and more (LOST), and neither did tasks that ended meanwhile and had never been on it.

Cause: a new owner asked only the owner just before it. One that had lost the cell before it had loaded it knew no leases, so each took the place of a full lease again; a claim that the store applied late, in between, made it 10.2 s. Stored places were believed only if the owner just before had stored some.

An owner that has never loaded the cell has issued no orders, and a process can tell: it replies with the latest epoch in which it may have ordered, and with its member name, as another process may listen at the address by now. The new owner then fences the owner before, until one has ordered or does not answer. It reads the claims that it does not know; those may be trimmed, so the reply has them too. Places are believed if each owner since they were stored is of a release that stores them: such an owner starts a long-running task at a new place only after its first append, which also records its epoch. Replies of the former release are understood as before.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -61,6 +61,11 @@
     "cells_dealt": EventKind(
         ("generation", "cells"), "The group assigned cells to this node."
     ),
+    "claims_unread": EventKind(
+        ("epoch", "reason"),
+        "The claims of earlier owners could not be read; they may order for"
+        " their self-fencing time.",
+    ),
     "config_accepted": EventKind(
         ("version", "author"), "A configuration change was accepted."
     ),
@@ -188,8 +193,8 @@
     ),
     "owner_silenced": EventKind(
         ("owner", "last_epoch", "epoch", "silenced", "leases_known"),
-        "Whether the previous owner was fenced and whether its leases are"
-        " known.",
+        "Whether the latest owner that may have issued orders, by last_epoch,"
+        " was fenced and whether its leases are known.",
     ),
     "plan_slow": EventKind(
         ("cell", "took_ms", "effects"),
--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -1,4 +1,4 @@
-"""Handover of lease expiries from the previous owner of a cell."""
+"""Handover of lease expiries from the previous owners of a cell."""
 
 import msgspec
 
@@ -8,14 +8,22 @@
 class RemainingLeases(msgspec.Struct, frozen=True):
     """Remaining leases that one ownership granted or took over.
 
+    All times are counted from the reply that reports them.
+
     Attributes:
-        epoch: Epoch of that ownership.
-        left_ms: Maximum time for which a run may still exist, by worker id,
-            counted from the reply that reports it.
+        epoch: Epoch of that ownership, the latest one in which the replying
+            process may have issued orders; 0 if there was none.
+        left_ms: Maximum time for which a run may still exist, by worker id.
+        member: Member name of the replying process; "" in the replies of
+            earlier releases.
+        claims: Member names in claims before its own that this process knows,
+            by epoch.
     """
 
     epoch: int
     left_ms: dict[str, float]
+    member: str = ""
+    claims: dict[int, str] = {}
 
 
 class FenceResult(msgspec.Struct, frozen=True):
@@ -48,7 +56,7 @@
         }
 
     def remaining(self, now_ms: float) -> RemainingLeases:
-        """Returns the remaining time of each lease at `now_ms`."""
+        """Returns the remaining times at `now_ms`."""
         return RemainingLeases(
             self._epoch,
             {
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -35,6 +35,7 @@
 from limpetyard.node._store_layout import (
     EXTERNAL_PARTITION,
     OPERATORS_TOPIC,
+    PLACES_MARK,
     member_name,
 )
 from limpetyard.store import KeyFollower, Store, StoredRecord, StoreError
@@ -60,6 +61,10 @@
 # load balancer removes a node after two failed checks, one second apart.
 DRAIN_NOTICE_MS = 2500
 
+# Number of claims that a node keeps for later owners: those of nodes that join
+# together, and lose the cell to each other, with room to spare.
+MAX_SAVED_CLAIMS = 64
+
 # A leaving node exits this long before it would be killed.
 EXIT_MARGIN_MS = 500
 
@@ -135,9 +140,11 @@
         self._adapters = adapters
         self._clock = clock
         self._wall_ms = wall_ms
-        self._nonce = uuid.uuid4().hex[:12]
+        self._nonce = PLACES_MARK + uuid.uuid4().hex[:12]
         self._owners: dict[int, CellOwner] = {}
         self._former_leases: dict[int, LeaseExpiries] = {}
+        # Member names in claims by epoch, by cell.
+        self._former_claims: dict[int, dict[int, str]] = {}
         self._leaving = False
         self._in_flight = 0
         self._params = EngineParams(
@@ -246,6 +253,7 @@
             if cell not in cells and not owner.ended:
                 await owner.release("dealt to another node")
             if owner.ended or owner.crashed:
+                self._save_claims(owner)
                 self._save_leases(owner)
                 del self._owners[cell]
                 await owner.stop()
@@ -330,15 +338,31 @@
             for job in jobs
         )
 
-    def fence(self, cell: int, epoch: int) -> RemainingLeases | None:
+    def fence(self, cell: int, epoch: int) -> RemainingLeases:
         """See `LocalCells.fence`."""
         owner = self._owners.get(cell)
         if owner is not None:
             owner.fence(epoch)
+            self._save_claims(owner)
             if owner.ended:
                 self._save_leases(owner)
         expiries = self._former_leases.get(cell)
-        return expiries.remaining(self._clock.now_ms()) if expiries else None
+        leases = (
+            expiries.remaining(self._clock.now_ms())
+            if expiries is not None
+            else RemainingLeases(0, {})
+        )
+        return msgspec.structs.replace(
+            leases,
+            member=self.member.name,
+            claims=self._former_claims.get(cell, {}),
+        )
+
+    def _save_claims(self, owner: CellOwner) -> None:
+        """Saves the claims that an ownership knew, for later owners."""
+        claims = self._former_claims.get(owner.cell, {}) | owner.earlier_claims
+        latest = sorted(claims)[-MAX_SAVED_CLAIMS:]
+        self._former_claims[owner.cell] = {n: claims[n] for n in latest}
 
     def _save_leases(self, owner: CellOwner) -> None:
         """Saves the lease expiries, which the next owner may request."""
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -175,6 +175,11 @@
         """Whether this ownership has ended."""
         return self.state_machine.state == "ended"
 
+    @property
+    def earlier_claims(self) -> dict[int, str]:
+        """Member names in earlier claims that this owner knows, by epoch."""
+        return self._predecessor.claims
+
     async def read_jobs(self) -> None:
         """Reads the jobs topic to its end, as it is now or later.
 
@@ -363,7 +368,7 @@
         may have runs, until fencing the previous owner or polling the worker
         shows otherwise.
         """
-        places_trusted = self._has_stored_places()
+        places_trusted = await self._has_stored_places()
         self.engine.places_trusted = places_trusted
         self._recorded_workers = await self._record_applier.apply_collected()
         for job in self.engine.open_jobs.values():
@@ -381,16 +386,14 @@
         self._apply_predecessor_bounds()
         self._track_workers()
 
-    def _has_stored_places(self) -> bool:
+    async def _has_stored_places(self) -> bool:
         """Returns whether the places of long-running tasks are stored.
 
-        False after an owner of an earlier release, also if such an owner was
-        followed by one that did not store this in time.
+        An owner that has stored nothing has started such tasks at stored places
+        only, unless it is of a release that stores none.
         """
-        last_epoch = self._predecessor.epoch
-        return last_epoch == self.engine.epoch - 1 and last_epoch in (
-            0,
-            self._record_applier.places_epoch(),
+        return await self._predecessor.all_store_places(
+            self._record_applier.places_epoch(), self.engine.epoch
         )
 
     def _on_records(self) -> None:
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -57,13 +57,14 @@
     def queue_pending(self, queue: str) -> int:
         """Returns the number of queued jobs of a queue, without timed ones."""
 
-    def fence(self, cell: int, epoch: int) -> RemainingLeases | None:
+    def fence(self, cell: int, epoch: int) -> RemainingLeases:
         """Ends this node's ownerships of a cell with an epoch below `epoch`.
 
         One that does not know its epoch yet ends once it does.
 
         Returns:
-            Remaining leases of the latest of them, or None if unknown.
+            Remaining leases of the latest one in which this node may have
+            issued orders.
         """
 
 
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -1,4 +1,4 @@
-"""Fencing of the previous owner of a cell and takeover of its leases."""
+"""Fencing of the previous owners of a cell and takeover of their leases."""
 
 import asyncio
 
@@ -7,30 +7,41 @@
 from limpetyard.engine import MIN_CLOCK_RATE, EngineParams, lease_bound_ms
 from limpetyard.node._handover import FenceResult
 from limpetyard.node._peers import PeerClient
-from limpetyard.node._store_layout import CLAIM_KEY, OWNERS_TOPIC
-from limpetyard.store import Store, StoredRecord
+from limpetyard.node._store_layout import (
+    CLAIM_KEY,
+    OWNERS_TOPIC,
+    member_stores_places,
+)
+from limpetyard.store import Store, StoredRecord, StoreError
 
 # Delay before a previous owner that did not answer is fenced again.
 FENCE_RETRY_MS = 100
 
 
 class Predecessor:
-    """Previous owner of a cell, as named by its claim.
+    """Latest previous owner of a cell that may have issued orders.
 
-    It is assumed to issue orders until it has been fenced.
+    The owners are known by their claims. Those that say that they have lost the
+    cell before they loaded it are passed over. The latest other one is assumed
+    to issue orders until it has been fenced.
+
+    Attributes:
+        claims: Member names in claims before that of the new owner, by epoch,
+            as far as known.
     """
 
     __slots__ = (
         "_cell",
-        "_claim",
         "_clock",
+        "_epoch",
         "_fence_result",
         "_fenced_ms",
-        "_is_latest",
         "_params",
         "_peers",
+        "_read_epoch",
         "_read_ms",
         "_store",
+        "claims",
     )
 
     def __init__(
@@ -41,60 +52,100 @@
         clock: Clock,
         params: EngineParams,
     ):
+        self.claims: dict[int, str] = {}
         self._cell = cell
         self._store = store
         self._peers = peers
         self._clock = clock
         self._params = params
-        self._claim: StoredRecord | None = None
+        # Epoch of the owner that the result of fencing is about.
+        self._epoch = 0
         self._fence_result = FenceResult(False)
         self._fenced_ms = 0.0
-        self._read_ms = 0.0
-        # Whether no other claim lies between its claim and the new one.
-        self._is_latest = False
+        # Epoch of the latest claim before that of the new owner was appended,
+        # and when it was read.
+        self._read_epoch = 0
+        self._read_ms: float | None = None
 
     @property
     def fence_confirmed(self) -> bool:
         """Whether it is certain that the owner issues no more orders."""
         return self._fence_result.confirmed
 
-    @property
-    def epoch(self) -> int:
-        """Epoch of the owner, or 0 if there was none."""
-        return self._claim.offset + 1 if self._claim is not None else 0
-
     async def read(self) -> None:
-        """Reads the claim of the previous owner.
+        """Reads the latest claim.
 
-        Must be called before the new owner appends its claim. A claim that has
-        been read is kept: after an unanswered append the latest claim may be
-        that of the new owner itself.
+        Must be called before the new owner appends its claim. What has been
+        read is kept: after an unanswered append the latest claim may be that of
+        the new owner itself.
 
         Raises:
             StoreError: If the claims cannot be read.
         """
-        if self._claim is not None:
+        if self._read_ms is not None:
             return
-        self._read_ms = self._clock.now_ms()
+        read_ms = self._clock.now_ms()
         page = await self._store.read_latest(OWNERS_TOPIC, self._cell, "")
-        for record in page.records:
+        self._add_claims(page.records)
+        self._read_epoch = max(self.claims, default=0)
+        self._read_ms = read_ms
+
+    def _add_claims(self, records: list[StoredRecord]) -> None:
+        for record in records:
             if record.key == CLAIM_KEY:
-                self._claim = record
+                member = (record.value or b"").decode(errors="replace")
+                self.claims[record.offset + 1] = member
+
+    async def _member_of(self, owner_epoch: int, epoch: int) -> str | None:
+        """Returns the member in the claim of an epoch, or None if unknown.
+
+        Reads the claims from the latest known one before it on if it is not
+        known. Earlier ones may have been trimmed.
+
+        Args:
+            owner_epoch: The epoch.
+            epoch: Epoch of the new ownership.
+        """
+        if owner_epoch not in self.claims:
+            earlier = [known for known in self.claims if known < owner_epoch]
+            first = max(earlier, default=owner_epoch - 1)
+            try:
+                page = await self._store.read(
+                    OWNERS_TOPIC, self._cell, first, wait_ms=0
+                )
+            except StoreError as exc:
+                event("claims_unread", epoch=epoch, reason=exc)
+            else:
+                self._add_claims(
+                    [r for r in page.records if r.offset < epoch - 1]
+                )
+        return self.claims.get(owner_epoch)
+
+    async def all_store_places(self, after_epoch: int, epoch: int) -> bool:
+        """Returns whether all owners since another one store places.
+
+        That is the place of each long-running task before it is started there.
+
+        Args:
+            after_epoch: Epoch of the other one.
+            epoch: Epoch of the new ownership.
+        """
+        for owner_epoch in range(epoch - 1, after_epoch, -1):
+            member = await self._member_of(owner_epoch, epoch)
+            if member is None or not member_stores_places(member):
+                return False
+        return True
 
     async def fence(self, epoch: int) -> None:
-        """Fences the previous owner and requests its remaining leases.
+        """Fences the previous owners and requests the remaining leases.
 
-        If there is another claim between its claim and the new one, its owner
-        has not been fenced, so the result counts as unconfirmed. Leases of any
-        other epoch than that of the previous owner are discarded.
+        Leases of any other epoch than that of the fenced owner are discarded.
 
         Args:
             epoch: Epoch of the new ownership.
         """
-        last_epoch = self.epoch
-        self._is_latest = last_epoch == epoch - 1
-        await self._fence_once(epoch, last_epoch)
-        self._log_fencing(epoch, last_epoch)
+        await self._fence_once(epoch)
+        self._log_fencing(epoch)
 
     async def fence_until_certain(self, epoch: int) -> None:
         """Fences the previous owner again until it certainly issues no orders.
@@ -105,56 +156,63 @@
         Args:
             epoch: Epoch of the new ownership.
         """
-        until_ms = self._read_ms + self._params.self_fence_ms
-        while (
-            self._is_latest
-            and not self.fence_confirmed
-            and self._clock.now_ms() < until_ms
-        ):
+        until_ms = self._confirmed_until_ms + self._params.self_fence_ms
+        while not self.fence_confirmed and self._clock.now_ms() < until_ms:
             await asyncio.sleep(FENCE_RETRY_MS / MS_PER_SECOND)
-            await self._fence_once(epoch, epoch - 1)
+            await self._fence_once(epoch)
         if self.fence_confirmed:
-            self._log_fencing(epoch, epoch - 1)
+            self._log_fencing(epoch)
 
-    async def _fence_once(self, epoch: int, last_epoch: int) -> None:
+    async def _fence_once(self, epoch: int) -> None:
+        """Fences owners, from the latest to one that may have ordered."""
         result = FenceResult(True)
-        if self._member:
-            result = await self._peers.fence_owner(
-                self._member, self._cell, epoch
-            )
-        leases = result.leases
-        if not self._is_latest:
+        fenced_ms = self._clock.now_ms()
+        owner_epoch = 0
+        for owner_epoch in range(epoch - 1, 0, -1):
             result = FenceResult(False)
-        elif leases is not None and leases.epoch != last_epoch:
+            member = await self._member_of(owner_epoch, epoch)
+            if member is None:
+                break
+            result = await self._peers.fence_owner(member, self._cell, epoch)
+            fenced_ms = self._clock.now_ms()
+            leases = result.leases
+            if leases is None or leases.epoch == owner_epoch:
+                break
             result = FenceResult(result.confirmed)
+            if leases.member != member or leases.epoch > owner_epoch:
+                break
+            # This owner has never loaded the cell.
+            self.claims = leases.claims | self.claims
+        self._epoch = owner_epoch
         self._fence_result = result
-        self._fenced_ms = self._clock.now_ms()
+        self._fenced_ms = fenced_ms
 
-    def _log_fencing(self, epoch: int, last_epoch: int) -> None:
+    def _log_fencing(self, epoch: int) -> None:
         event(
             "owner_silenced",
-            owner=self._member,
-            last_epoch=last_epoch,
+            owner=self.claims.get(self._epoch, ""),
+            last_epoch=self._epoch,
             epoch=epoch,
             silenced=self._fence_result.confirmed,
             leases_known=self._fence_result.leases is not None,
         )
 
     @property
-    def _member(self) -> str:
-        """Member name in the claim, or "" if there is none."""
-        if self._claim is None:
-            return ""
-        return (self._claim.value or b"").decode(errors="replace")
+    def _confirmed_until_ms(self) -> float:
+        """Latest time at which the owner was confirmed as a member.
+
+        The group assigned the cell to this node before the claims were read.
+        Nothing is known of owners that have claimed it since.
+        """
+        if self._epoch <= self._read_epoch:
+            return self._read_ms
+        return self._clock.now_ms()
 
     def latest_run_end_ms(self, worker: str) -> float:
         """Returns the latest time at which its runs may exist on a worker.
 
         If it reported no lease for the worker, this is a full lease from the
-        time at which it certainly issued no more orders. The group assigned
-        the cell to this node before the claims were read, so the previous owner
-        was confirmed for the last time before that, unless another one has
-        claimed the cell since.
+        time at which it certainly issued no more orders.
         """
         leases = self._fence_result.leases
         if leases is not None and worker in leases.left_ms:
@@ -163,5 +221,4 @@
         lease_ms = lease_bound_ms(self._params.lease_ms)
         if self.fence_confirmed:
             return self._fenced_ms + lease_ms
-        base_ms = self._read_ms if self._is_latest else self._clock.now_ms()
-        return base_ms + self._params.self_fence_ms + lease_ms
+        return self._confirmed_until_ms + self._params.self_fence_ms + lease_ms
--- a/src/limpetyard/node/_store_layout.py
+++ b/src/limpetyard/node/_store_layout.py
@@ -28,6 +28,11 @@
 # place of a long-running task before it is started there.
 PLACES_KEY = "places"
 
+# First character of the nonce of a member that stores the place of a
+# long-running task before it starts the task there. Nonces of earlier releases
+# are hexadecimal.
+PLACES_MARK = "p"
+
 # Key prefix, before the id, of workers that may have received orders.
 WORKER_KEY_PREFIX = "w/"
 
@@ -53,6 +58,13 @@
     return parts[1] if len(parts) == 3 else ""
 
 
+def member_stores_places(member: str) -> bool:
+    """Returns whether a member stores places; see `PLACES_MARK`."""
+    parts = member.split("|")
+    nonce = parts[2].rpartition("-")[2] if len(parts) == 3 else ""
+    return nonce.startswith(PLACES_MARK)
+
+
 def member_cores(member: str) -> float:
     """Returns the processor capacity in a member name, or 0 if it has none."""
     parts = member.split("|")
--- a/tests/node/test_long_running.py
+++ b/tests/node/test_long_running.py
@@ -274,7 +274,9 @@
     def test_tasks_of_draining_workers_without_guards(self):
         """Without stored places and the leases of idle workers it is LOST."""
         with (
-            mock.patch.object(CellOwner, "_has_stored_places", lambda _: False),
+            mock.patch.object(
+                CellOwner, "_has_stored_places", return_value=False
+            ),
             mock.patch.object(Worker, "is_idle", False),
             self.assertRaisesRegex(AssertionError, "LOST"),
         ):
--- a/tests/node/test_predecessor.py
+++ b/tests/node/test_predecessor.py
@@ -6,7 +6,18 @@
 from collections.abc import AsyncIterator, Callable
 from unittest import mock
 
-from standins.platform import SimulatedSite
+from limpetyard.engine import MIN_CLOCK_RATE, EngineParams
+from limpetyard.node import FenceResult, RemainingLeases
+from limpetyard.node._predecessor import Predecessor
+from limpetyard.node._store_layout import CLAIM_KEY
+from limpetyard.store import (
+    LatestPage,
+    StoredRecord,
+    StoreOffsetTrimmedError,
+    TailPage,
+)
+from standins.platform import SimulatedSite, run_in_virtual_time
+from standins.platform._virtual_time import VirtualClock
 from tests.node.test_fencing import reassign
 from tests.node.test_long_running import (
     LongRunningTestCase,
@@ -14,6 +25,7 @@
     fail_task,
     newest_owner,
 )
+from tests.node.test_whole_site import LEASE_MS
 
 # Time for which a node owns the cell without having loaded it.
 UNLOADED_S = 1.6
@@ -114,5 +126,114 @@
         self.run_scenario(scenario)
 
 
+class FormerOwners:
+    """The claims of former owners, and their replies when they are fenced.
+
+    Stands in for the store and for the client of the other nodes. The store
+    has trimmed all but the claims in `kept`.
+    """
+
+    def __init__(
+        self, replies: dict[str, RemainingLeases | None], kept: range, read: int
+    ):
+        self.replies = replies
+        self._kept = kept
+        self._read = read
+
+    async def read_latest(self, topic, partition, after) -> LatestPage:
+        """Returns the claim that was the latest one at first."""
+        return LatestPage(self._read, [self._claim(self._read)], False)
+
+    async def read(self, topic, partition, offset, wait_ms) -> TailPage:
+        """Returns the claims from an offset on."""
+        if offset + 1 not in self._kept:
+            raise StoreOffsetTrimmedError(topic, offset)
+        records = [self._claim(n) for n in self._kept if n > offset]
+        return TailPage(self._kept.stop, self._kept.stop, records)
+
+    async def fence_owner(self, member, cell, epoch) -> FenceResult:
+        """Returns the reply of a member; none answers if it is not listed."""
+        if member not in self.replies:
+            return FenceResult(False)
+        return FenceResult(True, self.replies[member])
+
+    def _claim(self, epoch: int) -> StoredRecord:
+        return StoredRecord(epoch - 1, CLAIM_KEY, f"node-{epoch}".encode())
+
+
+class PredecessorTest(unittest.TestCase):
+    """Which owner counts as the previous one; epoch 6 is the new one."""
+
+    def fence(self, replies, kept=range(4, 6), read: int = 3) -> Predecessor:
+        """Fences the owners with epochs below 6."""
+
+        async def main() -> Predecessor:
+            owners = FormerOwners(replies, kept, read)
+            params = EngineParams(LEASE_MS, LEASE_MS)
+            clock = VirtualClock()
+            predecessor = Predecessor(0, owners, owners, clock, params)
+            await predecessor.read()
+            await predecessor.fence(6)
+            return predecessor
+
+        return run_in_virtual_time(main())
+
+    def check_leases(self, predecessor: Predecessor) -> None:
+        """Checks that the lease of 700 ms is known."""
+        self.assertTrue(predecessor.fence_confirmed)
+        left_ms = predecessor.latest_run_end_ms("w")
+        self.assertAlmostEqual(left_ms, 700 / MIN_CLOCK_RATE, delta=10)
+
+    def test_claims_after_the_one_that_was_read(self):
+        """The bound of 10.2 s began anew after a claim in between."""
+        self.check_leases(
+            self.fence(
+                {
+                    "node-5": RemainingLeases(0, {}, member="node-5"),
+                    "node-4": RemainingLeases(2, {}, member="node-4"),
+                    "node-3": RemainingLeases(3, {"w": 700.0}),
+                }
+            )
+        )
+
+    def test_trimmed_claims(self):
+        """An owner that never loaded the cell knows the trimmed claim."""
+        reply = RemainingLeases(0, {}, member="node-5", claims={4: "other"})
+        leases = RemainingLeases(4, {"w": 700.0})
+        replies = {"node-5": reply, "other": leases}
+        self.check_leases(self.fence(replies, range(5, 6), read=5))
+
+    def test_unknown_claim(self):
+        """An owner of which nothing is known may order for its whole time."""
+        reply = RemainingLeases(0, {}, member="node-5")
+        predecessor = self.fence({"node-5": reply}, range(5, 6), read=5)
+        self.assertFalse(predecessor.fence_confirmed)
+        self.assertGreater(predecessor.latest_run_end_ms("w"), 2 * LEASE_MS)
+
+    def test_replies_that_prove_nothing(self):
+        """A successor at the address, or a former release, tells no leases."""
+        for reply in (
+            None,
+            RemainingLeases(2, {"w": 700.0}),
+            RemainingLeases(0, {}, member="successor"),
+        ):
+            predecessor = self.fence({"node-5": reply}, read=5)
+            self.assertTrue(predecessor.fence_confirmed)
+            left_ms = predecessor.latest_run_end_ms("w")
+            self.assertGreater(left_ms, LEASE_MS)
+
+    def test_stored_places(self):
+        """Places are believed unless an owner may not have stored them."""
+        members = {3: "a|b|1-pabc", 4: "a|b|pabc", 5: "a|b|0.4-abc"}
+        predecessor = self.fence({})
+        predecessor.claims = members
+
+        async def trusted(epoch: int) -> bool:
+            return await predecessor.all_store_places(2, epoch)
+
+        self.assertTrue(run_in_virtual_time(trusted(5)))
+        self.assertFalse(run_in_virtual_time(trusted(6)))
+
+
 if __name__ == "__main__":
     unittest.main()
