Hand over for how long an earlier owner may still order

The reply to a fence said nothing of the owner before the one that is fenced. The reply now has the time that is left to it, and the next owner treats new jobs until then as possibly started.

UnfencedOwnerTest failed before: the time ended at 13.3 s instead of 17.9 s. Replies of the former release lack the field and count as 0.

--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -14,6 +14,8 @@
         epoch: Epoch of that ownership, the latest one in which the replying
             process may have issued orders; 0 if there was none.
         left_ms: Maximum time for which a run may still exist, by worker id.
+        orders_left_ms: Time for which an owner before that ownership may still
+            issue orders.
         member: Member name of the replying process; "" in the replies of
             earlier releases.
         claims: Member names in claims before its own that this process knows,
@@ -22,6 +24,7 @@
 
     epoch: int
     left_ms: dict[str, float]
+    orders_left_ms: float = 0.0
     member: str = ""
     claims: dict[int, str] = {}
 
@@ -41,7 +44,7 @@
 class LeaseExpiries:
     """Lease expiries of an ownership that has ended."""
 
-    __slots__ = ("_epoch", "_until_ms")
+    __slots__ = ("_epoch", "_orders_until_ms", "_until_ms")
 
     def __init__(self, engine: Engine):
         """Copies the time until which runs may exist, by worker.
@@ -50,6 +53,7 @@
             engine: State of the ownership, which issues no more orders.
         """
         self._epoch = engine.epoch
+        self._orders_until_ms = engine.predecessor_until_ms
         self._until_ms = {
             worker.id: worker.runs_until_ms
             for worker in engine.workers.values()
@@ -63,4 +67,5 @@
                 worker: max(0.0, until_ms - now_ms)
                 for worker, until_ms in self._until_ms.items()
             },
+            max(0.0, self._orders_until_ms - now_ms),
         )
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -283,9 +283,9 @@
         """Applies the bounds on runs and orders of the previous owner.
 
         Lowers `prior_lease_end_ms` of each worker to
-        `Predecessor.latest_run_end_ms`, and sets `predecessor_until_ms` to the
-        current time if fencing is confirmed. Uses the result of fencing the
-        previous owner, if that is known already.
+        `Predecessor.latest_run_end_ms` and, if fencing is confirmed,
+        `predecessor_until_ms` to `Predecessor.orders_end_ms`. Uses the result
+        of fencing the previous owner, if that is known already.
         """
         for worker in self.engine.workers.values():
             worker.prior_lease_end_ms = min(
@@ -293,7 +293,7 @@
                 self._predecessor.latest_run_end_ms(worker.id),
             )
         if self._predecessor.fence_confirmed:
-            self.engine.predecessor_until_ms = self._clock.now_ms()
+            self.engine.predecessor_until_ms = self._predecessor.orders_end_ms
         self._plan_needed.set()
 
     async def _claim(self) -> None:
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -72,6 +72,15 @@
         """Whether it is certain that the owner issues no more orders."""
         return self._fence_result.confirmed
 
+    @property
+    def orders_end_ms(self) -> float:
+        """Time until which an owner before it may issue orders.
+
+        Valid if fencing is confirmed.
+        """
+        leases = self._fence_result.leases
+        return self._fenced_ms + (leases.orders_left_ms if leases else 0.0)
+
     async def read(self) -> None:
         """Reads the latest claim.
 
