--- a/src/limpetyard/noded.py
+++ b/src/limpetyard/noded.py
@@ -5,8 +5,9 @@
 
 def main() -> None:
     """Entry point of limpetyard-node."""
-    # Ends a process that has no handler yet. The imports below take most of
-    # the start, and settings that change meanwhile are read after it.
+    # SIGHUP ends a process that has no handler for it yet. The imports below
+    # take most of the start, and settings that change meanwhile are read after
+    # it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     from limpetyard._node_process import run_node
--- a/src/limpetyard/platform/_bounds.py
+++ b/src/limpetyard/platform/_bounds.py
@@ -11,7 +11,8 @@
 # Largest number that every JSON reader decodes exactly.
 MAX_NUMBER = 1 << 53
 
-# Number that counts something, or a time in Unix milliseconds.
+# Number of a run, of an end of a run or of anything else that is counted from
+# 0 or 1, or a time in Unix milliseconds.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 # Duration or reading of a clock, in milliseconds.
