Give a restarted worker no work by its former entry

Callers' tasks were started on a worker that had come back under its id with less capacity, other labels or in another service (LIMIT, ROUTE).

A poll may show an incarnation before its directory entry is read: the entry is read every 250 ms, and much later while the worker does not reach the store or the store is silent. The planner went on with the entry of the incarnation before. The worker's record, which the next owner loads, was also written with that entry under the new incarnation and never again, so the next owner found the former capacity, and a later entry did not replace it. A run that the new incarnation reported was stopped if the former one had been draining.

Now an entry counts only for its own incarnation: without it a worker is polled and its runs are adopted, but it is no candidate, is not drained and is not recorded anew. The entry may be older (it is ignored) or newer than the incarnation that answers (the answer is ignored).

--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -192,7 +192,9 @@
         draining = [
             worker
             for worker in self._engine.workers.values()
-            if worker.entry.draining and worker.is_responsive(now_ms)
+            if worker.entry.draining
+            and worker.entry_is_current
+            and worker.is_responsive(now_ms)
         ]
         draining.sort(key=lambda w: self._drained_ms.get(w.id, -math.inf))
         self._drained_ms = {
@@ -280,6 +282,7 @@
             Candidate(worker, engine.interference, now_ms)
             for worker in engine.workers.values()
             if worker.entry.service == service
+            and worker.entry_is_current
             and worker.token_confirmed
             and worker.recorded
             and not worker.entry.draining
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -185,7 +185,8 @@
     All times are on this process's clock.
 
     Attributes:
-        entry: Latest directory entry of the worker.
+        entry: Latest directory entry of the worker, which may be that of an
+            earlier incarnation; see `entry_is_current`.
         token: Fencing token of orders to the current incarnation.
         born: Current incarnation, as the Unix milliseconds of its start.
         token_confirmed: Whether the current incarnation replied to a poll with
@@ -297,6 +298,15 @@
         """Id of the worker."""
         return self.entry.id
 
+    @property
+    def entry_is_current(self) -> bool:
+        """Whether the directory entry is that of the current incarnation.
+
+        A poll may show an incarnation before its entry is read. Capacity,
+        labels, rack, zone and service of the one before then say nothing.
+        """
+        return self.entry.born == self.born
+
     @property
     def token(self) -> int:
         """Fencing token of orders to the current incarnation.
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -434,12 +434,14 @@
         """Returns workers whose incarnation or draining flag is not stored.
 
         One that has never replied gets no orders, so later owners need not know
-        of it.
+        of it. One whose present incarnation has no entry gets no new work, and
+        its record leads to the address at which it replied.
         """
         return [
             worker
             for worker in self.engine.workers.values()
             if (worker.token_confirmed or worker.id in self._recorded_workers)
+            and worker.entry_is_current
             and self._recorded_workers.get(worker.id)
             != (worker.born, worker.entry.draining)
         ]
--- /dev/null
+++ b/tests/engine/test_incarnations.py
@@ -0,0 +1,80 @@
+"""Workers that come back under their id as another kind of worker."""
+
+import unittest
+
+from limpetyard.engine import RunReport, RunState, Start, Stop
+from limpetyard.jobs import StepSpec, TaskKey
+from tests.engine.test_engine import ONE_CORE, EngineTestCase, entry, job
+
+
+class IncarnationTest(EngineTestCase):
+    """Work for an incarnation whose directory entry is older than it."""
+
+    workers = 1
+
+    def restart(self) -> None:
+        """Has the second incarnation reply, and its record stored."""
+        self.poll("w-0", born=2)
+        self.poll("w-0", born=2)
+        self.record()
+
+    def record(self) -> None:
+        """Counts the present incarnation as stored."""
+        self.engine.set_recorded_workers(
+            {w.id: (w.born, False) for w in self.engine.workers.values()}
+        )
+
+    def list_as(self, born: int, cores: int, **more) -> None:
+        """Reads a directory entry of the worker, which is stored."""
+        listed = entry(0, cores, born=born, **more)
+        self.engine.set_entry(listed, self.now_ms)
+        self.record()
+
+    def test_smaller_than_before(self):
+        """Tasks started by the capacity of the incarnation before: LIMIT."""
+        self.restart()
+        self.submit(job(1, StepSpec(4, ONE_CORE)))
+        self.assertEqual(self.plan(Start), [])
+        self.list_as(2, 2)
+        self.assertEqual(len(self.plan(Start)), 2)
+
+    def test_another_label(self):
+        """Tasks started by the labels of the incarnation before: ROUTE."""
+        self.restart()
+        self.submit(job(1, StepSpec(1, ONE_CORE, label="plain")))
+        self.assertEqual(self.plan(Start), [])
+        self.list_as(2, 4, labels=("gpu",))
+        self.assertEqual(self.plan(Start), [])
+
+    def test_entry_of_the_incarnation_before(self):
+        """An entry of an earlier incarnation that is read late is used."""
+        self.restart()
+        self.list_as(1, 8)
+        self.submit(job(1, StepSpec(1, ONE_CORE)))
+        self.assertEqual(self.plan(Start), [])
+
+    def test_entry_read_first(self):
+        """A late reply of the incarnation before confirms the new one."""
+        self.list_as(2, 2)
+        self.submit(job(1, StepSpec(4, ONE_CORE)))
+        self.poll("w-0", born=1)
+        self.assertEqual(self.plan(Start), [])
+        self.poll("w-0", born=2)
+        self.assertEqual(len(self.plan(Start)), 2)
+
+    def test_reported_run(self):
+        """A run is not adopted, or is stopped as the one before drained."""
+        self.add(entry(1))
+        self.submit(job(1, StepSpec(1, ONE_CORE, long_running=True)), True)
+        self.list_as(1, 4, draining=True)
+        self.poll("w-0", born=2)
+        key = TaskKey(job(1).id, 0, 0, 0)
+        report = RunReport(key, 900, "", 100, 0.0)
+        self.poll("w-0", born=2, extra=(report,))
+        (run,) = self.engine.workers["w-0"].runs.values()
+        self.assertIs(run.state, RunState.RUNNING)
+        self.assertEqual(self.plan(Stop) + self.plan(Stop), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
