Wait for advice as long as its queue says

Callers' jobs in a queue whose advice takes more than 2 s (decisionMs plus periodMs for each of up to 30 workers) never started: each call was given up after a fixed 2 s and made again after 3 s, for ever. The calls of all steps waited for one connection within that time, so a queue with slow advice or with many steps also failed the calls of other queues.

Now the time-out follows from the figures of the queue and the number of workers: 2 s and two such calls, as one that was given up may still be under way at the service; it doubles at most twice while the calls of a queue fail, in case the figures stored with its jobs are out of date. It begins when the turn of the call comes, as the client makes one call at a time. Each queue has one call in turn, the others of the queue wait behind it. A request is repeated only 1 s after it has failed, which is reported to the engine, and no more by the time since it was planned. No request is made for a job that has ended while it waited.

test_reply_to_an_earlier_request of tests.engine.test_long_running now reports that the first request has failed: the passing of time alone allows no second one any more. All that it asserts is as before. The call in tests.platform.test_decode_errors passes the time-out, which was an argument of the client.

--- a/src/limpetyard/_node_process.py
+++ b/src/limpetyard/_node_process.py
@@ -34,8 +34,6 @@
 )
 from limpetyard.platform._worker_entries import parse_worker_entry
 
-ADVICE_TIMEOUT_MS = 2000
-
 
 def wall_ms() -> float:
     """Returns the wall-clock time in Unix milliseconds."""
@@ -48,7 +46,7 @@
     view_updater = SiteViewUpdater(view)
     advice = None
     if cfg.advice:
-        advice = PlatformAdviceClient(cfg.advice, ADVICE_TIMEOUT_MS)
+        advice = PlatformAdviceClient(cfg.advice)
 
     def new_ingress(job_service):
         ingress = Ingress(view, job_service, wall_ms)
--- a/src/limpetyard/engine/_advice.py
+++ b/src/limpetyard/engine/_advice.py
@@ -20,9 +20,9 @@
 # Minimum remaining validity of a ticket at placement.
 TICKET_MARGIN_MS = 300
 
-# Time after which a request without a reply is repeated; longer than the
-# time-out of the call.
-ADVICE_RETRY_MS = 3000
+# Pause after a request that got no usable reply. There is no limit to the wait
+# for a reply here: the call has a time-out, and may wait for others before.
+ADVICE_RETRY_MS = 1000
 
 # Job, occurrence and number of a step.
 StepKey = tuple[str, int, int]
@@ -39,17 +39,17 @@
         rejected: Workers that are not permitted.
         asked: Incarnation of each worker when it was last in a request, by id.
         requested: Workers in the latest request, if its reply is awaited.
-        requested_ms: When that request was planned.
+        retry_at_ms: Time before which there is no other request.
     """
 
-    __slots__ = ("asked", "rejected", "requested", "requested_ms", "tickets")
+    __slots__ = ("asked", "rejected", "requested", "retry_at_ms", "tickets")
 
     def __init__(self):
         self.tickets: dict[Incarnation, tuple[str, float]] = {}
         self.rejected: set[Incarnation] = set()
         self.asked: dict[str, int] = {}
         self.requested: tuple[str, ...] = ()
-        self.requested_ms = float("-inf")
+        self.retry_at_ms = float("-inf")
 
 
 class AdviceCache:
@@ -89,6 +89,14 @@
         if request.workers == advice.requested:
             advice.requested = ()
 
+    def fail(self, request: RequestAdvice, now_ms: float) -> None:
+        """Has a request that got no usable reply repeated after a pause."""
+        step_key = (request.job, request.occurrence, request.step)
+        advice = self._jobs.get(request.job, {}).get(step_key)
+        if advice is not None and request.workers == advice.requested:
+            advice.requested = ()
+            advice.retry_at_ms = now_ms + ADVICE_RETRY_MS
+
     def drop_ticket(self, step_key: StepKey, worker: Worker) -> None:
         """Drops a ticket that the worker did not accept."""
         advice = self._jobs.get(step_key[0], {}).get(step_key)
@@ -112,8 +120,8 @@
     ) -> RequestAdvice | None:
         """Returns the next request for a step, or None.
 
-        There is none while a reply is awaited, and if all candidates are known
-        to be permitted or not to be.
+        There is none while a reply is awaited, for a while after a request that
+        failed, and if all candidates are known to be permitted or not to be.
 
         Args:
             step_key: Key of the step.
@@ -121,7 +129,7 @@
             now_ms: Current time.
         """
         advice = self._advice(step_key)
-        if advice.requested and now_ms - advice.requested_ms < ADVICE_RETRY_MS:
+        if advice.requested or now_ms < advice.retry_at_ms:
             return None
         unknown = [
             candidate
@@ -136,5 +144,4 @@
         workers = [c.worker for c in unknown[:MAX_ADVICE_WORKERS]]
         advice.asked |= {worker.id: worker.born for worker in workers}
         advice.requested = tuple(worker.id for worker in workers)
-        advice.requested_ms = now_ms
         return RequestAdvice(*step_key, advice.requested)
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -254,6 +254,14 @@
         """Adds tickets to run a step on workers; see `Planner`."""
         self._planner.add_tickets(request, tickets)
 
+    def on_advice_failed(self, request: RequestAdvice, now_ms: float) -> None:
+        """Handles a request for advice without a usable reply.
+
+        Each request must end here or in `add_tickets`, unless its job has
+        ended: it is not repeated before.
+        """
+        self._planner.fail_advice(request, now_ms)
+
     def mark_entry_missing(self, worker_id: str, now_ms: float) -> None:
         """Records that a worker has no directory entry any more."""
         worker = self.workers.get(worker_id)
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -232,6 +232,10 @@
         """
         self._advice.add(request, tickets)
 
+    def fail_advice(self, request: RequestAdvice, now_ms: float) -> None:
+        """Has a request for advice repeated that got no usable reply."""
+        self._advice.fail(request, now_ms)
+
     def drop_ticket(self, task: Task, worker: Worker) -> None:
         """Drops a ticket that the worker did not accept."""
         self._advice.drop_ticket(task.key[:3], worker)
--- a/src/limpetyard/engine/_step_worker_client.py
+++ b/src/limpetyard/engine/_step_worker_client.py
@@ -244,11 +244,17 @@
     """Client of the advice service, which permits workers for a step."""
 
     async def advise(
-        self, job: str, occurrence: int, step: int, workers: list[str]
+        self,
+        job: str,
+        occurrence: int,
+        step: int,
+        workers: list[str],
+        timeout_ms: float,
     ) -> list[Ticket]:
         """Returns a ticket for each worker that may run the step.
 
-        The `valid_ms` of each ticket is a duration.
+        The `valid_ms` of each ticket is a duration. Calls are made one at a
+        time, in turn; the time-out begins when the turn of a call comes.
 
         Raises:
             WorkerOutcomeUnknownError: If no usable reply arrives.
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -1,6 +1,7 @@
 """Executes the effects of the engine and reports their results to it."""
 
 import asyncio
+import collections
 import contextlib
 import weakref
 from collections.abc import Callable, Coroutine
@@ -28,6 +29,7 @@
     WorkerRun,
     WrongWorkerError,
 )
+from limpetyard.jobs import AdviceParams, QueueParams
 
 # Maximum number of times that an unanswered start order is sent.
 START_ATTEMPTS = 2
@@ -55,16 +57,47 @@
 # it is sent, so many of them must not wait for each other's replies.
 MAX_STOPS_IN_FLIGHT = 96
 
+# Time-out of a call for advice beyond the figures of its queue.
+ADVICE_MARGIN_MS = 2000
+
+# Calls of the expected duration that may take place within the time-out: one
+# before, which was given up, may still be under way at the service.
+ADVICE_CALLS = 2
+
+# The time-out doubles with each call of a queue that fails, at most this often,
+# in case the figures that are stored with its jobs are out of date.
+MAX_ADVICE_DOUBLINGS = 2
+
+
+def advice_timeout_ms(
+    params: AdviceParams, workers: int, failures: int
+) -> float:
+    """Returns the time-out of a call for advice.
+
+    Args:
+        params: Figures of the queue.
+        workers: Number of workers that the call names.
+        failures: Calls of the queue that have failed since one succeeded.
+    """
+    expected_ms = params.decision_ms + workers * params.per_worker_ms
+    doublings = min(failures, MAX_ADVICE_DOUBLINGS)
+    return (ADVICE_MARGIN_MS + ADVICE_CALLS * expected_ms) * (1 << doublings)
+
 
 class OrderDispatcher:
     """Sends the orders of one ownership to workers.
 
     Start orders to the same worker are sent one after another, and so are stop
     orders. With the poll, they use one connection each.
+
+    Calls for advice of a queue are made one after another, so that one with
+    slow advice and many steps does not hold back the others.
     """
 
     __slots__ = (
         "_advice",
+        "_advice_failures",
+        "_advice_locks",
         "_append_done",
         "_clock",
         "_end_ownership",
@@ -117,6 +150,11 @@
         self._end_ownership = end_ownership
         self._replan = replan
         self._append_done = append_done
+        # Calls for advice that have failed since one succeeded, by queue.
+        self._advice_failures: collections.Counter[str] = collections.Counter()
+        self._advice_locks: weakref.WeakValueDictionary[str, asyncio.Lock] = (
+            weakref.WeakValueDictionary()
+        )
         # Task and run of each start that is accepted and not done. Those that
         # waited for the store are in the second set.
         self._starts: set[tuple] = set()
@@ -369,16 +407,37 @@
         )
 
     async def _request_advice(self, effect: RequestAdvice) -> None:
+        """Requests advice after earlier requests of the same queue."""
+        job = self._engine.open_jobs.get(effect.job)
+        if job is None:
+            return
+        queue = job.spec.queue
+        lock = self._advice_locks.setdefault(queue.name, asyncio.Lock())
+        async with lock:
+            # The job may have ended in the meantime.
+            if effect.job in self._engine.open_jobs:
+                await self._call_for_advice(effect, queue)
+
+    async def _call_for_advice(
+        self, effect: RequestAdvice, queue: QueueParams
+    ) -> None:
         if self._advice is None:
             event("advice_missing", job=effect.job)
+            self._engine.on_advice_failed(effect, self._clock.now_ms())
             return
+        workers = list(effect.workers)
+        failures = self._advice_failures[queue.name]
+        timeout_ms = advice_timeout_ms(queue.advice, len(workers), failures)
         try:
             tickets = await self._advice.advise(
-                effect.job, effect.occurrence, effect.step, list(effect.workers)
+                effect.job, effect.occurrence, effect.step, workers, timeout_ms
             )
         except WorkerOutcomeUnknownError as exc:
             event("advice_failed", job=effect.job, reason=exc)
+            self._advice_failures[queue.name] += 1
+            self._engine.on_advice_failed(effect, self._clock.now_ms())
             return
+        self._advice_failures[queue.name] = 0
         now_ms = self._clock.now_ms()
         self._engine.add_tickets(
             effect,
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -1,5 +1,7 @@
 """Clients of the platform's workers and of its advice service."""
 
+import asyncio
+
 import msgspec
 
 from limpetyard._http_client import (
@@ -269,18 +271,19 @@
     Implements `limpetyard.engine.AdviceClient`.
     """
 
-    __slots__ = ("_http_client", "_timeout_ms", "_url")
+    __slots__ = ("_http_client", "_turn", "_url")
 
-    def __init__(self, address: str, timeout_ms: float):
+    def __init__(self, address: str):
         """Creates a client.
 
         Args:
             address: IP:port of the service.
-            timeout_ms: Time-out of a call.
         """
         self._url = f"http://{address}/advise"
-        self._timeout_ms = timeout_ms
         self._http_client = HttpClient(1, "advice")
+        # The service handles one call of each machine at a time. The time that
+        # others take must not count against the time-out of a call.
+        self._turn = asyncio.Lock()
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -288,16 +291,22 @@
 
     @translate_decode_errors(WorkerOutcomeUnknownError)
     async def advise(
-        self, job: str, occurrence: int, step: int, workers: list[str]
+        self,
+        job: str,
+        occurrence: int,
+        step: int,
+        workers: list[str],
+        timeout_ms: float,
     ) -> list[Ticket]:
         """See `limpetyard.engine.AdviceClient.advise`."""
         body = msgspec.json.encode(
             _AdviseRequest(f"{job}.{occurrence}.{step}", workers)
         )
         try:
-            reply = await self._http_client.call(
-                "POST", self._url, body, self._timeout_ms
-            )
+            async with self._turn:
+                reply = await self._http_client.call(
+                    "POST", self._url, body, timeout_ms
+                )
         except (NotSentError, OutcomeUnknownError) as exc:
             raise WorkerOutcomeUnknownError(str(exc)) from exc
         if reply.status != 200:
--- a/tests/engine/test_long_running.py
+++ b/tests/engine/test_long_running.py
@@ -702,6 +702,7 @@
         spec = job(1, LONG_RUNNING, advice=AdviceParams(5, 1, 90_000))
         self.submit(spec)
         (first,) = self.plan(RequestAdvice)
+        self.engine.on_advice_failed(first, self.now_ms)
         self.now_ms += 4000
         for number in range(10, 40):
             self.poll(f"w-{number}")
--- a/tests/platform/test_decode_errors.py
+++ b/tests/platform/test_decode_errors.py
@@ -89,14 +89,14 @@
 
     async def test_advice(self):
         """An undecodable reply gives no advice."""
-        advice = PlatformAdviceClient(self.address, 500)
+        advice = PlatformAdviceClient(self.address)
         self.addAsyncCleanup(advice.close)
         for self.body in (b"", b"[]", b'{"good": [1]}'):
             with (
                 self.subTest(self.body),
                 self.assertRaises(WorkerOutcomeUnknownError),
             ):
-                await advice.advise("0" * 16, 0, 0, ["w-0"])
+                await advice.advise("0" * 16, 0, 0, ["w-0"], 500)
 
     async def test_store(self):
         """After an undecodable reply the outcome of the call is unknown."""
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -17,6 +17,7 @@
     StaleTokenError,
     StartOrder,
     StartResult,
+    Ticket,
     WorkerDisconnectedError,
     WorkerDownError,
     WorkerEntry,
@@ -32,6 +33,7 @@
 )
 from limpetyard.node._order_dispatch import OrderDispatcher
 from limpetyard.platform._worker_client import (
+    PlatformAdviceClient,
     PlatformWorkerClient,
     format_task_key,
     parse_task_key,
@@ -227,6 +229,41 @@
         self.assertEqual(self.paths.count("/run-stop"), 3)
 
 
+class AdviceTurnTest(unittest.IsolatedAsyncioTestCase):
+    """Calls to an advice service that takes long."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts a service that takes 300 ms for each call, one at a time."""
+        turn = asyncio.Lock()
+
+        async def handle(req: web.BaseRequest) -> web.Response:
+            async with turn:
+                await asyncio.sleep(0.3)
+            return web.json_response({"good": [["w", "t"]], "validityMs": 9})
+
+        self.runner = web.ServerRunner(web.Server(handle))
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.advice = PlatformAdviceClient(f"127.0.0.1:{port}")
+
+    async def asyncTearDown(self) -> None:
+        """Closes the client and stops the service."""
+        await self.advice.close()
+        await self.runner.cleanup()
+
+    async def test_wait_for_others(self):
+        """The time that calls waited for others counted as theirs."""
+        calls = [
+            self.advice.advise(f"{job:016x}", 0, 0, ["w"], 550)
+            for job in range(4)
+        ]
+        self.assertEqual(
+            await asyncio.gather(*calls), [[Ticket("w", "t", 9.0)]] * 4
+        )
+
+
 class WireFormatTest(unittest.TestCase):
     """Task names on the wire."""
 
