Withhold orders whose owner lost its right meanwhile

An owner that another one had fenced, or that the group had not confirmed within the self-fencing time, could still send stops, paces, starts and renewals of leases: its answer to the fence counts as proof that it sends no more orders.

An order is checked when it is due and then waits for one of three connections to the worker, for up to 500 ms (a poll for 600 ms more than it may be held), and longer on the clock of the ownership if the machine was suspended. Starts carry an expiry; stops, paces and renewals do not, and the fencing token stops them only once the new owner has polled that worker.

The clients of an ownership now ask it again once an order has its connection, right before the bytes are handed over, and raise an error that says that nothing was sent. A start that was withheld is withdrawn, and its lease and that of a poll are taken back. What remains is a freeze in the few instructions after that; no check in the process can exclude it.

--- a/src/limpetyard/_http_client.py
+++ b/src/limpetyard/_http_client.py
@@ -1,5 +1,8 @@
 """HTTP client that distinguishes unsent requests from unknown outcomes."""
 
+import contextvars
+from collections.abc import Callable
+
 import aiohttp
 import msgspec
 from yarl import URL
@@ -28,6 +31,14 @@
         self.connection_refused = connection_refused
 
 
+class WithheldError(NotSentError):
+    """The request was not sent, as its sender may not send it any more."""
+
+    def __init__(self, url: str):
+        super().__init__(url, connection_refused=False)
+        self.args = (f"{url}: withheld",)
+
+
 class OutcomeUnknownError(Exception):
     """No complete response arrived; the request may take effect, also later.
 
@@ -54,6 +65,20 @@
 
 _clock = BootClock()
 
+# Whether the call that the current task makes may still be sent, or None.
+_may_send: contextvars.ContextVar[Callable[[], bool] | None] = (
+    contextvars.ContextVar("may_send", default=None)
+)
+
+
+class _GuardedRequest(aiohttp.ClientRequest):
+    # A request that is withheld if it may not be sent once it has a connection.
+    async def send(self, conn: aiohttp.connector.Connection):
+        may_send = _may_send.get()
+        if may_send is not None and not may_send():
+            raise WithheldError(str(self.url))
+        return await super().send(conn)
+
 
 class HttpClient:
     """HTTP client for one kind of peer, with persistent connections."""
@@ -78,15 +103,27 @@
         body: bytes | None,
         timeout_ms: float,
         headers: dict[str, str] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> HttpResponse:
         """Sends a request, returns the response and records the call.
 
+        Args:
+            method: HTTP method.
+            url: URL.
+            body: Body, or None.
+            timeout_ms: Time-out, which includes the wait for a connection.
+            headers: Further headers.
+            may_send: Asked when the request has a connection, right before it
+                is sent; None if it may always be sent.
+
         Raises:
+            WithheldError: If `may_send` has returned False.
             NotSentError: If no connection was established.
             OutcomeUnknownError: If no complete response arrived in time.
         """
         started_ms = _clock.now_ms()
         outcome = "silent"
+        _may_send.set(may_send)
         try:
             resp = await self._call(method, url, body, timeout_ms, headers)
             outcome = str(resp.status)
@@ -151,6 +188,7 @@
             )
             self._session = aiohttp.ClientSession(
                 connector=connector,
+                request_class=_GuardedRequest,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 headers={"Content-Type": "application/json"},
--- a/src/limpetyard/engine/__init__.py
+++ b/src/limpetyard/engine/__init__.py
@@ -11,6 +11,7 @@
 from limpetyard.engine._params import EngineParams
 from limpetyard.engine._step_worker_client import (
     AdviceClient,
+    OrderWithheldError,
     PaceOrder,
     PollReply,
     PollRequest,
@@ -45,6 +46,7 @@
     "Effect",
     "Engine",
     "EngineParams",
+    "OrderWithheldError",
     "Pace",
     "PaceOrder",
     "PollReply",
--- a/src/limpetyard/engine/_step_worker_client.py
+++ b/src/limpetyard/engine/_step_worker_client.py
@@ -6,7 +6,8 @@
 """
 
 import enum
-from typing import Protocol
+from collections.abc import Callable
+from typing import Protocol, Self
 
 import msgspec
 
@@ -22,6 +23,10 @@
     """Nothing listens at the worker's address."""
 
 
+class OrderWithheldError(WorkerOutcomeUnknownError):
+    """Orders may not be issued any more, and this one was not sent."""
+
+
 class WorkerDisconnectedError(WorkerOutcomeUnknownError):
     """The connection was closed before a complete reply arrived."""
 
@@ -207,6 +212,15 @@
     token is too low.
     """
 
+    def guarded(self, may_order: Callable[[], bool]) -> Self:
+        """Returns a client that sends nothing once it may not.
+
+        Args:
+            may_order: Returns whether orders may be issued. Asked right before
+                an order or a poll is sent, as it may wait for a connection; if
+                not, the call raises `OrderWithheldError`.
+        """
+
     async def poll(
         self, entry: WorkerEntry, request: PollRequest, timeout_ms: float
     ) -> PollReply:
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -12,6 +12,7 @@
     AdviceClient,
     Effect,
     Engine,
+    OrderWithheldError,
     Pace,
     PaceOrder,
     RequestAdvice,
@@ -249,7 +250,7 @@
         """Sends a start order, at most `START_ATTEMPTS` times.
 
         Withdraws the start if no order for it was sent: if the run must not
-        start any more, or if all connections were refused.
+        start any more, or if all connections were refused or orders withheld.
         """
         token = worker.token
         result = None
@@ -292,7 +293,7 @@
                     # which may have ended already. The result is unknown.
                     result = None
                 break
-            except WorkerDownError as exc:
+            except (WorkerDownError, OrderWithheldError) as exc:
                 event("order_failed", order="start", reason=exc)
                 worker.revoke_lease(until_ms)
             except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -131,7 +131,8 @@
         self.state_loaded = False
         self._member = member
         self._store = store
-        self._workers = workers
+        # An order that waits for a connection may outlast the ownership.
+        self._workers = workers.guarded(self._may_order)
         self._advice = advice
         self._view = view
         self._parse_worker_entry = parse_worker_entry
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -7,6 +7,7 @@
 from limpetyard._events import event
 from limpetyard.engine import (
     Engine,
+    OrderWithheldError,
     PollRequest,
     StaleTokenError,
     StepWorkerClient,
@@ -159,7 +160,7 @@
                 entry, request, wait_ms + POLL_TIMEOUT_MARGIN_MS
             )
         except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
-            if isinstance(exc, WorkerDownError):
+            if isinstance(exc, (WorkerDownError, OrderWithheldError)):
                 worker.revoke_lease(lease_until_ms)
             # A later incarnation may have another address by now.
             if worker.token == token and worker.entry.address == entry.address:
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -1,6 +1,7 @@
 """Clients of the platform's workers and of its advice service."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -9,8 +10,10 @@
     HttpResponse,
     NotSentError,
     OutcomeUnknownError,
+    WithheldError,
 )
 from limpetyard.engine import (
+    OrderWithheldError,
     PaceOrder,
     PollReply,
     PollRequest,
@@ -160,10 +163,28 @@
     Implements `limpetyard.engine.StepWorkerClient`.
     """
 
-    __slots__ = ("_http_client",)
+    __slots__ = ("_http_client", "_may_order")
 
-    def __init__(self):
-        self._http_client = HttpClient(MAX_CONNECTIONS, "worker")
+    def __init__(
+        self,
+        may_order: Callable[[], bool] | None = None,
+        http_client: HttpClient | None = None,
+    ):
+        """Creates a client.
+
+        Args:
+            may_order: See `guarded`; None if everything may be sent.
+            http_client: Client whose connections are used, or None.
+        """
+        self._http_client = http_client or HttpClient(MAX_CONNECTIONS, "worker")
+        self._may_order = may_order
+
+    def guarded(self, may_order: Callable[[], bool]) -> "PlatformWorkerClient":
+        """See `limpetyard.engine.StepWorkerClient.guarded`.
+
+        Both clients share their connections.
+        """
+        return PlatformWorkerClient(may_order, self._http_client)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -247,8 +268,10 @@
         data = msgspec.json.encode(body)
         try:
             return await self._http_client.call(
-                "POST", url, data, timeout_ms, headers
+                "POST", url, data, timeout_ms, headers, self._may_order
             )
+        except WithheldError as exc:
+            raise OrderWithheldError(f"{entry.id}: {exc}") from exc
         except NotSentError as exc:
             error = (
                 WorkerDownError
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -10,6 +10,7 @@
 
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard.engine import (
+    OrderWithheldError,
     PaceOrder,
     PollReply,
     PollRequest,
@@ -414,11 +415,23 @@
 
     deliver_after_restart = False
 
-    def __init__(self, models: dict[str, WorkerModel], links: dict[str, Link]):
+    def __init__(
+        self,
+        models: dict[str, WorkerModel],
+        links: dict[str, Link],
+        may_order: Callable[[], bool] | None = None,
+    ):
         self._models = models
         self.links = links
+        self._may_order = may_order
+
+    def guarded(self, may_order: Callable[[], bool]) -> "LinkedWorkerClient":
+        """See `limpetyard.engine.StepWorkerClient.guarded`."""
+        return type(self)(self._models, self.links, may_order)
 
     async def _call(self, entry: WorkerEntry, operation, timeout_ms: float):
+        if self._may_order is not None and not self._may_order():
+            raise OrderWithheldError(entry.id)
         model = self._models.get(entry.id)
         if model is None or model.has_left and not self.links[entry.id].cut:
             raise WorkerDownError(f"{entry.id} refuses connections")
--- a/tests/node/test_fencing.py
+++ b/tests/node/test_fencing.py
@@ -6,6 +6,8 @@
 from collections.abc import AsyncIterator, Callable
 from unittest import mock
 
+from limpetyard.engine import OrderWithheldError
+from limpetyard.jobs import TaskKey
 from limpetyard.node import CellOwner
 from standins.platform import SimulatedSite
 from standins.platform._history import RunStarted
@@ -174,5 +176,23 @@
         self.run_scenario(scenario)
 
 
+class WithheldOrderTest(SiteTestCase):
+    """Orders that were permitted before the ownership has ended."""
+
+    def test_ended_ownership(self):
+        """An order that waited for a connection left after the fence."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            owner: CellOwner = site.owner().node._owners[0]
+            worker = owner.engine.workers["w-0"]
+            key = TaskKey("0" * 16, 0, 0, 0)
+            await owner._workers.stop(worker.entry, key, 1, worker.token)
+            owner.end_ownership("test")
+            with self.assertRaises(OrderWithheldError):
+                await owner._workers.stop(worker.entry, key, 1, worker.token)
+
+        self.run_scenario(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -11,6 +11,7 @@
 from limpetyard.engine import (
     Engine,
     EngineParams,
+    OrderWithheldError,
     PollReply,
     RunState,
     Start,
@@ -25,12 +26,14 @@
 from limpetyard.node._order_dispatch import START_VALID_MS, OrderDispatcher
 
 REFUSED = "refused"
+WITHHELD = "withheld"
 
 
 class _ScriptedWorkerClient:
     """Worker client that replies to starts from a list.
 
-    None means no reply, and REFUSED that the connection is refused.
+    None means no reply, REFUSED that the connection is refused, and WITHHELD
+    that the order may not be sent any more.
     """
 
     def __init__(self, replies: list[StartResult | str | None]):
@@ -42,6 +45,8 @@
             raise WorkerOutcomeUnknownError(entry.id)
         if reply is REFUSED:
             raise WorkerDownError(entry.id)
+        if reply is WITHHELD:
+            raise OrderWithheldError(entry.id)
         return reply
 
 
@@ -90,6 +95,12 @@
         self.assertFalse(self.granted)
         self.assertGreater(self.worker.backoff_until_ms, 1000.0)
 
+    async def test_withheld(self):
+        """A start that was not sent leaves no run and no lease."""
+        self.assertIsNone(await self.start(WITHHELD, WITHHELD))
+        self.assertEqual(self.task.state, "waiting")
+        self.assertFalse(self.granted)
+
     async def test_answered_after_a_refused_connection(self):
         """The reply to the only attempt that was sent is known to be true."""
         run = await self.start(REFUSED, StartResult.STARTED)
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -11,6 +11,7 @@
 from limpetyard.engine import (
     Engine,
     EngineParams,
+    OrderWithheldError,
     PaceOrder,
     PollReply,
     PollRequest,
@@ -33,6 +34,7 @@
 )
 from limpetyard.node._order_dispatch import OrderDispatcher
 from limpetyard.platform._worker_client import (
+    MAX_CONNECTIONS,
     PlatformAdviceClient,
     PlatformWorkerClient,
     format_task_key,
@@ -264,6 +266,92 @@
         )
 
 
+class WithheldOrderTest(unittest.IsolatedAsyncioTestCase):
+    """Orders that wait for a connection while the ownership ends."""
+
+    async def asyncSetUp(self) -> None:
+        """Occupies all connections to a worker with polls."""
+        self.paths: list[str] = []
+        self.held = asyncio.Event()
+        self.runner = web.ServerRunner(web.Server(self.handle))
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.entry = entry(f"127.0.0.1:{port}")
+        self.may_order = True
+        self.client = PlatformWorkerClient()
+        self.workers = self.client.guarded(lambda: self.may_order)
+        self.polls = [
+            asyncio.create_task(
+                self.workers.poll(self.entry, PollRequest(1, 0, None, 0), 5000)
+            )
+            for _ in range(MAX_CONNECTIONS)
+        ]
+        while len(self.paths) < MAX_CONNECTIONS:
+            await asyncio.sleep(0.01)
+
+    async def asyncTearDown(self) -> None:
+        """Closes the client and stops the server."""
+        await asyncio.gather(*self.polls)
+        await self.client.close()
+        await self.runner.cleanup()
+
+    async def handle(self, req: web.BaseRequest) -> web.Response:
+        """Replies once the test allows it."""
+        self.paths.append(req.path)
+        await self.held.wait()
+        return web.json_response({"clockMs": 1.0, "born": 7})
+
+    async def release(self, order, may_order: bool) -> asyncio.Task:
+        """Frees the connections while an order waits for one."""
+        waiting = asyncio.create_task(order)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.paths), MAX_CONNECTIONS)
+        self.may_order = may_order
+        self.held.set()
+        await asyncio.wait([waiting])
+        return waiting
+
+    async def check_withheld(self, order) -> None:
+        """Checks that an order is not sent once the ownership has ended."""
+        waiting = await self.release(order, may_order=False)
+        self.assertEqual(self.paths, ["/hold"] * MAX_CONNECTIONS)
+        self.assertIsInstance(waiting.exception(), OrderWithheldError)
+
+    async def test_stop(self):
+        """A stop left 500 ms after its sender had been fenced."""
+        await self.check_withheld(self.workers.stop(self.entry, TASK, 1, 1))
+
+    async def test_pace(self):
+        """A pace left 500 ms after its sender had been fenced."""
+        order = PaceOrder(TASK, 1, 40, 1)
+        await self.check_withheld(self.workers.pace(self.entry, order))
+
+    async def test_start(self):
+        """A start left 500 ms after its sender had been fenced."""
+        order = StartOrder(TASK, 1, "payload", 60_000, 1)
+        await self.check_withheld(self.workers.start(self.entry, order))
+
+    async def test_poll(self):
+        """A poll renewed a lease after its sender had been fenced."""
+        order = PollRequest(1, 0, 60_000, 0)
+        await self.check_withheld(self.workers.poll(self.entry, order, 500))
+
+    async def test_still_permitted(self):
+        """An order that waited for a connection is sent."""
+        order = self.workers.stop(self.entry, TASK, 1, 1)
+        waiting = await self.release(order, may_order=True)
+        self.assertIsNone(waiting.exception())
+        self.assertEqual(self.paths[-1], "/run-stop")
+
+    async def test_later_calls(self):
+        """A withheld order occupies a connection for good."""
+        await self.test_stop()
+        for _ in range(MAX_CONNECTIONS + 1):
+            await self.client.stop(self.entry, TASK, 1, 1)
+
+
 class WireFormatTest(unittest.TestCase):
     """Task names on the wire."""
 
