Report an unusable directory entry once

Operators saw a line for each write of an entry that names no worker, and more at each takeover: entry_unreadable and entry_unusable were logged on every read, and a writer may rewrite its entry each second. Entries with an address that can't be used, though of the right form (0.0.0.0, 255.255.255.255, a multicast group, an IPv6 address of one link), were taken for workers: each was polled about every 150 ms, each poll failed at once and was logged as look_failed, and 0.0.0.0 leads to the node itself.

Such addresses are now refused where the entry is read. A node remembers the ids of the latest 1,000 entries that it has reported, and reports one again only after it was usable in between.

Addresses with a bad port, a host name and the like were refused before. A worker at a usable address that doesn't answer is logged at each poll, as before.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -100,11 +100,13 @@
     "entry_unreadable": EventKind(
         ("worker", "bytes", "reason"),
         "An entry among those of the workers cannot be decoded, or a value is"
-        " out of bounds; it names no worker.",
+        " out of bounds, such as an address of no machine; it names no worker."
+        " Logged once for an entry.",
     ),
     "entry_unusable": EventKind(
         ("worker", "state"),
-        "A worker's entry is neither ready nor draining; it is not used.",
+        "A worker's entry is neither ready nor draining; it is not used. Logged"
+        " once for an entry.",
     ),
     "events_left_out": EventKind(
         ("of", "number"),
--- a/src/limpetyard/_node_process.py
+++ b/src/limpetyard/_node_process.py
@@ -1,6 +1,7 @@
 """Process of a node on the users' platform: settings, signals, exit status."""
 
 import asyncio
+import functools
 import os
 import signal
 import sys
@@ -32,7 +33,10 @@
     PlatformAdviceClient,
     PlatformWorkerClient,
 )
-from limpetyard.platform._worker_entries import parse_worker_entry
+from limpetyard.platform._worker_entries import (
+    EntryReports,
+    parse_worker_entry,
+)
 
 
 def wall_ms() -> float:
@@ -56,7 +60,7 @@
         PlatformStore(cfg.store),
         PlatformWorkerClient(),
         advice,
-        parse_worker_entry,
+        functools.partial(parse_worker_entry, reports=EntryReports()),
         view_updater.apply,
         view_updater.reset,
         new_ingress,
--- a/src/limpetyard/platform/_worker_entries.py
+++ b/src/limpetyard/platform/_worker_entries.py
@@ -32,6 +32,12 @@
 
 MAX_PORT = 65_535
 
+# Number of entries that are remembered as reported; more than a site has
+# workers.
+MAX_REPORTED = 1000
+
+_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
+
 _Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 _Amount = Annotated[int, msgspec.Meta(ge=0, lt=CAPACITY_BOUND)]
 
@@ -63,9 +69,42 @@
 _decoder = msgspec.json.Decoder(_DirectoryEntry)
 
 
-def parse_worker_entry(record: StoredRecord) -> WorkerEntry | None:
+class EntryReports:
+    """Remembers which entries were reported to name no worker to use.
+
+    Their writers may write them again and again, and each owner reads them.
+    """
+
+    __slots__ = ("_ids",)
+
+    def __init__(self):
+        # In the order of their reports; the values have no meaning.
+        self._ids: dict[str, None] = {}
+
+    def add(self, entry_id: str) -> bool:
+        """Adds an entry; returns whether it is to be reported now."""
+        if entry_id in self._ids:
+            return False
+        if len(self._ids) >= MAX_REPORTED:
+            del self._ids[next(iter(self._ids))]
+        self._ids[entry_id] = None
+        return True
+
+    def forget(self, entry_id: str) -> None:
+        """Has an entry reported again if it gets unusable again."""
+        self._ids.pop(entry_id, None)
+
+
+def parse_worker_entry(
+    record: StoredRecord, reports: EntryReports | None = None
+) -> WorkerEntry | None:
     """Decodes a directory entry; logs one that names no worker to use.
 
+    Args:
+        record: Record of the entry.
+        reports: Entries that were logged, which are not logged again; None to
+            log each.
+
     Returns:
         The entry, or None if it cannot be decoded, a value is out of bounds, or
         its state is unknown. No content of a record raises an error.
@@ -75,17 +114,21 @@
         _check_id(record.key)
         _check_address(entry.address)
     except DECODE_ERRORS as exc:
-        event(
-            "entry_unreadable",
-            "WARNING",
-            worker=record.key,
-            bytes=len(record.value or b""),
-            reason=exc,
-        )
+        if reports is None or reports.add(record.key):
+            event(
+                "entry_unreadable",
+                "WARNING",
+                worker=record.key,
+                bytes=len(record.value or b""),
+                reason=exc,
+            )
         return None
     if entry.state not in _STATES:
-        event("entry_unusable", worker=record.key, state=entry.state)
+        if reports is None or reports.add(record.key):
+            event("entry_unusable", worker=record.key, state=entry.state)
         return None
+    if reports is not None:
+        reports.forget(record.key)
     # Labels are the kind of the worker and its rack, in this order.
     rack = entry.labels[-1] if len(entry.labels) > 1 else ""
     return WorkerEntry(
@@ -115,16 +158,22 @@
 
 
 def _check_address(address: str) -> None:
-    """Checks that an address is of the form IP:port.
+    """Checks that an address is of the form IP:port and of one machine.
 
     Raises:
         ValueError: If it is not.
     """
     host, _, port = address.rpartition(":")
     if host.startswith("[") and host.endswith("]") and "%" not in host:
-        ipaddress.IPv6Address(host[1:-1])
+        ip = ipaddress.IPv6Address(host[1:-1])
+        # Useless without the name of an interface.
+        if ip.is_link_local:
+            raise ValueError(f"{host!r} is valid on one link only")
+        ip = ip.ipv4_mapped or ip
     else:
-        ipaddress.IPv4Address(host)
+        ip = ipaddress.IPv4Address(host)
+    if ip.is_unspecified or ip.is_multicast or ip == _BROADCAST:
+        raise ValueError(f"{host!r} names no machine")
     is_number = port.isascii() and port.isdigit()
     if not is_number or not 0 < int(port) <= MAX_PORT:
         raise ValueError(f"port {port!r} is not between 1 and {MAX_PORT}")
--- a/tests/platform/test_worker_entries.py
+++ b/tests/platform/test_worker_entries.py
@@ -2,15 +2,19 @@
 
 import json
 import unittest
+from unittest import mock
 
 import msgspec
 from loguru import logger
 
 from limpetyard.jobs import Resources
+from limpetyard.platform import _worker_entries
 from limpetyard.platform._worker_entries import (
     MAX_ID_BYTES,
     MAX_LABELS,
     MAX_NAME_LENGTH,
+    MAX_REPORTED,
+    EntryReports,
     parse_worker_entry,
 )
 from limpetyard.store import StoredRecord
@@ -101,6 +105,14 @@
         "::1:80",
         "[::1%eth0]:80",
         "",
+        # Connections fail at once, or lead to this machine.
+        "0.0.0.0:80",
+        "255.255.255.255:80",
+        "224.0.0.1:80",
+        "[::]:80",
+        "[::ffff:0.0.0.0]:80",
+        "[ff02::1]:80",
+        "[fe80::1]:80",
     ):
         entries[f"address={address!r}"] = encode(address=address)
     return entries
@@ -131,6 +143,38 @@
             with self.subTest(label):
                 self.assertIsNone(self.parse(value))
 
+    def test_usable_addresses(self):
+        """An address of a machine is refused."""
+        for address in ("127.0.0.1:1", "[::1]:80", "[::ffff:10.0.0.1]:80"):
+            self.assertIsNotNone(self.parse(encode(address=address)))
+
+    def reported(self, *entries: tuple[str, bytes]) -> list[str]:
+        """Reads entries; returns the id of each that is reported."""
+        reports = EntryReports()
+        with mock.patch.object(_worker_entries, "event") as event:
+            for worker_id, value in entries:
+                parse_worker_entry(StoredRecord(0, worker_id, value), reports)
+        return [call.kwargs["worker"] for call in event.call_args_list]
+
+    def test_reported_once(self):
+        """An unusable entry was logged each time that it was written."""
+        bad = ("a", encode(address="host.example:80", seq=1))
+        again = ("a", encode(address="host.example:80", seq=2))
+        unknown = ("a", encode(state="unknown"))
+        other = ("b", bad[1])
+        usable = ("a", encode())
+        self.assertEqual(self.reported(bad, again, unknown, bad), ["a"])
+        self.assertEqual(self.reported(bad, other, again), ["a", "b"])
+        self.assertEqual(self.reported(bad, usable, again), ["a", "a"])
+
+    def test_reports_are_bounded(self):
+        """Another writer fills the memory with ids."""
+        reports = EntryReports()
+        for number in range(MAX_REPORTED + 1):
+            self.assertTrue(reports.add(str(number)))
+        self.assertFalse(reports.add("1"))
+        self.assertTrue(reports.add("0"))
+
     def test_unknown_fields(self):
         """Fields of later versions are ignored, as far as they can be read."""
         shallow = nested("later", b"[", b"]").replace(b"[" * DEPTH, b"[[")
