Keep the token of a worker that is listed again

A cell went through a takeover without cause: a worker that had restarted within the term of its owner, had then been without a directory entry and runs for over 2.5 s and was dropped, got a lower fencing token when it was listed again. It rejects that token, and the owner takes a rejection for the orders of a newer owner and ends.

The token counts the incarnations that the owner has seen of a worker, and the count began anew with the worker's object. The engine now keeps the count of dropped workers that had more than one incarnation; with one, the first token is the same again, which the worker accepts.

Before, tests.engine.test_incarnations.IncarnationTest.test_listed_again failed (12289 not greater than or equal to 12290). That the rejection ends the ownership is read in node/_polling.py (poll_until_removed).

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -134,6 +134,7 @@
         "_offered_loads",
         "_pace",
         "_planner",
+        "_removed_incarnations",
         "_run_end_handler",
         "_workers_by_job",
         "crashes",
@@ -169,6 +170,8 @@
         # Ids of the workers that have got runs of a job, by its id, until it
         # ends.
         self._workers_by_job: dict[str, set[str]] = {}
+        # Incarnations of dropped workers that had more than one, by id.
+        self._removed_incarnations: dict[str, int] = {}
 
     def add_job(self, spec: JobSpec, now_ms: float, loaded: bool) -> Job:
         """Adds an accepted job and returns it; idempotent by id.
@@ -222,7 +225,8 @@
         """
         worker = self.workers.get(entry.id)
         if worker is None:
-            worker = Worker(entry, self.epoch)
+            incarnations = self._removed_incarnations.pop(entry.id, 0)
+            worker = Worker(entry, self.epoch, incarnations)
             worker.start_incarnation(entry.born)
             worker.set_entry(entry, now_ms)
             self.workers[entry.id] = worker
@@ -350,7 +354,10 @@
             )
         ]
         for worker_id in departed_ids:
-            del self.workers[worker_id]
+            worker = self.workers.pop(worker_id)
+            # The first token of a worker that is listed again is not lower.
+            if worker.incarnations > 1:
+                self._removed_incarnations[worker_id] = worker.incarnations
         return departed_ids
 
     def _is_missing_long(self, worker: Worker, now_ms: float) -> bool:
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -189,6 +189,7 @@
             earlier incarnation; see `entry_is_current`.
         token: Fencing token of orders to the current incarnation.
         born: Current incarnation, as the Unix milliseconds of its start.
+        incarnations: Number of incarnations that this owner has counted.
         token_confirmed: Whether the current incarnation replied to a poll with
             `token`, so that it rejects orders of earlier owners.
         runs: Runs that may exist on the worker, by task and run number.
@@ -229,7 +230,6 @@
         "_clock_ms",
         "_clock_read_ms",
         "_epoch",
-        "_incarnations",
         "_last_grant",
         "alive_ms",
         "backoff_until_ms",
@@ -240,6 +240,7 @@
         "entry",
         "failures",
         "has_all_ends",
+        "incarnations",
         "isolated_run",
         "lapsed_ms",
         "last_acked_end",
@@ -258,11 +259,18 @@
         "token_confirmed",
     )
 
-    def __init__(self, entry: WorkerEntry, epoch: int):
+    def __init__(self, entry: WorkerEntry, epoch: int, incarnations: int = 0):
+        """Initializes a worker without an incarnation.
+
+        Args:
+            entry: Directory entry of the worker.
+            epoch: Epoch of the owner.
+            incarnations: Value of `incarnations` of the worker when this owner
+                dropped it before, or 0.
+        """
         self.entry = entry
         self._epoch = epoch
-        # Number of incarnations that this owner has seen.
-        self._incarnations = 0
+        self.incarnations = incarnations
         self.born = 0
         self.token_confirmed = False
         self.recorded = False
@@ -315,7 +323,7 @@
         number `MAX_INCARNATIONS` - 1 on share the last token of the epoch.
         """
         return self._epoch * MAX_INCARNATIONS + min(
-            self._incarnations, MAX_INCARNATIONS - 1
+            self.incarnations, MAX_INCARNATIONS - 1
         )
 
     @property
@@ -446,7 +454,7 @@
     def start_incarnation(self, born: int) -> None:
         """Resets the state for a new incarnation."""
         self.born = born
-        self._incarnations += 1
+        self.incarnations += 1
         self.token_confirmed = False
         self.recorded = False
         self.runs.clear()
--- a/tests/engine/test_incarnations.py
+++ b/tests/engine/test_incarnations.py
@@ -62,6 +62,19 @@
         self.poll("w-0", born=2)
         self.assertEqual(len(self.plan(Start)), 2)
 
+    def test_listed_again(self):
+        """The token of a worker fell when it was dropped and listed again.
+
+        The worker rejected it, which ended the ownership.
+        """
+        self.restart()
+        token = self.engine.workers["w-0"].token
+        self.engine.mark_entry_missing("w-0", self.now_ms)
+        self.now_ms += 60_000
+        self.assertEqual(self.engine.remove_gone_workers(self.now_ms), ["w-0"])
+        worker = self.engine.set_entry(entry(0, born=2), self.now_ms)
+        self.assertGreaterEqual(worker.token, token)
+
     def test_reported_run(self):
         """A run is not adopted, or is stopped as the one before drained."""
         self.add(entry(1))
