Ignore the reply of a worker that was dropped meanwhile

A task stayed placed on no worker and did not start again (LOST): a worker without runs whose entry had been missing for long was dropped while a poll of it was under way, and its reply reported a run of an earlier owner, which a late order had started. The task was placed on the worker's former object, which no lease and no later reply reaches.

The poll checked before the wait that the engine knows the worker, and after it only the token. It now also checks that the engine still has this object; if the worker is listed again, the next poll reports the run to the new one.

Before, tests.node.test_polling.FirstPollTest.test_removed_during_a_poll failed ('placed' != 'waiting').

--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -163,10 +163,13 @@
             if isinstance(exc, (WorkerDownError, OrderWithheldError)):
                 worker.revoke_lease(lease_until_ms)
             # A later incarnation may have another address by now.
-            if worker.token == token and worker.entry.address == entry.address:
+            if (
+                self._is_current(worker, token)
+                and worker.entry.address == entry.address
+            ):
                 self._report_failure(worker, exc, now_ms)
             raise
-        if worker.token != token:
+        if not self._is_current(worker, token):
             return
         token_confirmed = worker.token_confirmed
         received_ms = self._clock.now_ms()
@@ -174,6 +177,15 @@
         if changed or not token_confirmed:
             self._on_change()
 
+    def _is_current(self, worker: Worker, token: int) -> bool:
+        """Returns whether a poll with a token still says something.
+
+        The worker may have restarted since the poll was sent, or the engine may
+        have dropped it: a run in the reply would be on no worker then.
+        """
+        known = self._engine.workers.get(worker.id)
+        return known is worker and worker.token == token
+
     def _report_failure(
         self, worker: Worker, exc: Exception, sent_ms: float
     ) -> None:
--- a/tests/node/test_polling.py
+++ b/tests/node/test_polling.py
@@ -11,12 +11,19 @@
     PollReply,
     RunEndKind,
     RunEndReport,
+    RunReport,
     WorkerEntry,
     WorkerOutcomeUnknownError,
     WrongWorkerError,
 )
 from limpetyard.engine._worker import WorkerRun
-from limpetyard.jobs import Resources, StepSpec, TaskKey
+from limpetyard.jobs import (
+    JobSpec,
+    QueueParams,
+    Resources,
+    StepSpec,
+    TaskKey,
+)
 from limpetyard.node import _polling
 from standins.platform import run_in_virtual_time
 from standins.platform._virtual_time import VirtualClock
@@ -31,6 +38,7 @@
         silent: Ids of workers that do not reply.
         replaced: Ids of workers at whose address another worker replies.
         ends: Ended runs in each reply.
+        runs: Current runs in each reply.
         polled: Worker of each poll, in order.
         most_first_polls: Highest number of first polls in flight.
         most_polls: Highest number of other polls in flight.
@@ -43,6 +51,7 @@
         self.silent: set[str] = set()
         self.replaced: set[str] = set()
         self.ends: list[RunEndReport] = []
+        self.runs: list[RunReport] = []
         self.polled: list[str] = []
         self.most_first_polls = 0
         self.most_polls = 0
@@ -61,7 +70,7 @@
             if entry.id in self.replaced:
                 raise WrongWorkerError(entry.id)
             await asyncio.sleep((REPLY_DELAY_MS + request.wait_ms) / 1000)
-            return PollReply(1, 0.0, [], self.ends)
+            return PollReply(1, 0.0, self.runs, self.ends)
         finally:
             self._first_polls -= is_first
             self._polls -= not is_first
@@ -170,6 +179,23 @@
 
         self.poll(limit + 2, limit, scenario)
 
+    def test_removed_during_a_poll(self):
+        """A task was placed on a worker that the owner had dropped: LOST."""
+
+        async def scenario(client: _Workers) -> None:
+            step = StepSpec(1, Resources(1000, 1000))
+            spec = JobSpec("0" * 16, QueueParams("q", "pool"), "", (step,))
+            job = self.engine.add_job(spec, 0.0, loaded=True)
+            task = TaskKey(spec.id, 0, 0, 0)
+            client.runs = [RunReport(task, 900, "", 100, 0.0)]
+            await asyncio.sleep(REPLY_DELAY_MS / 2000)
+            self.assertEqual(client.polled, ["w-0"])
+            del self.engine.workers["w-0"]
+            await asyncio.sleep(1)
+            self.assertEqual(job.task(0, 0, 0).state, "waiting")
+
+        self.poll(1, 0, scenario)
+
     def test_replaced_worker(self):
         """A worker that has ended is polled every 150 ms."""
 
