Send no start with a ticket that has expired

A start on a queue with advice was rejected (409, ticket), which has a price, and its task then avoided the worker for a while: the start had waited for an earlier one to the same worker, or for the store, until its ticket was no longer valid, or the worker had rejected the same ticket meanwhile.

The ticket was checked when the start was planned, and not after the wait. It is now checked with all else right before the order; the start is withdrawn and its step asks for advice again.

Before, tests.node.test_advice.AdviceTest. test_ticket_that_expires_in_the_queue failed (2 starts sent, not 1). The held client of tests.node.test_orders lost its underscore, as a second module uses it.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -266,6 +266,20 @@
         """
         self._planner.fail_advice(request, now_ms)
 
+    def has_valid_ticket(self, effect: Start, now_ms: float) -> bool:
+        """Returns whether a start of an open job has the ticket that it needs.
+
+        It may have expired, or the worker may have rejected it, since the start
+        was planned.
+        """
+        if not effect.ticket:
+            return True
+        worker = self.workers.get(effect.worker)
+        if worker is None:
+            return False
+        ticket = self._planner.ticket(effect.task, worker, now_ms)
+        return ticket == effect.ticket
+
     def mark_entry_missing(self, worker_id: str, now_ms: float) -> None:
         """Records that a worker has no directory entry any more."""
         worker = self.workers.get(worker_id)
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -20,7 +20,7 @@
 from limpetyard.engine._urgency import restart_urgency, urgency
 from limpetyard.engine._waiting import RoundState, WaitReporter
 from limpetyard.engine._worker import Worker, WorkerRun
-from limpetyard.jobs import Job, StepSpec, Task
+from limpetyard.jobs import Job, StepSpec, Task, TaskKey
 
 if TYPE_CHECKING:
     from limpetyard.engine._engine import Engine
@@ -236,6 +236,12 @@
         """Has a request for advice repeated that got no usable reply."""
         self._advice.fail(request, now_ms)
 
+    def ticket(
+        self, task: TaskKey, worker: Worker, now_ms: float
+    ) -> str | None:
+        """Returns a ticket of a task that is valid for long enough."""
+        return self._advice.ticket(task[:3], worker, now_ms)
+
     def drop_ticket(self, task: Task, worker: Worker) -> None:
         """Drops a ticket that the worker did not accept."""
         self._advice.drop_ticket(task.key[:3], worker)
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -333,6 +333,8 @@
             return None
         if not self._may_start(worker, run, now_ms):
             return None
+        if not self._engine.has_valid_ticket(effect, now_ms):
+            return None
         return worker.grant_lease(now_ms, min(START_VALID_MS, self._lease_ms))
 
     def _may_start(self, worker: Worker, run: WorkerRun, now_ms: float) -> bool:
--- a/tests/node/test_advice.py
+++ b/tests/node/test_advice.py
@@ -10,6 +10,7 @@
     PollReply,
     RequestAdvice,
     Start,
+    StartResult,
     Ticket,
     WorkerEntry,
     WorkerOutcomeUnknownError,
@@ -22,6 +23,7 @@
     StepSpec,
 )
 from limpetyard.node._order_dispatch import OrderDispatcher
+from tests.node.test_orders import HeldWorkerClient
 
 # A reply for one worker takes 7 s.
 SLOW = QueueParams("slow", "pool", advice=AdviceParams(6000, 1000, 60_000))
@@ -52,9 +54,10 @@
         self.clock = ManualClock(1000.0)
         self.engine = Engine(1, EngineParams(4000, 5000))
         self.client = _HeldAdviceClient()
+        self.workers = HeldWorkerClient()
         self.dispatcher = OrderDispatcher(
             self.engine,
-            None,
+            self.workers,
             self.client,
             self.clock,
             4000,
@@ -132,6 +135,28 @@
         first = timeouts[0]
         self.assertEqual(timeouts, [first, 2 * first, 4 * first, 4 * first])
 
+    async def test_ticket_that_expires_in_the_queue(self):
+        """A start that waited was sent with a ticket that had expired."""
+        first, second = self.submit(1, SLOW), self.submit(2, SLOW)
+        await self.plan()
+        for left in (60_000, 1500):
+            self.client.calls[-1][2].set_result([Ticket("w", "t", left)])
+            await self.settle()
+        starts = await self.plan()
+        self.assertEqual({s.task.job for s in starts}, {first, second})
+        starts.sort(key=lambda start: start.task.job)
+        for start in starts:
+            order = asyncio.create_task(self.dispatcher.accept(start))
+            self.addCleanup(order.cancel)
+        await self.settle()
+        self.clock.advance(1400.0)
+        self.workers.starts[0][2].set_result(StartResult.STARTED)
+        await self.settle()
+        self.assertEqual(len(self.workers.starts), 1)
+        self.assertEqual(len(self.engine.jobs[second].waiting_tasks(0, 0)), 1)
+        await self.plan()
+        self.assertEqual(self.client.calls[-1][0], second)
+
     async def test_job_that_has_ended(self):
         """Advice is requested for a job that was cancelled meanwhile."""
         first, second = self.submit(1, SLOW), self.submit(2, SLOW)
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -140,7 +140,7 @@
                 self.assertIs(run.state, RunState.STOPPING)
 
 
-class _HeldWorkerClient:
+class HeldWorkerClient:
     """Worker client whose starts wait until the test answers them.
 
     Attributes:
@@ -156,12 +156,14 @@
         self.held_stops: asyncio.Event | None = None
 
     async def start(self, entry, order) -> StartResult:
+        """Records a start order and waits for the test's answer."""
         fut = asyncio.get_running_loop().create_future()
         self.start_expiries_ms.append(order.lease_until_ms)
         self.starts.append((entry.id, (order.task, order.run), fut))
         return await fut
 
     async def stop(self, entry, task, run, token) -> None:
+        """Records a stop order and waits for `held_stops`."""
         self.stops.append((task, run))
         if self.held_stops is not None:
             await self.held_stops.wait()
@@ -174,7 +176,7 @@
         """Creates the engine and the dispatcher."""
         self.clock = ManualClock(1000.0)
         self.engine = Engine(1, EngineParams(4000, 5000))
-        self.client = _HeldWorkerClient()
+        self.client = HeldWorkerClient()
         self.may_order = True
         self.append_done = asyncio.Event()
         self.dispatcher = OrderDispatcher(
