--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -134,6 +134,7 @@
         "_offered_loads",
         "_pace",
         "_planner",
+        "_removed_incarnations",
         "_run_end_handler",
         "_workers_by_job",
         "crashes",
@@ -169,6 +170,8 @@
         # Ids of the workers that have got runs of a job, by its id, until it
         # ends.
         self._workers_by_job: dict[str, set[str]] = {}
+        # Incarnations of dropped workers that had more than one, by id.
+        self._removed_incarnations: dict[str, int] = {}
 
     def add_job(self, spec: JobSpec, now_ms: float, loaded: bool) -> Job:
         """Adds an accepted job and returns it; idempotent by id.
@@ -222,7 +225,8 @@
         """
         worker = self.workers.get(entry.id)
         if worker is None:
-            worker = Worker(entry, self.epoch)
+            incarnations = self._removed_incarnations.pop(entry.id, 0)
+            worker = Worker(entry, self.epoch, incarnations)
             worker.start_incarnation(entry.born)
             worker.set_entry(entry, now_ms)
             self.workers[entry.id] = worker
@@ -254,6 +258,28 @@
         """Adds tickets to run a step on workers; see `Planner`."""
         self._planner.add_tickets(request, tickets)
 
+    def on_advice_failed(self, request: RequestAdvice, now_ms: float) -> None:
+        """Handles a request for advice without a usable reply.
+
+        Each request must end here or in `add_tickets`, unless its job has
+        ended: it is not repeated before.
+        """
+        self._planner.fail_advice(request, now_ms)
+
+    def has_valid_ticket(self, effect: Start, now_ms: float) -> bool:
+        """Returns whether a start of an open job has the ticket that it needs.
+
+        It may have expired, or the worker may have rejected it, since the start
+        was planned.
+        """
+        if not effect.ticket:
+            return True
+        worker = self.workers.get(effect.worker)
+        if worker is None:
+            return False
+        ticket = self._planner.ticket(effect.task, worker, now_ms)
+        return ticket == effect.ticket
+
     def mark_entry_missing(self, worker_id: str, now_ms: float) -> None:
         """Records that a worker has no directory entry any more."""
         worker = self.workers.get(worker_id)
@@ -342,7 +368,10 @@
             )
         ]
         for worker_id in departed_ids:
-            del self.workers[worker_id]
+            worker = self.workers.pop(worker_id)
+            # The first token of a worker that is listed again is not lower.
+            if worker.incarnations > 1:
+                self._removed_incarnations[worker_id] = worker.incarnations
         return departed_ids
 
     def _is_missing_long(self, worker: Worker, now_ms: float) -> bool:
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -20,7 +20,7 @@
 from limpetyard.engine._urgency import restart_urgency, urgency
 from limpetyard.engine._waiting import RoundState, WaitReporter
 from limpetyard.engine._worker import Worker, WorkerRun
-from limpetyard.jobs import Job, StepSpec, Task
+from limpetyard.jobs import Job, StepSpec, Task, TaskKey
 
 if TYPE_CHECKING:
     from limpetyard.engine._engine import Engine
@@ -192,7 +192,9 @@
         draining = [
             worker
             for worker in self._engine.workers.values()
-            if worker.entry.draining and worker.is_responsive(now_ms)
+            if worker.entry.draining
+            and worker.entry_is_current
+            and worker.is_responsive(now_ms)
         ]
         draining.sort(key=lambda w: self._drained_ms.get(w.id, -math.inf))
         self._drained_ms = {
@@ -230,6 +232,16 @@
         """
         self._advice.add(request, tickets)
 
+    def fail_advice(self, request: RequestAdvice, now_ms: float) -> None:
+        """Has a request for advice repeated that got no usable reply."""
+        self._advice.fail(request, now_ms)
+
+    def ticket(
+        self, task: TaskKey, worker: Worker, now_ms: float
+    ) -> str | None:
+        """Returns a ticket of a task that is valid for long enough."""
+        return self._advice.ticket(task[:3], worker, now_ms)
+
     def drop_ticket(self, task: Task, worker: Worker) -> None:
         """Drops a ticket that the worker did not accept."""
         self._advice.drop_ticket(task.key[:3], worker)
@@ -280,6 +292,7 @@
             Candidate(worker, engine.interference, now_ms)
             for worker in engine.workers.values()
             if worker.entry.service == service
+            and worker.entry_is_current
             and worker.token_confirmed
             and worker.recorded
             and not worker.entry.draining
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -1,5 +1,8 @@
 """Clients of the platform's workers and of its advice service."""
 
+import asyncio
+from collections.abc import Callable
+
 import msgspec
 
 from limpetyard._http_client import (
@@ -7,8 +10,10 @@
     HttpResponse,
     NotSentError,
     OutcomeUnknownError,
+    WithheldError,
 )
 from limpetyard.engine import (
+    OrderWithheldError,
     PaceOrder,
     PollReply,
     PollRequest,
@@ -158,10 +163,28 @@
     Implements `limpetyard.engine.StepWorkerClient`.
     """
 
-    __slots__ = ("_http_client",)
+    __slots__ = ("_http_client", "_may_order")
+
+    def __init__(
+        self,
+        may_order: Callable[[], bool] | None = None,
+        http_client: HttpClient | None = None,
+    ):
+        """Creates a client.
+
+        Args:
+            may_order: See `guarded`; None if everything may be sent.
+            http_client: Client whose connections are used, or None.
+        """
+        self._http_client = http_client or HttpClient(MAX_CONNECTIONS, "worker")
+        self._may_order = may_order
+
+    def guarded(self, may_order: Callable[[], bool]) -> "PlatformWorkerClient":
+        """See `limpetyard.engine.StepWorkerClient.guarded`.
 
-    def __init__(self):
-        self._http_client = HttpClient(MAX_CONNECTIONS, "worker")
+        Both clients share their connections.
+        """
+        return PlatformWorkerClient(may_order, self._http_client)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -245,8 +268,10 @@
         data = msgspec.json.encode(body)
         try:
             return await self._http_client.call(
-                "POST", url, data, timeout_ms, headers
+                "POST", url, data, timeout_ms, headers, self._may_order
             )
+        except WithheldError as exc:
+            raise OrderWithheldError(f"{entry.id}: {exc}") from exc
         except NotSentError as exc:
             error = (
                 WorkerDownError
@@ -269,18 +294,19 @@
     Implements `limpetyard.engine.AdviceClient`.
     """
 
-    __slots__ = ("_http_client", "_timeout_ms", "_url")
+    __slots__ = ("_http_client", "_turn", "_url")
 
-    def __init__(self, address: str, timeout_ms: float):
+    def __init__(self, address: str):
         """Creates a client.
 
         Args:
             address: IP:port of the service.
-            timeout_ms: Time-out of a call.
         """
         self._url = f"http://{address}/advise"
-        self._timeout_ms = timeout_ms
         self._http_client = HttpClient(1, "advice")
+        # The service handles one call of each machine at a time. The time that
+        # others take must not count against the time-out of a call.
+        self._turn = asyncio.Lock()
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -288,16 +314,22 @@
 
     @translate_decode_errors(WorkerOutcomeUnknownError)
     async def advise(
-        self, job: str, occurrence: int, step: int, workers: list[str]
+        self,
+        job: str,
+        occurrence: int,
+        step: int,
+        workers: list[str],
+        timeout_ms: float,
     ) -> list[Ticket]:
         """See `limpetyard.engine.AdviceClient.advise`."""
         body = msgspec.json.encode(
             _AdviseRequest(f"{job}.{occurrence}.{step}", workers)
         )
         try:
-            reply = await self._http_client.call(
-                "POST", self._url, body, self._timeout_ms
-            )
+            async with self._turn:
+                reply = await self._http_client.call(
+                    "POST", self._url, body, timeout_ms
+                )
         except (NotSentError, OutcomeUnknownError) as exc:
             raise WorkerOutcomeUnknownError(str(exc)) from exc
         if reply.status != 200:
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -11,6 +11,7 @@
 from limpetyard.engine import (
     Engine,
     EngineParams,
+    OrderWithheldError,
     PollReply,
     RunState,
     Start,
@@ -25,12 +26,14 @@
 from limpetyard.node._order_dispatch import START_VALID_MS, OrderDispatcher
 
 REFUSED = "refused"
+WITHHELD = "withheld"
 
 
 class _ScriptedWorkerClient:
     """Worker client that replies to starts from a list.
 
-    None means no reply, and REFUSED that the connection is refused.
+    None means no reply, REFUSED that the connection is refused, and WITHHELD
+    that the order may not be sent any more.
     """
 
     def __init__(self, replies: list[StartResult | str | None]):
@@ -42,6 +45,8 @@
             raise WorkerOutcomeUnknownError(entry.id)
         if reply is REFUSED:
             raise WorkerDownError(entry.id)
+        if reply is WITHHELD:
+            raise OrderWithheldError(entry.id)
         return reply
 
 
@@ -90,6 +95,12 @@
         self.assertFalse(self.granted)
         self.assertGreater(self.worker.backoff_until_ms, 1000.0)
 
+    async def test_withheld(self):
+        """A start that was not sent leaves no run and no lease."""
+        self.assertIsNone(await self.start(WITHHELD, WITHHELD))
+        self.assertEqual(self.task.state, "waiting")
+        self.assertFalse(self.granted)
+
     async def test_answered_after_a_refused_connection(self):
         """The reply to the only attempt that was sent is known to be true."""
         run = await self.start(REFUSED, StartResult.STARTED)
@@ -129,7 +140,7 @@
                 self.assertIs(run.state, RunState.STOPPING)
 
 
-class _HeldWorkerClient:
+class HeldWorkerClient:
     """Worker client whose starts wait until the test answers them.
 
     Attributes:
@@ -145,12 +156,14 @@
         self.held_stops: asyncio.Event | None = None
 
     async def start(self, entry, order) -> StartResult:
+        """Records a start order and waits for the test's answer."""
         fut = asyncio.get_running_loop().create_future()
         self.start_expiries_ms.append(order.lease_until_ms)
         self.starts.append((entry.id, (order.task, order.run), fut))
         return await fut
 
     async def stop(self, entry, task, run, token) -> None:
+        """Records a stop order and waits for `held_stops`."""
         self.stops.append((task, run))
         if self.held_stops is not None:
             await self.held_stops.wait()
@@ -163,7 +176,7 @@
         """Creates the engine and the dispatcher."""
         self.clock = ManualClock(1000.0)
         self.engine = Engine(1, EngineParams(4000, 5000))
-        self.client = _HeldWorkerClient()
+        self.client = HeldWorkerClient()
         self.may_order = True
         self.append_done = asyncio.Event()
         self.dispatcher = OrderDispatcher(
