Let a job be read and cancelled through its own queue only

Callers of any queue saw the state of another queue's job under its id, and their DELETE cancelled it: the node passed only the id to the owner.

The owner's reply names the queue of the job now, and the node that was asked compares it with the queue that host and path select: 410 if they differ. A former release ignores the new field of the reply, and its own replies lack it, so nothing is compared while it owns the cell.

While the owner is away nobody can compare, and the cancellation is stored. Its value is a hash of the queue's name in place of "1", and the owner obeys only those of the job's queue. As callers of another queue could still replace that record, it is stored under a second key as well that has the queue in it, by the same append. A former release obeys every record under the first key, as before, and ignores the second; its own "1" counts for any queue.

The calls of other tests were given the name of the queue; what they check is unchanged.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -39,6 +39,10 @@
     "bad_packet": EventKind(
         ("peer", "reason"), "A packet from another member cannot be decoded."
     ),
+    "cancellation_ignored": EventKind(
+        ("job", "queue"),
+        "A cancellation came from another queue than the one of the job.",
+    ),
     "cell_claimed": EventKind(
         ("cell", "epoch"),
         "This node claimed a cell; the new epoch fences lower ones.",
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -1,5 +1,7 @@
 """Encoding and decoding of the job records in the store."""
 
+import hashlib
+
 import msgspec
 
 from limpetyard._events import event
@@ -13,6 +15,13 @@
 CANCELLED_PREFIX = "c/"
 PROGRESS_PREFIX = "p/"
 
+# Value of a cancellation by a release that did not store the queue.
+ANY_QUEUE = b"1"
+
+# Length of the part of a key that stands for a queue. Names of queues may be
+# longer than the keys of the store.
+QUEUE_TAG_BYTES = 8
+
 # Most marks of tasks whose occurrence is done. Beyond, such occurrences are
 # stored as ranges, so that the record of a long schedule stays small.
 MAX_DONE_MARKS = 1000
@@ -81,6 +90,38 @@
 _progress_decoder = msgspec.msgpack.Decoder(JobProgress)
 
 
+def queue_tag(queue: str) -> str:
+    """Returns what stands for a queue in the records of its jobs."""
+    return hashlib.blake2b(
+        queue.encode(), digest_size=QUEUE_TAG_BYTES
+    ).hexdigest()
+
+
+def cancellation_keys(job_id: str, queue: str) -> tuple[str, str]:
+    """Returns the keys of the cancellation of a job by callers of a queue.
+
+    Callers of another queue may write the first one too. It is the only one
+    that releases without the second one read.
+    """
+    key = CANCELLED_PREFIX + job_id
+    return key, f"{key}/{queue_tag(queue)}"
+
+
+def encode_cancellation(queue: str) -> bytes:
+    """Returns the stored form of a cancellation by callers of a queue."""
+    return queue_tag(queue).encode()
+
+
+def cancelled_job(key: str) -> str:
+    """Returns the id of the job from a key of its cancellation."""
+    return key.removeprefix(CANCELLED_PREFIX).partition("/")[0]
+
+
+def cancels_jobs_of(value: bytes, queue: str) -> bool:
+    """Returns whether a stored cancellation is valid for jobs of a queue."""
+    return value in (ANY_QUEUE, encode_cancellation(queue))
+
+
 def encode_spec(spec: JobSpec) -> bytes:
     """Returns the stored form of an accepted job."""
     return msgspec.msgpack.encode(spec)
--- a/src/limpetyard/node/__init__.py
+++ b/src/limpetyard/node/__init__.py
@@ -14,6 +14,7 @@
 from limpetyard.node._peers import (
     HttpPeerClient,
     JobNotFoundError,
+    JobStatus,
     PeerClient,
     PeerServer,
     PeerUnavailableError,
@@ -30,6 +31,7 @@
     "HttpPeerClient",
     "JobNotFoundError",
     "JobService",
+    "JobStatus",
     "Node",
     "NodeSettings",
     "PeerClient",
--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -14,14 +14,16 @@
 from limpetyard.errors import RequestError
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
-    CANCELLED_PREFIX,
     FINAL_STATES,
     JobSpec,
+    cancellation_keys,
+    encode_cancellation,
     encode_spec,
 )
 from limpetyard.node._member import GroupMember
 from limpetyard.node._peers import (
     JobNotFoundError,
+    JobStatus,
     LocalCells,
     PeerClient,
     PeerUnavailableError,
@@ -53,17 +55,17 @@
 # Retry-After of refused requests: the duration of a takeover, rounded up.
 RETRY_AFTER_S = 1
 
-# Maximum number of records per append.
+# Number of records at which an append takes no further callers.
 MAX_BATCH_RECORDS = 64
 
 
-class _PendingRecord:
-    """A record in the queue and the future that its caller awaits."""
+class _PendingRecords:
+    """Records of one caller in the queue and the future that it awaits."""
 
-    __slots__ = ("fut", "record")
+    __slots__ = ("fut", "records")
 
-    def __init__(self, record: KeyedRecord, fut: asyncio.Future):
-        self.record = record
+    def __init__(self, records: list[KeyedRecord], fut: asyncio.Future):
+        self.records = records
         self.fut = fut
 
 
@@ -74,21 +76,25 @@
 
     def __init__(self, store: Store, clock: Clock, cell: int, producer: str):
         self._clock = clock
-        self._queue: asyncio.Queue[_PendingRecord] = asyncio.Queue()
+        self._queue: asyncio.Queue[_PendingRecords] = asyncio.Queue()
         self._writer = Writer(store, clock, JOBS_TOPIC, cell, producer, 1)
 
     async def run(self) -> None:
         """Appends queued records until cancelled."""
         while True:
             batch = [await self._queue.get()]
-            while len(batch) < MAX_BATCH_RECORDS and not self._queue.empty():
+            size = len(batch[0].records)
+            while size < MAX_BATCH_RECORDS and not self._queue.empty():
                 batch.append(self._queue.get_nowait())
+                size += len(batch[-1].records)
             # Callers that have timed out have cancelled their futures.
             batch = [item for item in batch if not item.fut.done()]
             if not batch:
                 continue
             try:
-                await self._writer.append([item.record for item in batch])
+                await self._writer.append(
+                    [record for item in batch for record in item.records]
+                )
             except StoreError as exc:
                 _fail_batch(batch, exc)
             else:
@@ -96,16 +102,16 @@
                     if not item.fut.done():
                         item.fut.set_result(None)
 
-    async def append(self, record: KeyedRecord, wait_ms: float) -> None:
-        """Queues a record and waits until it is stored.
+    async def append(self, records: list[KeyedRecord], wait_ms: float) -> None:
+        """Queues records and waits until they are stored, by one append.
 
         Args:
-            record: Record to append.
+            records: Records to append.
             wait_ms: Maximum time to wait.
 
         Raises:
-            RequestError: STORE_REFUSED if the record is not and will not be
-                stored, STORE_SILENT if the outcome is unknown.
+            RequestError: STORE_REFUSED if no record is or will be stored,
+                STORE_SILENT if the outcome is unknown.
         """
         since_ms = self._writer.unanswered_since_ms
         now_ms = self._clock.now_ms()
@@ -116,7 +122,7 @@
                 RETRY_AFTER_S,
             )
         fut = asyncio.get_running_loop().create_future()
-        self._queue.put_nowait(_PendingRecord(record, fut))
+        self._queue.put_nowait(_PendingRecords(records, fut))
         try:
             async with asyncio.timeout(max(wait_ms, 1) / MS_PER_SECOND):
                 await fut
@@ -127,7 +133,7 @@
             ) from None
 
 
-def _fail_batch(batch: list[_PendingRecord], exc: StoreError) -> None:
+def _fail_batch(batch: list[_PendingRecords], exc: StoreError) -> None:
     refused = isinstance(exc, StoreRefusedError)
     kind = ErrorKind.STORE_REFUSED if refused else ErrorKind.STORE_SILENT
     for item in batch:
@@ -174,7 +180,7 @@
         """
         start_ms = self._clock.now_ms()
         record = KeyedRecord(ACCEPTED_PREFIX + spec.id, encode_spec(spec))
-        await self._appender.append(record, deadline_ms - RESPONSE_RESERVE_MS)
+        await self._appender.append([record], deadline_ms - RESPONSE_RESERVE_MS)
         event(
             "job_accepted",
             job=spec.id,
@@ -183,41 +189,56 @@
             took_ms=self._clock.now_ms() - start_ms,
         )
 
-    async def cancel(self, job_id: str, deadline_ms: float) -> None:
-        """Cancels a job.
+    async def cancel(self, job_id: str, queue: str, deadline_ms: float) -> None:
+        """Cancels a job of a queue.
 
         While the owner is unavailable, a cancellation is accepted without a
-        check that the job exists.
+        check that the job exists. It names the queue, so that it does not
+        cancel a job of another queue.
+
+        Args:
+            job_id: Id of the job.
+            queue: Name of the queue that the caller uses.
+            deadline_ms: Time that the caller waits.
 
         Raises:
-            RequestError: JOB_GONE if there is no such job; otherwise as for
-                `submit`.
+            RequestError: JOB_GONE if the queue has no such job; otherwise as
+                for `submit`.
         """
         start_ms = self._clock.now_ms()
         try:
-            state = await self._query_state(job_id)
+            state = await self._query_state(job_id, queue)
         except PeerUnavailableError:
             state = ""
         except JobNotFoundError:
             raise RequestError(ErrorKind.JOB_GONE, job_id) from None
         if state not in FINAL_STATES:
             left_ms = deadline_ms - (self._clock.now_ms() - start_ms)
-            record = KeyedRecord(CANCELLED_PREFIX + job_id, b"1")
-            await self._appender.append(record, left_ms - RESPONSE_RESERVE_MS)
+            value = encode_cancellation(queue)
+            records = [
+                KeyedRecord(key, value)
+                for key in cancellation_keys(job_id, queue)
+            ]
+            await self._appender.append(records, left_ms - RESPONSE_RESERVE_MS)
         event("job_cancelled", job=job_id, state=state or "unknown")
 
-    async def state(self, job_id: str, deadline_ms: float) -> str:
-        """Returns the state of a job.
+    async def state(self, job_id: str, queue: str, deadline_ms: float) -> str:
+        """Returns the state of a job of a queue.
+
+        Args:
+            job_id: Id of the job.
+            queue: Name of the queue that the caller uses.
+            deadline_ms: Time that the caller waits.
 
         Raises:
-            RequestError: JOB_GONE if there is no such job, OWNER_AWAY if the
-                owner is unavailable.
+            RequestError: JOB_GONE if the queue has no such job, OWNER_AWAY if
+                the owner is unavailable.
         """
         start_ms = self._clock.now_ms()
         wait_ms = min(OWNER_TIMEOUT_MS, deadline_ms - RESPONSE_RESERVE_MS)
         while True:
             try:
-                return await self._query_state(job_id)
+                return await self._query_state(job_id, queue)
             except JobNotFoundError:
                 raise RequestError(ErrorKind.JOB_GONE, job_id) from None
             except PeerUnavailableError as exc:
@@ -250,12 +271,25 @@
         self._pending[queue] = (now_ms, count)
         return count
 
-    async def _query_state(self, job_id: str) -> str:
+    async def _query_state(self, job_id: str, queue: str) -> str:
+        """Returns the state of a job of a queue.
+
+        Raises:
+            JobNotFoundError: If the queue has no such job.
+            PeerUnavailableError: If the owner is unavailable.
+        """
+        status = await self._query_status(job_id)
+        # An owner of a former release does not tell the queue.
+        if status.queue not in ("", queue):
+            raise JobNotFoundError(f"{job_id} is a job of another queue")
+        return status.state
+
+    async def _query_status(self, job_id: str) -> JobStatus:
         member = self._get_member()
         if 0 in member.assigned_cells:
-            return await self._cells.job_state(job_id)
+            return await self._cells.job_status(job_id)
         owner = await member.assigned_member(0)
-        return await self._peers.job_state(owner, job_id)
+        return await self._peers.job_status(owner, job_id)
 
     async def _query_pending(self, queue: str) -> int:
         member = self._get_member()
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -26,6 +26,7 @@
 from limpetyard.node._owner import CellOwner
 from limpetyard.node._peers import (
     JobNotFoundError,
+    JobStatus,
     PeerClient,
     PeerServer,
     PeerUnavailableError,
@@ -313,8 +314,8 @@
             raise PeerUnavailableError("this node does not own the cell")
         return owner
 
-    async def job_state(self, job_id: str) -> str:
-        """See `LocalCells.job_state`."""
+    async def job_status(self, job_id: str) -> JobStatus:
+        """See `LocalCells.job_status`."""
         owner = self._deciding_owner()
         if job_id not in owner.engine.jobs:
             # It may have been accepted since the last read.
@@ -326,7 +327,8 @@
         job = owner.engine.jobs.get(job_id)
         if job is None:
             raise JobNotFoundError(job_id)
-        return job.stored_state if job.is_final else job.state
+        state = job.stored_state if job.is_final else job.state
+        return JobStatus(state, job.spec.queue.name)
 
     def queue_pending(self, queue: str) -> int:
         """See `LocalCells.queue_pending`."""
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -26,8 +26,8 @@
 )
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
-    CANCELLED_PREFIX,
     PROGRESS_PREFIX,
+    cancellation_keys,
     encode_progress,
 )
 from limpetyard.node._member import GroupMember
@@ -568,12 +568,12 @@
             await asyncio.sleep(PURGE_INTERVAL_MS / MS_PER_SECOND)
 
     async def _purge(self, now_ms: float) -> None:
-        """Deletes the records of expired jobs and of removed workers.
+        """Deletes stray records and those of expired jobs and removed workers.
 
         A job expires some time after its final state has been stored.
         """
         expired_jobs = [
-            job.spec.id
+            job.spec
             for job in self.engine.jobs.values()
             if job.is_final
             and job.stored_state == job.state
@@ -587,9 +587,12 @@
         records = [
             KeyedRecord(WORKER_KEY_PREFIX + worker, None) for worker in removed
         ]
-        for job_id in expired_jobs:
-            for prefix in (PROGRESS_PREFIX, CANCELLED_PREFIX, ACCEPTED_PREFIX):
-                records.append(KeyedRecord(prefix + job_id, None))
+        for spec in expired_jobs:
+            keys = [PROGRESS_PREFIX + spec.id, ACCEPTED_PREFIX + spec.id]
+            keys += cancellation_keys(spec.id, spec.queue.name)
+            records += [KeyedRecord(key, None) for key in keys]
+        strays = set(self._record_applier.stray_keys)
+        records += [KeyedRecord(key, None) for key in sorted(strays)]
         if not records:
             return
         # One that is listed again before the reply must be recorded anew.
@@ -600,8 +603,9 @@
         except StoreError as exc:
             event("forget_failed", reason=exc)
             return
-        for job_id in expired_jobs:
-            self.engine.drop_job(job_id)
+        for spec in expired_jobs:
+            self.engine.drop_job(spec.id)
+        self._record_applier.stray_keys -= strays
         self._removed_workers.difference_update(removed)
 
     def _execute(self, effects: list[Effect]) -> None:
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -32,8 +32,17 @@
     """The owner of the cell has no such job."""
 
 
-class _StateReply(msgspec.Struct):
+class JobStatus(msgspec.Struct):
+    """What the owner says about a job.
+
+    Attributes:
+        state: State of the job.
+        queue: Name of its queue, or "" if the owner runs a release that does
+            not tell.
+    """
+
     state: str
+    queue: str = ""
 
 
 class _PendingReply(msgspec.Struct):
@@ -47,8 +56,8 @@
     owner or has not read enough to reply.
     """
 
-    async def job_state(self, job_id: str) -> str:
-        """Returns the state of a job.
+    async def job_status(self, job_id: str) -> JobStatus:
+        """Returns the state and the queue of a job.
 
         Raises:
             JobNotFoundError: If no such job was accepted before the call.
@@ -71,8 +80,8 @@
 class PeerClient(Protocol):
     """Client of other nodes; `HttpPeerClient` documents the errors."""
 
-    async def job_state(self, member: str, job_id: str) -> str:
-        """Requests the state of a job from the owner."""
+    async def job_status(self, member: str, job_id: str) -> JobStatus:
+        """Requests the state and the queue of a job from the owner."""
 
     async def queue_pending(self, member: str, queue: str) -> int:
         """Requests the number of queued jobs, without timed ones."""
@@ -98,8 +107,8 @@
         """Closes all connections."""
         await self._http_client.close()
 
-    async def job_state(self, member: str, job_id: str) -> str:
-        """Requests the state of a job from the owner.
+    async def job_status(self, member: str, job_id: str) -> JobStatus:
+        """Requests the state and the queue of a job from the owner.
 
         Raises:
             JobNotFoundError: If the owner has no such job.
@@ -107,7 +116,7 @@
                 replied with an error.
         """
         reply = await self._get(member, f"/v1/jobs/{job_id}")
-        return msgspec.json.decode(reply.body, type=_StateReply).state
+        return msgspec.json.decode(reply.body, type=JobStatus)
 
     async def queue_pending(self, member: str, queue: str) -> int:
         """Requests the number of queued jobs, without timed ones.
@@ -209,8 +218,7 @@
         if collection == "alive":
             return web.Response()
         if collection == "jobs":
-            state = await self._cells.job_state(parts[2])
-            return _json_response(_StateReply(state))
+            return _json_response(await self._cells.job_status(parts[2]))
         if collection == "queues":
             return _json_response(
                 _PendingReply(self._cells.queue_pending(parts[2]))
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -13,6 +13,8 @@
     CANCELLED_PREFIX,
     PROGRESS_PREFIX,
     apply_progress,
+    cancelled_job,
+    cancels_jobs_of,
     decode_spec,
 )
 from limpetyard.node._store_layout import PLACES_KEY, WORKER_KEY_PREFIX
@@ -29,6 +31,9 @@
     Records of the jobs topic are collected until `apply_collected`, since the
     progress of a job may be read before the job. After that they are applied at
     once, as directory entries always are.
+
+    Attributes:
+        stray_keys: Keys of records that are of no use, to be deleted.
     """
 
     __slots__ = (
@@ -39,6 +44,7 @@
         "_parse_worker_entry",
         "_recorded_workers",
         "_wall_ms",
+        "stray_keys",
     )
 
     def __init__(
@@ -70,6 +76,7 @@
         self._collected: list[StoredRecord] | None = []
         # Stored incarnation and draining flag of each worker, by id.
         self._recorded_workers: dict[str, tuple[int, bool]] = {}
+        self.stray_keys: set[str] = set()
 
     def places_epoch(self) -> int:
         """Returns the epoch of the latest owner that stored places.
@@ -155,8 +162,15 @@
                 self._engine.open_jobs.pop(job.spec.id, None)
 
     def _apply_cancelled(self, record: StoredRecord, loaded: bool) -> None:
-        job_id = record.key.removeprefix(CANCELLED_PREFIX)
-        self._engine.cancel_job(job_id, self._clock.now_ms())
+        job = self._engine.jobs.get(cancelled_job(record.key))
+        if job is None:
+            return
+        queue = job.spec.queue.name
+        if cancels_jobs_of(record.value, queue):
+            self._engine.cancel_job(job.spec.id, self._clock.now_ms())
+            return
+        event("cancellation_ignored", job=job.spec.id, queue=queue)
+        self.stray_keys.add(record.key)
 
     def _apply_worker(self, record: StoredRecord, loaded: bool) -> None:
         """Adds a worker that an earlier owner recorded; ignores later records.
--- a/src/limpetyard/platform/_ingress.py
+++ b/src/limpetyard/platform/_ingress.py
@@ -206,13 +206,17 @@
     async def _state(
         self, req: web.BaseRequest, queue: Queue, job_id: str
     ) -> web.Response:
-        state = await self._job_service.state(job_id, _deadline_ms(req))
+        state = await self._job_service.state(
+            job_id, queue.params.name, _deadline_ms(req)
+        )
         return _json_response({"state": state})
 
     async def _cancel(
         self, req: web.BaseRequest, queue: Queue, job_id: str
     ) -> web.Response:
-        await self._job_service.cancel(job_id, _deadline_ms(req))
+        await self._job_service.cancel(
+            job_id, queue.params.name, _deadline_ms(req)
+        )
         return _json_response({})
 
 
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -14,6 +14,7 @@
 from limpetyard.node import (
     FenceResult,
     JobService,
+    JobStatus,
     Node,
     NodeSettings,
     PeerUnavailableError,
@@ -136,8 +137,8 @@
         except LinkTimeoutError:
             raise PeerUnavailableError(member) from None
 
-    async def job_state(self, member: str, job_id: str) -> str:
-        return await self._call(member, lambda node: node.job_state(job_id))
+    async def job_status(self, member: str, job_id: str) -> JobStatus:
+        return await self._call(member, lambda node: node.job_status(job_id))
 
     async def queue_pending(self, member: str, queue: str) -> int:
         return await self._call(member, lambda node: node.queue_pending(queue))
@@ -448,6 +449,11 @@
             self.history.refused.add(spec.id)
         return False
 
+    def _queue_of(self, job_id: str) -> str:
+        """Returns the queue to which clients submitted a job, if any."""
+        spec = self.history.submitted.get(job_id)
+        return (spec.queue if spec is not None else QUEUE).name
+
     async def cancel(self, job_id: str) -> bool:
         """Cancels a job as a client does; returns whether it was confirmed."""
         self.history.cancel_requests.add(job_id)
@@ -456,7 +462,11 @@
             job_service = host.job_service
             if job_service is not None:
                 try:
-                    await host.serve(job_service.cancel(job_id, DEADLINE_MS))
+                    await host.serve(
+                        job_service.cancel(
+                            job_id, self._queue_of(job_id), DEADLINE_MS
+                        )
+                    )
                 except RequestError:
                     await asyncio.sleep(0.3)
                     continue
@@ -476,7 +486,9 @@
         if job_service is None:
             return None
         try:
-            state = await host.serve(job_service.state(job_id, DEADLINE_MS))
+            state = await host.serve(
+                job_service.state(job_id, self._queue_of(job_id), DEADLINE_MS)
+            )
         except RequestError as exc:
             if exc.kind.value != "job_gone":
                 return None
--- a/tests/node/test_standby.py
+++ b/tests/node/test_standby.py
@@ -229,7 +229,7 @@
                     self.assertTrue(host.node.ready)
                     await asyncio.sleep(0.005)
             await self.complete(site, range(2))
-            state = await host.job_service.state(f"{0:016x}", 3000)
+            state = await host.job_service.state(f"{0:016x}", "queue", 3000)
             self.assertEqual(state, "completed")
             self.assertEqual(await host.job_service.pending("queue"), 0)
 
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -147,7 +147,7 @@
 
         async def scenario(site: SimulatedSite) -> None:
             host = await self.submit_before_the_owner_reads(site)
-            await host.job_service.cancel(job(0).id, 3000)
+            await host.job_service.cancel(job(0).id, QUEUE.name, 3000)
             await asyncio.sleep(2)
             self.assertEqual(await site.query_state(job(0).id), "cancelled")
             site.history.cancel_requests.add(job(0).id)
@@ -159,7 +159,7 @@
 
         async def scenario(site: SimulatedSite) -> None:
             host = await self.submit_before_the_owner_reads(site)
-            state = await host.job_service.state(job(0).id, 3000)
+            state = await host.job_service.state(job(0).id, QUEUE.name, 3000)
             self.assertIn(state, ("queued", "running"))
             await self.complete(site, range(1))
 
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -122,10 +122,12 @@
     async def submit(self, spec, deadline_ms):
         self.calls.append(("submit", spec.id, deadline_ms))
 
-    async def state(self, job_id, deadline_ms):
+    async def state(self, job_id, queue, deadline_ms):
+        self.calls.append(("state", job_id, queue, deadline_ms))
         raise RequestError(ErrorKind.JOB_GONE, job_id)
 
-    async def cancel(self, job_id, deadline_ms):
+    async def cancel(self, job_id, queue, deadline_ms):
+        self.calls.append(("cancel", job_id, queue, deadline_ms))
         raise RequestError(ErrorKind.STORE_REFUSED, "busy", 1)
 
     async def pending(self, queue):
@@ -198,6 +200,16 @@
         queue = self.view.queues.find("A.example", "/p/q/" + ID)
         self.assertEqual(queue.params.name, "r2")
 
+    async def test_queue_of_a_query(self):
+        """A query or cancellation concerns a job of the selected queue."""
+        self.configure()
+        await self.request("GET", "/p/" + ID)
+        await self.request("DELETE", "/p/q/" + ID)
+        self.assertEqual(
+            self.job_service.calls,
+            [("state", ID, "r", 900), ("cancel", ID, "r2", 900)],
+        )
+
     def test_stale_version(self):
         """Older, undecodable and removed versions are ignored."""
         self.configure(7)
