Hand over no lease of a worker whose record is being deleted

A worker that has left is dropped by the owner before its record is deleted. If the cell passed on in between, the next owner loaded the record, found no lease handed over, and tasks of inherited jobs waited 5.2 s for a worker that was gone. The lease is handed over as 0 now: the owner drops a worker only when no run can exist on it.

--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -1,5 +1,7 @@
 """Handover of lease expiries from the previous owners of a cell."""
 
+from collections.abc import Collection
+
 import msgspec
 
 from limpetyard.engine import Engine
@@ -46,15 +48,17 @@
 
     __slots__ = ("_epoch", "_orders_until_ms", "_until_ms")
 
-    def __init__(self, engine: Engine):
+    def __init__(self, engine: Engine, removed: Collection[str] = ()):
         """Copies the time until which runs may exist, by worker.
 
         Args:
             engine: State of the ownership, which issues no more orders.
+            removed: Workers on which no run can exist. The next owner may find
+                their records.
         """
         self._epoch = engine.epoch
         self._orders_until_ms = engine.predecessor_until_ms
-        self._until_ms = {
+        self._until_ms = dict.fromkeys(removed, 0.0) | {
             worker.id: worker.runs_until_ms
             for worker in engine.workers.values()
         }
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -369,4 +369,6 @@
     def _save_leases(self, owner: CellOwner) -> None:
         """Saves the lease expiries, which the next owner may request."""
         if owner.state_loaded:
-            self._former_leases[owner.cell] = LeaseExpiries(owner.engine)
+            self._former_leases[owner.cell] = LeaseExpiries(
+                owner.engine, owner.removed_workers
+            )
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -176,6 +176,11 @@
         """Whether this ownership has ended."""
         return self.state_machine.state == "ended"
 
+    @property
+    def removed_workers(self) -> frozenset[str]:
+        """Workers that have departed, but whose records are not deleted yet."""
+        return frozenset(self._removed_workers)
+
     @property
     def earlier_claims(self) -> dict[int, str]:
         """Member names in earlier claims that this owner knows, by epoch."""
