Bound the previous owner by its claim only once that is known

Three faults of the takeover that passes over unloaded owners, found by a review of it.

And the time for which an earlier owner may order is stretched for slow clocks, as leases are.

The cell now really passes through unloaded owners in a row in test_worker_lost_before_the_takeovers.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -398,9 +398,13 @@
         An owner that has stored nothing has started such tasks at stored places
         only, unless it is of a release that stores none.
         """
-        return await self._predecessor.all_store_places(
-            self._record_applier.places_epoch(), self.engine.epoch
-        )
+        stored_epoch = self._record_applier.places_epoch()
+        predecessor, epoch = self._predecessor, self.engine.epoch
+        if await predecessor.all_store_places(stored_epoch, epoch):
+            return True
+        # The replies to a fence may have claims that the store has trimmed.
+        await predecessor.fence_ended.wait()
+        return await predecessor.all_store_places(stored_epoch, epoch)
 
     def _on_records(self) -> None:
         """Handles records that were applied to the engine."""
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -73,7 +73,7 @@
 
         Returns:
             Remaining leases of the latest one in which this node may have
-            issued orders.
+            issued orders; of epoch 0 if there was none.
         """
 
 
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -28,6 +28,7 @@
     Attributes:
         claims: Member names in claims before that of the new owner, by epoch,
             as far as known.
+        fence_ended: Set once `fence` has ended.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "_read_ms",
         "_store",
         "claims",
+        "fence_ended",
     )
 
     def __init__(
@@ -53,6 +55,7 @@
         params: EngineParams,
     ):
         self.claims: dict[int, str] = {}
+        self.fence_ended = asyncio.Event()
         self._cell = cell
         self._store = store
         self._peers = peers
@@ -61,7 +64,7 @@
         # Epoch of the owner that the result of fencing is about.
         self._epoch = 0
         self._fence_result = FenceResult(False)
-        self._fenced_ms = 0.0
+        self._fenced_ms: float | None = None
         # Epoch of the latest claim before that of the new owner was appended,
         # and when it was read.
         self._read_epoch = 0
@@ -79,7 +82,8 @@
         Valid if fencing is confirmed.
         """
         leases = self._fence_result.leases
-        return self._fenced_ms + (leases.orders_left_ms if leases else 0.0)
+        left_ms = leases.orders_left_ms if leases is not None else 0.0
+        return self._fenced_ms + left_ms / MIN_CLOCK_RATE
 
     async def read(self) -> None:
         """Reads the latest claim.
@@ -117,10 +121,11 @@
         """
         if owner_epoch not in self.claims:
             earlier = [known for known in self.claims if known < owner_epoch]
-            first = max(earlier, default=owner_epoch - 1)
+            # The claim of an epoch is at the offset before it.
+            offset = max(earlier, default=owner_epoch - 1)
             try:
                 page = await self._store.read(
-                    OWNERS_TOPIC, self._cell, first, wait_ms=0
+                    OWNERS_TOPIC, self._cell, offset, wait_ms=0
                 )
             except StoreError as exc:
                 event("claims_unread", epoch=epoch, reason=exc)
@@ -148,12 +153,15 @@
     async def fence(self, epoch: int) -> None:
         """Fences the previous owners and requests the remaining leases.
 
-        Leases of any other epoch than that of the fenced owner are discarded.
+        Passes over owners that have never loaded the cell.
 
         Args:
             epoch: Epoch of the new ownership.
         """
-        await self._fence_once(epoch)
+        try:
+            await self._fence_once(epoch)
+        finally:
+            self.fence_ended.set()
         self._log_fencing(epoch)
 
     async def fence_until_certain(self, epoch: int) -> None:
@@ -187,6 +195,7 @@
             leases = result.leases
             if leases is None or leases.epoch == owner_epoch:
                 break
+            # Leases of another ownership say nothing of this owner's runs.
             result = FenceResult(result.confirmed)
             if leases.member != member or leases.epoch > owner_epoch:
                 break
@@ -211,9 +220,10 @@
         """Latest time at which the owner was confirmed as a member.
 
         The group assigned the cell to this node before the claims were read.
-        Nothing is known of owners that have claimed it since.
+        Nothing is known of owners that have claimed it since. Until a fence has
+        ended, any of them may be the previous one.
         """
-        if self._epoch <= self._read_epoch:
+        if self._fenced_ms is not None and self._epoch <= self._read_epoch:
             return self._read_ms
         return self._clock.now_ms()
 
--- a/tests/node/test_predecessor.py
+++ b/tests/node/test_predecessor.py
@@ -68,14 +68,15 @@
         times: Number of nodes.
         meanwhile: Called while each of them owns the cell.
     """
-    for _ in range(times):
-        host = await reassign(site)
-        async with held_load(host):
+    async with contextlib.AsyncExitStack() as held:
+        for _ in range(times):
+            host = await reassign(site)
+            await held.enter_async_context(held_load(host))
             await asyncio.sleep(UNLOADED_S)
             meanwhile(site)
-            site.store.reassign_partitions()
-            while host.node._owners.get(0) is not None:
-                await asyncio.sleep(0.01)
+        site.store.reassign_partitions()
+        while host.node._owners.get(0) is not None:
+            await asyncio.sleep(0.01)
 
 
 class UnloadedOwnersTest(LongRunningTestCase):
@@ -216,11 +217,13 @@
             None,
             RemainingLeases(2, {"w": 700.0}),
             RemainingLeases(0, {}, member="successor"),
+            RemainingLeases(6, {"w": 700.0}, member="node-5"),
         ):
-            predecessor = self.fence({"node-5": reply}, read=5)
-            self.assertTrue(predecessor.fence_confirmed)
-            left_ms = predecessor.latest_run_end_ms("w")
-            self.assertGreater(left_ms, LEASE_MS)
+            with self.subTest(reply):
+                predecessor = self.fence({"node-5": reply}, read=5)
+                self.assertTrue(predecessor.fence_confirmed)
+                left_ms = predecessor.latest_run_end_ms("w")
+                self.assertGreater(left_ms, LEASE_MS)
 
     def test_stored_places(self):
         """Places are believed unless an owner may not have stored them."""
