Skip rows of advice that cannot be read, not the reply

A reply of the advice service with one empty row was dropped as a whole, so that no worker of the step was permitted. A row whose worker was a list became a ticket that no table can hold as a key, and a ticket that was a number went into the start order as a number.

The rows were lists of any type. Each one is now read as two texts; one that cannot be is logged (row_unreadable) and permits no worker, and the others hold. The validity is bounded as other times are.

test_odd_rows_of_advice fails without the fix (undecodable reply: IndexError). Found by feeding the decoder arbitrary replies.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -218,6 +218,10 @@
         "Every 2 s: cores not reserved on workers that answer, and the most on"
         " one of them.",
     ),
+    "row_unreadable": EventKind(
+        ("reply", "reason"),
+        "A row of a reply cannot be decoded and is skipped; the others hold.",
+    ),
     "run_ended": EventKind(
         ("task", "run", "worker", "how", "age_ms"),
         "A worker reported the end of a run.",
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from limpetyard._events import event
 from limpetyard._http_client import (
     HttpClient,
     HttpResponse,
@@ -132,8 +133,24 @@
 
 
 class _AdviseReply(msgspec.Struct, rename="camel"):
+    # Rows of a worker and its ticket, and columns of later versions.
     good: list[list]
-    validity_ms: float = 0.0
+    validity_ms: Time = 0.0
+
+    def to_tickets(self) -> list[Ticket]:
+        """Returns the tickets of all rows that can be read; logs the others.
+
+        A row that cannot be read permits no worker and hides no other row.
+        """
+        tickets = []
+        for row in self.good:
+            try:
+                worker, ticket = msgspec.convert(row[:2], tuple[str, str])
+            except msgspec.ValidationError as exc:
+                event("row_unreadable", "WARNING", reply="advise", reason=exc)
+                continue
+            tickets.append(Ticket(worker, ticket, self.validity_ms))
+        return tickets
 
 
 def format_task_key(task: TaskKey) -> str:
@@ -303,9 +320,7 @@
         if reply.status != 200:
             raise WorkerOutcomeUnknownError(f"advice: status {reply.status}")
         advised = msgspec.json.decode(reply.body, type=_AdviseReply)
-        return [
-            Ticket(row[0], row[1], advised.validity_ms) for row in advised.good
-        ]
+        return advised.to_tickets()
 
 
 def _check_reply(entry: WorkerEntry, reply: HttpResponse) -> None:
--- a/tests/platform/test_decode_errors.py
+++ b/tests/platform/test_decode_errors.py
@@ -8,6 +8,7 @@
     PaceOrder,
     PollRequest,
     StartOrder,
+    Ticket,
     WorkerOutcomeUnknownError,
 )
 from limpetyard.jobs import TaskKey
@@ -98,6 +99,18 @@
             ):
                 await advice.advise("0" * 16, 0, 0, ["w-0"])
 
+    async def test_odd_rows_of_advice(self):
+        """A row of other types hid the tickets beside it, or became one.
+
+        A worker that is a list cannot be the key of a table.
+        """
+        advice = PlatformAdviceClient(self.address, 500)
+        self.addAsyncCleanup(advice.close)
+        odd = b'[], [[], "t"], ["w-1", 5], [null, "t"], ["w-2"]'
+        self.body = b'{"good": [%b, ["w-3", "t", 9]], "validityMs": 5}' % odd
+        tickets = await advice.advise("0" * 16, 0, 0, ["w-1", "w-2", "w-3"])
+        self.assertEqual(tickets, [Ticket("w-3", "t", 5)])
+
     async def test_store(self):
         """After an undecodable reply the outcome of the call is unknown."""
         store = PlatformStore(self.address)
