Take no other spelling for the name of a task

A worker that reports a run of "a.+0.1.2", "a. 0.1.2" or "a.0.0_1.2" was taken to report task a.0.1.2: `int` reads signs, spaces, underscores and the digits of other scripts. An odd row could so change what is known of another task, against the documentation of `parse_task_key`.

A name is now that of the task only if the task is written so. As with any other name that cannot be read, the reply counts as undecodable.

test_other_spellings fails without the fix (4 of 4: no error).

--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -166,7 +166,11 @@
             returns.
     """
     job, occurrence, step, index = name.split(".")
-    return TaskKey(job, int(occurrence), int(step), int(index))
+    key = TaskKey(job, int(occurrence), int(step), int(index))
+    # `int` also reads signs, spaces, underscores and other digits.
+    if format_task_key(key) != name:
+        raise ValueError(f"{name!r} is not the name of a task")
+    return key
 
 
 class PlatformWorkerClient:
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -239,6 +239,12 @@
         with self.assertRaises(ValueError):
             parse_task_key("abc.1")
 
+    def test_other_spellings(self):
+        """A name that `int` reads as that of another task names no task."""
+        for name in ("a.+0.1.2", "a. 0.1.2", "a.0.0_1.2", "a.0.1.\uff12"):
+            with self.subTest(name), self.assertRaises(ValueError):
+                parse_task_key(name)
+
 
 if __name__ == "__main__":
     unittest.main()
