Bound the numbers in replies of the store

Offsets, generations, partitions and sequence numbers in replies of the store had any size and, for partitions, any sign. The offset of a claim is the epoch of an ownership and is stored and sent; a number of more than 64 bits raises OverflowError when it is stored, long after the reply was accepted.

They now have the bounds of the other numbers that are read: a reply beyond them is undecodable, so the outcome of the call is unknown.

test_large_numbers_of_the_store fails without the fix (5 of 5 replies: StoreOutcomeUnknownError not raised).

--- a/src/limpetyard/platform/_store.py
+++ b/src/limpetyard/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
@@ -12,6 +13,7 @@
     NotSentError,
     OutcomeUnknownError,
 )
+from limpetyard.platform._bounds import MAX_NUMBER, Count
 from limpetyard.platform._decode_errors import translate_decode_errors
 from limpetyard.store import (
     FencedError,
@@ -59,27 +61,31 @@
 }
 
 
+# Expected sequence number, or -1 if there is none.
+_Expected = Annotated[int, msgspec.Meta(ge=-1, le=MAX_NUMBER)]
+
+
 class _Conflict(msgspec.Struct, rename="camel"):
     reason: str = ""
-    seq: int = -1
-    expected: int = -1
-    expected_seq: int = -1
+    seq: _Expected = -1
+    expected: _Expected = -1
+    expected_seq: _Expected = -1
 
 
 class _AppendReply(msgspec.Struct, rename="camel"):
-    offset: int = 0
+    offset: Count = 0
 
 
 class _LatestItem(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: Count
 
 
 class _LatestReply(msgspec.Struct, rename="camel"):
     items: list[_LatestItem]
     has_more: bool
-    end_offset: int
+    end_offset: Count
 
 
 class _JoinRequest(msgspec.Struct, rename="camel"):
@@ -91,8 +97,8 @@
 
 
 class _JoinReply(msgspec.Struct):
-    generation: int
-    parts: list[tuple[str, int, int]]
+    generation: Count
+    parts: list[tuple[str, Count, int]]
 
 
 class _LeaveRequest(msgspec.Struct, rename="camel"):
@@ -251,6 +257,8 @@
 def _decode_tail(body: bytes, offset: int) -> TailPage:
     """Decodes a reply to a read from `offset`; ignores a truncated record."""
     end, first_offset = _TAIL_HEADER.unpack_from(body)
+    if max(end, first_offset) > MAX_NUMBER:
+        raise ValueError(f"offset above {MAX_NUMBER}")
     position = _TAIL_HEADER.size
     next_offset = max(offset, first_offset)
     records = []
--- a/tests/platform/test_decode_errors.py
+++ b/tests/platform/test_decode_errors.py
@@ -111,6 +111,37 @@
         tickets = await advice.advise("0" * 16, 0, 0, ["w-1", "w-2", "w-3"])
         self.assertEqual(tickets, [Ticket("w-3", "t", 5)])
 
+    async def test_large_numbers_of_the_store(self):
+        """An offset of more than 64 bits is no epoch that could be stored."""
+        store = PlatformStore(self.address)
+        self.addAsyncCleanup(store.close)
+        item = b'{"key":"a","value":"","offset":%b}' % LARGE
+        replies = (
+            (store.append, ("jobs", 0, []), b'{"offset":%b}' % LARGE),
+            (store.read, ("jobs", 0, 0, 0), b"\xff" * 16),
+            (
+                store.read_latest,
+                ("jobs", 0, ""),
+                b'{"items":[%b],"hasMore":false,"endOffset":0}' % item,
+            ),
+            (
+                store.join,
+                ("g", "m", "jobs", 1000, 0),
+                b'{"generation":%b,"parts":[]}' % LARGE,
+            ),
+            (
+                store.join,
+                ("g", "m", "jobs", 1000, 0),
+                b'{"generation":1,"parts":[["t",-1,0]]}',
+            ),
+        )
+        for call, args, self.body in replies:
+            with (
+                self.subTest(self.body),
+                self.assertRaises(StoreOutcomeUnknownError),
+            ):
+                await call(*args)
+
     async def test_store(self):
         """After an undecodable reply the outcome of the call is unknown."""
         store = PlatformStore(self.address)
