Skip rows of owners that cannot be read, not the reply

One row of the owners in the store whose partition was a list made the whole reply undecodable, so that no node knew the owner of any cell. A row whose member was a list or a number became an owner: the service that keeps the membership then raised TypeError ("unhashable type", shown by a trial with such a reply). A row with `true` for its partition took the place of partition 1, and a body of one text counted as a group without owners.

Each row is now read as topic, partition and member; one that cannot be is logged (row_unreadable), and the others hold.

test_odd_rows_of_owners fails without the fix (TypeError).

--- a/src/limpetyard/platform/_store.py
+++ b/src/limpetyard/platform/_store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from limpetyard._events import event
 from limpetyard._http_client import (
     HttpClient,
     HttpResponse,
@@ -110,6 +111,12 @@
     group: str
 
 
+class _OwnerRow(msgspec.Struct, array_like=True):
+    topic: str
+    partition: Count
+    member: str
+
+
 class PlatformStore:
     """Client of the store over HTTP; implements `limpetyard.store.Store`."""
 
@@ -203,10 +210,7 @@
         """See `limpetyard.store.Store.partition_owners`."""
         reply = await self._call("GET", f"/log-owners?group={group}", None)
         _check_reply(reply)
-        return {
-            partition: member
-            for _, partition, member in _owner_rows(reply.body)
-        }
+        return {row.partition: row.member for row in _owner_rows(reply.body)}
 
     async def _post(self, path: str, request: msgspec.Struct) -> HttpResponse:
         reply = await self._call("POST", path, msgspec.json.encode(request))
@@ -230,22 +234,28 @@
     return _KEYED_PREFIX + _EXTERNAL_TOPICS.get(topic, topic)
 
 
-def _owner_rows(body: bytes) -> list[tuple[str, int, str]]:
-    """Returns the rows of a group's owners: (topic, partition, member).
+def _owner_rows(body: bytes) -> list[_OwnerRow]:
+    """Returns the rows of a group's owners.
 
     Accepts a body that is a list of rows, or an object whose first value that
-    is a list holds the rows, whatever its key. Ignores rows of fewer than three
-    values.
+    is a list holds the rows, whatever its key. Logs and skips a row that cannot
+    be read.
+
+    Raises:
+        ValueError: If the body is something else.
     """
-    data = msgspec.json.decode(body)
-    rows = data
-    if isinstance(data, dict):
-        rows = next((v for v in data.values() if isinstance(v, list)), [])
-    return [
-        (row[0], row[1], row[2])
-        for row in rows
-        if isinstance(row, list) and len(row) >= 3
-    ]
+    rows = msgspec.json.decode(body)
+    if isinstance(rows, dict):
+        rows = next((v for v in rows.values() if isinstance(v, list)), [])
+    if not isinstance(rows, list):
+        raise ValueError("neither a list nor an object")
+    owners = []
+    for row in rows:
+        try:
+            owners.append(msgspec.convert(row, _OwnerRow))
+        except msgspec.ValidationError as exc:
+            event("row_unreadable", "WARNING", reply="owners", reason=exc)
+    return owners
 
 
 def _encode_record(record: KeyedRecord) -> bytes:
--- a/tests/platform/test_decode_errors.py
+++ b/tests/platform/test_decode_errors.py
@@ -142,6 +142,21 @@
             ):
                 await call(*args)
 
+    async def test_odd_rows_of_owners(self):
+        """A row of other types hid the owners beside it, or became one.
+
+        A member that is a list raised an error in the service that reads it.
+        """
+        store = PlatformStore(self.address)
+        self.addAsyncCleanup(store.close)
+        odd = b'["t",[],"m"],["t",true,"m"],["t",2,[]],["t",3,7],["t","4","m"]'
+        self.body = b'{"n":1,"rows":[%b,["t",1,"n|a|2",5],["t"]]}' % odd
+        owners = await store.partition_owners("g")
+        self.assertEqual(owners, {1: "n|a|2"})
+        self.body = b'"text"'
+        with self.assertRaises(StoreOutcomeUnknownError):
+            await store.partition_owners("g")
+
     async def test_store(self):
         """After an undecodable reply the outcome of the call is unknown."""
         store = PlatformStore(self.address)
