Answer a request whose Host header is no text with 404

A request with the byte FF in its Host header got status 500, as the text of the refusal repeats the host and JSON cannot hold a lone surrogate, which is how such a byte is read.

The text now has a question mark in its place.

test_host_that_is_no_text sends such a request over a connection. It fails without the fix (500; UnicodeEncodeError in the log).

--- a/src/limpetyard/platform/_ingress.py
+++ b/src/limpetyard/platform/_ingress.py
@@ -244,11 +244,11 @@
 
 def _error_response(exc: RequestError) -> web.Response:
     error_response = ERROR_RESPONSES[exc.kind]
+    # A header may have bytes that are no text.
+    detail = exc.detail.encode(errors="replace").decode()
     resp = web.Response(
         status=error_response.status,
-        body=msgspec.json.encode(
-            {"kind": exc.kind.value, "detail": exc.detail}
-        ),
+        body=msgspec.json.encode({"kind": exc.kind.value, "detail": detail}),
         content_type="application/json",
     )
     if exc.retry_after_s is not None:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -1,8 +1,10 @@
 """Callers' requests, operators' records and settings of the platform."""
 
+import asyncio
 import unittest
 
 import msgspec
+from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
 
 from limpetyard._error_kinds import ErrorKind
@@ -174,6 +176,27 @@
         self.assertEqual(self.view.config.version, 7)
         self.assertEqual(self.view.zones_out, {"z"})
 
+    async def send(self, head: bytes, body: bytes = b"") -> bytes:
+        """Returns the response to a request that is sent over a connection."""
+        runner = web.ServerRunner(web.Server(self.ingress.handle))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head + b"\r\nConnection: close\r\n\r\n" + body)
+        resp = await reader.read()
+        writer.close()
+        return resp
+
+    async def test_host_that_is_no_text(self):
+        """A Host header with other bytes than text got status 500."""
+        self.configure()
+        resp = await self.send(b"GET /p/ HTTP/1.1\r\nHost: a\xff")
+        self.assertIn(b"404 Not Found", resp)
+        self.assertIn(b"no queue for a?/p/", resp)
+
     async def test_statuses(self):
         """Each outcome maps to its status code."""
         self.configure()
