Answer a body of a wrong Content-Encoding with 400

A job whose body is not of the encoding that its Content-Encoding header names got status 500: reading such a body raises RequestPayloadError, which nothing caught. The job was not accepted, and is not now; the caller is told so.

test_body_of_a_wrong_encoding sends such a request over a connection. It fails without the fix (500).

--- a/src/limpetyard/platform/_ingress.py
+++ b/src/limpetyard/platform/_ingress.py
@@ -193,7 +193,12 @@
                 ErrorKind.BODY_TOO_LARGE,
                 f"{req.content_length} bytes exceed the limit of {limit}",
             )
-        body = await req.read()
+        try:
+            body = await req.read()
+        except web.RequestPayloadError as exc:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST, f"body: {exc.__cause__ or exc}"
+            ) from exc
         if len(body) > limit:
             raise RequestError(
                 ErrorKind.BODY_TOO_LARGE,
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -197,6 +197,15 @@
         self.assertIn(b"404 Not Found", resp)
         self.assertIn(b"no queue for a?/p/", resp)
 
+    async def test_body_of_a_wrong_encoding(self):
+        """A body that is not of its Content-Encoding got status 500."""
+        self.configure()
+        head = b"POST /p/%b HTTP/1.1\r\nHost: a.example\r\n" % ID.encode()
+        head += b"Content-Encoding: gzip\r\nContent-Length: 5"
+        resp = await self.send(head, b"abcde")
+        self.assertIn(b"400 Bad Request", resp)
+        self.assertIn(b'{"kind":"bad_request","detail":"body', resp)
+
     async def test_statuses(self):
         """Each outcome maps to its status code."""
         self.configure()
