Take no infinite deadline from a caller

A caller that sent "Deadline-Ms: inf" (or 1e999) waited without a time-out for the store, and one that sent "nan" got a deadline of 0, as `float` reads these words. Both are now handled as other headers that are no time: logged, and the default applies.

--- a/src/limpetyard/platform/_ingress.py
+++ b/src/limpetyard/platform/_ingress.py
@@ -1,5 +1,7 @@
 """HTTP API for callers that submit jobs, in the platform's wire format."""
 
+import math
+
 import msgspec
 from aiohttp import web
 
@@ -231,14 +233,19 @@
 def _deadline_ms(req: web.BaseRequest) -> float:
     """Returns a request's deadline, in milliseconds from now.
 
-    A header that is not a number is logged and ignored.
+    A header that is not a finite number is logged and ignored.
     """
     text = req.headers.get("Deadline-Ms", "")
+    if not text:
+        return DEFAULT_DEADLINE_MS
     try:
-        return max(0.0, float(text)) if text else DEFAULT_DEADLINE_MS
+        deadline_ms = float(text)
     except ValueError:
+        deadline_ms = math.nan
+    if not math.isfinite(deadline_ms):
         event("deadline_unreadable", value=text)
         return DEFAULT_DEADLINE_MS
+    return max(0.0, deadline_ms)
 
 
 def _json_response(data: dict) -> web.Response:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -17,7 +17,11 @@
     encode_spec,
 )
 from limpetyard.node import SiteView
-from limpetyard.platform._ingress import Ingress, parse_job
+from limpetyard.platform._ingress import (
+    DEFAULT_DEADLINE_MS,
+    Ingress,
+    parse_job,
+)
 from limpetyard.platform._operator_records import SiteViewUpdater
 from limpetyard.platform._settings import load_settings
 from limpetyard.store import StoredRecord
@@ -206,6 +210,17 @@
         self.assertIn(b"400 Bad Request", resp)
         self.assertIn(b'{"kind":"bad_request","detail":"body', resp)
 
+    async def test_deadline_that_is_no_time(self):
+        """A caller with a deadline of "inf" waited without a time-out."""
+        self.configure()
+        body = b'{"spec":"x","steps":[{}]}'
+        for deadline in (b"inf", b"nan", b"1e999", b"x"):
+            head = b"POST /p/%b HTTP/1.1\r\nHost: a.example\r\n" % ID.encode()
+            head += b"Deadline-Ms: %b\r\nContent-Length: 25" % deadline
+            await self.send(head, body)
+        waits = [deadline_ms for *_, deadline_ms in self.job_service.calls]
+        self.assertEqual(waits, [DEFAULT_DEADLINE_MS] * 4)
+
     async def test_statuses(self):
         """Each outcome maps to its status code."""
         self.configure()
