Name the settings file if nothing can read it

A settings file with very deep nesting ended the start of a node with RecursionError, and one with a number, or a port, of more than 4,300 digits with a ValueError of the interpreter, not with the error that names the setting.

The errors of other decoders are now caught here too, and a port has at most five digits.

test_unreadable fails without the fix (RecursionError, ValueError).

--- a/src/limpetyard/_addresses.py
+++ b/src/limpetyard/_addresses.py
@@ -23,6 +23,7 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError as exc:
         raise SettingError(name, value, allowed) from exc
-    if not port.isascii() or not port.isdigit() or int(port) > 65_535:
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not is_number or int(port) > 65_535:
         raise SettingError(name, value, allowed)
     return host.strip("[]"), int(port)
--- a/src/limpetyard/platform/_settings.py
+++ b/src/limpetyard/platform/_settings.py
@@ -9,6 +9,7 @@
 from limpetyard.engine import DEFAULT_PACER
 from limpetyard.errors import SettingError
 from limpetyard.node import DEFAULT_RESERVED_SHARE, NodeSettings
+from limpetyard.platform._decode_errors import DECODE_ERRORS
 
 # Environment variable that holds the path of the settings file.
 SETTINGS_ENV = "LIMPETYARD_SETTINGS"
@@ -89,7 +90,7 @@
         ) from exc
     try:
         file = msgspec.convert(tomllib.loads(text), _SettingsFile, strict=False)
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
+    except DECODE_ERRORS as exc:
         raise SettingError(
             SETTINGS_ENV, path, f"valid settings ({exc})"
         ) from exc
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -372,6 +372,15 @@
         with self.assertRaises(SettingError):
             self.load(text)
 
+    def test_unreadable(self):
+        """Nesting and numbers that no reader takes raise a setting error."""
+        digits = "9" * 5000
+        for line in ("later = " + "[" * 20_000, "later = " + digits):
+            with self.subTest(line[:12]), self.assertRaises(SettingError):
+                self.load(line + "\n" + self.GOOD)
+        with self.assertRaises(SettingError):
+            self.load(self.GOOD, metrics_port=digits)
+
     def test_missing(self):
         """A missing file raises an error."""
         with self.assertRaises(SettingError):
