Refuse settings of a node that are NaN, infinite or huge

TOML has NaN and infinity. A time of NaN passed the check, as no comparison with NaN holds, and one of 1e305 s became infinite in ms; a `minTtlMs` of more than 64 bits passed too. A node then ran without bounds that depend on these times. A name with a line feed was taken also, and is part of each line of the log.

Each number is now at most 2^53, and the name is printable.

test_numbers_that_are_no_time (16 of 20 values) and test_name_of_the_node fail without the fix: SettingError not raised.

--- a/src/limpetyard/node/_settings.py
+++ b/src/limpetyard/node/_settings.py
@@ -12,6 +12,10 @@
 DEFAULT_RESERVED_SHARE = 0.05
 MAX_RESERVED_SHARE = 0.5
 
+# Largest number of any setting. Calls to the store have numbers of 64 bits, and
+# no time can be NaN or infinite.
+MAX_SETTING = 1 << 53
+
 
 class NodeSettings(msgspec.Struct, frozen=True):
     """Settings of a node.
@@ -73,8 +77,8 @@
         for name in ("advice", "metrics"):
             if getattr(self, name):
                 parse_host_port(name, getattr(self, name))
-        if not self.node:
-            raise SettingError("node", self.node, "a name")
+        if not self.node or not self.node.isprintable():
+            raise SettingError("node", self.node, "a printable name")
         positive = (
             "group_ttl_ms",
             "longest_lease_ms",
@@ -97,3 +101,7 @@
         cores = self.processor_cores
         if not (math.isfinite(cores) and cores >= 0):
             raise SettingError("processor_cores", cores, "0 or more, finite")
+        for name, value in msgspec.structs.asdict(self).items():
+            is_number = isinstance(value, int | float)
+            if is_number and not abs(value) <= MAX_SETTING:
+                raise SettingError(name, value, f"at most {MAX_SETTING}")
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -381,6 +381,25 @@
         with self.assertRaises(SettingError):
             self.load(self.GOOD, metrics_port=digits)
 
+    def test_numbers_that_are_no_time(self):
+        """A time that is NaN or infinite was taken, as was any large one."""
+        for value in ("nan", "inf", "1e305", "9" * 30):
+            for old, new in (
+                ("status_s = 90", "status_s = "),
+                ("graceS = 5", "remoteFactor = "),
+                ("graceS = 5", "gangTimeoutMs = "),
+                ("graceS = 5", "harmMs = "),
+                ("[platform]", "[platform]\nminTtlMs = "),
+            ):
+                text = self.GOOD.replace(old, new + value)
+                with self.subTest(new + value):
+                    self.assertRaises(SettingError, self.load, text)
+
+    def test_name_of_the_node(self):
+        """A name of several lines would be in each line of the log."""
+        text = self.GOOD.replace('"n"', '"a\\nb"')
+        self.assertRaises(SettingError, self.load, text)
+
     def test_missing(self):
         """A missing file raises an error."""
         with self.assertRaises(SettingError):
