Put no configuration in force whose jobs cannot be stored

A configuration with a priority or a number of attempts of more than 64 bits came into force. A job is stored with the settings of its queue, so that each job of that queue then failed with OverflowError, which the caller sees as status 500. A stretch of 1e300 made objectives infinite.

These numbers now have the bounds of others that are read. As with any configuration that cannot be read, the previous one stays in force.

test_configuration_that_cannot_be_stored fails without the fix (version 8 is in force, not 7).

--- a/src/limpetyard/platform/_operator_records.py
+++ b/src/limpetyard/platform/_operator_records.py
@@ -1,10 +1,13 @@
 """Decodes the records that operators write to the store."""
 
+from typing import Annotated
+
 import msgspec
 
 from limpetyard._events import event
 from limpetyard.jobs import AdviceParams, QueueParams
 from limpetyard.node import Queue, SiteConfig, SiteView
+from limpetyard.platform._bounds import MAX_NUMBER, Time
 from limpetyard.platform._decode_errors import DECODE_ERRORS
 from limpetyard.store import StoredRecord
 
@@ -19,11 +22,16 @@
 DEFAULT_MAX_BODY_BYTES = 262_144
 
 
+# Jobs are stored with the settings of their queue.
+_Number = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+_Factor = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
+
 class _Advice(msgspec.Struct, rename="camel"):
-    decision_ms: float = 0.0
+    decision_ms: Time = 0.0
     # Taken as the additional latency for each worker in a request.
-    period_ms: float = 0.0
-    validity_ms: float = 0.0
+    period_ms: Time = 0.0
+    validity_ms: Time = 0.0
 
     def to_params(self) -> AdviceParams:
         return AdviceParams(self.decision_ms, self.period_ms, self.validity_ms)
@@ -35,10 +43,10 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: float = 0.0
+    priority: _Number = 0
+    max_attempts: _Number = 1
+    stretch: _Factor = 1.0
+    target_latency_ms: Time = 0.0
     advice: _Advice | None = None
 
     def to_queue(self) -> Queue:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -194,6 +194,16 @@
         writer.close()
         return resp
 
+    async def test_configuration_that_cannot_be_stored(self):
+        """Each job of a queue with such a number got status 500."""
+        self.configure(7)
+        for field in ("priority", "maxAttempts", "stretch"):
+            text = CONFIG.replace(b'"kind":"k"', b'"%b":1e300' % field.encode())
+            for number in (b"1e300", b"%d" % 2**64, b"-%d" % 2**64):
+                value = (text % 8).replace(b"1e300", number)
+                self.view_updater.apply([StoredRecord(1, "config", value)])
+        self.assertEqual(self.view.config.version, 7)
+
     async def test_host_that_is_no_text(self):
         """A Host header with other bytes than text got status 500."""
         self.configure()
