Read no stored job that memory cannot hold

A record under the key of a job that was nested deeply raised RecursionError, which the owner that applies records does not catch. One that decodes as a job was taken whatever its sizes: a count of 2^62 tasks, steps without tasks or after themselves, times of NaN. Its tasks are created at once, so no memory holds them.

Such a record now raises the documented error, which is logged, and the owner goes on with the records beside it. The limits are those that the nodes of every release check before they accept a job.

test_records_that_are_no_job fails without the fix (RecursionError; MsgspecError not raised for the 8 others).

--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -1,11 +1,18 @@
 """Encoding and decoding of the job records in the store."""
 
+import math
+
 import msgspec
 
 from limpetyard._events import event
 from limpetyard.jobs._job import FINAL_STATES, Job
 from limpetyard.jobs._occurrences import OccurrenceSet
-from limpetyard.jobs._spec import JobSpec
+from limpetyard.jobs._spec import (
+    MAX_OCCURRENCES,
+    MAX_STEPS,
+    MAX_TASKS,
+    JobSpec,
+)
 
 # Prefixes of record keys, followed by the id of the job: an accepted job, a
 # cancellation, and the progress of a job.
@@ -92,7 +99,47 @@
     Raises:
         msgspec.MsgspecError: If `data` is not a valid job.
     """
-    return _spec_decoder.decode(data)
+    spec = decode_record(_spec_decoder, data)
+    _check_sizes(spec)
+    return spec
+
+
+def decode_record(decoder: msgspec.msgpack.Decoder, data: bytes):
+    """Decodes a stored record.
+
+    Raises:
+        msgspec.MsgspecError: If `data` is not valid, also if it is nested too
+            deeply.
+    """
+    try:
+        return decoder.decode(data)
+    except RecursionError as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
+
+
+def _check_sizes(spec: JobSpec) -> None:
+    """Checks that a stored job can be held in memory and in its numbers.
+
+    Accepted jobs hold these limits in every release; see `check_spec`.
+
+    Raises:
+        msgspec.ValidationError: If it cannot.
+    """
+    steps = spec.steps
+    if not 1 <= spec.occurrences <= MAX_OCCURRENCES:
+        raise msgspec.ValidationError("number of occurrences out of bounds")
+    if not 1 <= len(steps) <= MAX_STEPS:
+        raise msgspec.ValidationError("number of steps out of bounds")
+    if min(step.count for step in steps) < 1:
+        raise msgspec.ValidationError("step without tasks")
+    if sum(step.count for step in steps) > MAX_TASKS:
+        raise msgspec.ValidationError("number of tasks out of bounds")
+    for number, step in enumerate(steps):
+        if not all(0 <= other < number for other in step.after):
+            raise msgspec.ValidationError("step after one that is not earlier")
+    times = (spec.accepted_ms, spec.first_due_ms, spec.interval_ms)
+    if not all(map(math.isfinite, times)):
+        raise msgspec.ValidationError("time that is not finite")
 
 
 def encode_progress(job: Job, wall_ms: float) -> bytes:
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -101,6 +101,27 @@
         original = spec(StepSpec(2, Resources(1, 2, 3), after=(), gang=True))
         self.assertEqual(decode_spec(encode_spec(original)), original)
 
+    def test_records_that_are_no_job(self):
+        """One was a job that no memory holds, or raised another error."""
+        deep = b"\x81\xa5later" + b"\x91" * 100_000 + b"\xc0"
+        step = StepSpec(1)
+        for data in (
+            deep,
+            encode_spec(spec(StepSpec(2**62))),
+            encode_spec(spec(*[step] * 9999)),
+            encode_spec(spec(step, occurrences=2**62)),
+            encode_spec(spec(step, occurrences=0)),
+            encode_spec(spec(StepSpec(0))),
+            encode_spec(spec()),
+            encode_spec(spec(step, StepSpec(1, after=(1,)))),
+            encode_spec(spec(step, accepted_ms=float("nan"))),
+        ):
+            with (
+                self.subTest(data[:80]),
+                self.assertRaises(msgspec.MsgspecError),
+            ):
+                decode_spec(data)
+
     def test_progress(self):
         """Stored progress includes ended runs, so that none counts twice."""
         job = Job(spec(StepSpec(2), StepSpec(1, after=(0,))), 0.0)
