Apply no progress that a job cannot have

Stored progress was applied whatever its numbers: one with 2^62 due occurrences creates tasks for ever, an unknown state or ranges of occurrences out of order raise an error in the engine later, as does a run number of 2^64 - 1 once the next run is stored. Deep nesting raised RecursionError, which the owner does not catch; by then part of the progress could have been applied.

Progress is now checked before any of it is applied, and the documented error is raised. A mark with numbers that cannot be counted on is skipped like a mark of an unknown task, and hides no other. The stored form is unchanged.

test_progress_that_is_none and test_marks_that_cannot_be_stored fail without the fix (RecursionError; state "gone" applied; run 2^64 - 1).

--- a/src/limpetyard/_chart.py
+++ b/src/limpetyard/_chart.py
@@ -38,6 +38,11 @@
         data = tomllib.loads((files / f"{name}.toml").read_text())
         return cls(name, data["initial"], data["states"])
 
+    @property
+    def states(self) -> frozenset[str]:
+        """Names of all states."""
+        return frozenset(self._transitions)
+
     def next(self, state: str, event: str) -> str:
         """Returns the state that follows `state` on `event`.
 
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from limpetyard._events import event
-from limpetyard.jobs._job import FINAL_STATES, Job
+from limpetyard.jobs._job import FINAL_STATES, JOB_CHART, Job
 from limpetyard.jobs._occurrences import OccurrenceSet
 from limpetyard.jobs._spec import (
+    MAX_AMOUNT,
     MAX_OCCURRENCES,
     MAX_STEPS,
     MAX_TASKS,
@@ -210,9 +211,11 @@
         now_ms: Current time on this process's clock.
 
     Raises:
-        msgspec.MsgspecError: If `data` is not valid progress.
+        msgspec.MsgspecError: If `data` is not valid progress of the job, which
+            is unchanged then.
     """
-    progress = _progress_decoder.decode(data)
+    progress = decode_record(_progress_decoder, data)
+    _check_progress(job.spec, progress)
     if progress.places_known:
         job.confirm_places()
     else:
@@ -221,7 +224,7 @@
     job.make_due(progress.due)
     for mark in progress.marks:
         task = job.task(mark.occurrence, mark.step, mark.index)
-        if task is None:
+        if task is None or not _is_within_bounds(mark):
             event("mark_unknown", job=job.spec.id, mark=mark)
             continue
         task.run = max(task.run, mark.run)
@@ -241,3 +244,32 @@
     if progress.state in FINAL_STATES:
         job.ended_ms = now_ms
     job.dirty = False
+
+
+def _check_progress(spec: JobSpec, progress: JobProgress) -> None:
+    """Checks that progress can be that of a job.
+
+    Raises:
+        msgspec.ValidationError: If it cannot.
+    """
+    if progress.state not in JOB_CHART.states:
+        raise msgspec.ValidationError(f"unknown state {progress.state!r}")
+    if not 0 <= progress.due <= spec.occurrences:
+        raise msgspec.ValidationError("number of due occurrences out of bounds")
+    previous = -1
+    for first, last in progress.done:
+        if not previous < first <= last < spec.occurrences:
+            raise msgspec.ValidationError("ranges of occurrences out of order")
+        previous = last
+
+
+def _is_within_bounds(mark: TaskProgress) -> bool:
+    """Returns whether the next progress of the task can be stored too."""
+    numbers = (
+        mark.run,
+        mark.failure_count,
+        mark.crash_score,
+        mark.born,
+        *mark.ended_runs,
+    )
+    return all(0 <= number <= MAX_AMOUNT for number in numbers)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -7,10 +7,12 @@
 from limpetyard.errors import ChartError
 from limpetyard.jobs import (
     Job,
+    JobProgress,
     JobSpec,
     QueueParams,
     Resources,
     StepSpec,
+    TaskProgress,
     apply_progress,
     decode_spec,
     encode_progress,
@@ -239,6 +241,50 @@
         self.assertEqual(restored.task(0, 0, 0).run, 2)
         self.assertEqual(restored.task(0, 0, 0).crash_score, 0)
 
+    def test_progress_that_is_none(self):
+        """Progress of no such job changes nothing.
+
+        It raised another error, then or later, or created tasks for ever.
+        """
+        timed = spec(StepSpec(2), occurrences=4, first_due_ms=1.0)
+        deep = b"\x81\xa5later" + b"\x91" * 100_000 + b"\xc0"
+        for data in (
+            deep,
+            msgspec.msgpack.encode(JobProgress("gone", 1, [])),
+            msgspec.msgpack.encode(JobProgress("running", -1, [])),
+            msgspec.msgpack.encode(JobProgress("running", 2**62, [])),
+            *(
+                msgspec.msgpack.encode(
+                    JobProgress("running", 1, [], done=ranges)
+                )
+                for ranges in (
+                    [(0, 2**62)],
+                    [(-1, 0)],
+                    [(2, 1)],
+                    [(1, 2), (0, 0)],
+                    [(0, 1), (1, 2)],
+                )
+            ),
+        ):
+            job = Job(timed, 0.0)
+            with (
+                self.subTest(data[:80]),
+                self.assertRaises(msgspec.MsgspecError),
+            ):
+                apply_progress(job, data, 0.0)
+            self.assertEqual((job.due, job.state), (0, "queued"))
+
+    def test_marks_that_cannot_be_stored(self):
+        """A mark with numbers that cannot be counted on hides no other."""
+        marks = [
+            TaskProgress(0, 0, 0, False, 2**64 - 1, [], 0, ""),
+            TaskProgress(0, 0, 1, False, 3, [2], 1, "c"),
+        ]
+        job = Job(spec(StepSpec(2)), 0.0)
+        data = msgspec.msgpack.encode(JobProgress("running", 1, marks))
+        apply_progress(job, data, 0.0)
+        self.assertEqual([job.task(0, 0, n).run for n in (0, 1)], [0, 3])
+
     def test_final(self):
         """A job in a final state is restored without its tasks."""
         job = Job(spec(StepSpec(1)), 0.0)
