Let no odd record of a cell change what another one means

A job or a worker that is stored under the key of another was taken for the one that its content names: a record under s/ could so replace the job a...a, and one under w/w-0 the worker w-1. A stored worker that is nested deeply raised RecursionError, which ends the load of the cell. A worker that departs at an infinite time was taken, and the epoch of stored places could be a number of any length.

Such records are now logged (record_unreadable) and skipped; the others hold.

test_odd_records_change_no_other fails without the fix: epoch; without that line, RecursionError; without the deeply nested worker too, w-3 is recorded.

--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -1,6 +1,7 @@
 """Applies the stored records of a cell and of its workers to the engine."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -13,15 +14,21 @@
     CANCELLED_PREFIX,
     PROGRESS_PREFIX,
     apply_progress,
+    decode_record,
     decode_spec,
 )
 from limpetyard.node._store_layout import PLACES_KEY, WORKER_KEY_PREFIX
 from limpetyard.store import StoredRecord
 
+_worker_decoder = msgspec.msgpack.Decoder(WorkerEntry)
+
 # Records applied in one iteration of the event loop while a cell is loaded.
 # Some jobs have thousands of tasks, and heartbeats are due meanwhile.
 APPLIED_PER_ITERATION = 8
 
+# Longest epoch, bytes: the store has offsets of 64 bits.
+MAX_EPOCH_BYTES = 8
+
 
 class RecordApplier:
     """Applies the records that an owner has read to the owner's engine.
@@ -80,8 +87,15 @@
         """
         epoch = 0
         for record in self._collected:
-            if record.key == PLACES_KEY and record.value is not None:
-                epoch = int.from_bytes(record.value)
+            if record.key != PLACES_KEY or record.value is None:
+                continue
+            if len(record.value) > MAX_EPOCH_BYTES:
+                reason = f"{len(record.value)} bytes"
+                event(
+                    "record_unreadable", "ERROR", key=record.key, reason=reason
+                )
+                continue
+            epoch = int.from_bytes(record.value)
         return epoch
 
     async def apply_collected(self) -> dict[str, tuple[int, bool]]:
@@ -135,6 +149,7 @@
 
     def _apply_accepted(self, record: StoredRecord, loaded: bool) -> None:
         spec = decode_spec(record.value)
+        _check_key(record, ACCEPTED_PREFIX + spec.id)
         now_ms = self._clock.now_ms()
         age_ms = max(0.0, self._wall_ms() - spec.accepted_ms)
         known = spec.id in self._engine.jobs
@@ -165,7 +180,10 @@
         """
         if not loaded:
             return
-        entry = msgspec.msgpack.decode(record.value, type=WorkerEntry)
+        entry = decode_record(_worker_decoder, record.value)
+        _check_key(record, WORKER_KEY_PREFIX + entry.id)
+        if not math.isfinite(entry.remaining_ms):
+            raise msgspec.ValidationError("time that is not finite")
         self._recorded_workers[entry.id] = (entry.born, entry.draining)
         now_ms = self._clock.now_ms()
         if entry.id not in self._engine.workers:
@@ -202,6 +220,17 @@
                 self._engine.mark_entry_missing(worker_id, now_ms)
 
 
+def _check_key(record: StoredRecord, key: str) -> None:
+    """Checks that a record is under the key of what it describes.
+
+    Raises:
+        msgspec.ValidationError: If it is not: it would change what the record
+            under that key means.
+    """
+    if record.key != key:
+        raise msgspec.ValidationError(f"the key of its content is {key!r}")
+
+
 _APPLIERS = {
     ACCEPTED_PREFIX: RecordApplier._apply_accepted,
     PROGRESS_PREFIX: RecordApplier._apply_progress,
--- a/tests/node/test_records.py
+++ b/tests/node/test_records.py
@@ -1,18 +1,23 @@
 """Tests of applying the stored records of a cell."""
 
 import asyncio
+import math
 import unittest
 
+import msgspec
+
 from limpetyard._clock import ManualClock
-from limpetyard.engine import Engine, EngineParams
+from limpetyard.engine import Engine, EngineParams, WorkerEntry
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
     JobSpec,
     QueueParams,
+    Resources,
     StepSpec,
     encode_spec,
 )
 from limpetyard.node._records import APPLIED_PER_ITERATION, RecordApplier
+from limpetyard.node._store_layout import PLACES_KEY
 from limpetyard.store import StoredRecord
 
 
@@ -47,6 +52,45 @@
         self.assertEqual(sum(growth), len(specs))
         self.assertLessEqual(max(growth), APPLIED_PER_ITERATION)
 
+    async def test_odd_records_change_no_other(self):
+        """Records that cannot be read, and those under the key of another."""
+        engine = Engine(1, EngineParams(4000, 5000))
+        applier = RecordApplier(
+            engine, lambda _: None, ManualClock(), lambda: 0.0, lambda: None
+        )
+        queue = QueueParams("q", "pool")
+        job = encode_spec(JobSpec("a" * 16, queue, "", (StepSpec(1),)))
+        other = encode_spec(JobSpec("a" * 16, queue, "", (StepSpec(9),)))
+        worker = WorkerEntry(
+            "w-1", "pool", "127.0.0.1:1", "z", "r", (), Resources(9), 7
+        )
+        odd_worker = msgspec.structs.replace(worker, born=2**60)
+        lasting = msgspec.structs.replace(worker, remaining_ms=math.inf)
+        deep = b"\x91" * 100_000 + b"\xc0"
+        records = {
+            "s/" + "0" * 16: other,
+            "s/" + "1" * 16: deep,
+            "p/" + "a" * 16: b"\x81\xa5later" + deep,
+            "w/w-0": msgspec.msgpack.encode(odd_worker),
+            "w/w-2": b"\x81\xa5later" + deep,
+            "w/w-3": msgspec.msgpack.encode(
+                msgspec.structs.replace(lasting, id="w-3")
+            ),
+            "s/" + "a" * 16: job,
+            "w/w-1": msgspec.msgpack.encode(worker),
+            PLACES_KEY: b"\x01" * 9,
+        }
+        applier.apply_jobs(
+            [StoredRecord(n, *item) for n, item in enumerate(records.items())]
+        )
+        self.assertEqual(applier.places_epoch(), 0)
+        recorded = await applier.apply_collected()
+        self.assertEqual(recorded, {"w-1": (7, False)})
+        self.assertEqual(list(engine.workers), ["w-1"])
+        self.assertEqual(encode_spec(engine.jobs["a" * 16].spec), job)
+        applier.apply_jobs([StoredRecord(9, "s/" + "2" * 16, deep)])
+        self.assertEqual(list(engine.jobs), ["a" * 16])
+
 
 if __name__ == "__main__":
     unittest.main()
