Read no stored job whose numbers are NaN or infinite

A record with a stretch, a target or times of advice that are NaN or infinite decoded as a job. No caller's job has such numbers, as JSON has none, but comparisons with NaN order tasks by no rule, and such a job is not equal to itself after it was stored.

The record now raises the documented error, as one with such times does.

test_records_that_are_no_job fails without the fix (2 of its records). Found by feeding the decoder arbitrary records.

--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -12,6 +12,7 @@
     MAX_OCCURRENCES,
     MAX_STEPS,
     MAX_TASKS,
+    AdviceParams,
     JobSpec,
 )
 
@@ -138,9 +139,19 @@
     for number, step in enumerate(steps):
         if not all(0 <= other < number for other in step.after):
             raise msgspec.ValidationError("step after one that is not earlier")
-    times = (spec.accepted_ms, spec.first_due_ms, spec.interval_ms)
-    if not all(map(math.isfinite, times)):
-        raise msgspec.ValidationError("time that is not finite")
+    queue = spec.queue
+    advice = queue.advice or AdviceParams(0.0, 0.0, 0.0)
+    numbers = (
+        spec.accepted_ms,
+        spec.first_due_ms,
+        spec.interval_ms,
+        queue.stretch,
+        queue.objective_ms,
+        *msgspec.structs.astuple(advice),
+        *(step.target_ms for step in steps),
+    )
+    if not all(map(math.isfinite, numbers)):
+        raise msgspec.ValidationError("number that is not finite")
 
 
 def encode_progress(job: Job, wall_ms: float) -> bytes:
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -117,6 +117,13 @@
             encode_spec(spec()),
             encode_spec(spec(step, StepSpec(1, after=(1,)))),
             encode_spec(spec(step, accepted_ms=float("nan"))),
+            encode_spec(spec(StepSpec(1, target_ms=float("nan")))),
+            encode_spec(
+                msgspec.structs.replace(
+                    spec(step),
+                    queue=QueueParams("q", "s", stretch=float("inf")),
+                )
+            ),
         ):
             with (
                 self.subTest(data[:80]),
