Reject a job of too many tasks that are due at once

A body of 70 bytes, {"steps":[{"count":10000}],"repeatCount":10000}, was accepted and stored: each limit holds, but all 10,000 occurrences are due at once and make 100 million tasks in the owner, and in each owner after it. Measured: 500,000 tasks take 472 MB and 3.3 s in which nothing else runs. A schedule whose start is past or whose interval is 0 or tiny does the same.

At most 100,000 tasks may be due when a job is accepted, or within a minute of its first: 107 MB and 0.6 s, measured.

test_tasks_that_are_due_at_once fails without the fix (4 of 5 schedules: InvalidJobError not raised).

--- a/src/limpetyard/jobs/_spec.py
+++ b/src/limpetyard/jobs/_spec.py
@@ -9,6 +9,11 @@
 MAX_TASKS = 10_000
 MAX_OCCURRENCES = 10_000
 
+# Most tasks of a job that become due within `DUE_WINDOW_MS`, or that are due
+# when it is accepted. Each takes about 1 kB and 6 us to create.
+MAX_TASKS_AT_ONCE = 100_000
+DUE_WINDOW_MS = 60_000
+
 # Largest amount in a step, in the unit of its field. The stored form of a job
 # has integers of 64 bits.
 MAX_AMOUNT = 1 << 53
@@ -205,6 +210,21 @@
         raise InvalidJobError(
             f"{total} tasks given, at most {MAX_TASKS} are allowed"
         )
+    at_once = total * _occurrences_at_once(spec)
+    if at_once > MAX_TASKS_AT_ONCE:
+        raise InvalidJobError(
+            f"{at_once} tasks are due within {DUE_WINDOW_MS} ms, "
+            f"at most {MAX_TASKS_AT_ONCE} are allowed"
+        )
+
+
+def _occurrences_at_once(spec: JobSpec) -> int:
+    """Returns how many occurrences are due a window after the first tasks."""
+    if not spec.timed or spec.interval_ms <= 0:
+        return spec.occurrences
+    past_ms = max(0.0, spec.accepted_ms - spec.first_due_ms)
+    number = (past_ms + DUE_WINDOW_MS) / spec.interval_ms + 1
+    return int(min(number, spec.occurrences))
 
 
 def _check_step(number: int, step: StepSpec) -> None:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -103,6 +103,25 @@
             with self.subTest(body[:60]), self.assertRaises(InvalidJobError):
                 parse_job(ID, QUEUE_PARAMS, body, 5.0)
 
+    def test_tasks_that_are_due_at_once(self):
+        """A body of 70 bytes made 100 million tasks in each owner."""
+        schedules = {
+            "": False,
+            ',"initialDelayMs":1': False,
+            ',"initialDelayMs":9e12,"intervalMs":0.001': False,
+            ',"initialDelayMs":1,"intervalMs":5e-324': False,
+            ',"initialDelayMs":9e12,"intervalMs":10000': True,
+        }
+        text = '{"spec":"x","steps":[{"count":10000}],"repeatCount":10000%s}'
+        for schedule, accepted in schedules.items():
+            body = (text % schedule).encode()
+            with self.subTest(schedule):
+                if accepted:
+                    parse_job(ID, QUEUE_PARAMS, body, 9e11)
+                    continue
+                with self.assertRaisesRegex(InvalidJobError, "tasks are due"):
+                    parse_job(ID, QUEUE_PARAMS, body, 9e11)
+
     def test_largest_amounts(self):
         """What is accepted can be stored."""
         step = {"cpu": 2**53, "estimatedMs": 2**53, "antiAffinity": 2**53}
