Keep the content of odd records out of log lines

The reasons for which records are skipped repeated an id, a state or a name of any length, up to the largest record of the store, in one line of the log. The event names the key already.

--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -264,7 +264,7 @@
         msgspec.ValidationError: If it cannot.
     """
     if progress.state not in JOB_CHART.states:
-        raise msgspec.ValidationError(f"unknown state {progress.state!r}")
+        raise msgspec.ValidationError("unknown state")
     if not 0 <= progress.due <= spec.occurrences:
         raise msgspec.ValidationError("number of due occurrences out of bounds")
     previous = -1
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -228,7 +228,7 @@
             under that key means.
     """
     if record.key != key:
-        raise msgspec.ValidationError(f"the key of its content is {key!r}")
+        raise msgspec.ValidationError("the record is under another key")
 
 
 _APPLIERS = {
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -169,7 +169,7 @@
     key = TaskKey(job, int(occurrence), int(step), int(index))
     # `int` also reads signs, spaces, underscores and other digits.
     if format_task_key(key) != name:
-        raise ValueError(f"{name!r} is not the name of a task")
+        raise ValueError("not written as the name of a task")
     return key
 
 
