--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -1,13 +1,21 @@
 """Encoding and decoding of the job records in the store."""
 
 import hashlib
+import math
 
 import msgspec
 
 from limpetyard._events import event
-from limpetyard.jobs._job import FINAL_STATES, Job
+from limpetyard.jobs._job import FINAL_STATES, JOB_CHART, Job
 from limpetyard.jobs._occurrences import OccurrenceSet
-from limpetyard.jobs._spec import JobSpec
+from limpetyard.jobs._spec import (
+    MAX_AMOUNT,
+    MAX_OCCURRENCES,
+    MAX_STEPS,
+    MAX_TASKS,
+    AdviceParams,
+    JobSpec,
+)
 
 # Prefixes of record keys, followed by the id of the job: an accepted job, a
 # cancellation, and the progress of a job.
@@ -133,7 +141,57 @@
     Raises:
         msgspec.MsgspecError: If `data` is not a valid job.
     """
-    return _spec_decoder.decode(data)
+    spec = decode_record(_spec_decoder, data)
+    _check_sizes(spec)
+    return spec
+
+
+def decode_record(decoder: msgspec.msgpack.Decoder, data: bytes):
+    """Decodes a stored record.
+
+    Raises:
+        msgspec.MsgspecError: If `data` is not valid, also if it is nested too
+            deeply.
+    """
+    try:
+        return decoder.decode(data)
+    except RecursionError as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
+
+
+def _check_sizes(spec: JobSpec) -> None:
+    """Checks that a stored job can be held in memory and in its numbers.
+
+    Accepted jobs hold these limits in every release; see `check_spec`.
+
+    Raises:
+        msgspec.ValidationError: If it cannot.
+    """
+    steps = spec.steps
+    if not 1 <= spec.occurrences <= MAX_OCCURRENCES:
+        raise msgspec.ValidationError("number of occurrences out of bounds")
+    if not 1 <= len(steps) <= MAX_STEPS:
+        raise msgspec.ValidationError("number of steps out of bounds")
+    if min(step.count for step in steps) < 1:
+        raise msgspec.ValidationError("step without tasks")
+    if sum(step.count for step in steps) > MAX_TASKS:
+        raise msgspec.ValidationError("number of tasks out of bounds")
+    for number, step in enumerate(steps):
+        if not all(0 <= other < number for other in step.after):
+            raise msgspec.ValidationError("step after one that is not earlier")
+    queue = spec.queue
+    advice = queue.advice or AdviceParams(0.0, 0.0, 0.0)
+    numbers = (
+        spec.accepted_ms,
+        spec.first_due_ms,
+        spec.interval_ms,
+        queue.stretch,
+        queue.objective_ms,
+        *msgspec.structs.astuple(advice),
+        *(step.target_ms for step in steps),
+    )
+    if not all(map(math.isfinite, numbers)):
+        raise msgspec.ValidationError("number that is not finite")
 
 
 def encode_progress(job: Job, wall_ms: float) -> bytes:
@@ -204,9 +262,11 @@
         now_ms: Current time on this process's clock.
 
     Raises:
-        msgspec.MsgspecError: If `data` is not valid progress.
+        msgspec.MsgspecError: If `data` is not valid progress of the job, which
+            is unchanged then.
     """
-    progress = _progress_decoder.decode(data)
+    progress = decode_record(_progress_decoder, data)
+    _check_progress(job.spec, progress)
     if progress.places_known:
         job.confirm_places()
     else:
@@ -215,7 +275,7 @@
     job.make_due(progress.due)
     for mark in progress.marks:
         task = job.task(mark.occurrence, mark.step, mark.index)
-        if task is None:
+        if task is None or not _is_within_bounds(mark):
             event("mark_unknown", job=job.spec.id, mark=mark)
             continue
         task.run = max(task.run, mark.run)
@@ -235,3 +295,32 @@
     if progress.state in FINAL_STATES:
         job.ended_ms = now_ms
     job.dirty = False
+
+
+def _check_progress(spec: JobSpec, progress: JobProgress) -> None:
+    """Checks that progress can be that of a job.
+
+    Raises:
+        msgspec.ValidationError: If it cannot.
+    """
+    if progress.state not in JOB_CHART.states:
+        raise msgspec.ValidationError("unknown state")
+    if not 0 <= progress.due <= spec.occurrences:
+        raise msgspec.ValidationError("number of due occurrences out of bounds")
+    previous = -1
+    for first, last in progress.done:
+        if not previous < first <= last < spec.occurrences:
+            raise msgspec.ValidationError("ranges of occurrences out of order")
+        previous = last
+
+
+def _is_within_bounds(mark: TaskProgress) -> bool:
+    """Returns whether the next progress of the task can be stored too."""
+    numbers = (
+        mark.run,
+        mark.failure_count,
+        mark.crash_score,
+        mark.born,
+        *mark.ended_runs,
+    )
+    return all(0 <= number <= MAX_AMOUNT for number in numbers)
--- a/src/limpetyard/platform/_ingress.py
+++ b/src/limpetyard/platform/_ingress.py
@@ -1,5 +1,7 @@
 """HTTP API for callers that submit jobs, in the platform's wire format."""
 
+import math
+
 import msgspec
 from aiohttp import web
 
@@ -193,7 +195,12 @@
                 ErrorKind.BODY_TOO_LARGE,
                 f"{req.content_length} bytes exceed the limit of {limit}",
             )
-        body = await req.read()
+        try:
+            body = await req.read()
+        except web.RequestPayloadError as exc:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST, f"body: {exc.__cause__ or exc}"
+            ) from exc
         if len(body) > limit:
             raise RequestError(
                 ErrorKind.BODY_TOO_LARGE,
@@ -230,14 +237,19 @@
 def _deadline_ms(req: web.BaseRequest) -> float:
     """Returns a request's deadline, in milliseconds from now.
 
-    A header that is not a number is logged and ignored.
+    A header that is not a finite number is logged and ignored.
     """
     text = req.headers.get("Deadline-Ms", "")
+    if not text:
+        return DEFAULT_DEADLINE_MS
     try:
-        return max(0.0, float(text)) if text else DEFAULT_DEADLINE_MS
+        deadline_ms = float(text)
     except ValueError:
+        deadline_ms = math.nan
+    if not math.isfinite(deadline_ms):
         event("deadline_unreadable", value=text)
         return DEFAULT_DEADLINE_MS
+    return max(0.0, deadline_ms)
 
 
 def _json_response(data: dict) -> web.Response:
@@ -248,11 +260,11 @@
 
 def _error_response(exc: RequestError) -> web.Response:
     error_response = ERROR_RESPONSES[exc.kind]
+    # A header may have bytes that are no text.
+    detail = exc.detail.encode(errors="replace").decode()
     resp = web.Response(
         status=error_response.status,
-        body=msgspec.json.encode(
-            {"kind": exc.kind.value, "detail": exc.detail}
-        ),
+        body=msgspec.json.encode({"kind": exc.kind.value, "detail": detail}),
         content_type="application/json",
     )
     if exc.retry_after_s is not None:
--- a/src/limpetyard/platform/_store.py
+++ b/src/limpetyard/platform/_store.py
@@ -2,16 +2,19 @@
 
 import base64
 import struct
+from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
 
+from limpetyard._events import event
 from limpetyard._http_client import (
     HttpClient,
     HttpResponse,
     NotSentError,
     OutcomeUnknownError,
 )
+from limpetyard.platform._bounds import MAX_NUMBER, Count
 from limpetyard.platform._decode_errors import translate_decode_errors
 from limpetyard.store import (
     FencedError,
@@ -59,27 +62,31 @@
 }
 
 
+# Expected sequence number, or -1 if there is none.
+_Expected = Annotated[int, msgspec.Meta(ge=-1, le=MAX_NUMBER)]
+
+
 class _Conflict(msgspec.Struct, rename="camel"):
     reason: str = ""
-    seq: int = -1
-    expected: int = -1
-    expected_seq: int = -1
+    seq: _Expected = -1
+    expected: _Expected = -1
+    expected_seq: _Expected = -1
 
 
 class _AppendReply(msgspec.Struct, rename="camel"):
-    offset: int = 0
+    offset: Count = 0
 
 
 class _LatestItem(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: Count
 
 
 class _LatestReply(msgspec.Struct, rename="camel"):
     items: list[_LatestItem]
     has_more: bool
-    end_offset: int
+    end_offset: Count
 
 
 class _JoinRequest(msgspec.Struct, rename="camel"):
@@ -91,8 +98,8 @@
 
 
 class _JoinReply(msgspec.Struct):
-    generation: int
-    parts: list[tuple[str, int, int]]
+    generation: Count
+    parts: list[tuple[str, Count, int]]
 
 
 class _LeaveRequest(msgspec.Struct, rename="camel"):
@@ -104,6 +111,12 @@
     group: str
 
 
+class _OwnerRow(msgspec.Struct, array_like=True):
+    topic: str
+    partition: Count
+    member: str
+
+
 class PlatformStore:
     """Client of the store over HTTP; implements `limpetyard.store.Store`."""
 
@@ -197,10 +210,7 @@
         """See `limpetyard.store.Store.partition_owners`."""
         reply = await self._call("GET", f"/log-owners?group={group}", None)
         _check_reply(reply)
-        return {
-            partition: member
-            for _, partition, member in _owner_rows(reply.body)
-        }
+        return {row.partition: row.member for row in _owner_rows(reply.body)}
 
     async def _post(self, path: str, request: msgspec.Struct) -> HttpResponse:
         reply = await self._call("POST", path, msgspec.json.encode(request))
@@ -224,22 +234,28 @@
     return _KEYED_PREFIX + _EXTERNAL_TOPICS.get(topic, topic)
 
 
-def _owner_rows(body: bytes) -> list[tuple[str, int, str]]:
-    """Returns the rows of a group's owners: (topic, partition, member).
+def _owner_rows(body: bytes) -> list[_OwnerRow]:
+    """Returns the rows of a group's owners.
 
     Accepts a body that is a list of rows, or an object whose first value that
-    is a list holds the rows, whatever its key. Ignores rows of fewer than three
-    values.
+    is a list holds the rows, whatever its key. Logs and skips a row that cannot
+    be read.
+
+    Raises:
+        ValueError: If the body is something else.
     """
-    data = msgspec.json.decode(body)
-    rows = data
-    if isinstance(data, dict):
-        rows = next((v for v in data.values() if isinstance(v, list)), [])
-    return [
-        (row[0], row[1], row[2])
-        for row in rows
-        if isinstance(row, list) and len(row) >= 3
-    ]
+    rows = msgspec.json.decode(body)
+    if isinstance(rows, dict):
+        rows = next((v for v in rows.values() if isinstance(v, list)), [])
+    if not isinstance(rows, list):
+        raise ValueError("neither a list nor an object")
+    owners = []
+    for row in rows:
+        try:
+            owners.append(msgspec.convert(row, _OwnerRow))
+        except msgspec.ValidationError as exc:
+            event("row_unreadable", "WARNING", reply="owners", reason=exc)
+    return owners
 
 
 def _encode_record(record: KeyedRecord) -> bytes:
@@ -251,6 +267,8 @@
 def _decode_tail(body: bytes, offset: int) -> TailPage:
     """Decodes a reply to a read from `offset`; ignores a truncated record."""
     end, first_offset = _TAIL_HEADER.unpack_from(body)
+    if max(end, first_offset) > MAX_NUMBER:
+        raise ValueError(f"offset above {MAX_NUMBER}")
     position = _TAIL_HEADER.size
     next_offset = max(offset, first_offset)
     records = []
--- a/tests/platform/test_decode_errors.py
+++ b/tests/platform/test_decode_errors.py
@@ -8,6 +8,7 @@
     PaceOrder,
     PollRequest,
     StartOrder,
+    Ticket,
     WorkerOutcomeUnknownError,
 )
 from limpetyard.jobs import TaskKey
@@ -98,6 +99,64 @@
             ):
                 await advice.advise("0" * 16, 0, 0, ["w-0"], 500)
 
+    async def test_odd_rows_of_advice(self):
+        """A row of other types hid the tickets beside it, or became one.
+
+        A worker that is a list cannot be the key of a table.
+        """
+        advice = PlatformAdviceClient(self.address, 500)
+        self.addAsyncCleanup(advice.close)
+        odd = b'[], [[], "t"], ["w-1", 5], [null, "t"], ["w-2"]'
+        self.body = b'{"good": [%b, ["w-3", "t", 9]], "validityMs": 5}' % odd
+        tickets = await advice.advise("0" * 16, 0, 0, ["w-1", "w-2", "w-3"])
+        self.assertEqual(tickets, [Ticket("w-3", "t", 5)])
+
+    async def test_large_numbers_of_the_store(self):
+        """An offset of more than 64 bits is no epoch that could be stored."""
+        store = PlatformStore(self.address)
+        self.addAsyncCleanup(store.close)
+        item = b'{"key":"a","value":"","offset":%b}' % LARGE
+        replies = (
+            (store.append, ("jobs", 0, []), b'{"offset":%b}' % LARGE),
+            (store.read, ("jobs", 0, 0, 0), b"\xff" * 16),
+            (
+                store.read_latest,
+                ("jobs", 0, ""),
+                b'{"items":[%b],"hasMore":false,"endOffset":0}' % item,
+            ),
+            (
+                store.join,
+                ("g", "m", "jobs", 1000, 0),
+                b'{"generation":%b,"parts":[]}' % LARGE,
+            ),
+            (
+                store.join,
+                ("g", "m", "jobs", 1000, 0),
+                b'{"generation":1,"parts":[["t",-1,0]]}',
+            ),
+        )
+        for call, args, self.body in replies:
+            with (
+                self.subTest(self.body),
+                self.assertRaises(StoreOutcomeUnknownError),
+            ):
+                await call(*args)
+
+    async def test_odd_rows_of_owners(self):
+        """A row of other types hid the owners beside it, or became one.
+
+        A member that is a list raised an error in the service that reads it.
+        """
+        store = PlatformStore(self.address)
+        self.addAsyncCleanup(store.close)
+        odd = b'["t",[],"m"],["t",true,"m"],["t",2,[]],["t",3,7],["t","4","m"]'
+        self.body = b'{"n":1,"rows":[%b,["t",1,"n|a|2",5],["t"]]}' % odd
+        owners = await store.partition_owners("g")
+        self.assertEqual(owners, {1: "n|a|2"})
+        self.body = b'"text"'
+        with self.assertRaises(StoreOutcomeUnknownError):
+            await store.partition_owners("g")
+
     async def test_store(self):
         """After an undecodable reply the outcome of the call is unknown."""
         store = PlatformStore(self.address)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -1,8 +1,10 @@
 """Callers' requests, operators' records and settings of the platform."""
 
+import asyncio
 import unittest
 
 import msgspec
+from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
 
 from limpetyard._error_kinds import ErrorKind
@@ -15,7 +17,11 @@
     encode_spec,
 )
 from limpetyard.node import SiteView
-from limpetyard.platform._ingress import Ingress, parse_job
+from limpetyard.platform._ingress import (
+    DEFAULT_DEADLINE_MS,
+    Ingress,
+    parse_job,
+)
 from limpetyard.platform._operator_records import SiteViewUpdater
 from limpetyard.platform._settings import load_settings
 from limpetyard.store import StoredRecord
@@ -97,6 +103,25 @@
             with self.subTest(body[:60]), self.assertRaises(InvalidJobError):
                 parse_job(ID, QUEUE_PARAMS, body, 5.0)
 
+    def test_tasks_that_are_due_at_once(self):
+        """A body of 70 bytes made 100 million tasks in each owner."""
+        schedules = {
+            "": False,
+            ',"initialDelayMs":1': False,
+            ',"initialDelayMs":9e12,"intervalMs":0.001': False,
+            ',"initialDelayMs":1,"intervalMs":5e-324': False,
+            ',"initialDelayMs":9e12,"intervalMs":10000': True,
+        }
+        text = '{"spec":"x","steps":[{"count":10000}],"repeatCount":10000%s}'
+        for schedule, accepted in schedules.items():
+            body = (text % schedule).encode()
+            with self.subTest(schedule):
+                if accepted:
+                    parse_job(ID, QUEUE_PARAMS, body, 9e11)
+                    continue
+                with self.assertRaisesRegex(InvalidJobError, "tasks are due"):
+                    parse_job(ID, QUEUE_PARAMS, body, 9e11)
+
     def test_largest_amounts(self):
         """What is accepted can be stored."""
         step = {"cpu": 2**53, "estimatedMs": 2**53, "antiAffinity": 2**53}
@@ -176,6 +201,57 @@
         self.assertEqual(self.view.config.version, 7)
         self.assertEqual(self.view.zones_out, {"z"})
 
+    async def send(self, head: bytes, body: bytes = b"") -> bytes:
+        """Returns the response to a request that is sent over a connection."""
+        runner = web.ServerRunner(web.Server(self.ingress.handle))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head + b"\r\nConnection: close\r\n\r\n" + body)
+        resp = await reader.read()
+        writer.close()
+        return resp
+
+    async def test_configuration_that_cannot_be_stored(self):
+        """Each job of a queue with such a number got status 500."""
+        self.configure(7)
+        for field in ("priority", "maxAttempts", "stretch"):
+            text = CONFIG.replace(b'"kind":"k"', b'"%b":1e300' % field.encode())
+            for number in (b"1e300", b"%d" % 2**64, b"-%d" % 2**64):
+                value = (text % 8).replace(b"1e300", number)
+                self.view_updater.apply([StoredRecord(1, "config", value)])
+        self.assertEqual(self.view.config.version, 7)
+
+    async def test_host_that_is_no_text(self):
+        """A Host header with other bytes than text got status 500."""
+        self.configure()
+        resp = await self.send(b"GET /p/ HTTP/1.1\r\nHost: a\xff")
+        self.assertIn(b"404 Not Found", resp)
+        self.assertIn(b"no queue for a?/p/", resp)
+
+    async def test_body_of_a_wrong_encoding(self):
+        """A body that is not of its Content-Encoding got status 500."""
+        self.configure()
+        head = b"POST /p/%b HTTP/1.1\r\nHost: a.example\r\n" % ID.encode()
+        head += b"Content-Encoding: gzip\r\nContent-Length: 5"
+        resp = await self.send(head, b"abcde")
+        self.assertIn(b"400 Bad Request", resp)
+        self.assertIn(b'{"kind":"bad_request","detail":"body', resp)
+
+    async def test_deadline_that_is_no_time(self):
+        """A caller with a deadline of "inf" waited without a time-out."""
+        self.configure()
+        body = b'{"spec":"x","steps":[{}]}'
+        for deadline in (b"inf", b"nan", b"1e999", b"x"):
+            head = b"POST /p/%b HTTP/1.1\r\nHost: a.example\r\n" % ID.encode()
+            head += b"Deadline-Ms: %b\r\nContent-Length: 25" % deadline
+            await self.send(head, body)
+        waits = [deadline_ms for *_, deadline_ms in self.job_service.calls]
+        self.assertEqual(waits, [DEFAULT_DEADLINE_MS] * 4)
+
     async def test_statuses(self):
         """Each outcome maps to its status code."""
         self.configure()
@@ -337,6 +413,34 @@
         with self.assertRaises(SettingError):
             self.load(text)
 
+    def test_unreadable(self):
+        """Nesting and numbers that no reader takes raise a setting error."""
+        digits = "9" * 5000
+        for line in ("later = " + "[" * 20_000, "later = " + digits):
+            with self.subTest(line[:12]), self.assertRaises(SettingError):
+                self.load(line + "\n" + self.GOOD)
+        with self.assertRaises(SettingError):
+            self.load(self.GOOD, metrics_port=digits)
+
+    def test_numbers_that_are_no_time(self):
+        """A time that is NaN or infinite was taken, as was any large one."""
+        for value in ("nan", "inf", "1e305", "9" * 30):
+            for old, new in (
+                ("status_s = 90", "status_s = "),
+                ("graceS = 5", "remoteFactor = "),
+                ("graceS = 5", "gangTimeoutMs = "),
+                ("graceS = 5", "harmMs = "),
+                ("[platform]", "[platform]\nminTtlMs = "),
+            ):
+                text = self.GOOD.replace(old, new + value)
+                with self.subTest(new + value):
+                    self.assertRaises(SettingError, self.load, text)
+
+    def test_name_of_the_node(self):
+        """A name of several lines would be in each line of the log."""
+        text = self.GOOD.replace('"n"', '"a\\nb"')
+        self.assertRaises(SettingError, self.load, text)
+
     def test_missing(self):
         """A missing file raises an error."""
         with self.assertRaises(SettingError):
