Divide what is stored at once into appends that the store takes

Callers: with many or large jobs, no job went on after a takeover, for ever; jobs that were handed in at one time were refused together; records of ended jobs were never deleted.

Cause: all changes went in one append. The store refuses one above `maxCallBytes` (2,097,152), and the same was sent again and again. At 14,682 bytes for a job of 1,000 tasks that have started, 143 such jobs are too many; a takeover after an owner that stores no places changes all jobs at once.

Change: a batch takes as many appends as it needs, in the same order, so `places` stays last. The batch counts as stored, and ends of runs are acknowledged, only after the last append; if one is refused, the whole batch is stored again, which is idempotent. Records of callers and of ended jobs are divided in the same way. Deletions wait for a batch in progress: between its appends, a record could come back after it was deleted. Both limits are read from the settings, and the stand-in store has them.

--- a/src/limpetyard/_node_process.py
+++ b/src/limpetyard/_node_process.py
@@ -33,6 +33,7 @@
     PlatformWorkerClient,
 )
 from limpetyard.platform._worker_entries import parse_worker_entry
+from limpetyard.store import StoreLimits
 
 ADVICE_TIMEOUT_MS = 2000
 
@@ -55,7 +56,9 @@
         return ingress.handle, ingress.drain
 
     adapters = PlatformAdapters(
-        PlatformStore(cfg.store),
+        PlatformStore(
+            cfg.store, StoreLimits(cfg.max_record_bytes, cfg.max_append_bytes)
+        ),
         PlatformWorkerClient(),
         advice,
         parse_worker_entry,
--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -33,6 +33,7 @@
     StoreError,
     StoreRefusedError,
     Writer,
+    split_append,
 )
 
 # Delay before a query to the owner is retried, and maximum time that a caller
@@ -70,10 +71,11 @@
 class BatchAppender:
     """Appends the records of concurrent callers to the store in batches."""
 
-    __slots__ = ("_clock", "_queue", "_writer")
+    __slots__ = ("_clock", "_queue", "_store", "_writer")
 
     def __init__(self, store: Store, clock: Clock, cell: int, producer: str):
         self._clock = clock
+        self._store = store
         self._queue: asyncio.Queue[_PendingRecord] = asyncio.Queue()
         self._writer = Writer(store, clock, JOBS_TOPIC, cell, producer, 1)
 
@@ -87,14 +89,24 @@
             batch = [item for item in batch if not item.fut.done()]
             if not batch:
                 continue
-            try:
-                await self._writer.append([item.record for item in batch])
-            except StoreError as exc:
-                _fail_batch(batch, exc)
-            else:
-                for item in batch:
-                    if not item.fut.done():
-                        item.fut.set_result(None)
+            start = 0
+            for records in split_append(
+                [[item.record] for item in batch], self._store.limits.call_bytes
+            ):
+                end = start + len(records)
+                await self._append(batch[start:end])
+                start = end
+
+    async def _append(self, batch: list[_PendingRecord]) -> None:
+        """Appends records and tells their callers the outcome."""
+        try:
+            await self._writer.append([item.record for item in batch])
+        except StoreError as exc:
+            _fail_batch(batch, exc)
+            return
+        for item in batch:
+            if not item.fut.done():
+                item.fut.set_result(None)
 
     async def append(self, record: KeyedRecord, wait_ms: float) -> None:
         """Queues a record and waits until it is stored.
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -57,6 +57,7 @@
     StoreError,
     StoreRefusedError,
     Writer,
+    split_append,
 )
 
 # Delay before an append; ends of runs that arrive within it share one append.
@@ -478,7 +479,7 @@
         """Stores all changes, after any append in progress.
 
         The end of a run counts as stored only together with its job, so one
-        batch must not overtake another.
+        batch, which may take several calls, must not overtake another.
         """
         async with self._persist_lock:
             await self._persist_changes()
@@ -487,18 +488,22 @@
         """Appends changed jobs and unrecorded workers."""
         jobs, batch = self.engine.pop_dirty()
         wall_ms = self._wall_ms()
-        records = [
-            KeyedRecord(
-                PROGRESS_PREFIX + job.spec.id, encode_progress(job, wall_ms)
-            )
+        groups = [
+            [
+                KeyedRecord(
+                    PROGRESS_PREFIX + job.spec.id, encode_progress(job, wall_ms)
+                )
+            ]
             for job in jobs
         ]
         workers = self._unrecorded_workers()
-        records += [
-            KeyedRecord(
-                WORKER_KEY_PREFIX + worker.id,
-                msgspec.msgpack.encode(worker.entry),
-            )
+        groups += [
+            [
+                KeyedRecord(
+                    WORKER_KEY_PREFIX + worker.id,
+                    msgspec.msgpack.encode(worker.entry),
+                )
+            ]
             for worker in workers
         ]
         recorded = {
@@ -508,13 +513,12 @@
         if not self._places_recorded:
             # Last, as jobs whose places are not known must be stored before.
             epoch = self.engine.epoch.to_bytes(EPOCH_BYTES)
-            records.append(KeyedRecord(PLACES_KEY, epoch))
-        if records:
-            try:
-                await self._writer.append(records)
-            except StoreError:
-                self.engine.on_store_rejected(batch)
-                raise
+            groups.append([KeyedRecord(PLACES_KEY, epoch)])
+        try:
+            await self._append(groups)
+        except StoreError:
+            self.engine.on_store_rejected(batch)
+            raise
         self._places_recorded = True
         self._recorded_workers.update(recorded)
         self.engine.on_stored(batch)
@@ -523,6 +527,15 @@
         self._append_done.clear()
         self._plan_needed.set()
 
+    async def _append(self, groups: list[list[KeyedRecord]]) -> None:
+        """Appends records in as many calls as the limit of the store takes.
+
+        Raises:
+            StoreError: If a call failed; the earlier ones have been applied.
+        """
+        for records in split_append(groups, self._store.limits.call_bytes):
+            await self._writer.append(records)
+
     async def _plan_loop(self) -> None:
         while not self.ended and not self.should_stop:
             with contextlib.suppress(TimeoutError):
@@ -558,7 +571,9 @@
 
     async def _purge_loop(self) -> None:
         while not self.ended and not self.should_stop:
-            await self._purge(self._clock.now_ms())
+            # A batch in progress may hold a record that would be deleted.
+            async with self._persist_lock:
+                await self._purge(self._clock.now_ms())
             await asyncio.sleep(PURGE_INTERVAL_MS / MS_PER_SECOND)
 
     async def _purge(self, now_ms: float) -> None:
@@ -578,19 +593,28 @@
         # One that is listed again meanwhile is recorded anew.
         self._removed_workers.difference_update(self.engine.workers)
         removed = sorted(self._removed_workers)
-        records = [
-            KeyedRecord(WORKER_KEY_PREFIX + worker, None) for worker in removed
+        groups = [
+            [KeyedRecord(WORKER_KEY_PREFIX + worker, None)]
+            for worker in removed
         ]
-        for job_id in expired_jobs:
-            for prefix in (PROGRESS_PREFIX, CANCELLED_PREFIX, ACCEPTED_PREFIX):
-                records.append(KeyedRecord(prefix + job_id, None))
-        if not records:
+        groups += [
+            [
+                KeyedRecord(prefix + job_id, None)
+                for prefix in (
+                    PROGRESS_PREFIX,
+                    CANCELLED_PREFIX,
+                    ACCEPTED_PREFIX,
+                )
+            ]
+            for job_id in expired_jobs
+        ]
+        if not groups:
             return
         # One that is listed again before the reply must be recorded anew.
         for worker in removed:
             self._recorded_workers.pop(worker, None)
         try:
-            await self._writer.append(records)
+            await self._append(groups)
         except StoreError as exc:
             event("forget_failed", reason=exc)
             return
--- a/src/limpetyard/node/_settings.py
+++ b/src/limpetyard/node/_settings.py
@@ -41,6 +41,8 @@
         pacer: Name of the policy that paces best-effort tasks.
         processor_cores: Processor capacity of this VM in cores of normal speed,
             0 if unknown.
+        max_record_bytes: Largest record that the store accepts.
+        max_append_bytes: Largest append that the store accepts.
     """
 
     node: str
@@ -61,6 +63,8 @@
     reserved_share: float = DEFAULT_RESERVED_SHARE
     pacer: str = DEFAULT_PACER
     processor_cores: float = 0.0
+    max_record_bytes: int = 262_144
+    max_append_bytes: int = 2_097_152
 
     def check(self) -> None:
         """Checks every setting.
@@ -81,6 +85,8 @@
             "state_kept_ms",
             "leave_ms",
             "strain_limit_ms",
+            "max_record_bytes",
+            "max_append_bytes",
         )
         for name in positive:
             if getattr(self, name) <= 0:
--- a/src/limpetyard/platform/_settings.py
+++ b/src/limpetyard/platform/_settings.py
@@ -9,6 +9,7 @@
 from limpetyard.engine import DEFAULT_PACER
 from limpetyard.errors import SettingError
 from limpetyard.node import DEFAULT_RESERVED_SHARE, NodeSettings
+from limpetyard.store import StoreLimits
 
 # Environment variable that holds the path of the settings file.
 SETTINGS_ENV = "LIMPETYARD_SETTINGS"
@@ -25,6 +26,9 @@
 # leave for tasks that end.
 RESERVED_SHARE_ENV = "LIMPETYARD_RESERVED_SHARE"
 
+# Limits of a store whose settings name none.
+_STORE_LIMITS = StoreLimits()
+
 
 class _ListenAddresses(msgspec.Struct, rename="camel"):
     frontend: str
@@ -46,6 +50,8 @@
 class _Platform(msgspec.Struct, rename="camel"):
     address: str
     min_ttl_ms: int = 1000
+    max_record_bytes: int = _STORE_LIMITS.record_bytes
+    max_call_bytes: int = _STORE_LIMITS.call_bytes
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
@@ -125,4 +131,6 @@
         reserved_share,
         pacer or DEFAULT_PACER,
         file.limits.cpu_quota * file.limits.cpu_cores,
+        file.platform.max_record_bytes,
+        file.platform.max_call_bytes,
     )
--- a/src/limpetyard/platform/_store.py
+++ b/src/limpetyard/platform/_store.py
@@ -22,6 +22,7 @@
     RefusalKind,
     SequenceError,
     StoredRecord,
+    StoreLimits,
     StoreOffsetTrimmedError,
     StoreOutcomeUnknownError,
     StoreRefusedError,
@@ -107,14 +108,16 @@
 class PlatformStore:
     """Client of the store over HTTP; implements `limpetyard.store.Store`."""
 
-    __slots__ = ("_http_client", "_url")
+    __slots__ = ("_http_client", "_url", "limits")
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, limits: StoreLimits | None = None):
         """Creates a client.
 
         Args:
             address: IP:port of the store.
+            limits: Largest sizes of an append, or None for the defaults.
         """
+        self.limits = limits or StoreLimits()
         self._url = f"http://{address}"
         self._http_client = HttpClient(MAX_CONNECTIONS, "store")
 
--- a/src/limpetyard/store/__init__.py
+++ b/src/limpetyard/store/__init__.py
@@ -21,8 +21,10 @@
     Producer,
     Store,
     StoredRecord,
+    StoreLimits,
     TailPage,
 )
+from limpetyard.store._sizes import size_bytes, split_append
 from limpetyard.store._writer import Writer
 
 __all__ = [
@@ -36,10 +38,13 @@
     "SequenceError",
     "Store",
     "StoreError",
+    "StoreLimits",
     "StoreOffsetTrimmedError",
     "StoreOutcomeUnknownError",
     "StoreRefusedError",
     "StoredRecord",
     "TailPage",
     "Writer",
+    "size_bytes",
+    "split_append",
 ]
--- a/src/limpetyard/store/_interface.py
+++ b/src/limpetyard/store/_interface.py
@@ -82,13 +82,30 @@
     partitions: frozenset[int]
 
 
+class StoreLimits(msgspec.Struct, frozen=True):
+    """Largest sizes of an append; the store refuses larger ones for ever.
+
+    Attributes:
+        record_bytes: Largest size of one record; see `size_bytes`.
+        call_bytes: Largest size of all records of one append.
+    """
+
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+
+
 class Store(Protocol):
     """Partitioned logs, the latest record of each key, and consumer groups.
 
     Every call raises `StoreRefusedError` if the store changed nothing and
     `StoreOutcomeUnknownError` if the outcome is unknown.
+
+    Attributes:
+        limits: Largest sizes of an append.
     """
 
+    limits: StoreLimits
+
     async def append(
         self,
         topic: str,
--- a/standins/platform/_http.py
+++ b/standins/platform/_http.py
@@ -20,6 +20,7 @@
     Producer,
     SequenceError,
     StoreOffsetTrimmedError,
+    StoreRefusedError,
 )
 from standins.platform._link import LinkTimeoutError
 from standins.platform._store import StoreModel
@@ -101,6 +102,8 @@
             return _json({"reason": "fenced"}, 409)
         except SequenceError as exc:
             return _json({"reason": "seq", "seq": exc.expected}, 409)
+        except StoreRefusedError as exc:
+            return _json({"detail": str(exc)}, 400)
         return _json({"offset": offset, "endOffset": offset + len(records)})
 
     async def log_read(self, req: web.BaseRequest) -> web.Response:
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -13,6 +13,7 @@
     RefusalKind,
     SequenceError,
     StoredRecord,
+    StoreLimits,
     StoreOffsetTrimmedError,
     StoreOutcomeUnknownError,
     StoreRefusedError,
@@ -25,6 +26,10 @@
 DEDUP_WINDOW = 5
 CALL_TIMEOUT_MS = 1500
 
+# Bytes of the length of a key, and of the length of a record.
+KEY_PREFIX_BYTES = 1
+RECORD_PREFIX_BYTES = 4
+
 
 class _ProducerState:
     def __init__(self, epoch: int):
@@ -147,6 +152,7 @@
         calls: Number of calls executed so far.
         keeps_assignments: Whether the partitions of a group stay assigned to
             its last members after all of them have expired or left.
+        limits: Largest sizes of an append; larger ones are refused.
     """
 
     def __init__(self, clock: Clock):
@@ -155,6 +161,7 @@
         self._groups: dict[str, _Group] = {}
         self.calls = 0
         self.keeps_assignments = False
+        self.limits = StoreLimits()
 
     def partition(self, topic: str, partition_id: int) -> _Partition:
         """Returns a partition and creates it on first use."""
@@ -201,6 +208,7 @@
     ) -> int:
         """See `limpetyard.store.Store.append`."""
         self.calls += 1
+        self._check_sizes(records)
         partition = self.partition(topic, partition_id)
         if producer is None:
             return partition.append(records)
@@ -211,6 +219,26 @@
         partition.record_append(producer, offset)
         return offset
 
+    def _check_sizes(self, records: list[KeyedRecord]) -> None:
+        """Refuses an append that is too large, as the store does.
+
+        Raises:
+            StoreRefusedError: If a record or the append is too large.
+        """
+        total = 0
+        for record in records:
+            key, value = record.key.encode(), record.value or b""
+            size = KEY_PREFIX_BYTES + len(key) + len(value)
+            total += RECORD_PREFIX_BYTES + size
+            if size > self.limits.record_bytes:
+                raise StoreRefusedError(
+                    RefusalKind.INVALID, f"{record.key} has {size} bytes"
+                )
+        if total > self.limits.call_bytes:
+            raise StoreRefusedError(
+                RefusalKind.INVALID, f"append has {total} bytes"
+            )
+
     async def read(
         self, topic: str, partition_id: int, offset: int, wait_ms: int
     ) -> TailPage:
@@ -299,6 +327,11 @@
         self._model = model
         self.link = link
 
+    @property
+    def limits(self) -> StoreLimits:
+        """Largest sizes of an append."""
+        return self._model.limits
+
     async def _call(self, operation, wait_ms: float = 0.0):
         try:
             return await self.link.call(operation, CALL_TIMEOUT_MS + wait_ms)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -251,6 +251,15 @@
         self.assertEqual(cfg.state_kept_ms, 90_000)
         self.assertEqual(cfg.leave_ms, 5000)
 
+    def test_limits_of_the_store(self):
+        """Sizes are read from the file; the documented ones are the default."""
+        cfg = self.load(self.GOOD)
+        self.assertEqual(cfg.max_record_bytes, 262_144)
+        self.assertEqual(cfg.max_append_bytes, 2_097_152)
+        limits = "\nmaxRecordBytes = 7\nmaxCallBytes = 8"
+        cfg = self.load(self.GOOD + limits)
+        self.assertEqual((cfg.max_record_bytes, cfg.max_append_bytes), (7, 8))
+
     def test_bad(self):
         """The error names the invalid setting."""
         bad = {
