Leave a record that the store does not take out of the batch

Callers: once one job's progress was above the limit of a record, no end of any job was noted, for ever, and no job started.

Cause: the store refuses an append with such a record as a whole, and the same append was tried again and again. With places or checkpoints a job of 10,000 tasks exceeds 262,144 bytes: 279,682 with the names of its workers, 389,682 with checkpoints of 24 characters.

Change: the batch goes on without such a job or worker. The job does not count as stored: its final state is not reported, its long-running tasks are not started at places that are not stored, and no worker gets an acknowledgement from the first of its ends on, so that a later owner learns of them from the workers. `places` is not written while such a job's own places are unknown. The job is tried again with each of its changes; a final state is small. `record_too_large` names key, size and limit, `limpetyard_records_too_large_total` counts.

Failed before, with the former _owner.py: RecordLimitTest .test_others_go_on and .test_takeover ('queued' != 'completed'). With the job left out but its ends acknowledged, test_takeover shows TWICE. Also JobLifecycleTest.test_job_that_the_store_does_not_take.

What remains: a worker that lists a limited number of ends in a reply holds back those of other jobs behind many ends of such a job.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -195,6 +195,11 @@
         ("cell", "took_ms", "effects"),
         "A round of planning held up the event loop for long.",
     ),
+    "record_too_large": EventKind(
+        ("key", "size_bytes", "limit_bytes"),
+        "The store does not take this record; its job or worker is not stored"
+        " until it is smaller, and the others are.",
+    ),
     "record_unreadable": EventKind(
         ("key", "reason"),
         "A record of the cell cannot be decoded and is skipped.",
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections.abc import Collection
 
 from limpetyard._events import event
 from limpetyard.engine._census import Census
@@ -135,6 +136,7 @@
         "_pace",
         "_planner",
         "_run_end_handler",
+        "_unstored_jobs",
         "_workers_by_job",
         "crashes",
         "dirty_workers",
@@ -169,6 +171,8 @@
         # Ids of the workers that have got runs of a job, by its id, until it
         # ends.
         self._workers_by_job: dict[str, set[str]] = {}
+        # Ids of the jobs whose latest progress the store did not take.
+        self._unstored_jobs: set[str] = set()
 
     def add_job(self, spec: JobSpec, now_ms: float, loaded: bool) -> Job:
         """Adds an accepted job and returns it; idempotent by id.
@@ -214,6 +218,7 @@
         self.jobs.pop(job_id, None)
         self.open_jobs.pop(job_id, None)
         self._workers_by_job.pop(job_id, None)
+        self._unstored_jobs.discard(job_id)
 
     def set_entry(self, entry: WorkerEntry, now_ms: float) -> Worker:
         """Adds or updates a worker from its directory entry.
@@ -854,23 +859,31 @@
             or task.recorded_place == worker
         )
 
-    def on_stored(self, batch: ChangeBatch) -> None:
+    def on_stored(
+        self, batch: ChangeBatch, left_out: Collection[str] = ()
+    ) -> None:
         """Handles a successful append of a batch.
 
         From now on, final states may be reported to callers, and ended runs
         may be acknowledged to workers.
+
+        Args:
+            batch: The batch.
+            left_out: Ids of the jobs whose progress the store does not take. It
+                does not count as stored until a later batch has it.
         """
+        self._unstored_jobs.difference_update(batch.jobs)
+        self._unstored_jobs.update(left_out)
         for job_id, state in batch.jobs.items():
-            if job_id in self.jobs:
+            if job_id in self.jobs and job_id not in left_out:
                 self.jobs[job_id].stored_state = state
         for task, place in batch.places:
-            task.recorded_place = place
+            if task.key.job not in left_out:
+                task.recorded_place = place
         for worker_id, (born, last_received_end) in batch.received_ends.items():
             worker = self.workers.get(worker_id)
             if worker is not None and worker.born == born:
-                worker.last_acked_end = max(
-                    worker.last_acked_end, last_received_end
-                )
+                worker.acknowledge_ends(last_received_end, self._unstored_jobs)
 
     def on_store_rejected(self, batch: ChangeBatch) -> None:
         """Handles a rejected append: marks the jobs as changed again."""
--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -48,6 +48,7 @@
             if end.number <= worker.last_received_end:
                 continue
             worker.last_received_end = end.number
+            worker.unacked_ends.append((end.number, end.task.job))
             has_new_ends = True
             self._handle_end(worker, end, now_ms)
         return has_new_ends
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from limpetyard.engine._step_worker_client import RunReport, WorkerEntry
@@ -196,6 +197,8 @@
         last_received_end: Number of the last ended run that was processed.
         last_acked_end: Number of the last ended run that is stored, and that
             the worker therefore need not report again.
+        unacked_ends: Number and job of each ended run that was processed after
+            that one, in order.
         has_all_ends: Whether the last reply listed all ends that are not
             acknowledged.
         lease_end_ms: Time by which every lease granted by this owner has
@@ -255,6 +258,7 @@
         "silent_starts",
         "slowed_ms",
         "token_confirmed",
+        "unacked_ends",
     )
 
     def __init__(self, entry: WorkerEntry, epoch: int):
@@ -270,6 +274,7 @@
         self.slowed_ms = float("-inf")
         self.last_received_end = 0
         self.last_acked_end = 0
+        self.unacked_ends: list[tuple[int, str]] = []
         self.has_all_ends = False
         self.lease_end_ms = 0.0
         self.prior_lease_end_ms = 0.0
@@ -433,6 +438,22 @@
         )
         return not has_probe and now_ms - self.last_failure_ms >= backoff_ms
 
+    def acknowledge_ends(self, last: int, held_jobs: Collection[str]) -> None:
+        """Acknowledges ended runs, up to the first one of certain jobs.
+
+        Args:
+            last: Number of the last end that may be acknowledged.
+            held_jobs: Ids of the jobs whose progress is not stored.
+        """
+        for number, job_id in self.unacked_ends:
+            if job_id in held_jobs:
+                last = min(last, number - 1)
+                break
+        self.last_acked_end = max(self.last_acked_end, last)
+        self.unacked_ends = [
+            end for end in self.unacked_ends if end[0] > self.last_acked_end
+        ]
+
     def start_incarnation(self, born: int) -> None:
         """Resets the state for a new incarnation."""
         self.born = born
@@ -442,6 +463,7 @@
         self.runs.clear()
         self.last_received_end = 0
         self.last_acked_end = 0
+        self.unacked_ends.clear()
         self.lease_end_ms = 0.0
         self.ended = False
         self.crashed = False
--- a/src/limpetyard/node/_metrics.py
+++ b/src/limpetyard/node/_metrics.py
@@ -95,6 +95,9 @@
         "Reports of long-running tasks that wait, by reason.",
         ("reason",),
     ),
+    "record_too_large": _CounterSpec(
+        "records_too_large", "Records that the store does not take.", ()
+    ),
     "run_lost": _CounterSpec(
         "runs_lost", "Runs lost with their worker or its lease.", ()
     ),
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -57,6 +57,7 @@
     StoreError,
     StoreRefusedError,
     Writer,
+    size_bytes,
     split_append,
 )
 
@@ -165,6 +166,8 @@
         # Whether it is stored that this owner stores the places of long-running
         # tasks.
         self._places_recorded = False
+        # Keys whose latest record was too large for the store.
+        self._too_large: set[str] = set()
 
     @property
     def deciding(self) -> bool:
@@ -488,29 +491,32 @@
         """Appends changed jobs and unrecorded workers."""
         jobs, batch = self.engine.pop_dirty()
         wall_ms = self._wall_ms()
-        groups = [
-            [
+        groups: list[list[KeyedRecord]] = []
+        left_out: set[str] = set()
+        places_recorded = True
+        for job in jobs:
+            group = [
                 KeyedRecord(
                     PROGRESS_PREFIX + job.spec.id, encode_progress(job, wall_ms)
                 )
             ]
-            for job in jobs
-        ]
-        workers = self._unrecorded_workers()
-        groups += [
-            [
+            if self._fit_store(group):
+                groups.append(group)
+            else:
+                left_out.add(job.spec.id)
+                places_recorded &= job.places_known
+        recorded: dict[str, tuple[int, bool]] = {}
+        for worker in self._unrecorded_workers():
+            group = [
                 KeyedRecord(
                     WORKER_KEY_PREFIX + worker.id,
                     msgspec.msgpack.encode(worker.entry),
                 )
             ]
-            for worker in workers
-        ]
-        recorded = {
-            worker.id: (worker.born, worker.entry.draining)
-            for worker in workers
-        }
-        if not self._places_recorded:
+            if self._fit_store(group):
+                groups.append(group)
+                recorded[worker.id] = (worker.born, worker.entry.draining)
+        if places_recorded and not self._places_recorded:
             # Last, as jobs whose places are not known must be stored before.
             epoch = self.engine.epoch.to_bytes(EPOCH_BYTES)
             groups.append([KeyedRecord(PLACES_KEY, epoch)])
@@ -519,14 +525,37 @@
         except StoreError:
             self.engine.on_store_rejected(batch)
             raise
-        self._places_recorded = True
+        self._places_recorded |= places_recorded
         self._recorded_workers.update(recorded)
-        self.engine.on_stored(batch)
+        self.engine.on_stored(batch, left_out)
         self.engine.set_recorded_workers(self._recorded_workers)
         self._append_done.set()
         self._append_done.clear()
         self._plan_needed.set()
 
+    def _fit_store(self, records: list[KeyedRecord]) -> bool:
+        """Returns whether the store takes records of these sizes.
+
+        Records that it refuses would be refused with all others of an append,
+        again and again. Logs each key that has become too large.
+        """
+        limits = self._store.limits
+        limit = min(limits.record_bytes, limits.call_bytes)
+        sizes = {record.key: size_bytes(record) for record in records}
+        too_large = {key: n for key, n in sizes.items() if n > limit}
+        for key, size in too_large.items():
+            if key not in self._too_large:
+                event(
+                    "record_too_large",
+                    "ERROR",
+                    key=key,
+                    size_bytes=size,
+                    limit_bytes=limit,
+                )
+        self._too_large.difference_update(sizes)
+        self._too_large.update(too_large)
+        return not too_large
+
     async def _append(self, groups: list[list[KeyedRecord]]) -> None:
         """Appends records in as many calls as the limit of the store takes.
 
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -179,6 +179,32 @@
         self.assertEqual(len(jobs), 1)
         self.assertEqual(self.engine.workers[start.worker].last_acked_end, 0)
 
+    def test_job_that_the_store_does_not_take(self):
+        """Ends from the first one of such a job on are not acknowledged."""
+        engine = self.engine
+        small, large = (
+            self.submit(job(number, StepSpec(4, ONE_CORE, per_worker=1)))
+            for number in (1, 2)
+        )
+        starts = {(s.worker, s.task.job): s for s in self.start_all()}
+        name = starts[min(starts)].worker
+        worker = engine.workers[name]
+        self.end(starts[name, small.spec.id])
+        self.end(starts[name, large.spec.id])
+        _, batch = engine.pop_dirty()
+        engine.on_stored(batch, {large.spec.id})
+        self.assertEqual(
+            (small.stored_state, worker.last_acked_end), (small.state, 1)
+        )
+        self.assertNotEqual(large.stored_state, large.state)
+        engine.on_stored(engine.pop_dirty()[1])
+        self.assertEqual(worker.last_acked_end, 1)
+        large.dirty = True
+        engine.on_stored(engine.pop_dirty()[1])
+        self.assertEqual(
+            (large.stored_state, worker.last_acked_end), (large.state, 2)
+        )
+
     def test_attempts(self):
         """A job fails with the last attempt of a task, not earlier."""
         submitted = self.submit(job(1, StepSpec(1, ONE_CORE), max_attempts=2))
--- a/tests/node/test_record_sizes.py
+++ b/tests/node/test_record_sizes.py
@@ -2,17 +2,23 @@
 
 import asyncio
 
+from limpetyard.jobs import JobSpec, StepSpec
 from limpetyard.node._store_layout import JOBS_TOPIC, PLACES_KEY
 from limpetyard.store import StoreLimits
 from standins.platform import SimulatedSite
-from standins.platform._site import DEADLINE_MS
-from tests.node.test_whole_site import SiteTestCase, job
+from standins.platform._site import DEADLINE_MS, QUEUE
+from tests.node.test_whole_site import SMALL, SiteTestCase, job
 
 JOBS = range(30)
 
 # Holds a few records of such jobs.
 CALL_BYTES = 1200
 
+# Holds the record of such a job, but not that of a large one.
+RECORD_BYTES = 400
+LARGE = 100
+LARGE_TASKS = 40
+
 # Time after which an ended job has been forgotten.
 FORGOTTEN_S = 130
 
@@ -65,3 +71,46 @@
             self.assertEqual([k for k in keys if k[:2] in ("s/", "p/")], [])
 
         self.run_scenario(scenario)
+
+
+class RecordLimitTest(SiteTestCase):
+    """The progress of one job exceeds one record."""
+
+    async def submit_all(self, site: SimulatedSite, last_ms: int) -> None:
+        """Submits a job whose progress is too large, and others.
+
+        Args:
+            site: The site.
+            last_ms: Run time of the tasks of its last step.
+        """
+        site.store.limits = StoreLimits(record_bytes=RECORD_BYTES)
+        first = StepSpec(LARGE_TASKS, SMALL, 500)
+        last = StepSpec(LARGE_TASKS, SMALL, last_ms, after=(0,))
+        spec = JobSpec(f"{LARGE:016x}", QUEUE, "payload", (first, last))
+        self.assertTrue(await site.submit(spec))
+        await self.submit(site, JOBS)
+
+    def test_others_go_on(self):
+        """Every append with that job was refused, for all jobs: LOST."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit_all(site, last_ms=600_000)
+            await self.complete(site, JOBS)
+            # A final state is small enough to be stored.
+            large_id = f"{LARGE:016x}"
+            self.assertTrue(await site.cancel(large_id))
+            state = await site.wait_for(large_id, ("cancelled",), 3000)
+            self.assertEqual(state, "cancelled")
+
+        self.run_scenario(scenario, workers=20)
+
+    def test_takeover(self):
+        """What was not stored has not been acknowledged to the workers."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit_all(site, last_ms=500)
+            await asyncio.sleep(0.8)
+            await site.kill_node(site.owner())
+            await self.complete(site, [*JOBS, LARGE])
+
+        self.run_scenario(scenario, workers=20)
