Store the progress of a large job in chunks

Callers: of a long-running job of very many tasks some were never started, since their place could not be stored; no step of a job with checkpoints was stored until the job had ended.

Cause: the progress of a job is one record, of 15 to 39 bytes for each task that has run. Above `maxRecordBytes` it cannot be stored.

Change: progress that does not fit into one record has its marks in records of 128 tasks of a step, `t/ID/N`; only changed ones are written, before `p/ID`, which has the state. What fits is stored as it was, byte by byte, as builds before this one know no chunks. If such a build takes over, it knows no marks and no places of that job: it asks all workers first, but runs again what is done. It could not store such a job itself. Chunks that it leaves behind when it deletes the job are deleted by the next owner. Deleting a job and its final state delete its chunks.

What remains: a job whose changed chunks exceed one append by themselves (over 2 MB at once) may be stored in part when an owner dies. Progress up to the limit is written again with each change.

--- a/src/limpetyard/jobs/__init__.py
+++ b/src/limpetyard/jobs/__init__.py
@@ -8,13 +8,16 @@
 from limpetyard.jobs._records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
+    CHUNK_PREFIX,
     PROGRESS_PREFIX,
     JobProgress,
     TaskProgress,
     apply_progress,
+    chunk_job,
     decode_spec,
     encode_progress,
     encode_spec,
+    progress_changes,
 )
 from limpetyard.jobs._spec import (
     AdviceParams,
@@ -31,6 +34,7 @@
     "ACCEPTED_PREFIX",
     "CANCELLED_PREFIX",
     "FINAL_STATES",
+    "CHUNK_PREFIX",
     "PROGRESS_PREFIX",
     "AdviceParams",
     "InvalidJobError",
@@ -49,4 +53,6 @@
     "decode_spec",
     "encode_progress",
     "encode_spec",
+    "chunk_job",
+    "progress_changes",
 ]
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -233,6 +233,8 @@
             including tasks of occurrences that are not due yet here.
         places_known: Whether the store has had the place of each long-running
             task, before it was started there, since the job was accepted.
+        stored_chunks: Values of the chunks of its progress that are stored, by
+            key; see `progress_changes`.
         estimates: Estimates that depend on the specification only, kept by
             the planner; None before they are needed.
     """
@@ -250,6 +252,7 @@
         "spec",
         "started_ms",
         "state",
+        "stored_chunks",
         "stored_state",
         "submitted_ms",
         "tasks",
@@ -268,6 +271,7 @@
         self.dirty = False
         self.inherited = False
         self.places_known = True
+        self.stored_chunks: dict[str, bytes] = {}
         self.estimates: tuple | None = None
         self._remaining: dict[tuple[int, int], int] = {}
         # Waiting tasks of each step that is not done, by index.
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -8,10 +8,16 @@
 from limpetyard.jobs._spec import JobSpec
 
 # Prefixes of record keys, followed by the id of the job: an accepted job, a
-# cancellation, and the progress of a job.
+# cancellation, the progress of a job, and chunks of that progress. Builds that
+# know no chunks ignore their prefix.
 ACCEPTED_PREFIX = "s/"
 CANCELLED_PREFIX = "c/"
 PROGRESS_PREFIX = "p/"
+CHUNK_PREFIX = "t/"
+
+# Tasks of one step whose progress shares a chunk. A change of one task rewrites
+# 2 to 8 KB; a job of 10,000 tasks has 79 chunks.
+CHUNK_TASKS = 128
 
 # Most marks of tasks whose occurrence is done. Beyond, such occurrences are
 # stored as ranges, so that the record of a long schedule stays small.
@@ -78,7 +84,23 @@
     done: list[tuple[int, int]] = []
 
 
-_progress_decoder = msgspec.msgpack.Decoder(JobProgress)
+class ChunkedProgress(JobProgress):
+    """Stored progress of a job whose marks are in chunks.
+
+    It has no marks and no known places itself: builds that know no chunks must
+    not take the places as known.
+
+    Attributes:
+        in_chunks: Whether the marks are in chunks. If not, chunks are outdated.
+        chunks_places_known: `places_known` of the job.
+    """
+
+    in_chunks: bool = False
+    chunks_places_known: bool = False
+
+
+_progress_decoder = msgspec.msgpack.Decoder(ChunkedProgress)
+_chunk_decoder = msgspec.msgpack.Decoder(list[TaskProgress])
 
 
 def encode_spec(spec: JobSpec) -> bytes:
@@ -96,18 +118,68 @@
 
 
 def encode_progress(job: Job, wall_ms: float) -> bytes:
-    """Returns the stored form of the progress of a job.
+    """Returns the stored form of the progress of a job, in one record.
 
     Args:
         job: The job.
         wall_ms: Current time of day in Unix milliseconds, stored with a final
             state.
     """
-    marks, done = [], []
+    return _encode_whole(job, _task_progress(job), wall_ms)
+
+
+def progress_changes(
+    job: Job, wall_ms: float, max_bytes: int
+) -> dict[str, bytes | None]:
+    """Returns the records that change with the progress of a job.
+
+    They must be appended in this order: marks move to chunks, or back, with
+    the record of the job, which comes after new chunks and before deletions.
+
+    Args:
+        job: The job; its `stored_chunks` must be kept up to date.
+        wall_ms: See `encode_progress`.
+        max_bytes: Largest value of a record that the store takes. Progress that
+            fits is stored in one record, which older builds can read.
+
+    Returns:
+        Value of each record, or None if it is deleted, by key.
+    """
+    marks = _task_progress(job)
+    data = _encode_whole(job, marks, wall_ms)
+    chunks: dict[str, bytes] = {}
+    if len(data) > max_bytes:
+        chunks = _encode_chunks(job, marks)
+        data = msgspec.msgpack.encode(
+            ChunkedProgress(
+                job.state,
+                job.due,
+                [],
+                done=job.done_occurrences.ranges(),
+                in_chunks=True,
+                chunks_places_known=job.places_known,
+            )
+        )
+    changes: dict[str, bytes | None] = {
+        key: value
+        for key, value in chunks.items()
+        if job.stored_chunks.get(key) != value
+    }
+    changes[PROGRESS_PREFIX + job.spec.id] = data
+    changes.update(dict.fromkeys(sorted(job.stored_chunks.keys() - chunks)))
+    return changes
+
+
+def chunk_job(key: str) -> str:
+    """Returns the id of the job that a key of a chunk belongs to."""
+    return key.removeprefix(CHUNK_PREFIX).partition("/")[0]
+
+
+def _encode_whole(job: Job, marks: list[TaskProgress], wall_ms: float) -> bytes:
+    done = []
     if not job.is_final:
-        marks = _task_progress(job)
         if _has_marks_of_done(job):
-            marks += _marks_of_done(job)
+            marks = marks + _marks_of_done(job)
         else:
             done = job.done_occurrences.ranges()
     ended_ms = wall_ms if job.is_final else 0.0
@@ -116,6 +188,18 @@
     )
 
 
+def _encode_chunks(job: Job, marks: list[TaskProgress]) -> dict[str, bytes]:
+    """Returns the value of each chunk by key."""
+    chunks: dict[str, list[TaskProgress]] = {}
+    for mark in marks:
+        chunk = f"{mark.occurrence}.{mark.step}.{mark.index // CHUNK_TASKS}"
+        chunks.setdefault(chunk, []).append(mark)
+    return {
+        f"{CHUNK_PREFIX}{job.spec.id}/{chunk}": msgspec.msgpack.encode(part)
+        for chunk, part in chunks.items()
+    }
+
+
 def _has_marks_of_done(job: Job) -> bool:
     """Returns whether tasks of done occurrences get marks.
 
@@ -135,6 +219,9 @@
 
 
 def _task_progress(job: Job) -> list[TaskProgress]:
+    """Returns the marks of the job's tasks; none in a final state."""
+    if job.is_final:
+        return []
     return [
         TaskProgress(
             task.key.occurrence,
@@ -158,7 +245,7 @@
     """Applies stored progress to a job that was just read.
 
     Args:
-        job: The job, to be updated.
+        job: The job, to be updated; it has the chunks that are stored.
         data: Stored form of its progress.
         now_ms: Current time on this process's clock.
 
@@ -166,13 +253,17 @@
         msgspec.MsgspecError: If `data` is not valid progress.
     """
     progress = _progress_decoder.decode(data)
-    if progress.places_known:
+    marks = progress.marks
+    if progress.in_chunks:
+        for chunk in job.stored_chunks.values():
+            marks += _chunk_decoder.decode(chunk)
+    if progress.places_known or progress.chunks_places_known:
         job.confirm_places()
     else:
         job.forget_places()
     job.restore_done(OccurrenceSet(progress.done))
     job.make_due(progress.due)
-    for mark in progress.marks:
+    for mark in marks:
         task = job.task(mark.occurrence, mark.step, mark.index)
         if task is None:
             event("mark_unknown", job=job.spec.id, mark=mark)
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -27,8 +27,10 @@
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
+    CHUNK_PREFIX,
     PROGRESS_PREFIX,
-    encode_progress,
+    chunk_job,
+    progress_changes,
 )
 from limpetyard.node._member import GroupMember
 from limpetyard.node._order_dispatch import OrderDispatcher
@@ -495,11 +497,10 @@
         left_out: set[str] = set()
         places_recorded = True
         for job in jobs:
-            group = [
-                KeyedRecord(
-                    PROGRESS_PREFIX + job.spec.id, encode_progress(job, wall_ms)
-                )
-            ]
+            empty = KeyedRecord(PROGRESS_PREFIX + job.spec.id, None)
+            max_bytes = self._max_record_bytes() - size_bytes(empty)
+            changes = progress_changes(job, wall_ms, max_bytes)
+            group = [KeyedRecord(*change) for change in changes.items()]
             if self._fit_store(group):
                 groups.append(group)
             else:
@@ -539,8 +540,7 @@
         Records that it refuses would be refused with all others of an append,
         again and again. Logs each key that has become too large.
         """
-        limits = self._store.limits
-        limit = min(limits.record_bytes, limits.call_bytes)
+        limit = self._max_record_bytes()
         sizes = {record.key: size_bytes(record) for record in records}
         too_large = {key: n for key, n in sizes.items() if n > limit}
         for key, size in too_large.items():
@@ -556,14 +556,35 @@
         self._too_large.update(too_large)
         return not too_large
 
+    def _max_record_bytes(self) -> int:
+        """Returns the largest size of a record in any append."""
+        limits = self._store.limits
+        return min(limits.record_bytes, limits.call_bytes)
+
     async def _append(self, groups: list[list[KeyedRecord]]) -> None:
         """Appends records in as many calls as the limit of the store takes.
 
+        Notes the chunks of jobs that are stored now, also if a later call
+        fails.
+
         Raises:
             StoreError: If a call failed; the earlier ones have been applied.
         """
         for records in split_append(groups, self._store.limits.call_bytes):
             await self._writer.append(records)
+            for record in records:
+                if record.key.startswith(CHUNK_PREFIX):
+                    self._note_chunk(record)
+
+    def _note_chunk(self, record: KeyedRecord) -> None:
+        """Notes a chunk of the progress of a job that was stored or deleted."""
+        job = self.engine.jobs.get(chunk_job(record.key))
+        if job is None:
+            return
+        if record.value is None:
+            job.stored_chunks.pop(record.key, None)
+        else:
+            job.stored_chunks[record.key] = record.value
 
     async def _plan_loop(self) -> None:
         while not self.ended and not self.should_stop:
@@ -628,15 +649,18 @@
         ]
         groups += [
             [
-                KeyedRecord(prefix + job_id, None)
-                for prefix in (
-                    PROGRESS_PREFIX,
-                    CANCELLED_PREFIX,
-                    ACCEPTED_PREFIX,
-                )
+                *(
+                    KeyedRecord(key, None)
+                    for key in self.engine.jobs[job_id].stored_chunks
+                ),
+                KeyedRecord(PROGRESS_PREFIX + job_id, None),
+                KeyedRecord(CANCELLED_PREFIX + job_id, None),
+                KeyedRecord(ACCEPTED_PREFIX + job_id, None),
             ]
             for job_id in expired_jobs
         ]
+        strays = self._stray_chunks()
+        groups += [[KeyedRecord(key, None)] for key in strays]
         if not groups:
             return
         # One that is listed again before the reply must be recorded anew.
@@ -650,6 +674,21 @@
         for job_id in expired_jobs:
             self.engine.drop_job(job_id)
         self._removed_workers.difference_update(removed)
+        for key in strays:
+            self._record_applier.stray_chunks.pop(key, None)
+
+    def _stray_chunks(self) -> list[str]:
+        """Returns the keys of chunks whose job is not known.
+
+        A job that was submitted again under its id gets those of the earlier
+        one, which its next progress replaces or deletes.
+        """
+        strays = self._record_applier.stray_chunks
+        for key in list(strays):
+            job = self.engine.jobs.get(chunk_job(key))
+            if job is not None:
+                job.stored_chunks.setdefault(key, strays.pop(key))
+        return sorted(strays)
 
     def _execute(self, effects: list[Effect]) -> None:
         for effect in effects:
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -11,8 +11,10 @@
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
+    CHUNK_PREFIX,
     PROGRESS_PREFIX,
     apply_progress,
+    chunk_job,
     decode_spec,
 )
 from limpetyard.node._store_layout import PLACES_KEY, WORKER_KEY_PREFIX
@@ -29,6 +31,10 @@
     Records of the jobs topic are collected until `apply_collected`, since the
     progress of a job may be read before the job. After that they are applied at
     once, as directory entries always are.
+
+    Attributes:
+        stray_chunks: Chunks, by key, of jobs that are not known: an owner that
+            knows no chunks has deleted the job.
     """
 
     __slots__ = (
@@ -39,6 +45,7 @@
         "_parse_worker_entry",
         "_recorded_workers",
         "_wall_ms",
+        "stray_chunks",
     )
 
     def __init__(
@@ -70,6 +77,7 @@
         self._collected: list[StoredRecord] | None = []
         # Stored incarnation and draining flag of each worker, by id.
         self._recorded_workers: dict[str, tuple[int, bool]] = {}
+        self.stray_chunks: dict[str, bytes] = {}
 
     def places_epoch(self) -> int:
         """Returns the epoch of the latest owner that stored places.
@@ -96,6 +104,7 @@
         for prefix in (
             WORKER_KEY_PREFIX,
             ACCEPTED_PREFIX,
+            CHUNK_PREFIX,
             PROGRESS_PREFIX,
             CANCELLED_PREFIX,
         ):
@@ -154,6 +163,14 @@
             if job.is_final:
                 self._engine.open_jobs.pop(job.spec.id, None)
 
+    def _apply_chunk(self, record: StoredRecord, loaded: bool) -> None:
+        """Keeps a chunk, to be applied with the progress of its job."""
+        if not loaded:
+            return
+        job = self._engine.jobs.get(chunk_job(record.key))
+        chunks = self.stray_chunks if job is None else job.stored_chunks
+        chunks[record.key] = record.value
+
     def _apply_cancelled(self, record: StoredRecord, loaded: bool) -> None:
         job_id = record.key.removeprefix(CANCELLED_PREFIX)
         self._engine.cancel_job(job_id, self._clock.now_ms())
@@ -204,6 +221,7 @@
 
 _APPLIERS = {
     ACCEPTED_PREFIX: RecordApplier._apply_accepted,
+    CHUNK_PREFIX: RecordApplier._apply_chunk,
     PROGRESS_PREFIX: RecordApplier._apply_progress,
     CANCELLED_PREFIX: RecordApplier._apply_cancelled,
     WORKER_KEY_PREFIX: RecordApplier._apply_worker,
--- a/tests/node/test_record_sizes.py
+++ b/tests/node/test_record_sizes.py
@@ -2,10 +2,11 @@
 
 import asyncio
 
-from limpetyard.jobs import JobSpec, StepSpec
+from limpetyard.jobs import CHUNK_PREFIX, JobSpec, Resources, StepSpec
 from limpetyard.node._store_layout import JOBS_TOPIC, PLACES_KEY
 from limpetyard.store import StoreLimits
 from standins.platform import SimulatedSite
+from standins.platform._history import RunStarted
 from standins.platform._site import DEADLINE_MS, QUEUE
 from tests.node.test_whole_site import SMALL, SiteTestCase, job
 
@@ -19,6 +20,10 @@
 LARGE = 100
 LARGE_TASKS = 40
 
+# Holds chunks of a job of many tasks, but not its progress as a whole.
+CHUNK_BYTES = 4200
+MANY_TASKS = 300
+
 # Time after which an ended job has been forgotten.
 FORGOTTEN_S = 130
 
@@ -114,3 +119,68 @@
             await self.complete(site, [*JOBS, LARGE])
 
         self.run_scenario(scenario, workers=20)
+
+
+class ChunksTest(SiteTestCase):
+    """The progress of a job is stored in chunks."""
+
+    def keys(self, site: SimulatedSite, prefix: str) -> list[str]:
+        """Returns the keys with a prefix in the store."""
+        latest = site.store.partition(JOBS_TOPIC, 0).latest
+        return [key for key in latest if key.startswith(prefix)]
+
+    async def submit_large(self, site: SimulatedSite, **step) -> JobSpec:
+        """Submits a job of two steps of many tasks."""
+        site.store.limits = StoreLimits(record_bytes=CHUNK_BYTES)
+        need = Resources(100, 100, 0)
+        first = StepSpec(MANY_TASKS, need, 500, **step)
+        last = StepSpec(MANY_TASKS, need, 1500, after=(0,), **step)
+        spec = JobSpec(f"{LARGE:016x}", QUEUE, "payload", (first, last))
+        self.assertTrue(await site.submit(spec))
+        return spec
+
+    def test_long_running_job_of_many_tasks(self):
+        """Tasks were not started: their places could not be stored before."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            spec = await self.submit_large(site, long_running=True)
+            await asyncio.sleep(3)
+            self.assertEqual(site.unplaced_long_running(), [])
+            self.assertEqual(len(self.keys(site, CHUNK_PREFIX)), 3)
+            await site.kill_node(site.owner())
+            await asyncio.sleep(3)
+            self.assertEqual(site.unplaced_long_running(), [])
+            self.assertTrue(await site.cancel(spec.id))
+            state = await site.wait_for(spec.id, ("cancelled",), 3000)
+            self.assertEqual(state, "cancelled")
+            self.assertEqual(self.keys(site, CHUNK_PREFIX), [])
+
+        self.run_scenario(scenario, workers=20)
+
+    def test_takeover(self):
+        """A later owner knows what is done; an ended job has no chunks."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            spec = await self.submit_large(site)
+            await asyncio.sleep(1.5)
+            self.assertNotEqual(self.keys(site, CHUNK_PREFIX), [])
+            await site.kill_node(site.owner())
+            state = await site.wait_for(spec.id, ("completed",), 10_000)
+            self.assertEqual(state, "completed")
+            self.assertEqual(self.keys(site, CHUNK_PREFIX), [])
+
+        site = self.run_scenario(scenario, workers=20)
+        starts = [entry.task for entry in site.history.of(RunStarted)]
+        self.assertEqual(len(starts), 2 * MANY_TASKS)
+
+    def test_chunks_of_a_job_that_an_older_build_forgot(self):
+        """Builds that know no chunks leave those of a job that they delete."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            key = CHUNK_PREFIX + "f" * 16 + "/0.0.0"
+            site.store.write(JOBS_TOPIC, key, b"x")
+            await site.kill_node(site.owner())
+            await asyncio.sleep(8)
+            self.assertEqual(self.keys(site, CHUNK_PREFIX), [])
+
+        self.run_scenario(scenario)
