Refuse a job that the store can never take with status 400

Callers: a job whose record is above `maxRecordBytes`, as with very long labels, got 503 as if a later attempt could succeed, and so did up to 63 others that were handed in at the same time.

Cause: its record was sent to the store in one append with the others, which the store refuses as a whole.

Change: the size is compared with the limits before the record is queued; the response names size and limit.

Failed before, with the former _job_service.py: CallLimitTest .test_job_that_can_never_be_stored (the other job: store_refused).

--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -33,6 +33,7 @@
     StoreError,
     StoreRefusedError,
     Writer,
+    size_bytes,
     split_append,
 )
 
@@ -116,9 +117,16 @@
             wait_ms: Maximum time to wait.
 
         Raises:
-            RequestError: STORE_REFUSED if the record is not and will not be
-                stored, STORE_SILENT if the outcome is unknown.
+            RequestError: BAD_REQUEST if the record is too large to be stored,
+                STORE_REFUSED if the record is not and will not be stored,
+                STORE_SILENT if the outcome is unknown.
         """
+        size, limit = size_bytes(record), self._store.limits.largest_bytes
+        if size > limit:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST,
+                f"{size} bytes are to be stored, limit is {limit} bytes",
+            )
         since_ms = self._writer.unanswered_since_ms
         now_ms = self._clock.now_ms()
         if since_ms is not None and now_ms - since_ms > UNANSWERED_LIMIT_MS:
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -498,7 +498,7 @@
         places_recorded = True
         for job in jobs:
             empty = KeyedRecord(PROGRESS_PREFIX + job.spec.id, None)
-            max_bytes = self._max_record_bytes() - size_bytes(empty)
+            max_bytes = self._store.limits.largest_bytes - size_bytes(empty)
             changes = progress_changes(job, wall_ms, max_bytes)
             group = [KeyedRecord(*change) for change in changes.items()]
             if self._fit_store(group):
@@ -540,7 +540,7 @@
         Records that it refuses would be refused with all others of an append,
         again and again. Logs each key that has become too large.
         """
-        limit = self._max_record_bytes()
+        limit = self._store.limits.largest_bytes
         sizes = {record.key: size_bytes(record) for record in records}
         too_large = {key: n for key, n in sizes.items() if n > limit}
         for key, size in too_large.items():
@@ -556,11 +556,6 @@
         self._too_large.update(too_large)
         return not too_large
 
-    def _max_record_bytes(self) -> int:
-        """Returns the largest size of a record in any append."""
-        limits = self._store.limits
-        return min(limits.record_bytes, limits.call_bytes)
-
     async def _append(self, groups: list[list[KeyedRecord]]) -> None:
         """Appends records in as many calls as the limit of the store takes.
 
--- a/src/limpetyard/store/_interface.py
+++ b/src/limpetyard/store/_interface.py
@@ -93,6 +93,11 @@
     record_bytes: int = 262_144
     call_bytes: int = 2_097_152
 
+    @property
+    def largest_bytes(self) -> int:
+        """Largest size of a record that an append takes."""
+        return min(self.record_bytes, self.call_bytes)
+
 
 class Store(Protocol):
     """Partitioned logs, the latest record of each key, and consumer groups.
--- a/tests/node/test_record_sizes.py
+++ b/tests/node/test_record_sizes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from limpetyard._error_kinds import ERROR_RESPONSES, ErrorKind
 from limpetyard.jobs import CHUNK_PREFIX, JobSpec, Resources, StepSpec
 from limpetyard.node._store_layout import JOBS_TOPIC, PLACES_KEY
 from limpetyard.store import StoreLimits
@@ -63,6 +64,27 @@
 
         self.run_scenario(scenario, workers=20)
 
+    def test_job_that_can_never_be_stored(self):
+        """It was refused as if it might be later, and others with it."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            site.store.limits = StoreLimits(record_bytes=CALL_BYTES)
+            service = site.owner().job_service
+            step = StepSpec(1, SMALL, label="x" * CALL_BYTES)
+            large = JobSpec(f"{LARGE:016x}", QUEUE, "payload", (step,))
+            site.history.submitted[job(0).id] = job(0)
+            refusal, accepted = await asyncio.gather(
+                *(service.submit(s, DEADLINE_MS) for s in (large, job(0))),
+                return_exceptions=True,
+            )
+            self.assertIsNone(accepted)
+            self.assertIs(refusal.kind, ErrorKind.BAD_REQUEST)
+            self.assertIn(f"limit is {CALL_BYTES} bytes", refusal.detail)
+            self.assertEqual(ERROR_RESPONSES[refusal.kind].status, 400)
+            await self.complete(site, range(1))
+
+        self.run_scenario(scenario)
+
     def test_many_ended_jobs(self):
         """Records of ended jobs were never deleted."""
 
