Keep what the first appends of a batch have stored

Callers: while the store refuses most appends, as with 503 or 429, a batch of several appends hardly ever came to its end, and no end of any job was noted meanwhile.

Cause: since such a batch is divided, a refusal of one append stored all of it again from the start.

Change: jobs and workers in the appends before count as stored, and ended jobs whose records are deleted are dropped; the rest is changed again. Ends of runs are acknowledged up to the first one of a job in the rest, by the same rule as for a job that is too large.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -29,6 +29,7 @@
     CANCELLED_PREFIX,
     CHUNK_PREFIX,
     PROGRESS_PREFIX,
+    Job,
     chunk_job,
     progress_changes,
 )
@@ -490,49 +491,72 @@
             await self._persist_changes()
 
     async def _persist_changes(self) -> None:
-        """Appends changed jobs and unrecorded workers."""
+        """Appends changed jobs and unrecorded workers.
+
+        If a call fails, what earlier ones have stored counts: a batch of many
+        calls would hardly ever be stored as a whole while some are refused.
+
+        Raises:
+            StoreError: If a call failed.
+        """
         jobs, batch = self.engine.pop_dirty()
-        wall_ms = self._wall_ms()
-        groups: list[list[KeyedRecord]] = []
-        left_out: set[str] = set()
-        places_recorded = True
-        for job in jobs:
-            empty = KeyedRecord(PROGRESS_PREFIX + job.spec.id, None)
-            max_bytes = self._store.limits.largest_bytes - size_bytes(empty)
-            changes = progress_changes(job, wall_ms, max_bytes)
-            group = [KeyedRecord(*change) for change in changes.items()]
-            if self._fit_store(group):
-                groups.append(group)
-            else:
-                left_out.add(job.spec.id)
-                places_recorded &= job.places_known
+        groups, too_large = self._job_records(jobs)
         recorded: dict[str, tuple[int, bool]] = {}
         for worker in self._unrecorded_workers():
-            group = [
-                KeyedRecord(
-                    WORKER_KEY_PREFIX + worker.id,
-                    msgspec.msgpack.encode(worker.entry),
-                )
-            ]
-            if self._fit_store(group):
-                groups.append(group)
+            key = WORKER_KEY_PREFIX + worker.id
+            record = KeyedRecord(key, msgspec.msgpack.encode(worker.entry))
+            if self._fit_store([record]):
+                groups.append([record])
                 recorded[worker.id] = (worker.born, worker.entry.draining)
-        if places_recorded and not self._places_recorded:
+        if not self._places_recorded and all(j.places_known for j in too_large):
             # Last, as jobs whose places are not known must be stored before.
             epoch = self.engine.epoch.to_bytes(EPOCH_BYTES)
             groups.append([KeyedRecord(PLACES_KEY, epoch)])
+        stored: set[str] = set()
+        failure: StoreError | None = None
         try:
-            await self._append(groups)
-        except StoreError:
-            self.engine.on_store_rejected(batch)
-            raise
-        self._places_recorded |= places_recorded
-        self._recorded_workers.update(recorded)
-        self.engine.on_stored(batch, left_out)
+            await self._append(groups, stored)
+        except StoreError as exc:
+            if not stored:
+                self.engine.on_store_rejected(batch)
+                raise
+            failure = exc
+        self._places_recorded |= PLACES_KEY in stored
+        self._recorded_workers.update(
+            (worker_id, state)
+            for worker_id, state in recorded.items()
+            if WORKER_KEY_PREFIX + worker_id in stored
+        )
+        left_out = [
+            j for j in jobs if PROGRESS_PREFIX + j.spec.id not in stored
+        ]
+        self.engine.on_stored(batch, {job.spec.id for job in left_out})
         self.engine.set_recorded_workers(self._recorded_workers)
         self._append_done.set()
         self._append_done.clear()
         self._plan_needed.set()
+        if failure is not None:
+            for job in left_out:
+                job.dirty = True
+            raise failure
+
+    def _job_records(
+        self, jobs: list[Job]
+    ) -> tuple[list[list[KeyedRecord]], list[Job]]:
+        """Returns the changed records of each job, and jobs that don't fit."""
+        wall_ms = self._wall_ms()
+        groups: list[list[KeyedRecord]] = []
+        too_large: list[Job] = []
+        for job in jobs:
+            empty = KeyedRecord(PROGRESS_PREFIX + job.spec.id, None)
+            max_bytes = self._store.limits.largest_bytes - size_bytes(empty)
+            changes = progress_changes(job, wall_ms, max_bytes)
+            group = [KeyedRecord(*change) for change in changes.items()]
+            if self._fit_store(group):
+                groups.append(group)
+            else:
+                too_large.append(job)
+        return groups, too_large
 
     def _fit_store(self, records: list[KeyedRecord]) -> bool:
         """Returns whether the store takes records of these sizes.
@@ -556,11 +580,14 @@
         self._too_large.update(too_large)
         return not too_large
 
-    async def _append(self, groups: list[list[KeyedRecord]]) -> None:
+    async def _append(
+        self, groups: list[list[KeyedRecord]], stored: set[str]
+    ) -> None:
         """Appends records in as many calls as the limit of the store takes.
 
-        Notes the chunks of jobs that are stored now, also if a later call
-        fails.
+        Args:
+            groups: See `split_append`.
+            stored: Gets the keys of the records of each call that succeeded.
 
         Raises:
             StoreError: If a call failed; the earlier ones have been applied.
@@ -568,6 +595,7 @@
         for records in split_append(groups, self._store.limits.call_bytes):
             await self._writer.append(records)
             for record in records:
+                stored.add(record.key)
                 if record.key.startswith(CHUNK_PREFIX):
                     self._note_chunk(record)
 
@@ -661,15 +689,18 @@
         # One that is listed again before the reply must be recorded anew.
         for worker in removed:
             self._recorded_workers.pop(worker, None)
+        stored: set[str] = set()
         try:
-            await self._append(groups)
+            await self._append(groups, stored)
         except StoreError as exc:
             event("forget_failed", reason=exc)
-            return
         for job_id in expired_jobs:
-            self.engine.drop_job(job_id)
-        self._removed_workers.difference_update(removed)
-        for key in strays:
+            if ACCEPTED_PREFIX + job_id in stored:
+                self.engine.drop_job(job_id)
+        self._removed_workers.difference_update(
+            worker for worker in removed if WORKER_KEY_PREFIX + worker in stored
+        )
+        for key in stored.intersection(strays):
             self._record_applier.stray_chunks.pop(key, None)
 
     def _stray_chunks(self) -> list[str]:
--- a/tests/node/test_record_sizes.py
+++ b/tests/node/test_record_sizes.py
@@ -1,11 +1,18 @@
 """Records and appends beyond the limits of the store."""
 
 import asyncio
+import random
+from unittest import mock
 
 from limpetyard._error_kinds import ERROR_RESPONSES, ErrorKind
 from limpetyard.jobs import CHUNK_PREFIX, JobSpec, Resources, StepSpec
 from limpetyard.node._store_layout import JOBS_TOPIC, PLACES_KEY
-from limpetyard.store import StoreLimits
+from limpetyard.store import (
+    RefusalKind,
+    StoreLimits,
+    StoreRefusedError,
+    Writer,
+)
 from standins.platform import SimulatedSite
 from standins.platform._history import RunStarted
 from standins.platform._site import DEADLINE_MS, QUEUE
@@ -16,6 +23,9 @@
 # Holds a few records of such jobs.
 CALL_BYTES = 1200
 
+# Share of the appends that are refused while the store is in trouble.
+REFUSED_SHARE = 0.8
+
 # Holds the record of such a job, but not that of a large one.
 RECORD_BYTES = 400
 LARGE = 100
@@ -49,6 +59,26 @@
 
         self.run_scenario(scenario, workers=20)
 
+    def test_takeover_while_most_appends_are_refused(self):
+        """A batch of several appends began anew with each refusal."""
+        append = Writer.append
+        rng = random.Random(1)
+
+        async def refuse_often(writer: Writer, records: list) -> None:
+            if rng.random() < REFUSED_SHARE:
+                raise StoreRefusedError(RefusalKind.BUSY, "")
+            await append(writer, records)
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit(site, JOBS, run_ms=2000)
+            site.store.write(JOBS_TOPIC, PLACES_KEY, None)
+            site.store.limits = StoreLimits(call_bytes=CALL_BYTES)
+            with mock.patch.object(Writer, "append", refuse_often):
+                await site.kill_node(site.owner())
+                await self.complete(site, JOBS)
+
+        self.run_scenario(scenario, workers=20)
+
     def test_many_callers(self):
         """All jobs that were handed in at one time were refused."""
 
