Write `places` only after every job is stored

Nothing was seen by callers; found by reading. If a job was too large to be stored when an owner took over from one that stores no places, `places` was written with the next batch, or once the workers had been asked. The next owner would then have believed the places in the former record of that job, and could have started a long-running task while it ran on another worker.

Cause: only the jobs of the present batch were looked at, and whether their places are known in memory rather than in the store.

Change: unless the previous owner's places are believed, `places` waits while any job is left out.

Failed before: RecordLimitTest.test_places_of_a_job_that_is_not_stored ('places' unexpectedly found).

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -125,6 +125,8 @@
             start tasks, including those of jobs that arrive now.
         places_trusted: Whether the previous owner stored the places of
             long-running tasks before it started them.
+        unstored_jobs: Ids of the jobs whose progress was left out of a batch
+            and is in none since.
         interference: Model of the effect of best-effort tasks on tail
             latencies.
         crashes: Counts crashes of workers for each task.
@@ -136,7 +138,6 @@
         "_pace",
         "_planner",
         "_run_end_handler",
-        "_unstored_jobs",
         "_workers_by_job",
         "crashes",
         "dirty_workers",
@@ -147,6 +148,7 @@
         "params",
         "places_trusted",
         "predecessor_until_ms",
+        "unstored_jobs",
         "workers",
         "zones_out",
     )
@@ -171,8 +173,7 @@
         # Ids of the workers that have got runs of a job, by its id, until it
         # ends.
         self._workers_by_job: dict[str, set[str]] = {}
-        # Ids of the jobs whose latest progress the store did not take.
-        self._unstored_jobs: set[str] = set()
+        self.unstored_jobs: set[str] = set()
 
     def add_job(self, spec: JobSpec, now_ms: float, loaded: bool) -> Job:
         """Adds an accepted job and returns it; idempotent by id.
@@ -218,7 +219,7 @@
         self.jobs.pop(job_id, None)
         self.open_jobs.pop(job_id, None)
         self._workers_by_job.pop(job_id, None)
-        self._unstored_jobs.discard(job_id)
+        self.unstored_jobs.discard(job_id)
 
     def set_entry(self, entry: WorkerEntry, now_ms: float) -> Worker:
         """Adds or updates a worker from its directory entry.
@@ -872,8 +873,8 @@
             left_out: Ids of the jobs whose progress the store does not take. It
                 does not count as stored until a later batch has it.
         """
-        self._unstored_jobs.difference_update(batch.jobs)
-        self._unstored_jobs.update(left_out)
+        self.unstored_jobs.difference_update(batch.jobs)
+        self.unstored_jobs.update(left_out)
         for job_id, state in batch.jobs.items():
             if job_id in self.jobs and job_id not in left_out:
                 self.jobs[job_id].stored_state = state
@@ -883,7 +884,7 @@
         for worker_id, (born, last_received_end) in batch.received_ends.items():
             worker = self.workers.get(worker_id)
             if worker is not None and worker.born == born:
-                worker.acknowledge_ends(last_received_end, self._unstored_jobs)
+                worker.acknowledge_ends(last_received_end, self.unstored_jobs)
 
     def on_store_rejected(self, batch: ChangeBatch) -> None:
         """Handles a rejected append: marks the jobs as changed again."""
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -508,7 +508,13 @@
             if self._fit_store([record]):
                 groups.append([record])
                 recorded[worker.id] = (worker.born, worker.entry.draining)
-        if not self._places_recorded and all(j.places_known for j in too_large):
+        # Records of jobs that are not stored are those of the previous owner.
+        is_complete = not (
+            too_large or self.engine.unstored_jobs.difference(batch.jobs)
+        )
+        if not self._places_recorded and (
+            is_complete or self.engine.places_trusted
+        ):
             # Last, as jobs whose places are not known must be stored before.
             epoch = self.engine.epoch.to_bytes(EPOCH_BYTES)
             groups.append([KeyedRecord(PLACES_KEY, epoch)])
--- a/tests/node/test_record_sizes.py
+++ b/tests/node/test_record_sizes.py
@@ -161,6 +161,27 @@
 
         self.run_scenario(scenario, workers=20)
 
+    def test_places_of_a_job_that_is_not_stored(self):
+        """A later owner would rely on the places that are stored for it."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.submit_all(site, last_ms=600_000)
+            site.store.limits = StoreLimits()
+            await asyncio.sleep(0.8)
+            site.store.limits = StoreLimits(record_bytes=RECORD_BYTES)
+            site.store.write(JOBS_TOPIC, PLACES_KEY, None)
+            await site.kill_node(site.owner())
+            await self.complete(site, JOBS)
+            keys = site.store.partition(JOBS_TOPIC, 0).latest
+            self.assertNotIn(PLACES_KEY, list(keys))
+            large_id = f"{LARGE:016x}"
+            self.assertTrue(await site.cancel(large_id))
+            await site.wait_for(large_id, ("cancelled",), 3000)
+            await asyncio.sleep(1)
+            self.assertIn(PLACES_KEY, list(keys))
+
+        self.run_scenario(scenario, workers=20)
+
     def test_takeover(self):
         """What was not stored has not been acknowledged to the workers."""
 
