--- a/src/limpetyard/_node_process.py
+++ b/src/limpetyard/_node_process.py
@@ -37,6 +37,7 @@
     EntryReports,
     parse_worker_entry,
 )
+from limpetyard.store import StoreLimits
 
 
 def wall_ms() -> float:
@@ -57,7 +58,9 @@
         return ingress.handle, ingress.drain
 
     adapters = PlatformAdapters(
-        PlatformStore(cfg.store),
+        PlatformStore(
+            cfg.store, StoreLimits(cfg.max_record_bytes, cfg.max_append_bytes)
+        ),
         PlatformWorkerClient(),
         advice,
         functools.partial(parse_worker_entry, reports=EntryReports()),
--- a/src/limpetyard/jobs/__init__.py
+++ b/src/limpetyard/jobs/__init__.py
@@ -8,6 +8,7 @@
 from limpetyard.jobs._records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
+    CHUNK_PREFIX,
     PROGRESS_PREFIX,
     JobProgress,
     TaskProgress,
@@ -15,11 +16,13 @@
     cancellation_keys,
     cancelled_job,
     cancels_jobs_of,
+    chunk_job,
     decode_record,
     decode_spec,
     encode_cancellation,
     encode_progress,
     encode_spec,
+    progress_changes,
 )
 from limpetyard.jobs._spec import (
     AdviceParams,
@@ -36,6 +39,7 @@
     "ACCEPTED_PREFIX",
     "CANCELLED_PREFIX",
     "FINAL_STATES",
+    "CHUNK_PREFIX",
     "PROGRESS_PREFIX",
     "AdviceParams",
     "InvalidJobError",
@@ -59,4 +63,6 @@
     "encode_cancellation",
     "encode_progress",
     "encode_spec",
+    "chunk_job",
+    "progress_changes",
 ]
--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -35,6 +35,8 @@
     StoreError,
     StoreRefusedError,
     Writer,
+    size_bytes,
+    split_append,
 )
 
 # Delay before a query to the owner is retried, and maximum time that a caller
@@ -72,10 +74,11 @@
 class BatchAppender:
     """Appends the records of concurrent callers to the store in batches."""
 
-    __slots__ = ("_clock", "_queue", "_writer")
+    __slots__ = ("_clock", "_queue", "_store", "_writer")
 
     def __init__(self, store: Store, clock: Clock, cell: int, producer: str):
         self._clock = clock
+        self._store = store
         self._queue: asyncio.Queue[_PendingRecords] = asyncio.Queue()
         self._writer = Writer(store, clock, JOBS_TOPIC, cell, producer, 1)
 
@@ -91,16 +94,29 @@
             batch = [item for item in batch if not item.fut.done()]
             if not batch:
                 continue
-            try:
-                await self._writer.append(
-                    [record for item in batch for record in item.records]
-                )
-            except StoreError as exc:
-                _fail_batch(batch, exc)
-            else:
-                for item in batch:
-                    if not item.fut.done():
-                        item.fut.set_result(None)
+            start = 0
+            for records in split_append(
+                [item.records for item in batch], self._store.limits.call_bytes
+            ):
+                end, size = start, 0
+                while size < len(records):
+                    size += len(batch[end].records)
+                    end += 1
+                await self._append(batch[start:end])
+                start = end
+
+    async def _append(self, batch: list[_PendingRecords]) -> None:
+        """Appends records and tells their callers the outcome."""
+        try:
+            await self._writer.append(
+                [record for item in batch for record in item.records]
+            )
+        except StoreError as exc:
+            _fail_batch(batch, exc)
+            return
+        for item in batch:
+            if not item.fut.done():
+                item.fut.set_result(None)
 
     async def append(self, records: list[KeyedRecord], wait_ms: float) -> None:
         """Queues records and waits until they are stored, by one append.
@@ -110,9 +126,17 @@
             wait_ms: Maximum time to wait.
 
         Raises:
-            RequestError: STORE_REFUSED if no record is or will be stored,
+            RequestError: BAD_REQUEST if the records are too large to be stored,
+                STORE_REFUSED if no record is or will be stored,
                 STORE_SILENT if the outcome is unknown.
         """
+        size = sum(map(size_bytes, records))
+        limit = self._store.limits.largest_bytes
+        if size > limit:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST,
+                f"{size} bytes are to be stored, limit is {limit} bytes",
+            )
         since_ms = self._writer.unanswered_since_ms
         now_ms = self._clock.now_ms()
         if since_ms is not None and now_ms - since_ms > UNANSWERED_LIMIT_MS:
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -26,9 +26,12 @@
 )
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
+    CHUNK_PREFIX,
     PROGRESS_PREFIX,
+    Job,
     cancellation_keys,
-    encode_progress,
+    chunk_job,
+    progress_changes,
 )
 from limpetyard.node._member import GroupMember
 from limpetyard.node._order_dispatch import OrderDispatcher
@@ -57,6 +60,8 @@
     StoreError,
     StoreRefusedError,
     Writer,
+    size_bytes,
+    split_append,
 )
 
 # Delay before an append; ends of runs that arrive within it share one append.
@@ -165,6 +170,8 @@
         # Whether it is stored that this owner stores the places of long-running
         # tasks.
         self._places_recorded = False
+        # Keys whose latest record was too large for the store.
+        self._too_large: set[str] = set()
 
     @property
     def deciding(self) -> bool:
@@ -493,50 +500,135 @@
         """Stores all changes, after any append in progress.
 
         The end of a run counts as stored only together with its job, so one
-        batch must not overtake another.
+        batch, which may take several calls, must not overtake another.
         """
         async with self._persist_lock:
             await self._persist_changes()
 
     async def _persist_changes(self) -> None:
-        """Appends changed jobs and unrecorded workers."""
+        """Appends changed jobs and unrecorded workers.
+
+        If a call fails, what earlier ones have stored counts: a batch of many
+        calls would hardly ever be stored as a whole while some are refused.
+
+        Raises:
+            StoreError: If a call failed.
+        """
         jobs, batch = self.engine.pop_dirty()
-        wall_ms = self._wall_ms()
-        records = [
-            KeyedRecord(
-                PROGRESS_PREFIX + job.spec.id, encode_progress(job, wall_ms)
-            )
-            for job in jobs
-        ]
-        workers = self._unrecorded_workers()
-        records += [
-            KeyedRecord(
-                WORKER_KEY_PREFIX + worker.id,
-                msgspec.msgpack.encode(worker.entry),
-            )
-            for worker in workers
-        ]
-        recorded = {
-            worker.id: (worker.born, worker.entry.draining)
-            for worker in workers
-        }
-        if not self._places_recorded:
+        groups, too_large = self._job_records(jobs)
+        recorded: dict[str, tuple[int, bool]] = {}
+        for worker in self._unrecorded_workers():
+            key = WORKER_KEY_PREFIX + worker.id
+            record = KeyedRecord(key, msgspec.msgpack.encode(worker.entry))
+            if self._fit_store([record]):
+                groups.append([record])
+                recorded[worker.id] = (worker.born, worker.entry.draining)
+        # Records of jobs that are not stored are those of the previous owner.
+        is_complete = not (
+            too_large or self.engine.unstored_jobs.difference(batch.jobs)
+        )
+        if not self._places_recorded and (
+            is_complete or self.engine.places_trusted
+        ):
             # Last, as jobs whose places are not known must be stored before.
             epoch = self.engine.epoch.to_bytes(EPOCH_BYTES)
-            records.append(KeyedRecord(PLACES_KEY, epoch))
-        if records:
-            try:
-                await self._writer.append(records)
-            except StoreError:
+            groups.append([KeyedRecord(PLACES_KEY, epoch)])
+        stored: set[str] = set()
+        failure: StoreError | None = None
+        try:
+            await self._append(groups, stored)
+        except StoreError as exc:
+            if not stored:
                 self.engine.on_store_rejected(batch)
                 raise
-        self._places_recorded = True
-        self._recorded_workers.update(recorded)
-        self.engine.on_stored(batch)
+            failure = exc
+        self._places_recorded |= PLACES_KEY in stored
+        self._recorded_workers.update(
+            (worker_id, state)
+            for worker_id, state in recorded.items()
+            if WORKER_KEY_PREFIX + worker_id in stored
+        )
+        left_out = [
+            j for j in jobs if PROGRESS_PREFIX + j.spec.id not in stored
+        ]
+        self.engine.on_stored(batch, {job.spec.id for job in left_out})
         self.engine.set_recorded_workers(self._recorded_workers)
         self._append_done.set()
         self._append_done.clear()
         self._plan_needed.set()
+        if failure is not None:
+            for job in left_out:
+                job.dirty = True
+            raise failure
+
+    def _job_records(
+        self, jobs: list[Job]
+    ) -> tuple[list[list[KeyedRecord]], list[Job]]:
+        """Returns the changed records of each job, and jobs that don't fit."""
+        wall_ms = self._wall_ms()
+        groups: list[list[KeyedRecord]] = []
+        too_large: list[Job] = []
+        for job in jobs:
+            empty = KeyedRecord(PROGRESS_PREFIX + job.spec.id, None)
+            max_bytes = self._store.limits.largest_bytes - size_bytes(empty)
+            changes = progress_changes(job, wall_ms, max_bytes)
+            group = [KeyedRecord(*change) for change in changes.items()]
+            if self._fit_store(group):
+                groups.append(group)
+            else:
+                too_large.append(job)
+        return groups, too_large
+
+    def _fit_store(self, records: list[KeyedRecord]) -> bool:
+        """Returns whether the store takes records of these sizes.
+
+        Records that it refuses would be refused with all others of an append,
+        again and again. Logs each key that has become too large.
+        """
+        limit = self._store.limits.largest_bytes
+        sizes = {record.key: size_bytes(record) for record in records}
+        too_large = {key: n for key, n in sizes.items() if n > limit}
+        for key, size in too_large.items():
+            if key not in self._too_large:
+                event(
+                    "record_too_large",
+                    "ERROR",
+                    key=key,
+                    size_bytes=size,
+                    limit_bytes=limit,
+                )
+        self._too_large.difference_update(sizes)
+        self._too_large.update(too_large)
+        return not too_large
+
+    async def _append(
+        self, groups: list[list[KeyedRecord]], stored: set[str]
+    ) -> None:
+        """Appends records in as many calls as the limit of the store takes.
+
+        Args:
+            groups: See `split_append`.
+            stored: Gets the keys of the records of each call that succeeded.
+
+        Raises:
+            StoreError: If a call failed; the earlier ones have been applied.
+        """
+        for records in split_append(groups, self._store.limits.call_bytes):
+            await self._writer.append(records)
+            for record in records:
+                stored.add(record.key)
+                if record.key.startswith(CHUNK_PREFIX):
+                    self._note_chunk(record)
+
+    def _note_chunk(self, record: KeyedRecord) -> None:
+        """Notes a chunk of the progress of a job that was stored or deleted."""
+        job = self.engine.jobs.get(chunk_job(record.key))
+        if job is None:
+            return
+        if record.value is None:
+            job.stored_chunks.pop(record.key, None)
+        else:
+            job.stored_chunks[record.key] = record.value
 
     async def _plan_loop(self) -> None:
         while not self.ended and not self.should_stop:
@@ -573,7 +665,9 @@
 
     async def _purge_loop(self) -> None:
         while not self.ended and not self.should_stop:
-            await self._purge(self._clock.now_ms())
+            # A batch in progress may hold a record that would be deleted.
+            async with self._persist_lock:
+                await self._purge(self._clock.now_ms())
             await asyncio.sleep(PURGE_INTERVAL_MS / MS_PER_SECOND)
 
     async def _purge(self, now_ms: float) -> None:
@@ -593,29 +687,53 @@
         # One that is listed again meanwhile is recorded anew.
         self._removed_workers.difference_update(self.engine.workers)
         removed = sorted(self._removed_workers)
-        records = [
-            KeyedRecord(WORKER_KEY_PREFIX + worker, None) for worker in removed
+        groups = [
+            [KeyedRecord(WORKER_KEY_PREFIX + worker, None)]
+            for worker in removed
         ]
         for spec in expired_jobs:
-            keys = [PROGRESS_PREFIX + spec.id, ACCEPTED_PREFIX + spec.id]
-            keys += cancellation_keys(spec.id, spec.queue.name)
-            records += [KeyedRecord(key, None) for key in keys]
-        strays = set(self._record_applier.stray_keys)
-        records += [KeyedRecord(key, None) for key in sorted(strays)]
-        if not records:
+            keys = [
+                *self.engine.jobs[spec.id].stored_chunks,
+                PROGRESS_PREFIX + spec.id,
+                *cancellation_keys(spec.id, spec.queue.name),
+                ACCEPTED_PREFIX + spec.id,
+            ]
+            groups.append([KeyedRecord(key, None) for key in keys])
+        strays = self._stray_chunks()
+        strays += sorted(self._record_applier.stray_keys)
+        groups += [[KeyedRecord(key, None)] for key in strays]
+        if not groups:
             return
         # One that is listed again before the reply must be recorded anew.
         for worker in removed:
             self._recorded_workers.pop(worker, None)
+        stored: set[str] = set()
         try:
-            await self._writer.append(records)
+            await self._append(groups, stored)
         except StoreError as exc:
             event("forget_failed", reason=exc)
-            return
         for spec in expired_jobs:
-            self.engine.drop_job(spec.id)
-        self._record_applier.stray_keys -= strays
-        self._removed_workers.difference_update(removed)
+            if ACCEPTED_PREFIX + spec.id in stored:
+                self.engine.drop_job(spec.id)
+        self._removed_workers.difference_update(
+            worker for worker in removed if WORKER_KEY_PREFIX + worker in stored
+        )
+        for key in stored.intersection(strays):
+            self._record_applier.stray_chunks.pop(key, None)
+            self._record_applier.stray_keys.discard(key)
+
+    def _stray_chunks(self) -> list[str]:
+        """Returns the keys of chunks whose job is not known.
+
+        A job that was submitted again under its id gets those of the earlier
+        one, which its next progress replaces or deletes.
+        """
+        strays = self._record_applier.stray_chunks
+        for key in list(strays):
+            job = self.engine.jobs.get(chunk_job(key))
+            if job is not None:
+                job.stored_chunks.setdefault(key, strays.pop(key))
+        return sorted(strays)
 
     def _execute(self, effects: list[Effect]) -> None:
         for effect in effects:
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -12,10 +12,12 @@
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
+    CHUNK_PREFIX,
     PROGRESS_PREFIX,
     apply_progress,
     cancelled_job,
     cancels_jobs_of,
+    chunk_job,
     decode_record,
     decode_spec,
 )
@@ -41,6 +43,8 @@
 
     Attributes:
         stray_keys: Keys of records that are of no use, to be deleted.
+        stray_chunks: Chunks, by key, of jobs that are not known: an owner that
+            knows no chunks has deleted the job.
     """
 
     __slots__ = (
@@ -52,6 +56,7 @@
         "_recorded_workers",
         "_wall_ms",
         "stray_keys",
+        "stray_chunks",
     )
 
     def __init__(
@@ -84,6 +89,7 @@
         # Stored incarnation and draining flag of each worker, by id.
         self._recorded_workers: dict[str, tuple[int, bool]] = {}
         self.stray_keys: set[str] = set()
+        self.stray_chunks: dict[str, bytes] = {}
 
     def places_epoch(self) -> int:
         """Returns the epoch of the latest owner that stored places.
@@ -117,6 +123,7 @@
         for prefix in (
             WORKER_KEY_PREFIX,
             ACCEPTED_PREFIX,
+            CHUNK_PREFIX,
             PROGRESS_PREFIX,
             CANCELLED_PREFIX,
         ):
@@ -176,6 +183,14 @@
             if job.is_final:
                 self._engine.open_jobs.pop(job.spec.id, None)
 
+    def _apply_chunk(self, record: StoredRecord, loaded: bool) -> None:
+        """Keeps a chunk, to be applied with the progress of its job."""
+        if not loaded:
+            return
+        job = self._engine.jobs.get(chunk_job(record.key))
+        chunks = self.stray_chunks if job is None else job.stored_chunks
+        chunks[record.key] = record.value
+
     def _apply_cancelled(self, record: StoredRecord, loaded: bool) -> None:
         job = self._engine.jobs.get(cancelled_job(record.key))
         if job is None:
@@ -247,6 +262,7 @@
 
 _APPLIERS = {
     ACCEPTED_PREFIX: RecordApplier._apply_accepted,
+    CHUNK_PREFIX: RecordApplier._apply_chunk,
     PROGRESS_PREFIX: RecordApplier._apply_progress,
     CANCELLED_PREFIX: RecordApplier._apply_cancelled,
     WORKER_KEY_PREFIX: RecordApplier._apply_worker,
--- a/src/limpetyard/platform/_store.py
+++ b/src/limpetyard/platform/_store.py
@@ -25,6 +25,7 @@
     RefusalKind,
     SequenceError,
     StoredRecord,
+    StoreLimits,
     StoreOffsetTrimmedError,
     StoreOutcomeUnknownError,
     StoreRefusedError,
@@ -120,14 +121,16 @@
 class PlatformStore:
     """Client of the store over HTTP; implements `limpetyard.store.Store`."""
 
-    __slots__ = ("_http_client", "_url")
+    __slots__ = ("_http_client", "_url", "limits")
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, limits: StoreLimits | None = None):
         """Creates a client.
 
         Args:
             address: IP:port of the store.
+            limits: Largest sizes of an append, or None for the defaults.
         """
+        self.limits = limits or StoreLimits()
         self._url = f"http://{address}"
         self._http_client = HttpClient(MAX_CONNECTIONS, "store")
 
