--- a/tests/platform/test_decode_errors.py
+++ b/tests/platform/test_decode_errors.py
@@ -104,11 +104,13 @@
 
         A worker that is a list cannot be the key of a table.
         """
-        advice = PlatformAdviceClient(self.address, 500)
+        advice = PlatformAdviceClient(self.address)
         self.addAsyncCleanup(advice.close)
         odd = b'[], [[], "t"], ["w-1", 5], [null, "t"], ["w-2"]'
         self.body = b'{"good": [%b, ["w-3", "t", 9]], "validityMs": 5}' % odd
-        tickets = await advice.advise("0" * 16, 0, 0, ["w-1", "w-2", "w-3"])
+        tickets = await advice.advise(
+            "0" * 16, 0, 0, ["w-1", "w-2", "w-3"], 500
+        )
         self.assertEqual(tickets, [Ticket("w-3", "t", 5)])
 
     async def test_large_numbers_of_the_store(self):
--- a/tests/platform/test_fuzzed_decoders.py
+++ b/tests/platform/test_fuzzed_decoders.py
@@ -214,10 +214,10 @@
     @given(_statuses, json_bodies(ADVICE))
     def test_advice(self, status, body):
         """Tickets are texts for workers, and can be part of a start order."""
-        advice = PlatformAdviceClient("127.0.0.1:1", 500)
+        advice = PlatformAdviceClient("127.0.0.1:1")
         advice._http_client = Reply(status, body)
         try:
-            tickets = run(advice.advise(ID, 0, 0, ["w-1", "w-2"]))
+            tickets = run(advice.advise(ID, 0, 0, ["w-1", "w-2"], 500))
         except WorkerOutcomeUnknownError:
             return
         permitted = {ticket.worker: ticket for ticket in tickets}
@@ -447,7 +447,7 @@
             async def pending(self, queue):
                 return 1
 
-            async def state(self, job_id, deadline_ms):
+            async def state(self, job_id, queue, deadline_ms):
                 deadlines.append(deadline_ms)
                 raise RequestError(ErrorKind.JOB_GONE, job_id)
 
