--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -121,10 +121,10 @@
         workers: Workers by id.
         zones_out: Availability zones that are out of service.
         dirty_workers: Whether ended runs were processed that are not stored.
-        predecessor_until_ms: Time until which the previous owner may still
-            start tasks, including those of jobs that arrive now.
-        places_trusted: Whether the previous owner stored the places of
-            long-running tasks before it started them.
+        predecessor_until_ms: Time until which an earlier owner may still start
+            tasks, including those of jobs that arrive now.
+        places_trusted: Whether the earlier owners stored the places of
+            long-running tasks before they started them.
         unstored_jobs: Ids of the jobs whose progress was left out of a batch
             and is in none since.
         interference: Model of the effect of best-effort tasks on tail
