--- a/tests/node/test_predecessor.py
+++ b/tests/node/test_predecessor.py
@@ -197,6 +197,13 @@
             )
         )
 
+    def test_claims_that_are_kept(self):
+        """Claims since its own are no earlier ones, nor are those of others."""
+        reply = RemainingLeases(0, {}, member="node-5", claims={3: "other"})
+        predecessor = self.fence({"node-5": reply}, range(4, 8))
+        self.assertEqual(sorted(predecessor.claims), [3, 4, 5])
+        self.assertEqual(predecessor.claims[3], "node-3")
+
     def test_trimmed_claims(self):
         """An owner that never loaded the cell knows the trimmed claim."""
         reply = RemainingLeases(0, {}, member="node-5", claims={4: "other"})
