Bound all earlier owners by witnesses and by what is stored

What callers saw: a long-running task whose worker was lost with its owner waited for 10.2 s (LOST: OwnerLostTest, two tests). To save that in other cases, an owner that refused connections or had died counted as ended, and with it all owners before it: a task ran twice (TWICE: RefusedFenceTest, DeadOwnerTest).

Cause: what a new owner must know of earlier ones, until when they order and which workers are silent, was known to the previous owner alone.

Change: - An owner orders for 2 s after the last confirming join, and for up to 6 s only while two witnesses extend that. A witness that hears from the store, has not read the claims in its life, or knows of a later epoch extends nothing. The witnesses are stored under the owner's epoch, and replaced when one leaves the group. - A new owner bounds all earlier owners since the epoch that is stored as settled: by when it has held the cell, plus 2 s, plus what one witness of each has extended; by 6 s without such a reply. A refused connection proves nothing. - An owner orders only after a join that was sent after its claim. If the generation of the group has changed, a join counts once the claims show no later one, so that an owner that gets the cell back does not go on under its old epoch. - An owner stores which workers get no lease from it, with the time for which runs may be left there, once they are silent or were never reached. The next owner need not begin that wait anew. A poll after an unanswered one grants no lease.

Ruled out: a shorter lease (runs lapse at slow takeovers); the witnesses in the claim (the release before compares the claim with the member in a reply, and would take an owner that never loaded the cell as ended); no lease before the first record is stored (runs lapsed while appends were refused).

Before: the four tests fail.

The stand-in's nodes keep their address over a restart, as VMs do, and a dead node refuses connections.

pending() asks the owner once more with fresh assignments before it fails.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -67,8 +67,9 @@
     ),
     "claims_unread": EventKind(
         ("epoch", "reason"),
-        "The claims of earlier owners could not be read; they may order for"
-        " their self-fencing time.",
+        "The claims of a cell could not be read: earlier owners may order for"
+        " their self-fencing time, this owner is not confirmed, or, with epoch"
+        " 0, this node is no witness yet.",
     ),
     "config_accepted": EventKind(
         ("version", "author"), "A configuration change was accepted."
@@ -189,9 +190,20 @@
         ("order", "reason"),
         "An order got no answer from its worker, or was rejected.",
     ),
+    "orders_bounded": EventKind(
+        ("cell", "epoch", "orders_left_ms", "settled_epoch", "unleased"),
+        "For how long earlier owners, back to the settled one, may still issue"
+        " orders, and the number of workers whose remaining time was stored.",
+    ),
+    "orders_extended": EventKind(
+        ("cell", "epoch", "extended", "age_ms"),
+        "Whether all witnesses extended the orders of this owner, and the time"
+        " since it was last confirmed.",
+    ),
     "orders_held_back": EventKind(
         ("held_back", "age_ms"),
-        "Whether orders are withheld until the group confirms this owner.",
+        "Whether orders are withheld until the group confirms this owner or its"
+        " witnesses extend them.",
     ),
     "owner_failed": EventKind(
         ("cell", "reason"),
@@ -317,6 +329,15 @@
     "vm_list_unavailable": EventKind(
         ("reason",), "The VM list could not be read; the last one stays in use."
     ),
+    "witness_unreachable": EventKind(
+        ("address", "reason"),
+        "A witness sent no usable reply to a request for an extension.",
+    ),
+    "witnesses_chosen": EventKind(
+        ("cell", "epoch", "witnesses"),
+        "The nodes that may extend the orders of this owner while the store"
+        " does not answer.",
+    ),
     "work_counted": EventKind(
         (
             "kind",
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from limpetyard._events import event
 from limpetyard.engine._census import Census
@@ -121,6 +121,7 @@
         workers: Workers by id.
         zones_out: Availability zones that are out of service.
         dirty_workers: Whether ended runs were processed that are not stored.
+        may_lease: Returns whether a worker, by id, may be granted a lease.
         predecessor_until_ms: Time until which an earlier owner may still start
             tasks, including those of jobs that arrive now.
         places_trusted: Whether the earlier owners stored the places of
@@ -148,6 +149,7 @@
         "open_jobs",
         "params",
         "places_trusted",
+        "may_lease",
         "predecessor_until_ms",
         "unstored_jobs",
         "workers",
@@ -162,6 +164,7 @@
         self.workers: dict[str, Worker] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.dirty_workers = False
+        self.may_lease: Callable[[str], bool] = lambda worker_id: True
         self.predecessor_until_ms = float("-inf")
         self.places_trusted = False
         self.interference = InterferenceModel()
--- a/src/limpetyard/engine/_params.py
+++ b/src/limpetyard/engine/_params.py
@@ -9,7 +9,7 @@
     Attributes:
         lease_ms: Duration of the lease that covers all runs on a worker.
         self_fence_ms: Time after the last confirmation of its ownership at
-            which an owner stops issuing orders.
+            which an owner stops issuing orders, at the latest.
         remote_factor: Factor by which a task takes longer outside the rack
             that holds its data.
         gang_timeout_ms: Time that a member of a gang waits for the others.
@@ -18,6 +18,9 @@
         reserved_share: Share of the cores of a service that new long-running
             tasks leave for tasks that end, also if none has arrived yet.
         pacer: Name of the policy that paces best-effort tasks.
+        unwitnessed_ms: Time after the last confirmation of its ownership at
+            which an owner stops issuing orders unless all its witnesses extend
+            it.
     """
 
     lease_ms: float
@@ -27,3 +30,4 @@
     strain_limit_ms: float = 4000.0
     reserved_share: float = 0.0
     pacer: str = "measured"
+    unwitnessed_ms: float = 2000.0
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -300,6 +300,7 @@
             and worker.missing_since_ms is None
             and now_ms >= worker.backoff_until_ms
             and worker.is_responsive(now_ms)
+            and engine.may_lease(worker.id)
             and worker.accepts_task(now_ms)
         ]
 
--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -22,6 +22,9 @@
             earlier releases.
         claims: Member names in claims before its own that this process knows,
             by epoch.
+        extended_left_ms: Time for which orders that this process has extended
+            as a witness may still be issued; None in the replies of earlier
+            releases, which are no witnesses.
     """
 
     epoch: int
@@ -29,6 +32,7 @@
     orders_left_ms: float = 0.0
     member: str = ""
     claims: dict[int, str] = {}
+    extended_left_ms: float | None = None
 
 
 class FenceResult(msgspec.Struct, frozen=True):
--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -287,11 +287,15 @@
             return count
         try:
             count = await self._query_pending(queue)
-        except PeerUnavailableError as exc:
+        except PeerUnavailableError:
+            # The cell may have passed to another node since it was read.
             await self._get_member().assigned_member(0, refresh=True)
-            raise RequestError(
-                ErrorKind.OWNER_AWAY, str(exc), RETRY_AFTER_S
-            ) from exc
+            try:
+                count = await self._query_pending(queue)
+            except PeerUnavailableError as exc:
+                raise RequestError(
+                    ErrorKind.OWNER_AWAY, str(exc), RETRY_AFTER_S
+                ) from exc
         self._pending[queue] = (now_ms, count)
         return count
 
--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -16,6 +16,7 @@
 from limpetyard.node._store_layout import (
     CELLS_GROUP,
     JOBS_TOPIC,
+    member_address,
     member_cores,
 )
 from limpetyard.store import Store, StoreError
@@ -67,6 +68,7 @@
     Attributes:
         name: Name of this member.
         assigned_cells: Cells that the group has assigned to this node.
+        assigned_generation: Generation of the group in which it did so.
         confirmed_ms: Send time of the last successful join or, on standby, read
             of the assignments; None before the first one.
         on_standby: Whether this node stays out of the group, as a member is
@@ -98,6 +100,7 @@
         super().__init__()
         self.name = name
         self.assigned_cells: frozenset[int] = frozenset()
+        self.assigned_generation = 0
         self.confirmed_ms: float | None = None
         self.on_standby = False
         self._cores = member_cores(name)
@@ -172,6 +175,7 @@
                 cells=len(assignment.partitions),
             )
         self.assigned_cells = assignment.partitions
+        self.assigned_generation = assignment.generation
         await self._on_assignment(assignment.partitions)
         self._generation = assignment.generation
         return reassigned
@@ -279,7 +283,10 @@
 
     def _start_check_if_due(self) -> None:
         """Reads the assignments in the background, as joins must not wait."""
-        if not self._cores or self._assignments_lock.locked():
+        # The witnesses of an owner are chosen from the assignments.
+        if not (self._cores or self.assigned_cells):
+            return
+        if self._assignments_lock.locked():
             return
         age_ms = self._clock.now_ms() - self._assignments_read_ms
         changed = self._generation != self._checked_generation
@@ -300,6 +307,23 @@
         except StoreError as exc:
             event("leave_failed", reason=exc)
 
+    def join_now(self) -> None:
+        """Makes this member join again without delay."""
+        self._assignment_changed.set()
+
+    def other_addresses(self) -> list[str] | None:
+        """Returns peer addresses of other members, the most preferred first.
+
+        They are those of the last read of the assignments. Returns None before
+        the first one.
+        """
+        if self._assignments_confirmed_ms == float("-inf"):
+            return None
+        own = member_address(self.name)
+        members = sorted(set(self._assigned_members.values()), key=_rank)
+        addresses = dict.fromkeys(map(member_address, members))
+        return [a for a in addresses if a not in ("", own)]
+
     async def assigned_member(self, cell: int, refresh: bool = False) -> str:
         """Returns the member that a cell is assigned to, or "" if unknown.
 
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -36,9 +36,11 @@
 from limpetyard.node._store_layout import (
     EXTERNAL_PARTITION,
     OPERATORS_TOPIC,
-    PLACES_MARK,
+    OWNERS_TOPIC,
+    WITNESSES_MARK,
     member_name,
 )
+from limpetyard.node._witness import Witness
 from limpetyard.store import KeyFollower, Store, StoredRecord, StoreError
 
 # Number of cells that jobs and workers are divided into. There is currently one
@@ -51,8 +53,12 @@
 LEASE_MS = 5000
 
 # An owner issues no orders if the group has not confirmed its membership for
-# this long.
-SELF_FENCE_MS = 5000
+# the first of these, unless its witnesses extend that up to the second one.
+# Together with a lease, the first bounds the wait for what ran on a worker that
+# is lost with its owner, and the second the outage of the store that running
+# work outlasts.
+UNWITNESSED_MS = 2000
+SELF_FENCE_MS = 6000
 
 # A node is not ready for callers if no join has succeeded for this long, or on
 # standby no read of the assignments. It joins three times a second.
@@ -66,6 +72,9 @@
 # together, and lose the cell to each other, with room to spare.
 MAX_SAVED_CLAIMS = 64
 
+# Delay after a failed read of the claims at the start.
+CLAIMS_RETRY_MS = 500
+
 # A leaving node exits this long before it would be killed.
 EXIT_MARGIN_MS = 500
 
@@ -141,7 +150,7 @@
         self._adapters = adapters
         self._clock = clock
         self._wall_ms = wall_ms
-        self._nonce = PLACES_MARK + uuid.uuid4().hex[:12]
+        self._nonce = WITNESSES_MARK + uuid.uuid4().hex[:12]
         self._owners: dict[int, CellOwner] = {}
         self._former_leases: dict[int, LeaseExpiries] = {}
         # Member names in claims by epoch, by cell.
@@ -156,6 +165,7 @@
             cfg.strain_limit_ms,
             cfg.reserved_share,
             cfg.pacer,
+            UNWITNESSED_MS,
         )
         name = member_name(
             cfg.node, cfg.peers, self._nonce, cfg.processor_cores
@@ -168,6 +178,9 @@
             self._on_assignment,
             adapters.peers.answers,
         )
+        self._witness = Witness(
+            cfg.peers, clock, lambda: self.member.confirmed_ms
+        )
         self._appender = BatchAppender(
             adapters.store, clock, 0, f"inbox-{self._nonce}"
         )
@@ -199,10 +212,27 @@
             await listen("metrics", cfg.metrics, self.metrics.handle)
         self.add_future(self._operators.follow())
         self.add_future(self._appender.run())
+        self.add_future(self._read_claims())
         await self.add_runtime_dependency(self._loop_monitor)
         await self.add_runtime_dependency(self.member)
         event("node_started", node=cfg.node, zone=cfg.availability_zone)
 
+    async def _read_claims(self) -> None:
+        """Reads the latest claims, which the witness must know."""
+        for cell in range(CELL_COUNT):
+            while not self.should_stop:
+                try:
+                    page = await self._adapters.store.read_latest(
+                        OWNERS_TOPIC, cell, ""
+                    )
+                except StoreError as exc:
+                    event("claims_unread", epoch=0, reason=exc)
+                    await asyncio.sleep(CLAIMS_RETRY_MS / MS_PER_SECOND)
+                    continue
+                epochs = [record.offset + 1 for record in page.records]
+                self._witness.record_claim(cell, max(epochs, default=0))
+                break
+
     async def leave(self) -> None:
         """Hands over all cells, drains requests in flight and leaves.
 
@@ -260,6 +290,8 @@
                 await owner.stop()
         if self._leaving:
             return
+        for cell in cells & self._owners.keys():
+            self._owners[cell].on_join()
         for cell in cells:
             if cell < CELL_COUNT and cell not in self._owners:
                 self._owners[cell] = self._new_owner(cell)
@@ -280,6 +312,7 @@
             self._wall_ms,
             self._params,
             self._cfg.state_kept_ms,
+            self._witness,
         )
 
     def _gauges(self) -> list[Gauge]:
@@ -340,6 +373,10 @@
             for job in jobs
         )
 
+    def extend(self, cell: int, epoch: int) -> bool:
+        """See `LocalCells.extend`."""
+        return self._witness.extend(cell, epoch)
+
     def fence(self, cell: int, epoch: int) -> RemainingLeases:
         """See `LocalCells.fence`."""
         owner = self._owners.get(cell)
@@ -358,6 +395,7 @@
             leases,
             member=self.member.name,
             claims=self._former_claims.get(cell, {}),
+            extended_left_ms=self._witness.withhold(cell, epoch),
         )
 
     def _save_claims(self, owner: CellOwner) -> None:
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -350,6 +350,7 @@
             and worker.entry.availability_zone not in self._engine.zones_out
             and not worker.is_overcommitted
             and worker.is_responsive(now_ms)
+            and self._engine.may_lease(worker.id)
             and now_ms >= worker.backoff_until_ms
             and self._may_order()
         )
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -16,6 +16,7 @@
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event, notify_listeners
 from limpetyard.engine import (
+    MIN_CLOCK_RATE,
     AdviceClient,
     Effect,
     Engine,
@@ -35,6 +36,7 @@
 )
 from limpetyard.node._member import GroupMember
 from limpetyard.node._order_dispatch import OrderDispatcher
+from limpetyard.node._order_permit import EXTEND_INTERVAL_MS, OrderPermit
 from limpetyard.node._peers import PeerClient
 from limpetyard.node._polling import WorkerPoller
 from limpetyard.node._predecessor import Predecessor
@@ -47,9 +49,14 @@
     OWNER_PRODUCER,
     OWNERS_TOPIC,
     PLACES_KEY,
+    SETTLED_KEY,
+    UNLEASED_KEY,
+    WITNESSES_PREFIX,
     WORKER_KEY_PREFIX,
     WORKERS_TOPIC,
 )
+from limpetyard.node._unleased_workers import UnleasedWorkers
+from limpetyard.node._witness import Witness
 from limpetyard.store import (
     FencedError,
     KeyedRecord,
@@ -90,6 +97,10 @@
 # Maximum time that a release spends on storing the latest state.
 RELEASE_TIMEOUT_MS = 150
 
+# Time-out of the read of the claims by which an owner confirms that it still
+# holds the cell. It leaves time for another one before orders are held back.
+CLAIM_CHECK_TIMEOUT_MS = 600
+
 # Delay after a failed takeover or an append that the store refused.
 STORE_RETRY_MS = 100
 
@@ -110,8 +121,9 @@
         cell: Number of the cell.
         state_machine: State machine of the ownership, from the `owner` chart.
         engine: Scheduling state and planner; None before the claim.
-        state_loaded: Whether the cell's state has been loaded, so that orders
-            may have been issued. Stays true after the ownership has ended.
+        state_loaded: Whether the cell's state has been loaded and the group has
+            confirmed the assignment since the claim, so that orders may have
+            been issued. Stays true after the ownership has ended.
     """
 
     def __init__(
@@ -128,6 +140,7 @@
         wall_ms: Callable[[], float],
         params: EngineParams,
         retention_ms: float,
+        witness: Witness,
     ):
         super().__init__()
         self.cell = cell
@@ -151,7 +164,20 @@
         self._jobs_follower: KeyFollower | None = None
         self._entries_follower: KeyFollower | None = None
         self._record_applier: RecordApplier | None = None
-        self._predecessor = Predecessor(cell, store, peers, clock, params)
+        self._predecessor = Predecessor(
+            cell, store, peers, clock, params, witness
+        )
+        self._permit = OrderPermit(cell, peers, clock, params)
+        # Generation of the group for which it is known that no other node has
+        # held the cell since the claim.
+        self._generation = member.assigned_generation
+        self._assigned_ms = clock.now_ms()
+        self._claimed_ms: float | None = None
+        self._writer_fenced_ms = 0.0
+        self._checking_claim = False
+        # Set once a join after the claim has confirmed the assignment, or the
+        # ownership has ended.
+        self._held = asyncio.Event()
         self._persist_lock = asyncio.Lock()
         self._read_lock = asyncio.Lock()
         self._plan_needed = asyncio.Event()
@@ -170,6 +196,11 @@
         # Whether it is stored that this owner stores the places of long-running
         # tasks.
         self._places_recorded = False
+        # Whether it is stored that no earlier owner issues orders.
+        self._settled_recorded = False
+        self._unleased: UnleasedWorkers | None = None
+        # Whether a record of the workers without leases is to be stored.
+        self._unleased_due = False
         # Keys whose latest record was too large for the store.
         self._too_large: set[str] = set()
 
@@ -230,9 +261,76 @@
             self._persist_loop(),
             self._plan_loop(),
             self._purge_loop(),
+            self._extend_loop(),
         ):
             self._spawn(coroutine)
 
+    async def _extend_loop(self) -> None:
+        """Keeps the permission to order while the store does not answer."""
+        while not self.ended and not self.should_stop:
+            await self._permit.extend(self.engine.epoch)
+            await asyncio.sleep(EXTEND_INTERVAL_MS / MS_PER_SECOND)
+
+    def on_join(self) -> None:
+        """Handles a join by which the group has assigned the cell again.
+
+        Within one generation the cell stays with one member. Otherwise another
+        owner may have claimed it in between, which the claims show.
+        """
+        sent_ms = self._member.confirmed_ms
+        generation = self._member.assigned_generation
+        if self.ended or self._claimed_ms is None or sent_ms < self._claimed_ms:
+            return
+        if generation == self._generation:
+            self._confirm(sent_ms, self._assigned_ms)
+        elif not self._checking_claim:
+            self._checking_claim = True
+            now_ms = self._clock.now_ms()
+            self._spawn(self._check_claim(sent_ms, generation, now_ms))
+
+    async def _check_claim(
+        self, sent_ms: float, generation: int, held_ms: float
+    ) -> None:
+        """Confirms the ownership unless there is a later claim.
+
+        Args:
+            sent_ms: Send time of the join after which this is called.
+            generation: Generation of the group in its reply.
+            held_ms: When the reply arrived.
+        """
+        try:
+            async with asyncio.timeout(CLAIM_CHECK_TIMEOUT_MS / MS_PER_SECOND):
+                page = await self._store.read_latest(
+                    OWNERS_TOPIC, self.cell, ""
+                )
+        except (StoreError, TimeoutError) as exc:
+            reason = str(exc) or "no reply in time"
+            event("claims_unread", epoch=self.engine.epoch, reason=reason)
+            return
+        finally:
+            self._checking_claim = False
+        epochs = [r.offset + 1 for r in page.records if r.key == CLAIM_KEY]
+        latest = max(epochs, default=0)
+        if latest > self.engine.epoch:
+            self.end_ownership(f"epoch {latest} has claimed the cell")
+            return
+        self._generation = generation
+        self._confirm(sent_ms, held_ms)
+
+    def _confirm(self, sent_ms: float, held_ms: float) -> None:
+        """Records that the cell is held.
+
+        Args:
+            sent_ms: Send time of the join that has confirmed it.
+            held_ms: Since when, if this is the first confirmation.
+        """
+        if self.ended:
+            return
+        self._permit.confirm(sent_ms)
+        if self._predecessor.held_ms is None:
+            self._predecessor.held_ms = held_ms
+            self._held.set()
+
     def _spawn(self, work: Coroutine) -> asyncio.Task:
         """Runs a coroutine as a guarded task of this service."""
         return self.add_future(self._guard(work))
@@ -268,6 +366,8 @@
                 return
             self._spawn(self._fence_predecessor())
         await self._writer.fence()
+        # What earlier owners have stored was made before this.
+        self._writer_fenced_ms = self._clock.now_ms()
         await self._load()
         await self._build_state()
         if self.ended:
@@ -284,29 +384,31 @@
 
     async def _fence_predecessor(self) -> None:
         await self._predecessor.fence(self.engine.epoch)
-        if self.state_loaded:
-            self._apply_predecessor_bounds()
-        if self._predecessor.fence_confirmed:
-            return
-        await self._predecessor.fence_until_certain(self.engine.epoch)
-        if self.state_loaded:
+        self._apply_predecessor_bounds()
+        while not self._predecessor.is_certain and not self.ended:
+            await self._predecessor.fence_again(self.engine.epoch)
             self._apply_predecessor_bounds()
+        if not self.ended:
+            self._predecessor.log_bounds(self.engine.epoch)
 
     def _apply_predecessor_bounds(self) -> None:
-        """Applies the bounds on runs and orders of the previous owner.
+        """Applies the bounds on runs and orders of earlier owners.
 
         Lowers `prior_lease_end_ms` of each worker to
-        `Predecessor.latest_run_end_ms` and, if fencing is confirmed,
-        `predecessor_until_ms` to `Predecessor.orders_end_ms`. Uses the result
-        of fencing the previous owner, if that is known already.
+        `Predecessor.latest_run_end_ms`, and `predecessor_until_ms` to
+        `Predecessor.orders_end_ms`, as far as they are known. Does nothing
+        before the state has been loaded.
         """
+        if not self.state_loaded:
+            return
         for worker in self.engine.workers.values():
             worker.prior_lease_end_ms = min(
                 worker.prior_lease_end_ms,
                 self._predecessor.latest_run_end_ms(worker.id),
             )
-        if self._predecessor.fence_confirmed:
-            self.engine.predecessor_until_ms = self._predecessor.orders_end_ms
+        self.engine.predecessor_until_ms = min(
+            self.engine.predecessor_until_ms, self._predecessor.orders_end_ms
+        )
         self._plan_needed.set()
 
     async def _claim(self) -> None:
@@ -314,6 +416,8 @@
         record = KeyedRecord(CLAIM_KEY, self._member.name.encode())
         offset = await self._store.append(OWNERS_TOPIC, self.cell, [record])
         epoch = offset + 1
+        self._claimed_ms = self._clock.now_ms()
+        self._member.join_now()
         event("cell_claimed", cell=self.cell, epoch=epoch)
         self.engine = Engine(epoch, self._params)
         self._dispatcher = OrderDispatcher(
@@ -381,6 +485,14 @@
         may have runs, until fencing the previous owner or polling the worker
         shows otherwise.
         """
+        self._predecessor.witnesses = self._record_applier.witnesses()
+        self._predecessor.settled_epoch = self._record_applier.settled_epoch()
+        unleased = self._record_applier.unleased()
+        self._predecessor.unleased_epoch = unleased.epoch
+        self._predecessor.unleased_ends_ms = {
+            worker: self._writer_fenced_ms + left_ms / MIN_CLOCK_RATE
+            for worker, left_ms in unleased.left_ms.items()
+        }
         places_trusted = await self._has_stored_places()
         self.engine.places_trusted = places_trusted
         self._recorded_workers = await self._record_applier.apply_collected()
@@ -391,10 +503,15 @@
         for worker_id in self._recorded_workers:
             worker = self.engine.workers[worker_id]
             worker.prior_lease_end_ms = float("inf")
-        self.engine.predecessor_until_ms = (
-            self._clock.now_ms() + self._params.self_fence_ms
-        )
+        self.engine.predecessor_until_ms = float("inf")
         self.engine.crashes.expect_runs(self._clock.now_ms())
+        await self._held.wait()
+        if self.ended:
+            return
+        self._unleased = UnleasedWorkers(
+            self.engine, self._recorded_workers, self._clock
+        )
+        self.engine.may_lease = self._unleased.may_lease
         self.state_loaded = True
         self._apply_predecessor_bounds()
         self._track_workers()
@@ -469,17 +586,19 @@
     def _may_order(self) -> bool:
         """Returns whether orders may be issued.
 
-        False if the ownership has ended or if the group has not confirmed the
-        membership within the self-fencing time.
+        False if the ownership has ended, or if it has not been confirmed or
+        extended lately.
         """
         if self.ended:
             return False
-        confirmed_ms = self._member.confirmed_ms
-        age_ms = self._clock.now_ms() - confirmed_ms
-        allowed = age_ms < self._params.self_fence_ms
+        allowed = self._permit.is_valid
         if allowed == self._orders_suspended:
             self._orders_suspended = not allowed
-            event("orders_held_back", held_back=not allowed, age_ms=age_ms)
+            event(
+                "orders_held_back",
+                held_back=not allowed,
+                age_ms=self._permit.age_ms,
+            )
         return allowed
 
     async def _persist_loop(self) -> None:
@@ -533,6 +652,8 @@
             # Last, as jobs whose places are not known must be stored before.
             epoch = self.engine.epoch.to_bytes(EPOCH_BYTES)
             groups.append([KeyedRecord(PLACES_KEY, epoch)])
+        # First, as a call with many jobs may fail again and again.
+        groups[:0] = [[record] for record in self._ownership_records()]
         stored: set[str] = set()
         failure: StoreError | None = None
         try:
@@ -543,6 +664,12 @@
                 raise
             failure = exc
         self._places_recorded |= PLACES_KEY in stored
+        self._settled_recorded |= SETTLED_KEY in stored
+        if UNLEASED_KEY in stored:
+            self._unleased_due = False
+            self._unleased.on_stored()
+        if f"{WITNESSES_PREFIX}{self.engine.epoch}" in stored:
+            self._permit.on_stored()
         self._recorded_workers.update(
             (worker_id, state)
             for worker_id, state in recorded.items()
@@ -561,6 +688,37 @@
                 job.dirty = True
             raise failure
 
+    def _ownership_records(self) -> list[KeyedRecord]:
+        """Returns records of what the next owner must know of this one."""
+        epoch = self.engine.epoch
+        records = []
+        if self._unleased_due or self._unleased.is_due():
+            self._unleased_due = True
+            records.append(self._unleased.make_record())
+        others = self._member.other_addresses()
+        if others is not None and self._permit.needs_record(others):
+            records.append(self._permit.make_record(epoch, others))
+        if self._is_settled():
+            value = epoch.to_bytes(EPOCH_BYTES)
+            records.append(KeyedRecord(SETTLED_KEY, value))
+        return records
+
+    def _ownership_records_due(self) -> bool:
+        """Returns whether `_ownership_records` would return any."""
+        self._unleased_due |= self._unleased.is_due()
+        others = self._member.other_addresses()
+        return (
+            self._unleased_due
+            or (others is not None and self._permit.needs_record(others))
+            or self._is_settled()
+        )
+
+    def _is_settled(self) -> bool:
+        """Returns whether it is to be stored that no earlier owner orders."""
+        now_ms = self._clock.now_ms()
+        settled = now_ms >= self.engine.predecessor_until_ms
+        return settled and not self._settled_recorded
+
     def _job_records(
         self, jobs: list[Job]
     ) -> tuple[list[list[KeyedRecord]], list[Job]]:
@@ -653,7 +811,9 @@
                 took_ms = self._clock.now_ms() - now_ms
                 self._report_plan(took_ms, len(effects))
                 self._execute(effects)
-            if any(job.dirty for job in self.engine.open_jobs.values()):
+            if self._ownership_records_due() or any(
+                job.dirty for job in self.engine.open_jobs.values()
+            ):
                 self._persist_needed.set()
             pause_ms = max(PLAN_MIN_INTERVAL_MS, PLAN_PAUSE_RATIO * took_ms)
             await asyncio.sleep(pause_ms / MS_PER_SECOND)
@@ -701,6 +861,9 @@
             groups.append([KeyedRecord(key, None) for key in keys])
         strays = self._stray_chunks()
         strays += sorted(self._record_applier.stray_keys)
+        if self._settled_recorded:
+            epochs = self._predecessor.witnesses
+            strays += [f"{WITNESSES_PREFIX}{epoch}" for epoch in epochs]
         groups += [[KeyedRecord(key, None)] for key in strays]
         if not groups:
             return
@@ -721,6 +884,9 @@
         for key in stored.intersection(strays):
             self._record_applier.stray_chunks.pop(key, None)
             self._record_applier.stray_keys.discard(key)
+            if key.startswith(WITNESSES_PREFIX):
+                epoch = int(key.removeprefix(WITNESSES_PREFIX))
+                self._predecessor.witnesses.pop(epoch, None)
 
     def _stray_chunks(self) -> list[str]:
         """Returns the keys of chunks whose job is not known.
@@ -756,6 +922,7 @@
         if self.ended:
             return
         self.state_machine.fire("lost")
+        self._held.set()
         confirmed_ms = self._member.confirmed_ms
         event(
             "cell_lost",
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from limpetyard._events import event
 from limpetyard._http_client import (
     HttpClient,
     HttpResponse,
@@ -49,6 +50,10 @@
     pending: int
 
 
+class _Extension(msgspec.Struct):
+    extended: bool
+
+
 class LocalCells(Protocol):
     """Queries that a node answers for the cells that it owns.
 
@@ -66,10 +71,14 @@
     def queue_pending(self, queue: str) -> int:
         """Returns the number of queued jobs of a queue, without timed ones."""
 
+    def extend(self, cell: int, epoch: int) -> bool:
+        """Extends the orders of an owner; see `Witness.extend`."""
+
     def fence(self, cell: int, epoch: int) -> RemainingLeases:
         """Ends this node's ownerships of a cell with an epoch below `epoch`.
 
-        One that does not know its epoch yet ends once it does.
+        One that does not know its epoch yet ends once it does. This node gives
+        no more extensions to owners with such epochs.
 
         Returns:
             Remaining leases of the latest one in which this node may have
@@ -91,6 +100,14 @@
     ) -> FenceResult:
         """Fences the previous owner of a cell."""
 
+    async def fence_witness(
+        self, address: str, cell: int, epoch: int
+    ) -> float | None:
+        """Has a witness give no more extensions to earlier owners."""
+
+    async def extend(self, address: str, cell: int, epoch: int) -> bool:
+        """Asks a witness to extend the orders of an owner."""
+
     async def answers(self, member: str) -> bool:
         """Returns whether a member answers."""
 
@@ -133,8 +150,9 @@
     ) -> FenceResult:
         """Fences the previous owner of a cell, which then issues no orders.
 
-        If nothing listens at its address, or if another process does, the owner
-        has ended, which counts as fenced.
+        If another process listens at its address, the owner has ended, which
+        counts as fenced. A refused connection proves nothing, as a network
+        fault refuses connections too.
 
         Args:
             member: Member name of the previous owner.
@@ -144,16 +162,83 @@
         address = member_address(member)
         if not address:
             return FenceResult(False)
+        try:
+            leases = await self._fence(address, cell, epoch)
+        except PeerUnavailableError:
+            return FenceResult(False)
+        return FenceResult(True, leases)
+
+    async def fence_witness(
+        self, address: str, cell: int, epoch: int
+    ) -> float | None:
+        """Has a witness give no more extensions to earlier owners.
+
+        Args:
+            address: Address of the witness, or of an owner, which ends.
+            cell: Number of the cell.
+            epoch: Epoch of the new ownership.
+
+        Returns:
+            Time for which an extension may still last, or None without a reply
+            of a witness.
+        """
+        try:
+            leases = await self._fence(address, cell, epoch)
+        except PeerUnavailableError:
+            return None
+        return None if leases is None else leases.extended_left_ms
+
+    async def extend(self, address: str, cell: int, epoch: int) -> bool:
+        """Asks a witness to extend the orders of an owner.
+
+        Args:
+            address: Address of the witness.
+            cell: Number of the cell.
+            epoch: Epoch of the owner.
+
+        Returns:
+            Whether it did; False without a reply.
+        """
+        url = f"http://{address}/v1/extensions/{cell}/{epoch}"
+        try:
+            reply = await self._http_client.call(
+                "POST", url, b"", PEER_TIMEOUT_MS
+            )
+            if reply.status != 200:
+                return False
+            return msgspec.json.decode(reply.body, type=_Extension).extended
+        except (
+            NotSentError,
+            OutcomeUnknownError,
+            msgspec.MsgspecError,
+            ValueError,
+        ) as exc:
+            event("witness_unreachable", address=address, reason=exc)
+            return False
+
+    async def _fence(
+        self, address: str, cell: int, epoch: int
+    ) -> RemainingLeases | None:
+        """Fences the process at an address.
+
+        Raises:
+            PeerUnavailableError: If it sent no usable reply.
+        """
         url = f"http://{address}/v1/cells/{cell}/fence/{epoch}"
         try:
             reply = await self._http_client.call(
                 "POST", url, b"", PEER_TIMEOUT_MS
             )
-            return _parse_fence_result(reply)
-        except NotSentError as exc:
-            return FenceResult(exc.connection_refused)
-        except (OutcomeUnknownError, msgspec.MsgspecError):
-            return FenceResult(False)
+            if reply.status != 200:
+                raise PeerUnavailableError(f"{url}: status {reply.status}")
+            return msgspec.json.decode(reply.body, type=RemainingLeases | None)
+        except (
+            NotSentError,
+            OutcomeUnknownError,
+            msgspec.MsgspecError,
+            ValueError,
+        ) as exc:
+            raise PeerUnavailableError(str(exc)) from exc
 
     async def answers(self, member: str) -> bool:
         """Returns whether something answers at the address of a member.
@@ -227,16 +312,12 @@
             return _json_response(
                 self._cells.fence(int(parts[2]), int(parts[4]))
             )
+        if collection == "extensions":
+            extended = self._cells.extend(int(parts[2]), int(parts[3]))
+            return _json_response(_Extension(extended))
         raise ValueError(collection)
 
 
-def _parse_fence_result(reply: HttpResponse) -> FenceResult:
-    if reply.status != 200:
-        return FenceResult(False)
-    leases = msgspec.json.decode(reply.body, type=RemainingLeases | None)
-    return FenceResult(True, leases)
-
-
 def _json_response(data: msgspec.Struct | None) -> web.Response:
     return web.Response(
         body=msgspec.json.encode(data), content_type="application/json"
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -59,6 +59,7 @@
         "_lease_ms",
         "_may_order",
         "_on_change",
+        "_unanswered",
         "_workers",
     )
 
@@ -96,6 +97,9 @@
         self._on_change = on_change
         self._append_done = append_done
         self._first_polls = asyncio.Semaphore(MAX_FIRST_POLLS)
+        # Workers that did not answer the last poll. Its lease may have been
+        # granted; the next poll grants none, to keep the bound on it low.
+        self._unanswered: set[str] = set()
 
     async def poll_until_removed(self, worker_id: str) -> None:
         """Polls a worker until the engine drops it.
@@ -115,7 +119,10 @@
                     await self._poll(worker)
                 else:
                     await self._poll_in_turn(worker_id)
-                if worker.last_received_end > worker.last_acked_end:
+                if (
+                    worker.last_received_end > worker.last_acked_end
+                    or not self._engine.may_lease(worker.id)
+                ):
                     await self._wait_for_append()
             except StaleTokenError:
                 self._end_ownership(
@@ -149,7 +156,11 @@
         token = worker.token
         entry = worker.entry
         lease_until_ms = None
-        if worker.is_responsive(now_ms):
+        if (
+            worker.is_responsive(now_ms)
+            and worker.id not in self._unanswered
+            and self._engine.may_lease(worker.id)
+        ):
             lease_until_ms = worker.grant_lease(now_ms, self._lease_ms)
         wait_ms = _wait_ms(worker, lease_until_ms, len(self._engine.workers))
         request = PollRequest(
@@ -160,6 +171,7 @@
                 entry, request, wait_ms + POLL_TIMEOUT_MARGIN_MS
             )
         except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
+            self._unanswered.add(worker.id)
             if isinstance(exc, (WorkerDownError, OrderWithheldError)):
                 worker.revoke_lease(lease_until_ms)
             # A later incarnation may have another address by now.
@@ -169,6 +181,7 @@
             ):
                 self._report_failure(worker, exc, now_ms)
             raise
+        self._unanswered.discard(worker.id)
         if not self._is_current(worker, token):
             return
         token_confirmed = worker.token_confirmed
@@ -204,6 +217,7 @@
     async def _wait_for_append(self) -> None:
         """Waits for the next append, or at most `APPEND_WAIT_MS`.
 
+        A lease may be granted only after an append; see `UnleasedWorkers`.
         A worker repeats the end of a run in each reply until it is stored and
         acknowledged. A poll before that would return at once with known ends.
         """
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -1,4 +1,10 @@
-"""Fencing of the previous owners of a cell and takeover of their leases."""
+"""Fencing of the previous owners of a cell and takeover of their leases.
+
+Two bounds hold for the orders of earlier owners. If the latest one that may
+have ordered answers, it knows its leases and how long an owner before it may
+order. For all others, whatever has become of them, the bound follows from when
+the new owner held the cell and from the replies of their witnesses.
+"""
 
 import asyncio
 
@@ -10,16 +16,23 @@
 from limpetyard.node._store_layout import (
     CLAIM_KEY,
     OWNERS_TOPIC,
+    member_address,
+    member_needs_witnesses,
     member_stores_places,
 )
+from limpetyard.node._witness import Witness
 from limpetyard.store import Store, StoredRecord, StoreError
 
 # Delay before a previous owner that did not answer is fenced again.
 FENCE_RETRY_MS = 100
 
+# Maximum number of earlier owners whose witnesses are asked. If there are more,
+# the bound without witnesses holds.
+MAX_UNSETTLED = 32
+
 
 class Predecessor:
-    """Latest previous owner of a cell that may have issued orders.
+    """Previous owners of a cell, the latest that may have ordered above all.
 
     The owners are known by their claims. Those that say that they have lost the
     cell before they loaded it are passed over. The latest other one is assumed
@@ -29,6 +42,14 @@
         claims: Member names in claims before that of the new owner, by epoch,
             as far as known.
         fence_ended: Set once `fence` has ended.
+        unleased_epoch: Epoch of the owner that has stored `unleased_ends_ms`.
+        unleased_ends_ms: Latest time at which runs of that owner, or of earlier
+            ones, may exist on workers to which it grants no lease, by id.
+        witnesses: Addresses of the witnesses of earlier owners, by epoch.
+        held_ms: Time since which the new owner has held the cell, so that no
+            earlier one was confirmed after it; None while it is not known.
+        settled_epoch: Epoch of an owner that knew that no owner before it
+            issues orders, 0 if there was none; None before it has been read.
     """
 
     __slots__ = (
@@ -37,13 +58,20 @@
         "_epoch",
         "_fence_result",
         "_fenced_ms",
+        "_new_epoch",
         "_params",
         "_peers",
-        "_read_epoch",
         "_read_ms",
         "_store",
+        "_witness",
+        "_witness_ends_ms",
         "claims",
         "fence_ended",
+        "held_ms",
+        "settled_epoch",
+        "unleased_ends_ms",
+        "unleased_epoch",
+        "witnesses",
     )
 
     def __init__(
@@ -53,37 +81,112 @@
         peers: PeerClient,
         clock: Clock,
         params: EngineParams,
+        witness: Witness | None = None,
     ):
+        """Initializes the previous owners.
+
+        Args:
+            cell: Number of the cell.
+            store: Store of the claims.
+            peers: Client of other nodes.
+            clock: Clock for all times.
+            params: Time limits of all owners.
+            witness: Witness of the process of the new owner, which is asked
+                without a call; None if it is none.
+        """
         self.claims: dict[int, str] = {}
         self.fence_ended = asyncio.Event()
+        self.unleased_epoch = 0
+        self.unleased_ends_ms: dict[str, float] = {}
+        self.witnesses: dict[int, list[str]] = {}
+        self.held_ms: float | None = None
+        self.settled_epoch: int | None = None
         self._cell = cell
         self._store = store
         self._peers = peers
         self._clock = clock
         self._params = params
+        self._new_epoch = 0
         # Epoch of the owner that the result of fencing is about.
         self._epoch = 0
         self._fence_result = FenceResult(False)
         self._fenced_ms: float | None = None
-        # Epoch of the latest claim before that of the new owner was appended,
-        # and when it was read.
-        self._read_epoch = 0
         self._read_ms: float | None = None
+        self._witness = witness
+        # Latest time of an order that a witness, or an owner that has ended,
+        # may have extended or issued, by address.
+        self._witness_ends_ms: dict[str, float] = {}
 
     @property
     def fence_confirmed(self) -> bool:
-        """Whether it is certain that the owner issues no more orders."""
+        """Whether the latest owner that may have ordered has ended.
+
+        Owners before it may still issue orders; see `orders_end_ms`.
+        """
         return self._fence_result.confirmed
 
     @property
     def orders_end_ms(self) -> float:
-        """Time until which an owner before it may issue orders.
+        """Latest time at which any earlier owner may issue an order."""
+        end_ms = self._witnessed_end_ms()
+        leases = self._fence_result.leases
+        if leases is None:
+            return end_ms
+        left_ms = leases.orders_left_ms
+        return min(end_ms, self._fenced_ms + left_ms / MIN_CLOCK_RATE)
+
+    def _witnessed_end_ms(self) -> float:
+        """Returns the latest time of an order, without what owners replied.
 
-        Valid if fencing is confirmed.
+        No earlier owner was confirmed after `held_ms`. It stops some time
+        later unless all its witnesses extend that; each of them knows by how
+        much it did.
         """
-        leases = self._fence_result.leases
-        left_ms = leases.orders_left_ms if leases is not None else 0.0
-        return self._fenced_ms + left_ms / MIN_CLOCK_RATE
+        if self._fenced_ms is not None and not self._epoch:
+            return self._fenced_ms
+        if self.held_ms is None or not self._new_epoch:
+            return float("inf")
+        params = self._params
+        longest_ms = self.held_ms + params.self_fence_ms / MIN_CLOCK_RATE
+        end_ms = self.held_ms + params.unwitnessed_ms / MIN_CLOCK_RATE
+        unsettled = self._unsettled_epochs()
+        if unsettled is None:
+            return longest_ms
+        for owner_epoch in unsettled:
+            member = self.claims.get(owner_epoch)
+            if member is None or not member_needs_witnesses(member):
+                return longest_ms
+            ends_ms = [
+                self._witness_ends_ms[address]
+                for address in self._addresses_to_ask(owner_epoch)
+                if address in self._witness_ends_ms
+            ]
+            # Without stored witnesses, its orders were never extended.
+            if owner_epoch in self.witnesses:
+                end_ms = max(end_ms, min(ends_ms, default=longest_ms))
+        return min(end_ms, longest_ms)
+
+    def _unsettled_epochs(self) -> range | None:
+        """Returns the epochs of earlier owners that may still issue orders.
+
+        Returns None if they are unknown or too many.
+        """
+        if self.settled_epoch is None:
+            return None
+        epochs = range(max(self.settled_epoch, 1), self._new_epoch)
+        return epochs if len(epochs) <= MAX_UNSETTLED else None
+
+    def _addresses_to_ask(self, owner_epoch: int) -> list[str]:
+        """Returns the addresses at which a reply shows when an owner stops.
+
+        These are its own, as a process that replies there has ended the
+        ownership or succeeded it, and those of its witnesses. There are none
+        if it has no witnesses.
+        """
+        if owner_epoch not in self.witnesses:
+            return []
+        own = member_address(self.claims.get(owner_epoch, ""))
+        return [a for a in (own, *self.witnesses[owner_epoch]) if a]
 
     async def read(self) -> None:
         """Reads the latest claim.
@@ -97,11 +200,9 @@
         """
         if self._read_ms is not None:
             return
-        read_ms = self._clock.now_ms()
         page = await self._store.read_latest(OWNERS_TOPIC, self._cell, "")
         self._add_claims(page.records)
-        self._read_epoch = max(self.claims, default=0)
-        self._read_ms = read_ms
+        self._read_ms = self._clock.now_ms()
 
     def _add_claims(self, records: list[StoredRecord]) -> None:
         for record in records:
@@ -158,28 +259,69 @@
         Args:
             epoch: Epoch of the new ownership.
         """
+        self._new_epoch = epoch
         try:
             await self._fence_once(epoch)
         finally:
             self.fence_ended.set()
         self._log_fencing(epoch)
 
-    async def fence_until_certain(self, epoch: int) -> None:
-        """Fences the previous owner again until it certainly issues no orders.
+    def log_bounds(self, epoch: int) -> None:
+        """Logs until when earlier owners may issue orders."""
+        left_ms = self.orders_end_ms - self._clock.now_ms()
+        event(
+            "orders_bounded",
+            cell=self._cell,
+            epoch=epoch,
+            orders_left_ms=max(0.0, left_ms),
+            settled_epoch=self.settled_epoch,
+            unleased=len(self._known_ends_ms),
+        )
 
-        That is so once it answers, and at the latest when it has not been
-        confirmed as a member for its self-fencing time.
+    @property
+    def is_certain(self) -> bool:
+        """Whether earlier owners issue no more orders."""
+        return self._clock.now_ms() >= self.orders_end_ms
+
+    async def fence_again(self, epoch: int) -> None:
+        """Fences the previous owner again, and asks witnesses.
 
         Args:
             epoch: Epoch of the new ownership.
         """
-        until_ms = self._confirmed_until_ms + self._params.self_fence_ms
-        while not self.fence_confirmed and self._clock.now_ms() < until_ms:
-            await asyncio.sleep(FENCE_RETRY_MS / MS_PER_SECOND)
-            await self._fence_once(epoch)
+        await asyncio.sleep(FENCE_RETRY_MS / MS_PER_SECOND)
+        await asyncio.gather(
+            self._ask_witnesses(epoch),
+            asyncio.sleep(0) if self.fence_confirmed else self._retry(epoch),
+        )
+
+    async def _retry(self, epoch: int) -> None:
+        await self._fence_once(epoch)
         if self.fence_confirmed:
             self._log_fencing(epoch)
 
+    async def _ask_witnesses(self, epoch: int) -> None:
+        """Asks the witnesses of earlier owners that have not replied yet."""
+        addresses: set[str] = set()
+        # From the first one on, as the claims are read from there in one call.
+        for owner_epoch in self._unsettled_epochs() or ():
+            if await self._member_of(owner_epoch, epoch) is None:
+                return
+            addresses.update(self._addresses_to_ask(owner_epoch))
+        addresses.difference_update(self._witness_ends_ms)
+        await asyncio.gather(*(self._ask(a, epoch) for a in addresses))
+
+    async def _ask(self, address: str, epoch: int) -> None:
+        if self._witness is not None and address == self._witness.address:
+            left_ms = self._witness.withhold(self._cell, epoch)
+        else:
+            left_ms = await self._peers.fence_witness(
+                address, self._cell, epoch
+            )
+        if left_ms is not None:
+            end_ms = self._clock.now_ms() + left_ms / MIN_CLOCK_RATE
+            self._witness_ends_ms[address] = end_ms
+
     async def _fence_once(self, epoch: int) -> None:
         """Fences owners, from the latest to one that may have ordered."""
         result = FenceResult(True)
@@ -216,28 +358,24 @@
         )
 
     @property
-    def _confirmed_until_ms(self) -> float:
-        """Latest time at which the owner was confirmed as a member.
-
-        The group assigned the cell to this node before the claims were read.
-        Nothing is known of owners that have claimed it since. Until a fence has
-        ended, any of them may be the previous one.
-        """
-        if self._fenced_ms is not None and self._epoch <= self._read_epoch:
-            return self._read_ms
-        return self._clock.now_ms()
+    def _known_ends_ms(self) -> dict[str, float]:
+        """`unleased_ends_ms`, unless a later owner may have granted leases."""
+        is_latest = self._epoch == self.unleased_epoch
+        if self._fenced_ms is None or not is_latest:
+            return {}
+        return self.unleased_ends_ms
 
     def latest_run_end_ms(self, worker: str) -> float:
-        """Returns the latest time at which its runs may exist on a worker.
+        """Returns the latest time at which earlier runs may exist on a worker.
 
-        If it reported no lease for the worker, this is a full lease from the
-        time at which it certainly issued no more orders.
+        If the previous owner reported no lease for the worker, this is a full
+        lease from the latest time at which an earlier owner may order.
         """
+        end_ms = self.orders_end_ms + lease_bound_ms(self._params.lease_ms)
+        end_ms = min(end_ms, self._known_ends_ms.get(worker, end_ms))
         leases = self._fence_result.leases
         if leases is not None and worker in leases.left_ms:
             left_ms = leases.left_ms[worker]
-            return self._fenced_ms + left_ms / MIN_CLOCK_RATE
-        lease_ms = lease_bound_ms(self._params.lease_ms)
-        if self.fence_confirmed:
-            return self._fenced_ms + lease_ms
-        return self._confirmed_until_ms + self._params.self_fence_ms + lease_ms
+            reported_ms = self._fenced_ms + left_ms / MIN_CLOCK_RATE
+            end_ms = min(end_ms, reported_ms)
+        return end_ms
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -21,7 +21,15 @@
     decode_record,
     decode_spec,
 )
-from limpetyard.node._store_layout import PLACES_KEY, WORKER_KEY_PREFIX
+from limpetyard.node._order_permit import decode_witnesses
+from limpetyard.node._store_layout import (
+    PLACES_KEY,
+    SETTLED_KEY,
+    UNLEASED_KEY,
+    WITNESSES_PREFIX,
+    WORKER_KEY_PREFIX,
+)
+from limpetyard.node._unleased_workers import UnleasedRecord, decode_unleased
 from limpetyard.store import StoredRecord
 
 _worker_decoder = msgspec.msgpack.Decoder(WorkerEntry)
@@ -98,9 +106,47 @@
         started the task there. Returns 0 if there was none. Must be called
         before `apply_collected`.
         """
+        return self._stored_epoch(PLACES_KEY)
+
+    def settled_epoch(self) -> int:
+        """Returns the epoch of the latest owner that had no earlier one left.
+
+        That is one that has stored that no owner before it issues orders.
+        Returns 0 if there was none. Must be called before `apply_collected`.
+        """
+        return self._stored_epoch(SETTLED_KEY)
+
+    def witnesses(self) -> dict[int, list[str]]:
+        """Returns the addresses of the witnesses of each owner, by epoch.
+
+        Must be called before `apply_collected`.
+        """
+        witnesses: dict[int, list[str]] = {}
+        for record in self._collected:
+            number = record.key.removeprefix(WITNESSES_PREFIX)
+            if number == record.key or not number.isdecimal():
+                continue
+            if record.value is None:
+                witnesses.pop(int(number), None)
+            else:
+                witnesses[int(number)] = decode_witnesses(record.value)
+        return witnesses
+
+    def unleased(self) -> UnleasedRecord:
+        """Returns which workers get no lease from the owner that stored it.
+
+        Must be called before `apply_collected`.
+        """
+        value = None
+        for record in self._collected:
+            if record.key == UNLEASED_KEY:
+                value = record.value
+        return decode_unleased(value)
+
+    def _stored_epoch(self, key: str) -> int:
         epoch = 0
         for record in self._collected:
-            if record.key != PLACES_KEY or record.value is None:
+            if record.key != key or record.value is None:
                 continue
             if len(record.value) > MAX_EPOCH_BYTES:
                 reason = f"{len(record.value)} bytes"
--- a/src/limpetyard/node/_store_layout.py
+++ b/src/limpetyard/node/_store_layout.py
@@ -28,11 +28,27 @@
 # place of a long-running task before it is started there.
 PLACES_KEY = "places"
 
+# Key, in the topic of jobs, of the epoch of the latest owner that has known all
+# earlier owners to issue no more orders.
+SETTLED_KEY = "settled"
+
+# Key prefix, in the topic of jobs and before the epoch of an owner, of the
+# addresses of its witnesses.
+WITNESSES_PREFIX = "witnesses/"
+
+# Key, in the topic of jobs, of the workers that get no lease; see
+# `UnleasedRecord`.
+UNLEASED_KEY = "unleased"
+
 # First character of the nonce of a member that stores the place of a
 # long-running task before it starts the task there. Nonces of earlier releases
 # are hexadecimal.
 PLACES_MARK = "p"
 
+# Begin of the nonce of a member that, in addition, issues orders after
+# `EngineParams.unwitnessed_ms` only if its witnesses extend them.
+WITNESSES_MARK = PLACES_MARK + "w"
+
 # Key prefix, before the id, of workers that may have received orders.
 WORKER_KEY_PREFIX = "w/"
 
@@ -60,9 +76,17 @@
 
 def member_stores_places(member: str) -> bool:
     """Returns whether a member stores places; see `PLACES_MARK`."""
+    return _nonce(member).startswith(PLACES_MARK)
+
+
+def member_needs_witnesses(member: str) -> bool:
+    """Returns whether a member needs witnesses; see `WITNESSES_MARK`."""
+    return _nonce(member).startswith(WITNESSES_MARK)
+
+
+def _nonce(member: str) -> str:
     parts = member.split("|")
-    nonce = parts[2].rpartition("-")[2] if len(parts) == 3 else ""
-    return nonce.startswith(PLACES_MARK)
+    return parts[2].rpartition("-")[2] if len(parts) == 3 else ""
 
 
 def member_cores(member: str) -> float:
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -23,6 +23,7 @@
     SiteConfig,
     SiteView,
 )
+from limpetyard.node._store_layout import member_address
 from limpetyard.store import StoredRecord
 from standins.platform._gangs import Gangs
 from standins.platform._history import (
@@ -69,6 +70,7 @@
         self.name = name
         self.number = number
         self.processor_cores = processor_cores
+        self.address = f"10.1.0.{number}:2"
         self.clock = VirtualClock()
         self.store_link = Link(rng)
         self.worker_links: dict[str, Link] = {}
@@ -101,10 +103,6 @@
         return await self.processor.serve(work)
 
 
-class _PeerRefusedError(PeerUnavailableError):
-    """The connection to a node was refused."""
-
-
 class _SimulatedPeers:
     """Client of the other nodes over the link of one node."""
 
@@ -116,6 +114,16 @@
         peer = self._site.host_of(member)
         if peer is None or peer.node is None:
             raise PeerUnavailableError(member)
+        return await self._call_host(peer, operation)
+
+    async def _call_at(self, address: str, operation):
+        """Calls the process at an address, whichever it is."""
+        for peer in self._site.hosts:
+            if peer.address == address and peer.node is not None:
+                return await self._call_host(peer, operation)
+        raise PeerUnavailableError(address)
+
+    async def _call_host(self, peer: _Host, operation):
         node = peer.node
 
         async def handle():
@@ -132,10 +140,8 @@
 
         try:
             return await self._host.peer_link.call(handle, PEER_TIMEOUT_MS)
-        except LinkRefusedError:
-            raise _PeerRefusedError(member) from None
-        except LinkTimeoutError:
-            raise PeerUnavailableError(member) from None
+        except (LinkRefusedError, LinkTimeoutError):
+            raise PeerUnavailableError(peer.name) from None
 
     async def job_status(self, member: str, job_id: str) -> JobStatus:
         return await self._call(member, lambda node: node.job_status(job_id))
@@ -153,18 +159,33 @@
     async def fence_owner(
         self, member: str, cell: int, epoch: int
     ) -> FenceResult:
-        peer = self._site.host_of(member)
-        if peer is None or peer.node is None:
-            return FenceResult(True)
         try:
-            leases = await self._call(
-                member, lambda node: node.fence(cell, epoch)
+            leases = await self._call_at(
+                member_address(member), lambda node: node.fence(cell, epoch)
             )
-        except PeerUnavailableError as exc:
-            # As `HttpPeerClient` takes a refused connection.
-            return FenceResult(isinstance(exc, _PeerRefusedError))
+        except PeerUnavailableError:
+            return FenceResult(False)
         return FenceResult(True, leases)
 
+    async def fence_witness(
+        self, address: str, cell: int, epoch: int
+    ) -> float | None:
+        try:
+            leases = await self._call_at(
+                address, lambda node: node.fence(cell, epoch)
+            )
+        except PeerUnavailableError:
+            return None
+        return leases.extended_left_ms
+
+    async def extend(self, address: str, cell: int, epoch: int) -> bool:
+        try:
+            return await self._call_at(
+                address, lambda node: node.extend(cell, epoch)
+            )
+        except PeerUnavailableError:
+            return False
+
 
 class SimulatedSite:
     """A site that runs in the event loop of the test.
@@ -325,7 +346,7 @@
             "zone-0",
             "127.0.0.1:1",
             "127.0.0.1:2",
-            f"10.1.0.{host.number}:{host.incarnations}",
+            host.address,
             "127.0.0.1:3",
             processor_cores=host.processor_cores,
         )
