Count a lease as over only while no later owner can have renewed it

What callers saw: a task ran twice (TWICE). An owner that lost a worker, and then the store, took the worker's lease as over 5.2 s after its last poll and started the task on a worker that only it reached. Its successor had reached the first worker meanwhile and renewed the lease.

Cause: an owner may issue orders for some time after its last confirmation, and judged leases by the present time. It can know them only up to that confirmation: a successor may have renewed them since.

Ruled out: a shorter time without confirmation alone, which leaves gaps of 2.7 to 3.3 s between the two losses.

Change: leases of this owner and of earlier ones are compared with the last confirmation. While the store does not answer, tasks of silent workers wait.

Before: tests.node.test_lapsed_leases fails in five of eight cases. After: it passes.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -121,6 +121,8 @@
         workers: Workers by id.
         zones_out: Availability zones that are out of service.
         dirty_workers: Whether ended runs were processed that are not stored.
+        confirmed_ms: Latest time at which no later owner can have renewed a
+            lease. A lease that ends after it counts as lasting.
         may_lease: Returns whether a worker, by id, may be granted a lease.
         predecessor_until_ms: Time until which an earlier owner may still start
             tasks, including those of jobs that arrive now.
@@ -149,6 +151,7 @@
         "open_jobs",
         "params",
         "places_trusted",
+        "confirmed_ms",
         "may_lease",
         "predecessor_until_ms",
         "unstored_jobs",
@@ -164,6 +167,7 @@
         self.workers: dict[str, Worker] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.dirty_workers = False
+        self.confirmed_ms = float("inf")
         self.may_lease: Callable[[str], bool] = lambda worker_id: True
         self.predecessor_until_ms = float("-inf")
         self.places_trusted = False
@@ -828,8 +832,9 @@
         Such a worker may have crashed or be cut off, so its unproven runs are
         remembered until one or the other is shown.
         """
+        certain_ms = min(now_ms, self.confirmed_ms)
         for worker in self.workers.values():
-            if not worker.runs or now_ms <= worker.runs_until_ms:
+            if not worker.runs or certain_ms <= worker.runs_until_ms:
                 continue
             event(
                 "worker_lapsed",
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -268,10 +268,12 @@
         Returns:
             Service of each of these workers, by worker id.
         """
+        certain_ms = min(now_ms, self._engine.confirmed_ms)
         return {
             worker.id: worker.entry.service
             for worker in self._engine.workers.values()
-            if not worker.token_confirmed and now_ms < worker.prior_lease_end_ms
+            if not worker.token_confirmed
+            and certain_ms < worker.prior_lease_end_ms
         }
 
     def _confirm_places(
--- a/src/limpetyard/node/_order_permit.py
+++ b/src/limpetyard/node/_order_permit.py
@@ -37,17 +37,21 @@
     it holds the cell, and up to `EngineParams.self_fence_ms` while all its
     witnesses extend that time. Later owners must know the witnesses, so there
     are none before a set of them is stored. It can be replaced by another one.
+
+    Attributes:
+        confirmed_ms: Send time of the last call whose reply has confirmed that
+            the owner holds the cell.
     """
 
     __slots__ = (
         "_cell",
         "_clock",
-        "_confirmed_ms",
         "_extended_ms",
         "_params",
         "_peers",
         "_sent",
         "_stored",
+        "confirmed_ms",
     )
 
     def __init__(
@@ -60,7 +64,7 @@
         self._peers = peers
         self._clock = clock
         self._params = params
-        self._confirmed_ms = float("-inf")
+        self.confirmed_ms = float("-inf")
         # Until when each witness has extended the permission.
         self._extended_ms: dict[str, float] = {}
 
@@ -70,12 +74,12 @@
         Args:
             sent_ms: Send time of the call that the store answered with it.
         """
-        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        self.confirmed_ms = max(self.confirmed_ms, sent_ms)
 
     @property
     def age_ms(self) -> float:
         """Time since the last confirmation; infinite without any."""
-        return self._clock.now_ms() - self._confirmed_ms
+        return self._clock.now_ms() - self.confirmed_ms
 
     @property
     def is_valid(self) -> bool:
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -802,6 +802,7 @@
                 self._track_workers()
             took_ms = 0.0
             if self._may_order():
+                self.engine.confirmed_ms = self._permit.confirmed_ms
                 effects = self.engine.plan(
                     now_ms,
                     self._wall_ms(),
