Store where a run that an owner found was found, with its incarnation

What callers saw: a job was reported as failed although none of its tasks had crashed a worker twice or used up its attempts (storm of seed 2075).

Cause: an owner that found a run of a suspect on a worker recorded the worker, but not its incarnation. It stored the place as incarnation 0. To the next owner, the worker had an incarnation later than the stored one, which proves a crash. So each takeover could add 1 to the score of a task whose worker had not crashed at all. Nor was the place that was stored before forgotten; it came back once the run had ended.

Evidence, seed 2075, virtual ms: w-0 crashes and returns under tasks 1.0.2 and 2.0.2 of job 10 (18338, score 2). They start on w-5 and w-2 (18349). Epoch 8 finds them (19372), and epoch 9 counts a crash of both workers (20605, score 3) before it polls them; they reply at 20607 with the same runs. Epoch 10 finds them again (20922), they end as done (21082), which cannot be stored meanwhile. Epoch 11 counts w-5 again (23098, score 4), and the job fails. w-2 and w-5 were in their first incarnation all the time.

Ruled out: the check. One crash under each of two tasks is no cause by DESIGN.md, "Tasks that crash workers".

Change: Task.put_on records all of a placement. The planner and the finding of a run both use it.

Before: tests.engine.test_crashes fails in test_place_of_a_run_that_was_found (incarnation 0, 1 expected) and test_place_after_the_end_of_a_run_that_was_found; the storm of seed 2075 breaks a rule.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -544,14 +544,10 @@
                 and report.run >= task.run
             )
             if is_needed:
-                task.fire("place")
-                task.run = report.run
-                task.worker = worker.id
-                job.dirty |= task.step.long_running
                 # No owner starts a run while another one may exist, except for
                 # late orders to a worker that has restarted.
-                task.may_be_running = False
-                task.possible_worker = ""
+                task.put_on(worker.id, worker.born, report.run)
+                job.dirty |= task.step.long_running
                 job.mark_running()
                 job.started_ms = now_ms
             else:
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -581,18 +581,12 @@
     ) -> Start:
         """Records the placement of a task and returns its start order."""
         worker: Worker = candidate.worker
-        task.may_be_running = False
-        task.possible_worker = ""
+        task.put_on(worker.id, worker.born, run_number)
         task.restarted_worker = ""
-        task.stored_worker = ""
-        task.run = run_number
-        task.worker = worker.id
-        task.fire("place")
         job.mark_running()
         run = WorkerRun(task.key, run_number, task.step, now_ms)
         run.checkpoint = task.checkpoint
         task.isolate_until_ms = None
-        task.worker_born = worker.born
         if task.crash_score:
             worker.isolated_run = run
         if task.step.long_running and task.recorded_place != worker.id:
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -201,6 +201,22 @@
             return bool(unconfirmed)
         return self.possible_worker in unconfirmed
 
+    def put_on(self, worker: str, born: int, run: int) -> None:
+        """Records that a waiting task has a run on a worker, and nowhere else.
+
+        Args:
+            worker: Id of the worker.
+            born: Incarnation of the worker.
+            run: Number of the run.
+        """
+        self.fire("place")
+        self.run = run
+        self.worker = worker
+        self.worker_born = born
+        self.stored_worker = ""
+        self.may_be_running = False
+        self.possible_worker = ""
+
     def fire(self, event: str) -> None:
         """Applies an event of the task state machine."""
         self.state = TASK_CHART.next(self.state, event)
--- a/tests/engine/test_crashes.py
+++ b/tests/engine/test_crashes.py
@@ -394,6 +394,23 @@
             self.load("w-0", 2).crash_score, LONE_CRASH + SHARED_CRASH
         )
 
+    def adopt(self) -> Task:
+        """Loads a suspect whose run the worker then reports."""
+        task = self.load("w-0", 1)
+        self.poll("w-0", extra=(RunReport(task.key, 1, "", 100, 0.0),))
+        return task
+
+    def test_place_of_a_run_that_was_found(self):
+        """Each further owner counts a crash of a worker that works on: LOST."""
+        self.assertEqual(self.adopt().suspect_place, ("w-0", 1))
+
+    def test_place_after_the_end_of_a_run_that_was_found(self):
+        """A crash long after a run ended counts against its task: LOST."""
+        task = self.adopt()
+        self.poll("w-0", ((task.key, 1, RunEndKind.LAPSED),))
+        self.assertEqual(task.crash_score, LONE_CRASH)
+        self.assertEqual(task.suspect_place, ("", 0))
+
     def test_no_crash(self):
         """A reply of the worker does not clear it of the stored run."""
         task = self.load("w-0", 1)
--- a/tests/exploring/test_storms.py
+++ b/tests/exploring/test_storms.py
@@ -28,9 +28,10 @@
 # 2066: no wait for a worker with an end that was not stored.
 # 2031: a wait for a drained worker that had run nothing.
 # 2093: a gang whose end reached one owner, but only in part the next one.
+# 2075: suspects that each new owner found again had no incarnation stored.
 REGRESSION_SEEDS = (
     *(9, 12, 13, 26, 37, 52, 54, 64, 74, 80, 84, 96),
-    *(2031, 2066, 2093),
+    *(2031, 2066, 2075, 2093),
 )
 OTHER_SEEDS = range(1000, 1004)
 
