Storms: a job that fits nowhere all the time is not lost

DESIGN.md allows this: a long-running task that has run before is always placed, first starts leave room, and moves are not built; a cancel that was not confirmed may have no effect. The storm then waited 20 s for each such job in turn. The ended jobs were asked for later than 120 s after their end, when their state is no longer kept; each had been reported as completed before or was completed in the log.

Change: all jobs are waited for at the same time, 20 s each, which is stricter than 20 s in turn. A job that has not ended is not lost only if in every sample of that time no worker had room for any task of a step that may start. Only long-running tasks of jobs whose cancellation was not confirmed take room there: short runs end. A gang must not fit as a whole, a done task may run again until its end is acknowledged, and the job must be known.

--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -8,6 +8,7 @@
 from standins.platform._history import History
 from standins.platform._link import Link
 from standins.platform._processor import Processor, planning_charged
+from standins.platform._room import wait_for_end
 from standins.platform._site import SimulatedSite
 from standins.platform._store import LinkedStoreClient, StoreModel
 from standins.platform._virtual_time import VirtualClock, run_in_virtual_time
@@ -26,4 +27,5 @@
     "planning_charged",
     "run_in_virtual_time",
     "violations",
+    "wait_for_end",
 ]
--- a/standins/platform/_checks.py
+++ b/standins/platform/_checks.py
@@ -67,6 +67,17 @@
     return found
 
 
+def acknowledged_done(history: History) -> set[TaskKey]:
+    """Returns the tasks whose end as done was acknowledged."""
+    acked = _acked_ends(history)
+    return {
+        end.task
+        for end in history.of(RunEnded)
+        if end.end_kind == "done"
+        and (end.worker, end.born, end.number) in acked
+    }
+
+
 def _acked_ends(history: History) -> set[tuple[str, int, int]]:
     """Returns ended runs whose end the owner acknowledged under a valid lease.
 
@@ -382,7 +393,10 @@
 
 
 def _check_lost(history: History) -> list[str]:
-    """LOST: an accepted job did not reach a final state."""
+    """LOST: an accepted job did not reach a final state.
+
+    One that had no room all the time, `History.without_room`, must be known.
+    """
     last: dict[str, str] = {}
     for entry in history.of(StateReturned):
         last[entry.job] = entry.state
@@ -391,6 +405,9 @@
         for entry in history.of(JobAccepted)
         if entry.spec.id not in history.cancel_requests
         and last.get(entry.spec.id) not in FINAL_STATES
+        and not (
+            entry.spec.id in history.without_room and last.get(entry.spec.id)
+        )
         and not any(step.long_running for step in entry.spec.steps)
     ]
 
--- a/standins/platform/_history.py
+++ b/standins/platform/_history.py
@@ -146,6 +146,8 @@
         deadly: Jobs whose tasks crash each worker that starts them.
         labels: Labels of workers, by id.
         zones: Availability zones of workers, by id.
+        without_room: Jobs of which no task had room beside the long-running
+            tasks as long as their end was waited for.
         fault_windows: Start and end of each fault, in ms of simulation time.
         store_fault_windows: Start and end of each fault of the store, likewise.
     """
@@ -156,6 +158,7 @@
         self.refused: set[str] = set()
         self.cancel_requests: set[str] = set()
         self.deadly: set[str] = set()
+        self.without_room: set[str] = set()
         self.labels: dict[str, tuple[str, ...]] = {}
         self.zones: dict[str, str] = {}
         self.fault_windows: list[tuple[float, float]] = []
