A job of which an earlier owner's run has ended is running

What callers saw: a job went from running back to queued and stayed so although a step of it was done; its queue counted it as pending.

Cause: the state becomes running when a run is placed or found. Starts are not stored, so an owner that took over while the store was out and learnt of the runs by their ends alone left the job queued, until it placed the next task. That may be never, if there is no room.

Change: an end that is recorded marks its job as running.

Before: TakeoverTest.test_state_after_found_ends fails ('queued', 'running' expected) for runs that were done and that failed.

--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -76,6 +76,8 @@
             self._handle_outdated_end(worker, job, task, end, now_ms)
             return
         self._record_end(task, end)
+        # An earlier owner may have started it.
+        job.mark_running()
         job.dirty = True
         if run is not None:
             event(
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -755,6 +755,18 @@
         (start,) = self.plan(Start)
         self.assertEqual(start.task.index, 1)
 
+    def test_state_after_found_ends(self):
+        """A job was reported as queued although some of its tasks were done."""
+        steps = (StepSpec(1, ONE_CORE), StepSpec(1, ONE_CORE, after=(0,)))
+        spec = job(1, *steps, max_attempts=2)
+        for kind in (RunEndKind.DONE, RunEndKind.FAILED):
+            with self.subTest(kind):
+                self.setUp()
+                submitted = self.submit(spec, loaded=True)
+                task = TaskKey(spec.id, 0, 0, 0)
+                self.poll("w-0", ((task, 1, kind),))
+                self.assertEqual(submitted.state, "running")
+
     def test_found_run_before_first_renewal(self):
         """A found run is kept before this owner first renews its lease."""
         worker = self.engine.workers["w-0"]
