--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -33,7 +33,7 @@
 FAULTS: Registry[Fault] = Registry("fault")
 
 
-def _records_store_fault(fault: Fault) -> Fault:
+def records_store_fault(fault: Fault) -> Fault:
     """Records the start and the end of a fault of the store."""
 
     async def run_and_record(site: SimulatedSite, rng: random.Random) -> None:
@@ -90,7 +90,7 @@
 
 
 @FAULTS.register("cut_store")
-@_records_store_fault
+@records_store_fault
 async def _cut_store(site: SimulatedSite, rng: random.Random) -> None:
     link = _pick_host(site, rng).store_link
     link.cut = True
@@ -136,7 +136,7 @@
 
 
 @FAULTS.register("store_out")
-@_records_store_fault
+@records_store_fault
 async def _store_outage(site: SimulatedSite, rng: random.Random) -> None:
     failure = rng.choice(["cut", "refusing"])
     for host in site.hosts:
@@ -149,7 +149,7 @@
 
 
 @FAULTS.register("store_slow")
-@_records_store_fault
+@records_store_fault
 async def _slow_store(site: SimulatedSite, rng: random.Random) -> None:
     for host in site.hosts:
         host.store_link.delay_ms = rng.uniform(50, 300)
@@ -159,7 +159,7 @@
 
 
 @FAULTS.register("store_answers")
-@_records_store_fault
+@records_store_fault
 async def _lose_store_replies(site: SimulatedSite, rng: random.Random) -> None:
     for host in site.hosts:
         host.store_link.reply_loss_rate = 0.3
@@ -322,15 +322,30 @@
     await site.submit(JobSpec(f"{number:016x}", QUEUE, "payload", (step,)))
 
 
-async def _inject_faults(site: SimulatedSite, rng: random.Random) -> None:
-    end = asyncio.get_running_loop().time() + FAULT_PHASE_S
-    names = list(FAULTS)
+async def inject_faults(
+    site: SimulatedSite,
+    rng: random.Random,
+    faults: Registry[Fault] = FAULTS,
+    pause_s: float = 1.0,
+    phase_s: float = FAULT_PHASE_S,
+) -> None:
+    """Injects random faults, one after the other, and records them.
+
+    Args:
+        site: The site.
+        rng: Source of the random choices.
+        faults: The faults.
+        pause_s: Mean time between the end of one and the start of the next.
+        phase_s: Time within which faults start.
+    """
+    end = asyncio.get_running_loop().time() + phase_s
+    names = list(faults)
     while asyncio.get_running_loop().time() < end:
-        await asyncio.sleep(rng.expovariate(1.0))
+        await asyncio.sleep(rng.expovariate(1 / pause_s))
         start_ms = site.clock.now_ms()
         # Infinite while the fault lasts.
         site.history.fault_windows.append((start_ms, float("inf")))
-        await FAULTS.get(rng.choice(names))(site, rng)
+        await faults.get(rng.choice(names))(site, rng)
         site.history.fault_windows.remove((start_ms, float("inf")))
         site.history.fault_windows.append((start_ms, site.clock.now_ms()))
 
@@ -348,8 +363,13 @@
         _long_running_client(site, JOB_COUNT + n, rng)
         for n in range(LONG_RUNNING_JOB_COUNT)
     ]
-    injectors = [_inject_faults(site, rng) for _ in range(rng.randint(1, 3))]
+    injectors = [inject_faults(site, rng) for _ in range(rng.randint(1, 3))]
     await asyncio.gather(*clients, *injectors)
+    return await finish(site)
+
+
+async def finish(site: SimulatedSite) -> list[str]:
+    """Lets a site recover and stops it; returns the violations of rules."""
     await asyncio.sleep(RECOVERY_S)
     for job_id, spec in sorted(site.history.submitted.items()):
         if spec.steps[0].long_running:
@@ -367,15 +387,19 @@
     return run_in_virtual_time(_run_schedule(seed))
 
 
-def main() -> int:
-    """Runs a range of seeds; returns 1 if one of them violated a rule."""
+def main(run: Callable[[int], list[str]] = run_schedule) -> int:
+    """Runs a range of seeds; returns 1 if one of them violated a rule.
+
+    Args:
+        run: Runs one schedule and returns the violations of rules.
+    """
     from loguru import logger
 
     logger.remove()
     first, last = int(sys.argv[1]), int(sys.argv[2])
     failed = 0
     for seed in range(first, last + 1):
-        found = run_schedule(seed)
+        found = run(seed)
         if found:
             failed += 1
             print(f"seed {seed}: {len(found)}: {found[:3]}", flush=True)
