Bound the wait of best-effort jobs by slowed trials

Callers saw best-effort jobs that never start (LOST) while each worker has a serving task above 83 % of its target, or too few idle cores for one of their tasks, though an eighth of the cores is in use.

Cause: the placer refuses each worker whose predicted headroom would fall below 1.2, that is strained, or whose idle cores are fewer than the task's. Nothing else starts such a task, however long it waits, and nothing is learned about its effect meanwhile.

Ruled out: a threshold of headroom that falls with the wait, which is no bound beside strain and lets all waiting tasks start at full speed at once; a share of cores kept for best-effort tasks, idle most of the time; trials of all tasks of a job, behind which other jobs wait.

Change: a job that is 8 s old and has had nothing running for 1.5 s gets a trial: one task, slowed to one core, at least 10 %, on the worker with the most headroom left, one a worker, longest untried job first. Pacing is as before. A worker whose trial has to be stopped gets none for 2.5 s, doubling to 20 s. Beside serving tasks over their targets, a trial needs 2.5 s without best-effort tasks before it, and strain counts from its start, as it had another cause before.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -314,6 +314,11 @@
     "throttle_unanswered": EventKind(
         ("worker", "reason"), "A worker did not answer a throttle order."
     ),
+    "trial_placed": EventKind(
+        ("task", "worker"),
+        "A best-effort task of a job that has waited for long starts slowed,"
+        " without headroom; see task_paced.",
+    ),
     "vm_list_unavailable": EventKind(
         ("reason",), "The VM list could not be read; the last one stays in use."
     ),
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -24,6 +24,7 @@
 from limpetyard.engine._pacing import (
     PACERS,
     adopted_strain_ms,
+    note_best_effort,
     update_interference,
 )
 from limpetyard.engine._params import EngineParams
@@ -815,6 +816,7 @@
         limit_ms = self.params.strain_limit_ms
         for worker in self.workers.values():
             effects += self._pace(worker, self.interference, limit_ms, now_ms)
+            note_best_effort(worker, now_ms)
             effects += repeat_failed(worker)
         self._census.count_if_due(now_ms)
         return effects
--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -53,6 +53,13 @@
 DEFAULT_PACER = "measured"
 
 
+def note_best_effort(worker: Worker, now_ms: float) -> None:
+    """Records whether best-effort runs exist on a worker that was paced."""
+    load = worker.latest_load
+    if worker.best_effort_seen_ms is None or load and load.best_effort_runs:
+        worker.best_effort_seen_ms = now_ms
+
+
 def adopted_strain_ms(params: EngineParams) -> float:
     """Returns for how long a found run counts as over its target."""
     return SLOW_SHARE * params.strain_limit_ms
@@ -144,7 +151,8 @@
     strained = _longest_over_target(worker)
     effects: list[Effect] = []
     if strained is not None:
-        share = (now_ms - strained.over_since_ms) / strain_limit_ms
+        since_ms = max(strained.over_since_ms, worker.strain_counts_from_ms)
+        share = (now_ms - since_ms) / strain_limit_ms
         if now_ms - worker.slowed_ms >= SETTLING_MS and share >= SLOW_SHARE:
             mitigate = next(m for least, m in MITIGATIONS if share >= least)
             effects = mitigate(worker, strained, runs, interference)
@@ -158,7 +166,7 @@
         lowest, image = _lowest_headroom(worker, interference, now_ms)
         spare = lowest - RESTORE_DOWN_TO
         effects = restore(worker, image, runs, spare, interference)
-    stop_paused(runs, now_ms)
+    stop_paused(worker, runs, now_ms)
     return effects
 
 
@@ -180,7 +188,7 @@
     else:
         spare = lowest - RESTORE_DOWN_TO
         effects = restore(worker, limiting_image, runs, spare, interference)
-    stop_paused(runs, now_ms)
+    stop_paused(worker, runs, now_ms)
     return effects
 
 
--- a/src/limpetyard/engine/_placement.py
+++ b/src/limpetyard/engine/_placement.py
@@ -16,7 +16,12 @@
 )
 from limpetyard.engine._ranking import Score
 from limpetyard.engine._reserve import is_short
-from limpetyard.engine._worker import Worker, WorkerRun
+from limpetyard.engine._trials import trial_cores
+from limpetyard.engine._worker import (
+    INITIAL_TRIAL_BACKOFF_MS,
+    Worker,
+    WorkerRun,
+)
 from limpetyard.jobs import Resources, StepSpec
 
 # Assumed share of their cores that serving tasks use, since no better estimate
@@ -239,6 +244,25 @@
             )
         return self._is_strained
 
+    def accepts_trial(self, step: StepSpec) -> bool:
+        """Returns whether a trial of a step may start here.
+
+        Where a serving task is over its target, only after a time without
+        best-effort tasks, so that these cannot be the cause.
+        """
+        worker = self.worker
+        if (
+            worker.has_trial
+            or self._now_ms < worker.trial_backoff_until_ms
+            or self.idle_cores < trial_cores(step)
+        ):
+            return False
+        return not self.is_strained() or (
+            worker.best_effort_seen_ms is not None
+            and self._now_ms - worker.best_effort_seen_ms
+            >= INITIAL_TRIAL_BACKOFF_MS
+        )
+
     def has_serving_runs(self) -> bool:
         """Returns whether a run here has a latency target."""
         return bool(self._current_load().serving_images)
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -9,6 +9,7 @@
 from collections.abc import Collection, Mapping
 from typing import TYPE_CHECKING
 
+from limpetyard._events import event
 from limpetyard.engine._advice import AdviceCache
 from limpetyard.engine._crashes import split_suspects
 from limpetyard.engine._draining import drain_worker
@@ -17,6 +18,7 @@
 from limpetyard.engine._ranking import Ranking, ServiceRound
 from limpetyard.engine._reserve import LongRunningRoom
 from limpetyard.engine._step_worker_client import Ticket
+from limpetyard.engine._trials import IdleJobs, trial_cores, trial_percent
 from limpetyard.engine._urgency import restart_urgency, urgency
 from limpetyard.engine._waiting import RoundState, WaitReporter
 from limpetyard.engine._worker import Worker, WorkerRun
@@ -46,6 +48,7 @@
         "_advice",
         "_drained_ms",
         "_engine",
+        "_idle_jobs",
         "_placed",
         "_rooms",
         "_suspect_steps_left",
@@ -57,6 +60,7 @@
         self._engine = engine
         self._wait_reporter = WaitReporter(engine)
         self._advice = AdviceCache()
+        self._idle_jobs = IdleJobs()
         # When each draining worker last had its turn, by id.
         self._drained_ms: dict[str, float] = {}
         # Receivers of the tasks placed in this round.
@@ -102,9 +106,8 @@
             math.inf if max_unrecorded is None else max_unrecorded
         )
         effects: list[Effect] = []
-        for job, occurrence, step, restarts_only in self._ready_steps(
-            now_ms, wall_ms
-        ):
+        ready_steps = self._ready_steps(now_ms, wall_ms)
+        for job, occurrence, step, restarts_only in ready_steps:
             queue = job.spec.queue
             if left <= 0 and queue.advice is None:
                 continue
@@ -143,6 +146,21 @@
                 )
                 left -= sum(type(e) is Start for e in step_effects)
                 effects += step_effects
+        for job, occurrence, step in self._idle_jobs.search(
+            ready_steps, now_ms
+        ):
+            service = job.spec.queue.service
+            if left <= 0 or service not in rounds:
+                continue
+            waiting = _startable(
+                job.waiting_tasks(occurrence, step),
+                unconfirmed_by_service.get(service, ()),
+                unconfirmed,
+                now_ms,
+            )
+            trial = self._place_trial(job, waiting, rounds[service], now_ms)
+            left -= len(trial)
+            effects += trial
         self._wait_reporter.report(
             RoundState(
                 now_ms,
@@ -502,6 +520,61 @@
             )
         return starts
 
+    def _place_trial(
+        self,
+        job: Job,
+        waiting: list[Task],
+        service_round: ServiceRound,
+        now_ms: float,
+    ) -> list[Effect]:
+        """Places one best-effort task of a step as a trial, if possible.
+
+        Prefers workers where no serving task is over its target, then the one
+        with the most headroom; see `limpetyard.engine._trials`.
+        """
+        _, waiting = split_suspects(waiting, now_ms)
+        if not waiting:
+            return []
+        task = min(waiting, key=_start_order)
+        step, step_key = task.step, task.key[:3]
+        cores = trial_cores(step)
+        candidates = [
+            candidate
+            for candidate in service_round.labelled(step.label)
+            if candidate.accepts_trial(step)
+            and candidate.allows(step, step_key)
+            and (
+                job.spec.queue.advice is None
+                or self._advice.ticket(step_key, candidate.worker, now_ms)
+                is not None
+            )
+        ]
+        if not candidates:
+            return []
+        best = min(
+            candidates,
+            key=lambda candidate: (
+                candidate.worker.id == task.avoided_worker,
+                candidate.is_strained(),
+                -candidate.headroom_with(step.image, cores),
+                -candidate.idle_cores,
+            ),
+        )
+        worker = best.worker
+        start = self._place_task(
+            job,
+            task,
+            self._next_run(task),
+            best,
+            now_ms,
+            trial_percent(step),
+        )
+        worker.trial = worker.runs[task.key, start.run]
+        if best.is_strained():
+            worker.strain_counts_from_ms = now_ms
+        event("trial_placed", task=task.key.name, worker=worker.id)
+        return [start]
+
     def _room(
         self, job: Job, service_round: ServiceRound, now_ms: float
     ) -> LongRunningRoom:
@@ -578,8 +651,12 @@
         run_number: int,
         candidate: Candidate,
         now_ms: float,
+        speed_percent: int = 100,
     ) -> Start:
-        """Records the placement of a task and returns its start order."""
+        """Records the placement of a task and returns its start order.
+
+        An order for a lower speed follows once the worker has started it.
+        """
         worker: Worker = candidate.worker
         task.may_be_running = False
         task.possible_worker = ""
@@ -591,6 +668,8 @@
         job.mark_running()
         run = WorkerRun(task.key, run_number, task.step, now_ms)
         run.checkpoint = task.checkpoint
+        run.speed_percent = speed_percent
+        run.pace_failed = speed_percent < 100
         task.isolate_until_ms = None
         task.worker_born = worker.born
         if task.crash_score:
--- a/src/limpetyard/engine/_speeds.py
+++ b/src/limpetyard/engine/_speeds.py
@@ -16,7 +16,9 @@
 MAX_PAUSE_MS = 1000
 
 
-def stop_paused(best_effort_runs: list[WorkerRun], now_ms: float) -> None:
+def stop_paused(
+    worker: Worker, best_effort_runs: list[WorkerRun], now_ms: float
+) -> None:
     """Marks runs that have been paused for too long as stopping."""
     for run in best_effort_runs:
         if run.speed_percent > 0:
@@ -25,6 +27,8 @@
             run.paused_since_ms = now_ms
         elif now_ms - run.paused_since_ms > MAX_PAUSE_MS:
             run.state = RunState.STOPPING
+            if run is worker.trial:
+                worker.back_off_trials(now_ms)
 
 
 def pause_all(worker: Worker, runs: list[WorkerRun]) -> list[Effect]:
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -39,6 +39,12 @@
 # maximum is that of probation, for the same reason.
 INITIAL_SILENT_BACKOFF_MS = 400
 
+# Exponential backoff of a worker whose trial had to be stopped. The first is
+# longer than it takes until reports show the serving tasks alone. See
+# `limpetyard.engine._trials`.
+INITIAL_TRIAL_BACKOFF_MS = 2500
+MAX_TRIAL_BACKOFF_MS = 20_000
+
 # A run that is at full speed more than this long after its placement shows that
 # its worker is healthy.
 HEALTHY_RUN_MS = 1000
@@ -96,7 +102,8 @@
         measurement: Measurement in the last report.
         over_since_ms: Since when the reported tail latency has been over the
             target, or None.
-        pace_failed: Whether the last order for its speed got no reply.
+        pace_failed: Whether the worker may not have the order for its speed:
+            the last one got no reply, or none was sent yet.
         paused_since_ms: Since when the run has been given 0 % speed, or None.
         placed_ms: When the run was placed.
         proven: Whether the run was reported at least `PROVEN_RUN_MS` after its
@@ -196,6 +203,14 @@
         runs: Runs that may exist on the worker, by task and run number.
         latest_load: What `worker_load` returned last, or None.
         slowed_ms: When the speed of a best-effort task was last lowered.
+        trial: Latest trial that was placed on the worker, or None; see
+            `limpetyard.engine._trials`.
+        stopped_trials: Number of trials that had to be stopped.
+        trial_backoff_until_ms: Time before which the worker gets no trial.
+        best_effort_seen_ms: When a best-effort run last existed on the worker,
+            or None if that is not known.
+        strain_counts_from_ms: Time before which serving tasks were over their
+            targets without best-effort tasks.
         last_received_end: Number of the last ended run that was processed.
         last_acked_end: Number of the last ended run that is stored, and that
             the worker therefore need not report again.
@@ -236,6 +251,7 @@
         "_last_grant",
         "alive_ms",
         "backoff_until_ms",
+        "best_effort_seen_ms",
         "born",
         "crashed",
         "departure_ms",
@@ -259,7 +275,11 @@
         "runs",
         "silent_starts",
         "slowed_ms",
+        "stopped_trials",
+        "strain_counts_from_ms",
         "token_confirmed",
+        "trial",
+        "trial_backoff_until_ms",
         "unacked_ends",
     )
 
@@ -281,6 +301,11 @@
         self.runs: dict[tuple[TaskKey, int], WorkerRun] = {}
         self.latest_load: WorkerLoad | None = None
         self.slowed_ms = float("-inf")
+        self.trial: WorkerRun | None = None
+        self.stopped_trials = 0
+        self.trial_backoff_until_ms = float("-inf")
+        self.best_effort_seen_ms: float | None = None
+        self.strain_counts_from_ms = float("-inf")
         self.last_received_end = 0
         self.last_acked_end = 0
         self.unacked_ends: list[tuple[int, str]] = []
@@ -368,6 +393,27 @@
             and (run.task, run.run) in self.runs
         )
 
+    @property
+    def has_trial(self) -> bool:
+        """Whether a trial may exist on the worker."""
+        run = self.trial
+        return run is not None and (run.task, run.run) in self.runs
+
+    def back_off_trials(self, now_ms: float) -> None:
+        """Begins a backoff, as a trial has to be stopped.
+
+        It doubles with each further trial that is, and starts anew after a time
+        without any.
+        """
+        if now_ms - self.trial_backoff_until_ms > 2 * MAX_TRIAL_BACKOFF_MS:
+            self.stopped_trials = 0
+        # Limits the size of the shift; the backoff has its maximum by then.
+        doublings = min(self.stopped_trials, 10)
+        self.stopped_trials += 1
+        self.trial_backoff_until_ms = now_ms + min(
+            INITIAL_TRIAL_BACKOFF_MS << doublings, MAX_TRIAL_BACKOFF_MS
+        )
+
     @property
     def is_likely_gone(self) -> bool:
         """Whether the worker is polled only to confirm that it has ended."""
@@ -488,6 +534,8 @@
         self.alive_ms = 0.0
         self.lost_runs = []
         self.isolated_run = None
+        self.trial = None
+        self.best_effort_seen_ms = None
         self.failures = 0
         self.silent_starts = 0
         self._clock_read_ms = None
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -456,6 +456,14 @@
                 for index in range(step.count):
                     del self.tasks[occurrence, number, index]
 
+    @property
+    def has_placed_tasks(self) -> bool:
+        """Whether a task is placed on a worker."""
+        return any(
+            remaining > len(self._waiting.get(key, ()))
+            for key, remaining in self._remaining.items()
+        )
+
     @property
     def all_done(self) -> bool:
         """Whether every task of every occurrence is done."""
