Try the best-effort jobs that have waited longest first

What callers would see: a job that becomes idle anew after each of its tasks counts as never tried and comes before jobs that were tried in vain while all workers had a trial.

Change: a job's turn is counted from when it became idle or was last tried, and no job is tried for a service whose workers take no trial.

All 11 tests of test_best_effort_wait pass before and after; each of 11 deliberate faults in the code, on a scratch copy, fails at least one of them. tests/engine: 224 pass.

--- a/src/limpetyard/engine/_placement.py
+++ b/src/limpetyard/engine/_placement.py
@@ -244,18 +244,14 @@
             )
         return self._is_strained
 
-    def accepts_trial(self, step: StepSpec) -> bool:
-        """Returns whether a trial of a step may start here.
+    def is_open_to_trials(self) -> bool:
+        """Returns whether a trial may start here, if there is room.
 
         Where a serving task is over its target, only after a time without
         best-effort tasks, so that these cannot be the cause.
         """
         worker = self.worker
-        if (
-            worker.has_trial
-            or self._now_ms < worker.trial_backoff_until_ms
-            or self.idle_cores < trial_cores(step)
-        ):
+        if worker.has_trial or self._now_ms < worker.trial_backoff_until_ms:
             return False
         return not self.is_strained() or (
             worker.best_effort_seen_ms is not None
@@ -263,6 +259,10 @@
             >= INITIAL_TRIAL_BACKOFF_MS
         )
 
+    def accepts_trial(self, step: StepSpec) -> bool:
+        """Returns whether a trial of a step may start here."""
+        return self.is_open_to_trials() and self.idle_cores >= trial_cores(step)
+
     def has_serving_runs(self) -> bool:
         """Returns whether a run here has a latency target."""
         return bool(self._current_load().serving_images)
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -147,11 +147,13 @@
                 left -= sum(type(e) is Start for e in step_effects)
                 effects += step_effects
         for job, occurrence, step in self._idle_jobs.search(
-            ready_steps, now_ms
+            ready_steps,
+            lambda name: name in rounds and rounds[name].is_open_to_trials,
+            now_ms,
         ):
             service = job.spec.queue.service
-            if left <= 0 or service not in rounds:
-                continue
+            if left <= 0:
+                break
             waiting = _startable(
                 job.waiting_tasks(occurrence, step),
                 unconfirmed_by_service.get(service, ()),
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -176,6 +176,7 @@
         "_by_id",
         "_by_label",
         "_isolated",
+        "_open_to_trials",
         "_rankings",
         "_unmet",
         "candidates",
@@ -184,6 +185,7 @@
     def __init__(self, candidates: list["Candidate"]):
         self.candidates = candidates
         self._isolated: list[Candidate] | None = None
+        self._open_to_trials: bool | None = None
         self._by_id = {c.worker.id: c for c in candidates}
         self._by_label: dict[str, list[Candidate]] = {}
         self._rankings: dict[tuple, Ranking] = {}
@@ -213,6 +215,18 @@
             return None
         return candidate if candidate.allows(step, task.key[:3]) else None
 
+    @property
+    def is_open_to_trials(self) -> bool:
+        """Whether a worker may get a trial, if the task fits there.
+
+        This was determined when it was first asked for in the round.
+        """
+        if self._open_to_trials is None:
+            self._open_to_trials = any(
+                candidate.is_open_to_trials() for candidate in self.candidates
+            )
+        return self._open_to_trials
+
     def labelled(self, label: str) -> list["Candidate"]:
         """Returns the workers with a label; all workers for ""."""
         if not label:
--- a/src/limpetyard/engine/_trials.py
+++ b/src/limpetyard/engine/_trials.py
@@ -7,6 +7,8 @@
 tails it is expected to affect least. Pacing protects the serving tasks there.
 """
 
+from collections.abc import Callable
+
 from limpetyard.jobs import Job, StepSpec
 
 # Age from which a job may get trials. It is well below the time at which its
@@ -49,21 +51,27 @@
     __slots__ = ("_idle", "_searched_ms")
 
     def __init__(self):
-        # Since when each job has been idle, and when a search last returned it,
-        # by job id.
+        # Since when each job has been idle, and when a search last returned it
+        # or, before that, when it became idle; by job id.
         self._idle: dict[str, tuple[float, float]] = {}
         self._searched_ms = float("-inf")
 
     def search(
-        self, ready_steps: list[tuple[Job, int, int, bool]], now_ms: float
+        self,
+        ready_steps: list[tuple[Job, int, int, bool]],
+        is_open: Callable[[str], bool],
+        now_ms: float,
     ) -> list[tuple[Job, int, int]]:
         """Returns the steps to try next.
 
-        These are of the jobs whose last trial or search is longest ago.
+        These are of the jobs that became idle, or were returned, longest ago.
+        So a job that fits nowhere does not hold back others, and none is passed
+        for long by those that come later.
 
         Args:
             ready_steps: Job, occurrence and number of the steps with waiting
                 tasks, most urgent first; the last element is of no interest.
+            is_open: Returns whether a worker of a service may get a trial.
             now_ms: Current time.
         """
         if now_ms - self._searched_ms < SEARCH_INTERVAL_MS:
@@ -82,9 +90,11 @@
             ):
                 continue
             since_ms, returned_ms = idle[job_id] = self._idle.get(
-                job_id, (now_ms, float("-inf"))
+                job_id, (now_ms, now_ms)
             )
-            if now_ms - since_ms >= MIN_IDLE_MS:
+            if now_ms - since_ms >= MIN_IDLE_MS and is_open(
+                job.spec.queue.service
+            ):
                 due.append((returned_ms, since_ms, job, occurrence, number))
         due.sort(key=lambda entry: entry[:2])
         for _, since_ms, job, _, _ in due[:MAX_JOBS_PER_SEARCH]:
