Give trials later, and much later on crowded services

Cause: where serving tasks reserve most cores, a job often waits for 8 s and would find headroom soon. A trial of a long job is slow, and takes the headroom of shorter jobs and of serving tasks meanwhile.

Ruled out: trials of missed jobs only, which is no bound for jobs of many steps.

Change: a job gets trials from 12 s on, after 2 s without runs; where half of the cores are reserved or more, after 20 s without runs.

--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -148,7 +148,9 @@
                 effects += step_effects
         for job, occurrence, step in self._idle_jobs.search(
             ready_steps,
-            lambda name: name in rounds and rounds[name].is_open_to_trials,
+            lambda name: (
+                rounds[name].min_idle_ms if name in rounds else math.inf
+            ),
             now_ms,
         ):
             service = job.spec.queue.service
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -11,6 +11,11 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from limpetyard.engine._trials import (
+    CROWDED_SHARE,
+    MIN_IDLE_CROWDED_MS,
+    MIN_IDLE_MS,
+)
 from limpetyard.jobs import StepSpec, Task
 
 if TYPE_CHECKING:
@@ -176,7 +181,7 @@
         "_by_id",
         "_by_label",
         "_isolated",
-        "_open_to_trials",
+        "_min_idle_ms",
         "_rankings",
         "_unmet",
         "candidates",
@@ -185,7 +190,7 @@
     def __init__(self, candidates: list["Candidate"]):
         self.candidates = candidates
         self._isolated: list[Candidate] | None = None
-        self._open_to_trials: bool | None = None
+        self._min_idle_ms: float | None = None
         self._by_id = {c.worker.id: c for c in candidates}
         self._by_label: dict[str, list[Candidate]] = {}
         self._rankings: dict[tuple, Ranking] = {}
@@ -216,16 +221,23 @@
         return candidate if candidate.allows(step, task.key[:3]) else None
 
     @property
-    def is_open_to_trials(self) -> bool:
-        """Whether a worker may get a trial, if the task fits there.
+    def min_idle_ms(self) -> float:
+        """Time without runs after which a job gets a trial.
 
-        This was determined when it was first asked for in the round.
+        Infinite if no worker may get one. This was determined when it was first
+        asked for in the round.
         """
-        if self._open_to_trials is None:
-            self._open_to_trials = any(
-                candidate.is_open_to_trials() for candidate in self.candidates
-            )
-        return self._open_to_trials
+        if self._min_idle_ms is None:
+            self._min_idle_ms = self._find_min_idle_ms()
+        return self._min_idle_ms
+
+    def _find_min_idle_ms(self) -> float:
+        if not any(c.is_open_to_trials() for c in self.candidates):
+            return math.inf
+        free = sum(c.free_resources.cores_milli for c in self.candidates)
+        total = sum(c.entry.capacity.cores_milli for c in self.candidates)
+        is_crowded = total - free >= CROWDED_SHARE * total
+        return MIN_IDLE_CROWDED_MS if is_crowded else MIN_IDLE_MS
 
     def labelled(self, label: str) -> list["Candidate"]:
         """Returns the workers with a label; all workers for ""."""
