--- a/src/limpetyard/engine/_trials.py
+++ b/src/limpetyard/engine/_trials.py
@@ -11,9 +11,8 @@
 
 from limpetyard.jobs import Job, StepSpec
 
-# Age from which a job may get trials. On the users' sites, callers ask for jobs
-# 14 s after the end of the traffic. Most that wait for less find a worker with
-# headroom, and work there sooner than a trial would.
+# Age from which a job may get trials. Most jobs find a worker with headroom
+# before that, where their tasks end sooner than in a trial.
 MIN_JOB_AGE_MS = 12_000.0
 
 # Time for which nothing of the job has run before each trial. From then on, a
