Name the conditions that withhold workers from new work

Cause: task_waiting said no_room with "13 workers ... 0 with room" while 20 others were withheld (draining, unconfirmed, unrecorded, silent, ...). Neither the line nor the metrics told that, so that one looked for room.

Change: the chain of conditions in Planner._candidates is a registry of named filters, engine/_eligibility.py, which decides and explains. task_waiting gets the number of workers of the service under each condition and the most free room on one that stays; the reason `withheld` is a withheld worker with room that neither drains nor is missing. workers_usable tells when the first, half and all of the workers that stay are usable after a takeover, or what holds the rest back after 5 s. The gauge workers_withheld counts them by condition.

Ruled out: functions on single workers, eleven calls for each worker in a round.

Tests: test_no_worker also checks the new fields; its reason is as before.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -320,8 +320,18 @@
         "A start order was sent; the result is the worker's answer or silent.",
     ),
     "task_waiting": EventKind(
-        ("task", "tasks", "age_ms", "reason", "detail"),
-        "Long-running tasks of a step wait, the named one longest; why.",
+        (
+            "task",
+            "tasks",
+            "age_ms",
+            "reason",
+            "detail",
+            "withheld",
+            "withheld_free",
+        ),
+        "Long-running tasks of a step wait, the named one longest; why. How"
+        " many workers of the service get no new work, by condition, and the"
+        " most free thousandths of a core on one of them that stays.",
     ),
     "throttle_unanswered": EventKind(
         ("worker", "reason"), "A worker did not answer a throttle order."
@@ -380,6 +390,18 @@
         "A worker first answered this owner's token; its number of runs and"
         " ends.",
     ),
+    "workers_usable": EventKind(
+        (
+            "epoch",
+            "reached",
+            "usable",
+            "expected",
+            "age_ms",
+            "withheld",
+        ),
+        "After a takeover, the first, half or all of the workers that stay can"
+        " get work, or some still cannot (late); the others by condition.",
+    ),
     "zones_out": EventKind(
         ("zones",), "These availability zones are out of service."
     ),
--- a/src/limpetyard/engine/__init__.py
+++ b/src/limpetyard/engine/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from limpetyard.engine._effects import Effect, Pace, RequestAdvice, Start, Stop
+from limpetyard.engine._eligibility import withheld_workers
 from limpetyard.engine._engine import ChangeBatch, Engine
 from limpetyard.engine._pacing import DEFAULT_PACER, PACERS
 from limpetyard.engine._params import EngineParams
@@ -71,4 +72,5 @@
     "WorkerRun",
     "WrongWorkerError",
     "lease_bound_ms",
+    "withheld_workers",
 ]
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -20,6 +20,7 @@
     Start,
     Stop,
 )
+from limpetyard.engine._eligibility import TakeoverProgress
 from limpetyard.engine._interference import InterferenceModel
 from limpetyard.engine._pacing import (
     PACERS,
@@ -143,6 +144,7 @@
         "_planner",
         "_removed_incarnations",
         "_run_end_handler",
+        "_takeover_progress",
         "_workers_by_job",
         "crashes",
         "dirty_workers",
@@ -178,6 +180,7 @@
         self._run_end_handler = RunEndHandler(self)
         self._planner = Planner(self)
         self._census = Census(self)
+        self._takeover_progress = TakeoverProgress(self)
         self._pace = PACERS.get(params.pacer)
         # Ids of the workers that have got runs of a job, by its id, until it
         # ends.
@@ -822,6 +825,7 @@
             note_best_effort(worker, now_ms)
             effects += repeat_failed(worker)
         self._census.count_if_due(now_ms)
+        self._takeover_progress.observe(now_ms)
         return effects
 
     def _expire_leases(self, now_ms: float) -> None:
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -14,6 +14,7 @@
 from limpetyard.engine._crashes import split_suspects
 from limpetyard.engine._draining import drain_worker
 from limpetyard.engine._effects import Effect, RequestAdvice, Start
+from limpetyard.engine._eligibility import usable_workers
 from limpetyard.engine._placement import PLACERS, Candidate, placer_name
 from limpetyard.engine._ranking import Ranking, ServiceRound
 from limpetyard.engine._reserve import LongRunningRoom
@@ -312,20 +313,14 @@
     def _candidates(self, service: str, now_ms: float) -> list[Candidate]:
         """Returns the workers of a service that may get new work."""
         engine = self._engine
-        return [
-            Candidate(worker, engine.interference, now_ms)
+        workers = [
+            worker
             for worker in engine.workers.values()
             if worker.entry.service == service
-            and worker.entry_is_current
-            and worker.token_confirmed
-            and worker.recorded
-            and not worker.entry.draining
-            and worker.entry.availability_zone not in engine.zones_out
-            and worker.missing_since_ms is None
-            and now_ms >= worker.backoff_until_ms
-            and worker.is_responsive(now_ms)
-            and engine.may_lease(worker.id)
-            and worker.accepts_task(now_ms)
+        ]
+        return [
+            Candidate(worker, engine.interference, now_ms)
+            for worker in usable_workers(workers, engine, now_ms)
         ]
 
     def _place_step(
--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -6,6 +6,12 @@
 
 from limpetyard._events import event
 from limpetyard._registry import Registry
+from limpetyard.engine._eligibility import (
+    LEAVING,
+    count_text,
+    withheld_workers,
+)
+from limpetyard.engine._placement import Candidate
 from limpetyard.engine._ranking import ServiceRound
 from limpetyard.jobs import Job, Task
 
@@ -33,15 +39,24 @@
         task: The task that has waited longest.
         number: Number of waiting tasks of the step.
         since_ms: Since when this owner has known the task to wait.
+        withheld: Workers of the service that get no new work, or None before
+            the wait is reported.
     """
 
-    __slots__ = ("job", "number", "since_ms", "task")
+    __slots__ = ("job", "number", "since_ms", "task", "withheld")
 
     def __init__(self, job: Job, waiting: list[Task], first_round_ms: float):
         self.job = job
         self.number = len(waiting)
         self.task = min(waiting, key=lambda task: _idle_since_ms(job, task))
         self.since_ms = max(_idle_since_ms(job, self.task), first_round_ms)
+        self.withheld: Withheld | None = None
+
+    def withheld_with_label(self) -> list[Candidate]:
+        """Returns the withheld workers that stay and have the step's label."""
+        if self.withheld is None:
+            return []
+        return self.withheld.labelled(self.task.step.label)
 
 
 class RoundState:
@@ -55,7 +70,7 @@
         starts_left: Number of starts that were not used.
     """
 
-    __slots__ = ("now_ms", "rounds", "starts_left", "unconfirmed")
+    __slots__ = ("_withheld", "now_ms", "rounds", "starts_left", "unconfirmed")
 
     def __init__(
         self,
@@ -68,6 +83,44 @@
         self.rounds = rounds
         self.unconfirmed = unconfirmed
         self.starts_left = starts_left
+        self._withheld: dict[str, Withheld] = {}
+
+    def withheld(self, service: str, engine: "Engine") -> "Withheld":
+        """Returns the workers of a service that get no new work."""
+        if service not in self._withheld:
+            self._withheld[service] = Withheld(service, engine, self.now_ms)
+        return self._withheld[service]
+
+
+class Withheld:
+    """Workers of a service that get no new work, at the end of a round.
+
+    Attributes:
+        by_condition: These workers by condition.
+        staying: Those of them that are neither draining nor missing. The
+            resources that they lack are those of runs that are known, which
+            may be none before their first reply.
+    """
+
+    __slots__ = ("by_condition", "staying")
+
+    def __init__(self, service: str, engine: "Engine", now_ms: float):
+        workers = [
+            worker
+            for worker in engine.workers.values()
+            if worker.entry.service == service
+        ]
+        self.by_condition = withheld_workers(workers, engine, now_ms)
+        self.staying = [
+            Candidate(worker, engine.interference, now_ms)
+            for name, withheld in self.by_condition.items()
+            if name not in LEAVING
+            for worker in withheld
+        ]
+
+    def labelled(self, label: str) -> list[Candidate]:
+        """Returns the staying workers with a label; all for no label."""
+        return [c for c in self.staying if not label or label in c.entry.labels]
 
 
 # Returns the input that made a step wait, or None if the reason does not apply.
@@ -82,6 +135,7 @@
     "restarted_worker",
     "no_worker",
     "start_limit",
+    "withheld",
     "no_room",
 )
 
@@ -122,6 +176,9 @@
                 return
             reported += 1
             self._reported_ms[step.task.key[:3]] = state.now_ms
+            step.withheld = state.withheld(
+                step.job.spec.queue.service, self._engine
+            )
             reason, detail = explain(step, state)
             event(
                 "task_waiting",
@@ -130,6 +187,8 @@
                 age_ms=state.now_ms - step.since_ms,
                 reason=reason,
                 detail=detail,
+                withheld=count_text(step.withheld.by_condition),
+                withheld_free=_most_free(step.withheld_with_label()),
             )
 
     def _waiting_steps(self, now_ms: float) -> list[WaitingStep]:
@@ -154,6 +213,11 @@
     return "unknown", ""
 
 
+def _most_free(candidates: list[Candidate]) -> int:
+    """Returns the most free thousandths of a core on one of some workers."""
+    return max((c.free_resources.cores_milli for c in candidates), default=0)
+
+
 def _idle_since_ms(job: Job, task: Task) -> float:
     if task.idle_since_ms is None:
         return job.submitted_ms
@@ -183,7 +247,7 @@
         return None
     step_spec = step.task.step
     labelled = service.labelled(step_spec.label)
-    most = max((c.free_resources.cores_milli for c in labelled), default=0)
+    most = _most_free(labelled)
     with_room = sum(c.has_room(step_spec) for c in labelled)
     return (
         f"needs {step_spec.need.cores_milli} thousandths of a core;"
@@ -211,3 +275,22 @@
     """A late order may start the task's last run again on its worker."""
     worker = step.task.restarted_worker
     return f"unconfirmed: {worker}" if worker in state.unconfirmed else None
+
+
+@REASONS.register("withheld")
+def _withheld(step: WaitingStep, state: RoundState) -> str | None:
+    """Only workers that get no new work at present have room."""
+    step_spec = step.task.step
+    service = state.rounds.get(step.job.spec.queue.service)
+    if service is None or any(
+        c.has_room(step_spec) for c in service.labelled(step_spec.label)
+    ):
+        return None
+    with_room = [c for c in step.withheld_with_label() if c.has_room(step_spec)]
+    if not with_room:
+        return None
+    return (
+        f"needs {step_spec.need.cores_milli} thousandths of a core;"
+        f" {len(with_room)} withheld workers have room, such as"
+        f" {with_room[0].worker.id}"
+    )
--- a/src/limpetyard/node/_gauges.py
+++ b/src/limpetyard/node/_gauges.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from limpetyard._clock import MS_PER_SECOND
-from limpetyard.engine import Engine, Worker
+from limpetyard.engine import Engine, Worker, withheld_workers
 from limpetyard.node._metrics import Gauge
 
 
@@ -53,6 +53,7 @@
         for job in engine.open_jobs.values()
         for task in job.tasks.values()
     )
+    withheld = withheld_workers(workers, engine, now_ms)
     leased = [w.lease_end_ms - now_ms for w in workers if w.runs]
     shortest_ms = max(0.0, min(leased, default=0.0))
     return [
@@ -60,6 +61,12 @@
         _gauge("jobs_open", "Jobs that have not ended.", len(engine.open_jobs)),
         ("tasks", "Tasks of open jobs by state.", "state", dict(tasks)),
         ("workers", "Workers by state.", "state", dict(states)),
+        (
+            "workers_withheld",
+            "Workers that get no new work, by condition.",
+            "condition",
+            {name: len(found) for name, found in withheld.items()},
+        ),
         _gauge(
             "lease_left_seconds",
             "Shortest remaining lease of a worker with runs.",
--- a/tests/engine/test_waiting.py
+++ b/tests/engine/test_waiting.py
@@ -2,10 +2,12 @@
 
 import unittest
 
+import msgspec
+
 from limpetyard._events import add_listener
 from limpetyard.engine._waiting import RoundState, WaitReporter
 from limpetyard.jobs import Resources, StepSpec
-from tests.engine.test_engine import ONE_CORE, EngineTestCase, job
+from tests.engine.test_engine import ONE_CORE, EngineTestCase, entry, job
 
 REPORTS: list[dict[str, object]] = []
 
@@ -48,6 +50,49 @@
         self.answer_polls(5000)
         self.assertEqual(self.reasons(5000), ["no_room"])
 
+    def test_withheld(self):
+        """The only worker with room gets no new work at present."""
+        self.add_task(Resources(3000, 1, 0))
+        self.answer_polls(5000)
+        held, busy = self.engine.workers.values()
+        held.recorded = False
+        busy.entry = msgspec.structs.replace(busy.entry, capacity=ONE_CORE)
+        self.assertEqual(self.reasons(5000), ["withheld"])
+        self.assertIn(held.id, REPORTS[0]["detail"])
+        self.assertEqual(REPORTS[0]["withheld"], "unrecorded:1")
+        self.assertEqual(REPORTS[0]["withheld_free"], 4000)
+
+    def test_no_room_beside_withheld(self):
+        """Withheld workers that drain, or without room, are only counted."""
+        self.add_task(Resources(3000, 1, 0))
+        for number in (2, 3):
+            self.add(entry(number))
+        self.answer_polls(5000)
+        busy, small, draining, missing = self.engine.workers.values()
+        for worker in (busy, small):
+            worker.entry = msgspec.structs.replace(
+                worker.entry, capacity=ONE_CORE
+            )
+        small.backoff_until_ms = 6000.0
+        draining.entry = msgspec.structs.replace(draining.entry, draining=True)
+        missing.missing_since_ms = 4000.0
+        self.assertEqual(self.reasons(5000), ["no_room"])
+        self.assertEqual(
+            REPORTS[0]["withheld"], "draining:1 missing:1 backoff:1"
+        )
+        self.assertEqual(REPORTS[0]["withheld_free"], 1000)
+
+    def test_withheld_with_another_label(self):
+        """A withheld worker has room, but not the label of the step."""
+        spec = job(
+            1, StepSpec(1, ONE_CORE, long_running=True, label="elsewhere")
+        )
+        self.engine.add_job(spec, 0.0, False)
+        self.answer_polls(5000)
+        next(iter(self.engine.workers.values())).recorded = False
+        self.assertEqual(self.reasons(5000), ["no_room"])
+        self.assertEqual(REPORTS[0]["withheld_free"], 0)
+
     def test_reported_once_in_an_interval(self):
         """A step that goes on waiting is not reported in each round."""
         self.add_task(Resources(99_000, 1, 0))
@@ -59,6 +104,8 @@
         """No worker has answered recently."""
         self.add_task()
         self.assertEqual(self.reasons(90_000), ["no_worker"])
+        self.assertEqual(REPORTS[0]["withheld"], "silent:2")
+        self.assertEqual(REPORTS[0]["withheld_free"], 4000)
 
     def test_earlier_owner(self):
         """A worker that is unconfirmed may run the inherited task."""
--- a/tests/node/test_metrics.py
+++ b/tests/node/test_metrics.py
@@ -48,6 +48,9 @@
         self.assertIn("limpetyard_config_version 3.0", text)
         self.assertIn("limpetyard_epoch 7.0", text)
         self.assertIn('limpetyard_workers{state="unsounded"} 1.0', text)
+        self.assertIn(
+            'limpetyard_workers_withheld{condition="unconfirmed"} 1.0', text
+        )
 
     def test_specs_use_listed_fields(self):
         """Each histogram and counter uses only fields that its event has."""
