A drained worker gets no lease, and is on the record of such workers

Cause: a worker that drains and runs nothing went on to get leases with each poll. The record of unleased workers, the only thing that outlives an owner that dies, named silent workers alone. When the drained worker had left and all nodes were lost, the next owner waited a full lease for it, and all tasks of inherited jobs with it (tasks that end have no stored place).

Ruled out: a start limit (new jobs start meanwhile), lack of room, trials (plain tasks wait too), the deal of the cell (the last owner stayed, and waited).

Change: Worker.is_drained (draining and idle, as the handover defines idle); such a worker needs no lease, so the record names it, with no time left. Its polls wait as those of other idle workers do, rather than for each append.

Changes to tests: the workers of test_unleased_workers are mocks and get is_drained=False; nothing that they check is changed. test_drained_worker is new.

--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -366,6 +366,11 @@
             and self.last_received_end <= self.last_acked_end
         )
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether the worker drains and can run nothing any more."""
+        return self.entry.draining and self.is_idle
+
     @property
     def runs_until_ms(self) -> float:
         """Time until which a run may exist whose end no later owner knows."""
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -119,9 +119,8 @@
                     await self._poll(worker)
                 else:
                     await self._poll_in_turn(worker_id)
-                if (
-                    worker.last_received_end > worker.last_acked_end
-                    or not self._engine.may_lease(worker.id)
+                if worker.last_received_end > worker.last_acked_end or not (
+                    worker.is_drained or self._engine.may_lease(worker.id)
                 ):
                     await self._wait_for_append()
             except StaleTokenError:
@@ -231,14 +230,16 @@
 def _wait_ms(worker: Worker, lease_until_ms: int | None, workers: int) -> int:
     """Returns the time that the worker may delay its reply.
 
-    This is 0 if the token is not confirmed, if the poll grants no lease, or if
-    ends are not acknowledged yet.
+    This is 0 if the token is not confirmed, if the poll grants no lease to a
+    worker that has not drained, or if ends are not acknowledged yet.
 
     Args:
         worker: The worker.
         lease_until_ms: End of the lease that the poll grants, or None.
         workers: Number of workers that are polled.
     """
+    if worker.is_drained:
+        return POLL_WAIT_MS
     confirmed_and_leased = worker.token_confirmed and lease_until_ms is not None
     if (
         not confirmed_and_leased
--- a/src/limpetyard/node/_unleased_workers.py
+++ b/src/limpetyard/node/_unleased_workers.py
@@ -1,9 +1,10 @@
 """Record of the workers that get no lease from an owner.
 
-The next owner learns from it that a worker has been silent for a while, also if
-the owner that knew it is gone. An owner therefore grants no lease to a worker
-that the record names. It takes the worker off the record, and waits until that
-is stored, before it grants the worker a lease again.
+The next owner learns from it that a worker has been silent for a while, or has
+drained and can run nothing, also if the owner that knew it is gone. An owner
+therefore grants no lease to a worker that the record names. It takes the worker
+off the record, and waits until that is stored, before it grants the worker a
+lease again.
 """
 
 import itertools
@@ -138,7 +139,7 @@
         workers = [
             worker
             for worker in self._engine.workers.values()
-            if worker.id in self._recorded and not _is_reached(worker, now_ms)
+            if worker.id in self._recorded and not _needs_lease(worker, now_ms)
         ]
         sizes = itertools.accumulate(
             len(worker.id.encode()) + ENTRY_BYTES for worker in workers
@@ -150,5 +151,9 @@
         }
 
 
-def _is_reached(worker: Worker, now_ms: float) -> bool:
-    return worker.token_confirmed and worker.is_responsive(now_ms)
+def _needs_lease(worker: Worker, now_ms: float) -> bool:
+    return (
+        worker.token_confirmed
+        and worker.is_responsive(now_ms)
+        and not worker.is_drained
+    )
--- a/tests/node/test_departed_workers.py
+++ b/tests/node/test_departed_workers.py
@@ -1,12 +1,17 @@
 """Workers that have left hold nothing back, also if all nodes are lost."""
 
 import asyncio
+import collections
 import unittest
+from unittest import mock
+
+import msgspec
 
 from limpetyard.engine import RunEndKind
 from limpetyard.jobs import JobSpec, Resources, StepSpec
 from standins.platform import SimulatedSite, run_in_virtual_time, violations
 from standins.platform._site import QUEUE
+from standins.platform._worker import WorkerModel
 from tests.node.test_long_running import SETTLED_S
 
 # How long a job may have nothing running although a task could run, seconds;
@@ -81,6 +86,35 @@
 
         self.assertLess(self.waited_s(leave), TAKEOVER_S + LOST_S)
 
+    def test_polls_of_a_drained_worker(self):
+        """It is polled as other idle workers are, though it gets no lease."""
+        polled: list[str] = []
+        poll = WorkerModel.poll
+
+        async def count(worker, order):
+            polled.append(worker.entry.id)
+            return await poll(worker, order)
+
+        async def main() -> int:
+            site = SimulatedSite(3, 4)
+            await site.start()
+            await asyncio.sleep(SETTLED_S)
+            site.workers["w-1"].drain(60_000.0)
+            await asyncio.sleep(SETTLED_S)
+            polled.clear()
+            for number in range(40):
+                spec = msgspec.structs.replace(two_steps(), id=f"{number:016x}")
+                self.assertTrue(await site.submit(spec))
+                await asyncio.sleep(0.1)
+            counts = collections.Counter(polled)
+            await site.stop()
+            return counts["w-1"]
+
+        with mock.patch.object(WorkerModel, "poll", count):
+            polls = run_in_virtual_time(main())
+        self.assertGreaterEqual(polls, 3)
+        self.assertLessEqual(polls, 12)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/node/test_unleased_workers.py
+++ b/tests/node/test_unleased_workers.py
@@ -35,7 +35,10 @@
         engine = Engine(2, EngineParams(LEASE_MS, LEASE_MS))
         self.workers = {
             name: mock.Mock(
-                id=name, token_confirmed=True, runs_until_ms=LEFT_MS
+                id=name,
+                token_confirmed=True,
+                is_drained=False,
+                runs_until_ms=LEFT_MS,
             )
             for name in ("a", "b")
         }
@@ -88,6 +91,22 @@
         self.unleased.on_stored()
         self.assertFalse(self.unleased.may_lease("b"))
 
+    def test_drained_worker(self):
+        """It gets no lease, though it replies, until it is ready again."""
+        drained = self.workers["b"]
+        drained.is_drained, drained.runs_until_ms = True, 0.0
+        self.assertTrue(self.unleased.may_lease("b"))
+        self.assertEqual(self.record().left_ms, {"b": 0.0})
+        self.assertFalse(self.unleased.may_lease("b"))
+        self.unleased.on_stored()
+        drained.is_drained = False
+        self.pass_time(LOOK_INTERVAL_MS)
+        self.assertTrue(self.unleased.is_due())
+        self.assertEqual(self.record().left_ms, {})
+        self.assertFalse(self.unleased.may_lease("b"))
+        self.unleased.on_stored()
+        self.assertTrue(self.unleased.may_lease("b"))
+
     def test_refresh(self):
         """Remaining times are stored again until none is left."""
         self.workers["b"].token_confirmed = False
