Stand-in of the store: one member expires, and a deal that takes partition 0

Cause: tests could let all memberships expire, or deal all partitions anew, but not let that of one process lapse without a word to it; and the even deal takes partition 0 from its holder only if a name before it joins or leaves.

Ruled out: a table of fixed deals.

Change: `expire_member` drops one membership and deals again; the process joins again with its next join, as the last one in the order. `StoreModel.deal` is `deal_in_order` (as before) or `deal_first_away`: the member that joined last gets partition 0, unless it holds it.

--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard.store import (
@@ -106,35 +107,50 @@
     Attributes:
         generation: Number of rebalances so far.
         members: Time at which each membership expires, by member.
+        joined_in_generation: Generation in which each member joined.
+        ranks: Place of members in the order of a deal, if it is not 0.
         acked_generations: Newest generation that each member acknowledged.
         partition_owners: Member that owns each partition now.
         assigned: Member that is to own each partition.
-        moved_in_generation: Generation that last reassigned each partition.
+        moved_in_generation: Generation that took each partition from its owner.
     """
 
     def __init__(self):
         self.generation = 0
         self.members: dict[str, float] = {}
+        self.joined_in_generation: dict[str, int] = {}
+        self.ranks: dict[str, int] = {}
         self.acked_generations: dict[str, int] = {}
         self.partition_owners: dict[int, str] = {}
         self.assigned: dict[int, str] = {}
         self.moved_in_generation: dict[int, int] = {}
 
-    def rebalance(self) -> None:
+    def rebalance(self, deal: "Deal") -> None:
         """Assigns the partitions evenly to the members.
 
-        A partition moves once its owner has acknowledged the new generation
-        or left.
+        A partition moves once its owner has acknowledged the generation that
+        has taken it away, or left.
         """
         self.generation += 1
-        names = sorted(self.members)
+        names = deal(self)
         for partition_id in range(PARTITION_COUNT):
             assigned = names[partition_id % len(names)] if names else ""
-            if self.assigned.get(partition_id) != assigned:
+            before = self.assigned.get(partition_id)
+            if before != assigned:
                 self.assigned[partition_id] = assigned
-                self.moved_in_generation[partition_id] = self.generation
+                # Its owner may have acknowledged an earlier loss already.
+                if before == self.partition_owners.get(partition_id):
+                    self.moved_in_generation[partition_id] = self.generation
         self.complete_moves()
 
+    def rank_last(self, member: str) -> None:
+        """Puts a member after all others in the order of a deal."""
+        self.ranks[member] = max(self.ranks.values(), default=0) + 1
+
+    def rank_first(self, member: str) -> None:
+        """Puts a member before all others in the order of a deal."""
+        self.ranks[member] = min(self.ranks.values(), default=0) - 1
+
     def complete_moves(self) -> None:
         for partition_id, assigned in self.assigned.items():
             owner = self.partition_owners.get(partition_id, "")
@@ -145,6 +161,28 @@
                 self.partition_owners[partition_id] = assigned
 
 
+# Returns the members of a group in the order in which they get partitions, each
+# one in turn.
+Deal = Callable[[_Group], list[str]]
+
+
+def deal_in_order(group: _Group) -> list[str]:
+    """Deals in the order of ranks and names."""
+    return sorted(group.members, key=lambda n: (group.ranks.get(n, 0), n))
+
+
+def deal_first_away(group: _Group) -> list[str]:
+    """Deals partition 0 to another member at each change of the members.
+
+    The one that has joined last gets it, unless it holds it.
+    """
+    names = sorted(group.members)
+    names.sort(key=group.joined_in_generation.get, reverse=True)
+    if names and names[0] == group.partition_owners.get(0):
+        names.append(names.pop(0))
+    return names
+
+
 class StoreModel:
     """The store, without the links to it.
 
@@ -152,6 +190,7 @@
         calls: Number of calls executed so far.
         keeps_assignments: Whether the partitions of a group stay assigned to
             its last members after all of them have expired or left.
+        deal: How the partitions of a group are dealt to its members.
         limits: Largest sizes of an append; larger ones are refused.
     """
 
@@ -161,6 +200,7 @@
         self._groups: dict[str, _Group] = {}
         self.calls = 0
         self.keeps_assignments = False
+        self.deal: Deal = deal_in_order
         self.limits = StoreLimits()
 
     def partition(self, topic: str, partition_id: int) -> _Partition:
@@ -199,6 +239,24 @@
         for group in self._groups.values():
             group.members = dict.fromkeys(group.members, 0.0)
 
+    def expire_member(self, member: str, heir: str = "") -> None:
+        """Lets the membership of one process expire now.
+
+        It is not told, joins again with its next join, and is dealt partitions
+        as the last one then.
+
+        Args:
+            member: Name of the member.
+            heir: Member that gets partition 0; by default the next one.
+        """
+        for group in self._groups.values():
+            if group.members.pop(member, None) is None:
+                continue
+            group.rank_last(member)
+            if heir in group.members:
+                group.rank_first(heir)
+            self._rebalance(group)
+
     async def append(
         self,
         topic: str,
@@ -281,7 +339,8 @@
         is_new = member not in state.members
         state.members[member] = self._clock.now_ms() + ttl_ms
         if is_new:
-            state.rebalance()
+            state.joined_in_generation[member] = state.generation + 1
+            self._rebalance(state)
         state.acked_generations[member] = generation
         state.complete_moves()
         partitions = frozenset(
@@ -317,7 +376,7 @@
 
     def _rebalance(self, state: _Group) -> None:
         if state.members or not self.keeps_assignments:
-            state.rebalance()
+            state.rebalance(self.deal)
 
 
 class LinkedStoreClient:
