Deal of the stand-in: an heir is dealt before members that never lapsed

Cause: the rank of an heir was one below the lowest rank given so far, which is 0 if only one member has lapsed; members without a rank are at 0 as well, and the first name of them got partition 0.

--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -145,11 +145,11 @@
 
     def rank_last(self, member: str) -> None:
         """Puts a member after all others in the order of a deal."""
-        self.ranks[member] = max(self.ranks.values(), default=0) + 1
+        self.ranks[member] = max([0, *self.ranks.values()]) + 1
 
     def rank_first(self, member: str) -> None:
         """Puts a member before all others in the order of a deal."""
-        self.ranks[member] = min(self.ranks.values(), default=0) - 1
+        self.ranks[member] = min([0, *self.ranks.values()]) - 1
 
     def complete_moves(self) -> None:
         for partition_id, assigned in self.assigned.items():
--- a/tests/store/test_deals.py
+++ b/tests/store/test_deals.py
@@ -91,6 +91,8 @@
             self.assertEqual(await members.holder(), "b")
             members.store.expire_member("b", heir="a")
             self.assertEqual(await members.holder(), "a")
+            members.store.expire_member("a", heir="c")
+            self.assertEqual(await members.holder(), "c")
 
         self.check(deal_in_order, scenario)
 
