Tests pass the cell on by a lapsed membership, not by a new deal

Cause: tests in which "the cell passes to another node, its owner isn't told" dealt all partitions anew.

Change: `SimulatedSite.pass_cell_on` lets the membership of the latest claimant lapse, and again with each join of it, until the next claim is in the store or 3 s are up; its task tells which. The former owner's process lives, reaches what it reached, and learns of it by its next join, as before: it may order for as long as it could.

- test_whole_site: test_rebalance checks a new deal as such and stays; test_lapsed_membership is its twin.
- test_standby.test_assigned_late is about the table of the group and stays.
- test_long_running, test_stale_bounds, test_predecessor: what waited until nobody owned the cell waits until the former owner does not (an owner that stays is replaced without a gap).
- test_witness.BackAndForthTest: the former owner is a member again by a late join, and the group assigns the cell back to it.
Two nodes more, so that the second owner is no witness, and its links to the workers are cut: otherwise the fence of the first one's writer or a worker ends it, and the test passes without the check of the claims.
- storms: `deal_anew` and `reassign` stay; `owner_lapses` is new, and faults that aim at a claim pass the cell on.

Ruled out: holding back the owner's joins until the claim. It would then learn of nothing for longer than by a new deal.

--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -23,7 +23,11 @@
     SiteConfig,
     SiteView,
 )
-from limpetyard.node._store_layout import member_address
+from limpetyard.node._store_layout import (
+    CLAIM_KEY,
+    OWNERS_TOPIC,
+    member_address,
+)
 from limpetyard.store import StoredRecord
 from standins.platform._gangs import Gangs
 from standins.platform._history import (
@@ -53,6 +57,12 @@
 # A crashed worker is back after this time.
 RETURN_MS = 3000
 
+# Longest wait for the claim of the next owner.
+CLAIM_TIMEOUT_S = 3.0
+
+# Time between two looks at the claims and the members of the group.
+CLAIM_CHECK_S = 0.001
+
 # Kinds of errors that rule out that the job was accepted.
 NOT_ACCEPTED_KINDS = ("not_ready", "store_refused")
 
@@ -437,6 +447,50 @@
                 return host
         return None
 
+    def latest_claim(self) -> StoredRecord | None:
+        """Returns the latest claim of the cell; its value names the member."""
+        return self.store.partition(OWNERS_TOPIC, 0).latest.get(CLAIM_KEY)
+
+    def pass_cell_on(self, heir: _Host | None = None) -> asyncio.Task[bool]:
+        """Makes another node claim the cell; the owner is not told.
+
+        The membership of the owner expires, and again with each join of it,
+        until there is another claim. Its process works on, and may reach all.
+
+        Args:
+            heir: VM of the node that the group assigns the cell to; by default
+                the next one.
+
+        Returns:
+            A task whose result tells whether there was a claim in time. The
+            membership has expired when this returns.
+        """
+        member = heir.node.member.name if heir and heir.node else ""
+        before = self.latest_claim()
+        self.expire_claimant(member)
+        return asyncio.ensure_future(self._wait_for_claim(before, member))
+
+    def expire_claimant(self, heir: str = "") -> None:
+        """Lets the membership of the node with the latest claim expire now.
+
+        Args:
+            heir: Member that gets the cell; by default the next one.
+        """
+        claim = self.latest_claim()
+        if claim is not None:
+            self.store.expire_member(claim.value.decode(), heir)
+
+    async def _wait_for_claim(
+        self, before: StoredRecord | None, heir: str
+    ) -> bool:
+        end_s = asyncio.get_running_loop().time() + CLAIM_TIMEOUT_S
+        while self.latest_claim() == before:
+            if asyncio.get_running_loop().time() >= end_s:
+                return False
+            self.expire_claimant(heir)
+            await asyncio.sleep(CLAIM_CHECK_S)
+        return True
+
     async def submit(self, spec: JobSpec, host: _Host | None = None) -> bool:
         """Submits a job as a client does.
 
--- a/tests/exploring/ownership_storms.py
+++ b/tests/exploring/ownership_storms.py
@@ -379,7 +379,7 @@
     with site.hold(links, rng.choice(["cut", "refusing"]), True):
         await asyncio.sleep(rng.uniform(0, 1))
         if rng.random() < 0.5:
-            site.store.reassign_partitions()
+            site.pass_cell_on()
         await asyncio.sleep(rng.uniform(0.5, 12))
 
 
@@ -402,7 +402,7 @@
             links.append(link)
     with site.hold(links, rng.choice(["cut", "refusing"]), True):
         if rng.random() < 0.3:
-            site.store.reassign_partitions()
+            site.pass_cell_on()
         for _ in range(rng.choice([0, 0, 1, 1, 2])):
             if not await site.next_owner(host):
                 break
@@ -436,7 +436,7 @@
     rng: random.Random,
     change: Callable[[object, Callable, tuple], Coroutine],
 ) -> None:
-    """Assigns the cell to a node and changes what happens to its claim.
+    """Passes the cell to a node and changes what happens to its claim.
 
     Args:
         site: The site.
@@ -463,7 +463,7 @@
 
     # It stays and passes later calls on, as faults do not end in order.
     client.append = append_or_change
-    await site.assign(host)
+    site.pass_cell_on(host)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(TAKEOVER_S):
             await claiming.wait()
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -238,6 +238,11 @@
     site.store.reassign_partitions()
 
 
+@FAULTS.register("owner_lapses")
+async def _expire_owner(site: SimulatedSite, rng: random.Random) -> None:
+    site.expire_claimant()
+
+
 @FAULTS.register("forget")
 async def _drop_history(site: SimulatedSite, rng: random.Random) -> None:
     site.store.drop_history(rng.choice([(), ("workers",)]))
--- a/tests/node/test_fencing.py
+++ b/tests/node/test_fencing.py
@@ -46,8 +46,8 @@
 
 
 async def reassign(site: SimulatedSite):
-    """Assigns the cell to another node, and returns that node's VM."""
-    site.store.reassign_partitions()
+    """Passes the cell on to another node, and returns that node's VM."""
+    site.pass_cell_on()
     names = await site.store.partition_owners("cells")
     return site.host_of(names[0])
 
--- a/tests/node/test_long_running.py
+++ b/tests/node/test_long_running.py
@@ -261,11 +261,13 @@
         await asyncio.gather(*leaving)
 
     async def pass_on(self, site: SimulatedSite) -> None:
-        """Assigns the cell to another node; a task fails in between."""
-        site.store.reassign_partitions()
-        while newest_owner(site) is not None:
+        """Passes the cell on to another node; a task fails in between."""
+        former = newest_owner(site)
+        passing = site.pass_cell_on()
+        while newest_owner(site) is former:
             await asyncio.sleep(0.001)
         fail_task(site)
+        self.assertTrue(await passing)
 
     def test_tasks_of_draining_workers(self):
         """LOST: tasks waited for the leases of workers that had left."""
--- a/tests/node/test_predecessor.py
+++ b/tests/node/test_predecessor.py
@@ -74,8 +74,8 @@
             await held.enter_async_context(held_load(host))
             await asyncio.sleep(UNLOADED_S)
             meanwhile(site)
-        site.store.reassign_partitions()
-        while host.node._owners.get(0) is not None:
+        site.pass_cell_on()
+        while (owner := host.node._owners.get(0)) and not owner.ended:
             await asyncio.sleep(0.01)
 
 
@@ -117,7 +117,7 @@
             engine = previous.node._owners[0].engine
             until_ms = engine.predecessor_until_ms
             self.assertGreater(until_ms, site.clock.now_ms() + MIN_UNFENCED_MS)
-            site.store.reassign_partitions()
+            site.pass_cell_on()
             while (host := newest_owner(site)) in (frozen, previous):
                 await asyncio.sleep(0.05)
             await asyncio.sleep(0.1)
--- a/tests/node/test_stale_bounds.py
+++ b/tests/node/test_stale_bounds.py
@@ -139,6 +139,7 @@
         times: Number of nodes that do not load the cell.
         trimmed: Whether the store drops the claims but the latest one.
     """
+    former = newest_owner(site)
     async with contextlib.AsyncExitStack() as held:
         for _ in range(times):
             host = await reassign(site)
@@ -152,9 +153,9 @@
             site.store.drop_history()
         for other in site.hosts:
             other.peer_link.delay_ms = PEER_DELAY_MS
-        site.store.reassign_partitions()
+        site.pass_cell_on()
         async with asyncio.timeout(RESTART_S):
-            while site.owner() is None:
+            while newest_owner(site) in (None, former):
                 await asyncio.sleep(0.01)
 
 
@@ -210,8 +211,8 @@
                 while worker.entry.id in engine.workers:
                     await asyncio.sleep(0.1)
                 await asyncio.sleep(0.1)
-                site.store.reassign_partitions()
-                while newest_owner(site) is not None:
+                site.pass_cell_on()
+                while newest_owner(site) is owner:
                     await asyncio.sleep(0.0002)
                 other = next(h for h in site.hosts if h is not owner)
                 self.assertTrue(await site.submit(job(0, 1), other))
--- a/tests/node/test_takeover_bounds.py
+++ b/tests/node/test_takeover_bounds.py
@@ -195,7 +195,7 @@
             site.freeze(frozen)
             while (previous := newest_owner(site)) in (None, frozen):
                 await asyncio.sleep(0.01)
-            site.store.reassign_partitions()
+            site.pass_cell_on()
             while newest_owner(site) in (None, frozen, previous):
                 await asyncio.sleep(0.01)
             host = newest_owner(site)
@@ -225,7 +225,7 @@
             site.freeze(frozen)
             while (previous := newest_owner(site)) in (None, frozen):
                 await asyncio.sleep(0.01)
-            site.store.reassign_partitions()
+            site.pass_cell_on()
             while newest_owner(site) in (None, frozen, previous):
                 await asyncio.sleep(0.01)
             others = [w for w in site.workers.values() if w is not silent]
@@ -275,8 +275,9 @@
             with mock.patch.object(
                 type(site.store), "partition_owners", with_former
             ):
-                site.store.reassign_partitions()
+                passing = site.pass_cell_on()
                 await asyncio.sleep(2)
+                self.assertTrue(await passing)
             self.assertIs(site.owner(), claiming)
             owner = claiming.node._owners[0]
             return [(claiming.address, owner._permit.witnesses)]
@@ -361,8 +362,9 @@
                 return await append(store, topic, partition, records, producer)
 
             with mock.patch.object(type(site.store), "append", busy):
-                site.store.reassign_partitions()
+                passing = site.pass_cell_on()
                 await asyncio.sleep(12)
+                self.assertTrue(await passing)
             return len(site.history.of(RunStarted)) - runs
 
         self.assertEqual(run_site(scenario, workers=6), 0)
@@ -384,7 +386,7 @@
             with mock.patch.object(type(site.store), "partition_owners", slow):
                 host = site.owner()
                 page = await site.store.read_latest("owners", 0, "")
-                site.store.reassign_partitions()
+                site.pass_cell_on()
                 while host.node.owns_cell():
                     await asyncio.sleep(0.01)
                 lost_ms = site.clock.now_ms()
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -306,6 +306,20 @@
 
         self.check_recovery(inject_fault, NODE_RECOVERY_MS)
 
+    def test_lapsed_membership(self):
+        """Another node takes over from an owner that works on untold."""
+
+        async def inject_fault(site: SimulatedSite) -> float:
+            at_ms = site.clock.now_ms()
+            former = site.owner().node
+            self.assertTrue(await site.pass_cell_on())
+            claimant = site.host_of(site.latest_claim().value.decode())
+            self.assertIsNot(claimant.node, former)
+            self.assertTrue(former.member.started)
+            return at_ms
+
+        self.check_recovery(inject_fault, NODE_RECOVERY_MS)
+
     def end_ownership_during(self, state: str) -> bool:
         """Ends ownerships in a takeover state.
 
@@ -317,13 +331,14 @@
             for host in site.hosts:
                 host.store_link.delay_ms = 60.0
             for _ in range(3):
-                site.store.reassign_partitions()
+                passing = site.pass_cell_on()
                 for _ in range(200):
                     await asyncio.sleep(0.005)
                     for host in site.hosts:
                         owner = host.node._owners.get(0)
                         if owner and owner.state_machine.state == state:
                             owner.end_ownership("test")
+                await passing
             await asyncio.sleep(3)
             crashed.extend(h for h in site.hosts if h.node.crashed)
 
@@ -616,9 +631,9 @@
             at_ms = site.clock.now_ms()
             site.isolate_worker(victim, True)
             await asyncio.sleep(2)
-            if take_over:
-                site.store.reassign_partitions()
+            passing = site.pass_cell_on() if take_over else None
             await asyncio.sleep(CUT_OFF_RECOVERY_MS / 1000 - 2)
+            self.assertTrue(passing is None or await passing)
             self.assertNotIn(
                 victim.entry.id, site.store.partition("workers", 0).latest
             )
@@ -650,10 +665,11 @@
             site.workers["w-5"].leave()
             await self.submit(site, range(3), run_ms=1000)
             await asyncio.sleep(0.3)
-            site.store.reassign_partitions()
+            passing = site.pass_cell_on()
             at_ms = site.clock.now_ms()
             await self.complete(site, range(3))
             took_ms = site.clock.now_ms() - at_ms
+            self.assertTrue(await passing)
             self.assertLess(took_ms, 2 * 1000 + NODE_RECOVERY_MS)
 
         self.run_scenario(scenario)
@@ -725,10 +741,12 @@
             lost_tasks = set(victim.running())
             victim.crash()
             at_ms = site.clock.now_ms()
+            passing = []
             for _ in range(3):
                 await asyncio.sleep(1.5)
-                site.store.reassign_partitions()
+                passing.append(site.pass_cell_on())
             await asyncio.sleep(3)
+            self.assertTrue(all(await asyncio.gather(*passing)))
             restart_delays_ms = {
                 entry.task: entry.at_ms - at_ms
                 for entry in site.history.of(RunStarted)
--- a/tests/node/test_witness.py
+++ b/tests/node/test_witness.py
@@ -18,7 +18,6 @@
 from standins.platform import SimulatedSite, run_in_virtual_time, violations
 from standins.platform._history import RunStarted
 from tests.clocks import SetClock
-from tests.node.test_fencing import reassign
 from tests.node.test_long_running import SETTLED_S, long_running_job
 from tests.node.test_whole_site import LEASE_MS
 
@@ -186,16 +185,21 @@
 
 
 class BackAndForthTest(unittest.TestCase):
-    """The group assigns the cell to another node and back."""
+    """The cell passes to another node, and the group assigns it back."""
 
     def test_owner_that_missed_a_later_claim(self):
         """An owner went on under its epoch when it had the cell again."""
 
         async def main() -> None:
-            site = SimulatedSite(2, 4)
+            # The second owner is no witness of the first one, and no worker
+            # sees its fencing token.
+            site = SimulatedSite(4, 4)
             await site.start()
             await asyncio.sleep(SETTLED_S)
-            first = site.owner()
+            first, second = site.owner(), site.hosts[-1]
+            name = first.node.member.name
+            for link in second.worker_links.values():
+                link.cut = True
             owner = first.node._owners[0]
             store = first.node._adapters.store
             join = store.join
@@ -207,11 +211,14 @@
 
             with mock.patch.object(store, "join", held_join):
                 await asyncio.sleep(0.01)
-                second = await reassign(site)
+                site.pass_cell_on(second)
                 first.peer_link.cut = True
                 while not second.node.owns_cell():
                     await asyncio.sleep(0.01)
-                self.assertIs(await reassign(site), first)
+                await site.store.join("cells", name, 1000, 0)
+                site.expire_claimant(heir=name)
+                names = await site.store.partition_owners("cells")
+                self.assertEqual(names[0], name)
                 released.set()
                 await asyncio.sleep(0.2)
                 self.assertTrue(owner.ended)
