Ownership storms: lapsed members, faults of the claims, nodes that leave

Cause: the storms moved the cell by new deals, and failed the store as a whole.

Change: new faults beside the old ones, which stay, as do the checks: - owner_lapses, holder_lapses: the membership of the latest claimant, or of the holder of partition 0, expires, up to 4 times; - cell_passed_on: another node claims, chosen or not, up to 3 times; - claims_of_owner, claims_of_some, claims_of_all: calls of the claims partition alone are refused, not made, made late, answered late or not, and the owner may lapse or the cell pass on meanwhile; - owner_frozen_through_changes: the owner, and perhaps the next one, freeze while the cell passes on, and are back later; - nodes_leave_in_series: two to all nodes get SIGTERM 0.3 to 2 s apart.

--- a/tests/exploring/ownership_storms.py
+++ b/tests/exploring/ownership_storms.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import random
 import sys
 from collections.abc import Callable, Coroutine, Iterator
@@ -19,7 +20,12 @@
 from limpetyard.jobs import JobSpec, Resources, StepSpec
 from limpetyard.node import PeerUnavailableError
 from limpetyard.node._store_layout import CELLS_GROUP, OWNERS_TOPIC
-from limpetyard.store import StoreOutcomeUnknownError
+from limpetyard.store import (
+    RefusalKind,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreRefusedError,
+)
 from standins.platform import SimulatedSite, run_in_virtual_time
 from standins.platform._link import Link
 from standins.platform._site import PEER_TIMEOUT_MS, QUEUE
@@ -47,7 +53,15 @@
     "late_ms": (1000.0, 6000.0),
 }
 
+# Time between the SIGTERMs of nodes that leave in series.
+LEAVE_INTERVALS_S = (0.3, 1.0, 2.0)
+
 FAULTS: Registry[storms.Fault] = Registry("ownership fault")
+
+# What happens to a call of the claims partition. Called with the call, which
+# may be made once, the site and the source of random choices.
+ClaimsFault = Callable[[Callable, "OwnershipSite", random.Random], Coroutine]
+CLAIMS_FAULTS: Registry[ClaimsFault] = Registry("fault of the claims")
 for _name in ("orders_late", "worker_reborn"):
     FAULTS.register(_name)(storms.FAULTS.get(_name))
 
@@ -59,12 +73,14 @@
         owners: VMs that have owned the cell, by the time of their latest
             takeover.
         cut_pairs: Pairs of VMs whose nodes do not reach each other.
+        claims_faults: Faults of the claims partition in force, by VM.
     """
 
     def __init__(self, nodes: int, workers: int, seed: int):
         super().__init__(nodes, workers, seed)
         self.owners: list = []
         self.cut_pairs: collections.Counter[frozenset] = collections.Counter()
+        self.claims_faults: dict = collections.defaultdict(list)
         self._holds: dict[tuple[Link, str], list] = collections.defaultdict(
             list
         )
@@ -106,6 +122,36 @@
             return await call(member, operation)
 
         peers._call = call_unless_cut
+        store = host.node._adapters.store
+        for name in ("append", "read", "read_latest"):
+            operation = functools.partial(self._call_store, host, store, name)
+            setattr(store, name, operation)
+
+    async def _call_store(
+        self, host, store, name: str, topic: str, *args, **options
+    ):
+        """Calls the store; see `claims_faults`."""
+
+        async def call():
+            method = getattr(type(store), name)
+            return await method(store, topic, *args, **options)
+
+        faults = self.claims_faults[host]
+        if topic != OWNERS_TOPIC or not faults:
+            return await call()
+        return await faults[-1](call, self, self.rng)
+
+    @contextlib.contextmanager
+    def claims_fault(self, hosts: list, name: str) -> Iterator[None]:
+        """Lets calls of the claims partition fail, from some VMs."""
+        fault = CLAIMS_FAULTS.get(name)
+        for host in hosts:
+            self.claims_faults[host].append(fault)
+        try:
+            yield
+        finally:
+            for host in hosts:
+                self.claims_faults[host].remove(fault)
 
     def owner_before(self, steps: int, rng: random.Random):
         """Returns the VM of the newest owner, or of one `steps` before it."""
@@ -246,6 +292,133 @@
     return stack
 
 
+async def _lose_answer() -> None:
+    await asyncio.sleep(CALL_TIMEOUT_MS / MS_PER_SECOND)
+    raise StoreOutcomeUnknownError("no reply within the time-out")
+
+
+@CLAIMS_FAULTS.register("unanswered")
+async def _drop_call(call, site: OwnershipSite, rng: random.Random):
+    await _lose_answer()
+
+
+@CLAIMS_FAULTS.register("refused")
+async def _refuse_call(call, site: OwnershipSite, rng: random.Random):
+    await asyncio.sleep(SAMPLE_INTERVAL_S)
+    raise StoreRefusedError(RefusalKind.BUSY, "claims partition is down")
+
+
+@CLAIMS_FAULTS.register("answer_lost")
+async def _lose_call_answer(call, site: OwnershipSite, rng: random.Random):
+    await call()
+    await _lose_answer()
+
+
+@CLAIMS_FAULTS.register("answered_late")
+async def _delay_call_answer(call, site: OwnershipSite, rng: random.Random):
+    answer = await call()
+    await asyncio.sleep(rng.uniform(0.05, 1.4))
+    return answer
+
+
+@CLAIMS_FAULTS.register("late")
+async def _delay_call(call, site: OwnershipSite, rng: random.Random):
+    """The call is made seconds after its caller has given up."""
+
+    async def call_late() -> None:
+        await asyncio.sleep(rng.uniform(1.5, 8))
+        with contextlib.suppress(StoreError):
+            await call()
+
+    site.run_in_background(call_late())
+    await _lose_answer()
+
+
+@FAULTS.register("claims_of_owner")
+@storms.records_store_fault
+async def _fail_owner_claims(site: OwnershipSite, rng: random.Random) -> None:
+    host = site.owner_before(rng.choice([0, 0, 1]), rng)
+    await _fail_claims(site, [host], rng)
+
+
+@FAULTS.register("claims_of_some")
+@storms.records_store_fault
+async def _fail_some_claims(site: OwnershipSite, rng: random.Random) -> None:
+    hosts = rng.sample(site.hosts, rng.randint(1, len(site.hosts) - 1))
+    await _fail_claims(site, hosts, rng)
+
+
+@FAULTS.register("claims_of_all")
+@storms.records_store_fault
+async def _fail_all_claims(site: OwnershipSite, rng: random.Random) -> None:
+    await _fail_claims(site, site.hosts, rng)
+
+
+async def _fail_claims(
+    site: OwnershipSite, hosts: list, rng: random.Random
+) -> None:
+    """Lets calls of the claims partition fail, and the cell pass meanwhile."""
+    change = rng.choice([None, site.expire_claimant, site.pass_cell_on])
+    with site.claims_fault(hosts, rng.choice(list(CLAIMS_FAULTS))):
+        await asyncio.sleep(rng.uniform(0, 2))
+        if change is not None:
+            change()
+        await asyncio.sleep(rng.uniform(0.5, 7))
+
+
+@FAULTS.register("owner_lapses")
+async def _expire_owner(site: OwnershipSite, rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 4)):
+        site.expire_claimant()
+        await asyncio.sleep(rng.choice([0.0, 0.05, rng.uniform(0, 1)]))
+
+
+@FAULTS.register("holder_lapses")
+async def _expire_holder(site: OwnershipSite, rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 4)):
+        names = await site.store.partition_owners(CELLS_GROUP)
+        site.store.expire_member(names.get(0, ""))
+        await asyncio.sleep(rng.choice([0.0, 0.05, rng.uniform(0, 1)]))
+
+
+@FAULTS.register("cell_passed_on")
+async def _pass_cell_on(site: OwnershipSite, rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 3)):
+        heir = rng.choice([None, *site.hosts])
+        passing = site.pass_cell_on(heir)
+        if rng.random() < 0.5:
+            await passing
+        await asyncio.sleep(rng.choice([0.0, 0.1, rng.uniform(0, 2)]))
+
+
+@FAULTS.register("owner_frozen_through_changes")
+async def _pass_on_from_frozen(site: OwnershipSite, rng: random.Random) -> None:
+    """The cell passes on while its owner, and perhaps the next, are frozen."""
+    with contextlib.ExitStack() as stack:
+        for _ in range(rng.randint(1, 2)):
+            stack.enter_context(site.frozen(site.owner_before(0, rng)))
+            await site.pass_cell_on()
+            await asyncio.sleep(rng.choice([0.0, rng.uniform(0, 4)]))
+
+
+@FAULTS.register("nodes_leave_in_series")
+async def _restart_in_series(site: OwnershipSite, rng: random.Random) -> None:
+    hosts = rng.sample(site.hosts, rng.randint(2, len(site.hosts)))
+    interval_s = rng.choice(LEAVE_INTERVALS_S)
+
+    async def restart(host, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        if (node := host.node) is None:
+            return
+        await node.leave()
+        if host.node is node:
+            await site.kill_for(host, rng.uniform(0, 1))
+
+    await asyncio.gather(
+        *(restart(host, n * interval_s) for n, host in enumerate(hosts))
+    )
+
+
 @FAULTS.register("owner_lost")
 async def _lose_owner(site: OwnershipSite, rng: random.Random) -> None:
     await site.lose(site.owner_before(0, rng), rng)
