Two tests for what the ownership storms and rolls found

A worker is lost in an outage of the store in which the owner dies; the bounds on both begin with the claim after the outage.

Change: test_claimant_without_partitions hides the claimant in the table for 0.35 s while another member lapses; test_owner_and_worker_lost_while_the_store_ is_out replays the second one.

--- a/tests/node/test_long_running.py
+++ b/tests/node/test_long_running.py
@@ -155,6 +155,31 @@
 
         self.run_scenario(scenario)
 
+    def test_owner_and_worker_lost_while_the_store_is_out(self):
+        """LOST: all bounds began with the claim, after the store's return.
+
+        The owner is killed 2 s before that, and the worker 2 s earlier still.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            start_ms = site.clock.now_ms()
+            for host in site.hosts:
+                host.store_link.cut = True
+            await asyncio.sleep(0.8)
+            crash_worker(site, busy=True)
+            await asyncio.sleep(1.8)
+            owner = site.owner()
+            await site.kill_node(owner)
+            owner.store_link.cut = True
+            await asyncio.sleep(2)
+            for host in site.hosts:
+                host.store_link.cut = False
+            window = (start_ms, site.clock.now_ms())
+            site.history.fault_windows.append(window)
+            site.history.store_fault_windows.append(window)
+
+        self.run_scenario(scenario)
+
     def test_owners_lost_in_turn(self):
         """The wait for a worker that is long gone began anew at a takeover."""
 
--- a/tests/node/test_ownership_changes.py
+++ b/tests/node/test_ownership_changes.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 from collections.abc import Callable, Coroutine
+from unittest import mock
 
 from standins.platform import SimulatedSite, run_in_virtual_time, violations
 from standins.platform._history import RunStarted
@@ -18,6 +19,10 @@
 # Time from the SIGTERM of a node to the start of its next process.
 DOWN_S = (2.0, 3.0)
 
+# Time for which a member may be in no row of the table: until all others have
+# joined again.
+UNLISTED_S = 0.35
+
 # Most changes of owner in a roll over all nodes.
 ROLL_CHANGES = 2
 ROLL_SEEDS = range(3)
@@ -179,6 +184,30 @@
     await asyncio.sleep(SETTLED_S)
 
 
+async def hide_claimant(seen: OwnershipWatch) -> None:
+    """Another member lapses; meanwhile no partition is the claimant's.
+
+    A member that has acknowledged the loss of all its partitions is in no row
+    of the table until those that it is to get have been acknowledged, too.
+    """
+    site = seen.site
+    claimant = site.latest_claim().value.decode()
+    partition_owners = type(site.store).partition_owners
+
+    async def without_claimant(store, group):
+        owners = await partition_owners(store, group)
+        other = next(name for name in owners.values() if name != claimant)
+        return {p: {claimant: other}.get(n, n) for p, n in owners.items()}
+
+    with mock.patch.object(
+        type(site.store), "partition_owners", without_claimant
+    ):
+        names = {host.node.member.name for host in site.hosts} - {claimant}
+        site.store.expire_member(max(names))
+        await asyncio.sleep(UNLISTED_S)
+    await asyncio.sleep(SETTLED_S)
+
+
 async def owner_leaves(seen: OwnershipWatch) -> None:
     """Sends SIGTERM to the owner."""
     await restart(seen.site, seen.site.owner(), random.Random(1))
@@ -265,6 +294,10 @@
         """A deal that reassigns everything changes the owner once at most."""
         self.assert_changes(1, {("dealt",): deal_anew})
 
+    def test_claimant_without_partitions(self):
+        """A member claimed the cell of an owner that had just lost all."""
+        self.assert_changes(0, {("unlisted",): hide_claimant})
+
     def test_another_node_lost(self):
         """The loss of a node that is not the owner changes nothing."""
         self.assert_changes(0, {("lost",): lose_another})
