--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -47,6 +47,11 @@
         ("cell", "epoch"),
         "This node claimed a cell; the new epoch fences lower ones.",
     ),
+    "cell_handed_over": EventKind(
+        ("cell", "epoch", "successor", "claimed", "took_ms"),
+        "This node, which gives a cell up, asked others to claim it: the one"
+        " that agreed, if any, and whether it did in time.",
+    ),
     "cell_lost": EventKind(
         ("cell", "reason", "confirmed_age_ms"),
         "This node no longer owns a cell, for the given reason.",
@@ -65,11 +70,14 @@
     "cells_dealt": EventKind(
         ("generation", "cells"), "The group assigned cells to this node."
     ),
+    "claim_given_up": EventKind(
+        ("cell", "reason"),
+        "This node no longer tries to claim a cell, for the given reason.",
+    ),
     "claims_unread": EventKind(
         ("epoch", "reason"),
         "The claims of a cell could not be read: earlier owners may order for"
-        " their self-fencing time, this owner is not confirmed, or, with epoch"
-        " 0, this node is no witness yet.",
+        " their self-fencing time, or this owner is not confirmed.",
     ),
     "config_accepted": EventKind(
         ("version", "author"), "A configuration change was accepted."
--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._error_kinds import ErrorKind
@@ -20,7 +19,6 @@
     encode_cancellation,
     encode_spec,
 )
-from limpetyard.node._member import GroupMember
 from limpetyard.node._peers import (
     JobNotFoundError,
     JobStatus,
@@ -172,7 +170,6 @@
         "_appender",
         "_cells",
         "_clock",
-        "_get_member",
         "_peers",
         "_pending",
     )
@@ -180,13 +177,11 @@
     def __init__(
         self,
         appender: BatchAppender,
-        get_member: Callable[[], GroupMember],
         peers: PeerClient,
         cells: LocalCells,
         clock: Clock,
     ):
         self._appender = appender
-        self._get_member = get_member
         self._peers = peers
         self._cells = cells
         self._clock = clock
@@ -270,7 +265,7 @@
                     raise RequestError(
                         ErrorKind.OWNER_AWAY, str(exc), RETRY_AFTER_S
                     ) from exc
-                await self._get_member().assigned_member(0, refresh=True)
+                await self._cells.find_owner(0, refresh=True)
             await asyncio.sleep(OWNER_RETRY_MS / MS_PER_SECOND)
 
     async def pending(self, queue: str) -> int:
@@ -289,7 +284,7 @@
             count = await self._query_pending(queue)
         except PeerUnavailableError:
             # The cell may have passed to another node since it was read.
-            await self._get_member().assigned_member(0, refresh=True)
+            await self._cells.find_owner(0, refresh=True)
             try:
                 count = await self._query_pending(queue)
             except PeerUnavailableError as exc:
@@ -313,15 +308,13 @@
         return status.state
 
     async def _query_status(self, job_id: str) -> JobStatus:
-        member = self._get_member()
-        if 0 in member.assigned_cells:
+        owner = await self._cells.find_owner(0)
+        if self._cells.is_self(owner):
             return await self._cells.job_status(job_id)
-        owner = await member.assigned_member(0)
         return await self._peers.job_status(owner, job_id)
 
     async def _query_pending(self, queue: str) -> int:
-        member = self._get_member()
-        if 0 in member.assigned_cells:
+        owner = await self._cells.find_owner(0)
+        if self._cells.is_self(owner):
             return self._cells.queue_pending(queue)
-        owner = await member.assigned_member(0)
         return await self._peers.queue_pending(owner, queue)
--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -73,6 +73,8 @@
             of the assignments; None before the first one.
         on_standby: Whether this node stays out of the group, as a member is
             much larger or enough others are preferred. It owns no cell then.
+        standing_by: Whether it is on standby or about to leave the group for
+            that.
     """
 
     def __init__(
@@ -93,8 +95,8 @@
             clock: Clock for the send times of joins.
             ttl_ms: Time after which the group removes a member that has not
                 joined again.
-            on_assignment: Called with the assigned cells after each join. The
-                group reassigns lost cells only after it has returned.
+            on_assignment: Called with the assigned cells after each join, and
+                with none before this node leaves the group to stand by.
             answers: Calls a member; returns whether it answered.
         """
         super().__init__()
@@ -103,6 +105,7 @@
         self.assigned_generation = 0
         self.confirmed_ms: float | None = None
         self.on_standby = False
+        self.standing_by = False
         self._cores = member_cores(name)
         self._store = store
         self._clock = clock
@@ -114,6 +117,9 @@
         # Generation of the group at the last read of the assignments.
         self._checked_generation = 0
         self._assigned_members: dict[int, str] = {}
+        # Number of the read that first showed each member, by name.
+        self._first_reads: dict[str, int] = {}
+        self._reads = 0
         # Send times of the last read and of the last successful one.
         self._assignments_read_ms = float("-inf")
         self._assignments_confirmed_ms = float("-inf")
@@ -200,11 +206,11 @@
     async def _stand_by(self) -> None:
         """Leaves the group until its members are no longer larger."""
         larger = self._preferred_member()
+        self.standing_by = True
+        self.assigned_cells = frozenset()
         await self._on_assignment(frozenset())
         await self.leave()
-        self.assigned_cells = frozenset()
         self._generation = self._checked_generation = 0
-        # Only now, as orders depend on it: they need a recent join.
         self.confirmed_ms = max(
             self.confirmed_ms or 0.0, self._assignments_confirmed_ms
         )
@@ -229,7 +235,7 @@
             liveness.cancel()
         if self.should_stop:
             return
-        self.on_standby = False
+        self.on_standby = self.standing_by = False
         self._assignment_changed.clear()
         event(
             "standby_left",
@@ -307,9 +313,28 @@
         except StoreError as exc:
             event("leave_failed", reason=exc)
 
-    def join_now(self) -> None:
-        """Makes this member join again without delay."""
-        self._assignment_changed.set()
+    def has_joined_within(self, age_ms: float) -> bool:
+        """Returns whether a join has succeeded that was sent lately.
+
+        Args:
+            age_ms: Longest time since then.
+        """
+        return (
+            not self.standing_by
+            and self.confirmed_ms is not None
+            and self._clock.now_ms() - self.confirmed_ms < age_ms
+        )
+
+    def newest_members(self) -> list[str]:
+        """Returns the other members, those first that joined last.
+
+        Of members that joined at the same time, as far as is known, the most
+        preferred one comes first.
+        """
+        return sorted(
+            self._first_reads.keys() - {"", self.name},
+            key=lambda name: (-self._first_reads[name], _rank(name)),
+        )
 
     def other_addresses(self) -> list[str] | None:
         """Returns peer addresses of other members, the most preferred first.
@@ -339,6 +364,15 @@
                 await self._read_assignments(now_ms)
         return self._assigned_members.get(cell, "")
 
+    async def read_assignments(self) -> dict[int, str] | None:
+        """Reads the assignments now; returns None if that failed."""
+        async with self._assignments_lock:
+            now_ms = self._clock.now_ms()
+            await self._read_assignments(now_ms)
+            if self._assignments_confirmed_ms != now_ms:
+                return None
+            return self._assigned_members
+
     async def _read_assignments(self, now_ms: float) -> None:
         """Reads the assignments.
 
@@ -353,6 +387,11 @@
             return
         self._assigned_members = members
         self._assignments_confirmed_ms = now_ms
+        self._reads += 1
+        self._first_reads = {
+            name: self._first_reads.get(name, self._reads)
+            for name in members.values()
+        }
         if self.on_standby:
             self.confirmed_ms = now_ms
             return
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -17,6 +17,8 @@
     StepWorkerClient,
     WorkerEntry,
 )
+from limpetyard.node._candidacy import Candidacy
+from limpetyard.node._claims import Claim, ClaimsFollower
 from limpetyard.node._gauges import cell_gauges, loop_gauge, site_gauges
 from limpetyard.node._handover import LeaseExpiries, RemainingLeases
 from limpetyard.node._job_service import BatchAppender, JobService
@@ -27,6 +29,7 @@
 from limpetyard.node._peers import (
     JobNotFoundError,
     JobStatus,
+    OwnershipStatus,
     PeerClient,
     PeerServer,
     PeerUnavailableError,
@@ -34,12 +37,12 @@
 from limpetyard.node._settings import NodeSettings
 from limpetyard.node._site import SiteView
 from limpetyard.node._store_layout import (
+    CLAIMS_MARK,
     EXTERNAL_PARTITION,
     OPERATORS_TOPIC,
-    OWNERS_TOPIC,
-    WITNESSES_MARK,
     member_name,
 )
+from limpetyard.node._succession import hand_over
 from limpetyard.node._witness import Witness
 from limpetyard.store import KeyFollower, Store, StoredRecord, StoreError
 
@@ -72,9 +75,6 @@
 # together, and lose the cell to each other, with room to spare.
 MAX_SAVED_CLAIMS = 64
 
-# Delay after a failed read of the claims at the start.
-CLAIMS_RETRY_MS = 500
-
 # A leaving node exits this long before it would be killed.
 EXIT_MARGIN_MS = 500
 
@@ -150,7 +150,7 @@
         self._adapters = adapters
         self._clock = clock
         self._wall_ms = wall_ms
-        self._nonce = WITNESSES_MARK + uuid.uuid4().hex[:12]
+        self._nonce = CLAIMS_MARK + uuid.uuid4().hex[:12]
         self._owners: dict[int, CellOwner] = {}
         self._former_leases: dict[int, LeaseExpiries] = {}
         # Member names in claims by epoch, by cell.
@@ -181,11 +181,21 @@
         self._witness = Witness(
             cfg.peers, clock, lambda: self.member.confirmed_ms
         )
+        self._claims = {
+            cell: ClaimsFollower(cell, adapters.store, clock, self._on_claim)
+            for cell in range(CELL_COUNT)
+        }
+        self._candidacies = {
+            cell: Candidacy(cell, self.member, claims, adapters.peers, clock)
+            for cell, claims in self._claims.items()
+        }
+        # Cells for which a check whether this node may claim them is running.
+        self._considered: set[int] = set()
         self._appender = BatchAppender(
             adapters.store, clock, 0, f"inbox-{self._nonce}"
         )
         self._job_service = JobService(
-            self._appender, lambda: self.member, adapters.peers, self, clock
+            self._appender, adapters.peers, self, clock
         )
         self._loop_monitor = LoopMonitor(clock)
         self.metrics = NodeMetrics(self._gauges)
@@ -212,27 +222,12 @@
             await listen("metrics", cfg.metrics, self.metrics.handle)
         self.add_future(self._operators.follow())
         self.add_future(self._appender.run())
-        self.add_future(self._read_claims())
+        for claims in self._claims.values():
+            self.add_future(claims.follow())
         await self.add_runtime_dependency(self._loop_monitor)
         await self.add_runtime_dependency(self.member)
         event("node_started", node=cfg.node, zone=cfg.availability_zone)
 
-    async def _read_claims(self) -> None:
-        """Reads the latest claims, which the witness must know."""
-        for cell in range(CELL_COUNT):
-            while not self.should_stop:
-                try:
-                    page = await self._adapters.store.read_latest(
-                        OWNERS_TOPIC, cell, ""
-                    )
-                except StoreError as exc:
-                    event("claims_unread", epoch=0, reason=exc)
-                    await asyncio.sleep(CLAIMS_RETRY_MS / MS_PER_SECOND)
-                    continue
-                epochs = [record.offset + 1 for record in page.records]
-                self._witness.record_claim(cell, max(epochs, default=0))
-                break
-
     async def leave(self) -> None:
         """Hands over all cells, drains requests in flight and leaves.
 
@@ -244,9 +239,8 @@
         event("node_leaving", cells=len(self._owners))
         self._drain_callers()
         await self.member.stop()
-        for owner in list(self._owners.values()):
-            await owner.release("leaving")
-            self._save_leases(owner)
+        for cell in list(self._owners):
+            await self._release(cell, "leaving")
         await self.member.leave()
         await asyncio.sleep(DRAIN_NOTICE_MS / MS_PER_SECOND)
         while self._in_flight and self._clock.now_ms() < until_ms:
@@ -279,29 +273,92 @@
         )
 
     async def _on_assignment(self, cells: frozenset[int]) -> None:
-        """Starts and ends ownerships to match the assigned cells."""
-        for cell, owner in list(self._owners.items()):
-            if cell not in cells and not owner.ended:
-                await owner.release("dealt to another node")
-            if owner.ended or owner.crashed:
-                self._save_claims(owner)
-                self._save_leases(owner)
-                del self._owners[cell]
-                await owner.stop()
-        if self._leaving:
+        """Claims cells that this node may own; releases all to stand by.
+
+        The cells that the group assigns matter for `Candidacy` alone.
+        """
+        if self.member.standing_by:
+            for cell in list(self._owners):
+                await self._release(cell, "standing by")
+            return
+        for cell in self._claims:
+            await self._remove_ended(cell)
+            self._consider(cell)
+
+    def _on_claim(self, cell: int, claim: Claim) -> None:
+        """Handles another latest claim of a cell, or the first read of it."""
+        self._witness.record_claim(cell, claim.epoch)
+        owner = self._owners.get(cell)
+        if owner is not None:
+            owner.fence(claim.epoch)
+        self._consider(cell)
+
+    @property
+    def _may_own(self) -> bool:
+        return not (self._leaving or self.member.standing_by)
+
+    def _consider(self, cell: int) -> None:
+        """Claims a cell in the background if this node may."""
+        is_free = cell not in self._owners and cell not in self._considered
+        if self._may_own and is_free and self._candidacies[cell].is_due:
+            self._considered.add(cell)
+            self.add_future(self._claim_if_free(cell))
+
+    async def _claim_if_free(self, cell: int) -> None:
+        try:
+            after_epoch = await self._candidacies[cell].may_claim_after()
+        finally:
+            self._considered.discard(cell)
+        if after_epoch is not None:
+            await self._own(cell, after_epoch)
+
+    async def _own(self, cell: int, after_epoch: int) -> None:
+        """Starts an ownership, unless there is one or this node leaves.
+
+        Args:
+            cell: Number of the cell.
+            after_epoch: Epoch of the claim that the new one is to follow.
+        """
+        await self._remove_ended(cell)
+        if self._may_own and cell not in self._owners:
+            owner = self._new_owner(cell, after_epoch)
+            self._owners[cell] = owner
+            await self.add_runtime_dependency(owner)
+
+    async def _remove_ended(self, cell: int) -> None:
+        """Removes an ownership that has ended."""
+        owner = self._owners.get(cell)
+        if owner is not None and (owner.ended or owner.crashed):
+            self._save_claims(owner)
+            self._save_leases(owner)
+            del self._owners[cell]
+            await owner.stop()
+
+    async def _release(self, cell: int, reason: str) -> None:
+        """Ends an ownership, if there is one, and has another node succeed."""
+        owner = self._owners[cell]
+        if owner.ended:
             return
-        for cell in cells & self._owners.keys():
-            self._owners[cell].on_join()
-        for cell in cells:
-            if cell < CELL_COUNT and cell not in self._owners:
-                self._owners[cell] = self._new_owner(cell)
-                await self.add_runtime_dependency(self._owners[cell])
-
-    def _new_owner(self, cell: int) -> CellOwner:
+        await owner.release(reason)
+        self._save_claims(owner)
+        self._save_leases(owner)
+        if owner.epoch:
+            await hand_over(
+                cell,
+                owner.epoch,
+                self.member,
+                self._claims[cell],
+                self._adapters.peers,
+                self._clock,
+            )
+
+    def _new_owner(self, cell: int, after_epoch: int) -> CellOwner:
         adapters = self._adapters
         return CellOwner(
             cell,
+            after_epoch,
             self.member,
+            self._claims[cell],
             adapters.store,
             adapters.workers,
             adapters.advice,
@@ -313,6 +370,7 @@
             self._params,
             self._cfg.state_kept_ms,
             self._witness,
+            self._cfg.group_ttl_ms,
         )
 
     def _gauges(self) -> list[Gauge]:
@@ -373,9 +431,36 @@
             for job in jobs
         )
 
-    def extend(self, cell: int, epoch: int) -> bool:
+    async def find_owner(self, cell: int, refresh: bool = False) -> str:
+        """See `LocalCells.find_owner`."""
+        claims = self._claims[cell]
+        if refresh:
+            await claims.refresh()
+        if claims.latest is not None and claims.latest.member:
+            return claims.latest.member
+        return await self.member.assigned_member(cell, refresh)
+
+    def is_self(self, member: str) -> bool:
+        """See `LocalCells.is_self`."""
+        return member == self.member.name
+
+    def extend(self, cell: int, epoch: int, joined: bool = False) -> bool:
         """See `LocalCells.extend`."""
-        return self._witness.extend(cell, epoch)
+        return self._witness.extend(cell, epoch, joined)
+
+    def succeed(self, cell: int, epoch: int) -> bool:
+        """See `LocalCells.succeed`."""
+        if not (self.ready and self._may_own and cell in self._claims):
+            return False
+        self.add_future(self._own(cell, epoch))
+        return True
+
+    def ownership_status(self, cell: int) -> OwnershipStatus:
+        """See `LocalCells.ownership_status`."""
+        owner = self._owners.get(cell)
+        is_alive = owner is not None and not owner.ended
+        age_ms = owner.confirmed_age_ms if is_alive else None
+        return OwnershipStatus(self.member.name, age_ms)
 
     def fence(self, cell: int, epoch: int) -> RemainingLeases:
         """See `LocalCells.fence`."""
--- a/src/limpetyard/node/_order_permit.py
+++ b/src/limpetyard/node/_order_permit.py
@@ -134,17 +134,18 @@
         """Handles that the latest record has been stored."""
         self._stored = self._sent
 
-    async def extend(self, epoch: int) -> None:
+    async def extend(self, epoch: int, joined: bool = False) -> None:
         """Asks the witnesses for an extension, if there is a need.
 
         Args:
             epoch: Epoch of the ownership.
+            joined: Whether the owner has joined its group lately.
         """
         age_ms = self.age_ms
         if not EXTEND_AFTER_MS <= age_ms < self._params.self_fence_ms:
             return
         replies = await asyncio.gather(
-            *(self._ask(witness, epoch) for witness in self.witnesses)
+            *(self._ask(witness, epoch, joined) for witness in self.witnesses)
         )
         event(
             "orders_extended",
@@ -154,9 +155,10 @@
             age_ms=age_ms,
         )
 
-    async def _ask(self, witness: str, epoch: int) -> bool:
+    async def _ask(self, witness: str, epoch: int, joined: bool) -> bool:
         sent_ms = self._clock.now_ms()
-        extended = await self._peers.extend(witness, self._cell, epoch)
+        ask = self._peers.extend_joined if joined else self._peers.extend
+        extended = await ask(witness, self._cell, epoch)
         if extended:
             self._extended_ms[witness] = sent_ms + EXTENSION_MS
         return extended
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -1,8 +1,8 @@
 """Ownership of one cell: takeover, planning, orders and persistence.
 
-A consumer group of the store assigns the owner. The offset of its claim gives
-its epoch, which fences its appends in the store and its orders at the workers.
-A wrong or duplicate assignment therefore costs time but not correctness.
+The offset of the owner's claim gives its epoch, which fences its appends in the
+store and its orders at the workers. A wrong or duplicate claim therefore costs
+time but not correctness.
 """
 
 import asyncio
@@ -34,20 +34,23 @@
     chunk_job,
     progress_changes,
 )
-from limpetyard.node._member import GroupMember
+from limpetyard.node._claims import ClaimsFollower
+from limpetyard.node._member import JOINS_PER_TTL, GroupMember
 from limpetyard.node._order_dispatch import OrderDispatcher
-from limpetyard.node._order_permit import EXTEND_INTERVAL_MS, OrderPermit
+from limpetyard.node._order_permit import (
+    EXTEND_AFTER_MS,
+    EXTEND_INTERVAL_MS,
+    OrderPermit,
+)
 from limpetyard.node._peers import PeerClient
 from limpetyard.node._polling import WorkerPoller
 from limpetyard.node._predecessor import Predecessor
 from limpetyard.node._records import RecordApplier
 from limpetyard.node._site import SiteView
 from limpetyard.node._store_layout import (
-    CLAIM_KEY,
     EXTERNAL_PARTITION,
     JOBS_TOPIC,
     OWNER_PRODUCER,
-    OWNERS_TOPIC,
     PLACES_KEY,
     SETTLED_KEY,
     UNLEASED_KEY,
@@ -55,6 +58,7 @@
     WORKER_KEY_PREFIX,
     WORKERS_TOPIC,
 )
+from limpetyard.node._term import SupersededError, Term
 from limpetyard.node._unleased_workers import UnleasedWorkers
 from limpetyard.node._witness import Witness
 from limpetyard.store import (
@@ -97,10 +101,6 @@
 # Maximum time that a release spends on storing the latest state.
 RELEASE_TIMEOUT_MS = 150
 
-# Time-out of the read of the claims by which an owner confirms that it still
-# holds the cell. It leaves time for another one before orders are held back.
-CLAIM_CHECK_TIMEOUT_MS = 600
-
 # Delay after a failed takeover or an append that the store refused.
 STORE_RETRY_MS = 100
 
@@ -121,15 +121,16 @@
         cell: Number of the cell.
         state_machine: State machine of the ownership, from the `owner` chart.
         engine: Scheduling state and planner; None before the claim.
-        state_loaded: Whether the cell's state has been loaded and the group has
-            confirmed the assignment since the claim, so that orders may have
-            been issued. Stays true after the ownership has ended.
+        state_loaded: Whether the cell's state has been loaded, so that orders
+            may have been issued. Stays true after the ownership has ended.
     """
 
     def __init__(
         self,
         cell: int,
+        after_epoch: int,
         member: GroupMember,
+        claims: ClaimsFollower,
         store: Store,
         workers: StepWorkerClient,
         advice: AdviceClient | None,
@@ -141,7 +142,30 @@
         params: EngineParams,
         retention_ms: float,
         witness: Witness,
+        group_ttl_ms: float,
     ):
+        """Initializes an ownership.
+
+        Args:
+            cell: Number of the cell.
+            after_epoch: Epoch of the claim that the new one is to follow; 0
+                for the first one.
+            member: Membership of this node.
+            claims: Claims of the cell.
+            store: The store.
+            workers: Client of the workers.
+            advice: Client of the advice service, or None.
+            peers: Client of other nodes.
+            view: Latest known configuration of the site.
+            parse_worker_entry: Decodes the directory entry of a worker.
+            clock: Clock for all times.
+            wall_ms: Returns the time of day.
+            params: Time limits of all owners.
+            retention_ms: Time for which the state of an ended job is retained.
+            witness: Witness of this process.
+            group_ttl_ms: Time to live of memberships; the claim is confirmed as
+                often as the membership.
+        """
         super().__init__()
         self.cell = cell
         self.state_machine = StateMachine(StateChart.load("owner"))
@@ -168,16 +192,17 @@
             cell, store, peers, clock, params, witness
         )
         self._permit = OrderPermit(cell, peers, clock, params)
-        # Generation of the group for which it is known that no other node has
-        # held the cell since the claim.
-        self._generation = member.assigned_generation
-        self._assigned_ms = clock.now_ms()
-        self._claimed_ms: float | None = None
+        self._term = Term(
+            cell,
+            member.name,
+            after_epoch,
+            store,
+            claims,
+            self._permit,
+            clock,
+            group_ttl_ms / JOINS_PER_TTL,
+        )
         self._writer_fenced_ms = 0.0
-        self._checking_claim = False
-        # Set once a join after the claim has confirmed the assignment, or the
-        # ownership has ended.
-        self._held = asyncio.Event()
         self._persist_lock = asyncio.Lock()
         self._read_lock = asyncio.Lock()
         self._plan_needed = asyncio.Event()
@@ -214,6 +239,16 @@
         """Whether this ownership has ended."""
         return self.state_machine.state == "ended"
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the claim, 0 before the reply to it."""
+        return self._term.epoch
+
+    @property
+    def confirmed_age_ms(self) -> float | None:
+        """Time since the last confirmation, None without any."""
+        return self._permit.age_ms if self._term.epoch else None
+
     @property
     def removed_workers(self) -> frozenset[str]:
         """Workers that have departed, but whose records are not deleted yet."""
@@ -250,6 +285,9 @@
             except (FencedError, SequenceError) as exc:
                 self.end_ownership(f"fenced: {exc}")
                 return
+            except SupersededError as exc:
+                self.end_ownership(str(exc))
+                return
             except StoreError as exc:
                 event("takeover_failed", cell=self.cell, reason=exc)
                 await asyncio.sleep(STORE_RETRY_MS / MS_PER_SECOND)
@@ -268,69 +306,10 @@
     async def _extend_loop(self) -> None:
         """Keeps the permission to order while the store does not answer."""
         while not self.ended and not self.should_stop:
-            await self._permit.extend(self.engine.epoch)
+            joined = self._member.has_joined_within(EXTEND_AFTER_MS)
+            await self._permit.extend(self.engine.epoch, joined)
             await asyncio.sleep(EXTEND_INTERVAL_MS / MS_PER_SECOND)
 
-    def on_join(self) -> None:
-        """Handles a join by which the group has assigned the cell again.
-
-        Within one generation the cell stays with one member. Otherwise another
-        owner may have claimed it in between, which the claims show.
-        """
-        sent_ms = self._member.confirmed_ms
-        generation = self._member.assigned_generation
-        if self.ended or self._claimed_ms is None or sent_ms < self._claimed_ms:
-            return
-        if generation == self._generation:
-            self._confirm(sent_ms, self._assigned_ms)
-        elif not self._checking_claim:
-            self._checking_claim = True
-            now_ms = self._clock.now_ms()
-            self._spawn(self._check_claim(sent_ms, generation, now_ms))
-
-    async def _check_claim(
-        self, sent_ms: float, generation: int, held_ms: float
-    ) -> None:
-        """Confirms the ownership unless there is a later claim.
-
-        Args:
-            sent_ms: Send time of the join after which this is called.
-            generation: Generation of the group in its reply.
-            held_ms: When the reply arrived.
-        """
-        try:
-            async with asyncio.timeout(CLAIM_CHECK_TIMEOUT_MS / MS_PER_SECOND):
-                page = await self._store.read_latest(
-                    OWNERS_TOPIC, self.cell, ""
-                )
-        except (StoreError, TimeoutError) as exc:
-            reason = str(exc) or "no reply in time"
-            event("claims_unread", epoch=self.engine.epoch, reason=reason)
-            return
-        finally:
-            self._checking_claim = False
-        epochs = [r.offset + 1 for r in page.records if r.key == CLAIM_KEY]
-        latest = max(epochs, default=0)
-        if latest > self.engine.epoch:
-            self.end_ownership(f"epoch {latest} has claimed the cell")
-            return
-        self._generation = generation
-        self._confirm(sent_ms, held_ms)
-
-    def _confirm(self, sent_ms: float, held_ms: float) -> None:
-        """Records that the cell is held.
-
-        Args:
-            sent_ms: Send time of the join that has confirmed it.
-            held_ms: Since when, if this is the first confirmation.
-        """
-        if self.ended:
-            return
-        self._permit.confirm(sent_ms)
-        if self._predecessor.held_ms is None:
-            self._predecessor.held_ms = held_ms
-            self._held.set()
-
     def _spawn(self, work: Coroutine) -> asyncio.Task:
         """Runs a coroutine as a guarded task of this service."""
         return self.add_future(self._guard(work))
@@ -358,12 +337,14 @@
         """
         start_ms = self._clock.now_ms()
         if self.state_machine.state == "claiming":
-            await self._predecessor.read()
-            await self._claim()
-            self.state_machine.fire("claimed")
-            self._end_if_fenced()
+            latest_epoch = await self._predecessor.read()
+            await self._term.claim(latest_epoch)
+            if not self.ended:
+                self._on_claimed()
             if self.ended:
                 return
+            self.state_machine.fire("claimed")
+            self._spawn(self._term.confirm_repeatedly(self.end_ownership))
             self._spawn(self._fence_predecessor())
         await self._writer.fence()
         # What earlier owners have stored was made before this.
@@ -384,13 +365,25 @@
 
     async def _fence_predecessor(self) -> None:
         await self._predecessor.fence(self.engine.epoch)
-        self._apply_predecessor_bounds()
+        await self._bound_predecessors()
         while not self._predecessor.is_certain and not self.ended:
             await self._predecessor.fence_again(self.engine.epoch)
-            self._apply_predecessor_bounds()
+            await self._bound_predecessors()
         if not self.ended:
             self._predecessor.log_bounds(self.engine.epoch)
 
+    async def _bound_predecessors(self) -> None:
+        self._apply_predecessor_bounds()
+        await self._predecessor.find_held(
+            self._term.epoch, self._term.claimed_ms, self._read_holder
+        )
+        self._apply_predecessor_bounds()
+
+    async def _read_holder(self) -> str:
+        """Reads which member holds the partition of the cell."""
+        members = await self._member.read_assignments()
+        return (members or {}).get(self.cell, "")
+
     def _apply_predecessor_bounds(self) -> None:
         """Applies the bounds on runs and orders of earlier owners.
 
@@ -411,13 +404,9 @@
         )
         self._plan_needed.set()
 
-    async def _claim(self) -> None:
-        """Appends the claim, whose offset gives the epoch."""
-        record = KeyedRecord(CLAIM_KEY, self._member.name.encode())
-        offset = await self._store.append(OWNERS_TOPIC, self.cell, [record])
-        epoch = offset + 1
-        self._claimed_ms = self._clock.now_ms()
-        self._member.join_now()
+    def _on_claimed(self) -> None:
+        """Handles the reply to the claim, which gives the epoch."""
+        epoch = self._term.epoch
         event("cell_claimed", cell=self.cell, epoch=epoch)
         self.engine = Engine(epoch, self._params)
         self._dispatcher = OrderDispatcher(
@@ -449,6 +438,7 @@
             OWNER_PRODUCER,
             epoch,
         )
+        self._end_if_fenced()
 
     async def _load(self) -> None:
         self._record_applier = RecordApplier(
@@ -505,7 +495,6 @@
             worker.prior_lease_end_ms = float("inf")
         self.engine.predecessor_until_ms = float("inf")
         self.engine.crashes.expect_runs(self._clock.now_ms())
-        await self._held.wait()
         if self.ended:
             return
         self._unleased = UnleasedWorkers(
@@ -923,18 +912,15 @@
         if self.ended:
             return
         self.state_machine.fire("lost")
-        self._held.set()
-        confirmed_ms = self._member.confirmed_ms
-        event(
-            "cell_lost",
-            cell=self.cell,
-            reason=reason,
-            confirmed_age_ms=(
-                None
-                if confirmed_ms is None
-                else self._clock.now_ms() - confirmed_ms
-            ),
-        )
+        if self._term.epoch:
+            event(
+                "cell_lost",
+                cell=self.cell,
+                reason=reason,
+                confirmed_age_ms=self.confirmed_age_ms,
+            )
+        else:
+            event("claim_given_up", cell=self.cell, reason=reason)
         for task in self._poll_tasks.values():
             task.cancel()
 
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -1,5 +1,6 @@
 """Calls between nodes: client, server and errors."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -24,6 +25,9 @@
 
 _HTTP_GONE = 410
 
+# Last part of the path by which an owner that has joined asks a witness.
+_JOINED = "joined"
+
 
 class PeerUnavailableError(Exception):
     """A node sent no usable reply, or is not the owner of the cell."""
@@ -54,6 +58,22 @@
     extended: bool
 
 
+class _Succession(msgspec.Struct):
+    accepted: bool
+
+
+class OwnershipStatus(msgspec.Struct):
+    """What a process says about its ownership of a cell.
+
+    Attributes:
+        member: Member name of the process.
+        age_ms: Time since the ownership was confirmed, or None if it has none.
+    """
+
+    member: str
+    age_ms: float | None = None
+
+
 class LocalCells(Protocol):
     """Queries that a node answers for the cells that it owns.
 
@@ -71,9 +91,33 @@
     def queue_pending(self, queue: str) -> int:
         """Returns the number of queued jobs of a queue, without timed ones."""
 
-    def extend(self, cell: int, epoch: int) -> bool:
+    def extend(self, cell: int, epoch: int, joined: bool = False) -> bool:
         """Extends the orders of an owner; see `Witness.extend`."""
 
+    def succeed(self, cell: int, epoch: int) -> bool:
+        """Starts to claim a cell if its latest claim is of an epoch.
+
+        Returns:
+            Whether this node tries to.
+        """
+
+    def ownership_status(self, cell: int) -> OwnershipStatus:
+        """Returns whether this node owns a cell."""
+
+    async def find_owner(self, cell: int, refresh: bool = False) -> str:
+        """Returns the member that has claimed a cell last, or "" if unknown.
+
+        If there is no claim, that is the member that the group has assigned it
+        to.
+
+        Args:
+            cell: Number of the cell.
+            refresh: Whether the last result was wrong.
+        """
+
+    def is_self(self, member: str) -> bool:
+        """Returns whether a member is this node."""
+
     def fence(self, cell: int, epoch: int) -> RemainingLeases:
         """Ends this node's ownerships of a cell with an epoch below `epoch`.
 
@@ -108,6 +152,15 @@
     async def extend(self, address: str, cell: int, epoch: int) -> bool:
         """Asks a witness to extend the orders of an owner."""
 
+    async def extend_joined(self, address: str, cell: int, epoch: int) -> bool:
+        """As `extend`, for an owner that has joined its group lately."""
+
+    async def succeed(self, member: str, cell: int, epoch: int) -> bool:
+        """Asks a member to claim a cell that its owner has given up."""
+
+    async def ownership_age_ms(self, member: str, cell: int) -> float | None:
+        """Returns when a member was confirmed as the owner of a cell."""
+
     async def answers(self, member: str) -> bool:
         """Returns whether a member answers."""
 
@@ -199,10 +252,25 @@
         Returns:
             Whether it did; False without a reply.
         """
-        url = f"http://{address}/v1/extensions/{cell}/{epoch}"
+        return await self._extend(f"{address}/v1/extensions/{cell}/{epoch}")
+
+    async def extend_joined(self, address: str, cell: int, epoch: int) -> bool:
+        """As `extend`, for an owner that has joined its group lately.
+
+        Args:
+            address: Address of the witness.
+            cell: Number of the cell.
+            epoch: Epoch of the owner.
+        """
+        # Witnesses of earlier releases ignore what follows the epoch.
+        return await self._extend(
+            f"{address}/v1/extensions/{cell}/{epoch}/{_JOINED}"
+        )
+
+    async def _extend(self, path: str) -> bool:
         try:
             reply = await self._http_client.call(
-                "POST", url, b"", PEER_TIMEOUT_MS
+                "POST", f"http://{path}", b"", PEER_TIMEOUT_MS
             )
             if reply.status != 200:
                 return False
@@ -213,9 +281,46 @@
             msgspec.MsgspecError,
             ValueError,
         ) as exc:
+            address = path.partition("/")[0]
             event("witness_unreachable", address=address, reason=exc)
             return False
 
+    async def succeed(self, member: str, cell: int, epoch: int) -> bool:
+        """Asks a member to claim a cell that its owner has given up.
+
+        Args:
+            member: Name of the member.
+            cell: Number of the cell.
+            epoch: Epoch of the latest claim, that of the owner.
+
+        Returns:
+            Whether it tries to; False without a reply.
+        """
+        path = f"/v1/successions/{cell}/{epoch}"
+        try:
+            reply = await self._request("POST", member, path)
+            return msgspec.json.decode(reply.body, type=_Succession).accepted
+        except (PeerUnavailableError, msgspec.MsgspecError):
+            return False
+
+    async def ownership_age_ms(self, member: str, cell: int) -> float | None:
+        """Returns when a member was confirmed as the owner of a cell.
+
+        Args:
+            member: Name of the member.
+            cell: Number of the cell.
+
+        Returns:
+            Time since then, or None without a reply of this very process, or
+            if it does not own the cell.
+        """
+        try:
+            reply = await self._get(member, f"/v1/ownerships/{cell}")
+            status = msgspec.json.decode(reply.body, type=OwnershipStatus)
+        except (PeerUnavailableError, msgspec.MsgspecError):
+            return None
+        return status.age_ms if status.member == member else None
+
     async def _fence(
         self, address: str, cell: int, epoch: int
     ) -> RemainingLeases | None:
@@ -257,13 +362,19 @@
         return True
 
     async def _get(self, member: str, path: str) -> HttpResponse:
+        return await self._request("GET", member, path)
+
+    async def _request(
+        self, method: str, member: str, path: str
+    ) -> HttpResponse:
         address = member_address(member)
         if not address:
             raise PeerUnavailableError("no owner is known")
         url = f"http://{address}{path}"
         try:
+            body = None if method == "GET" else b""
             reply = await self._http_client.call(
-                "GET", url, None, PEER_TIMEOUT_MS
+                method, url, body, PEER_TIMEOUT_MS
             )
         except (NotSentError, OutcomeUnknownError) as exc:
             raise PeerUnavailableError(str(exc)) from exc
@@ -274,6 +385,21 @@
         return reply
 
 
+# Replies to calls without a wait, by the first part of the path after the
+# version and from the parts that follow it.
+_REPLIES: dict[str, Callable[[LocalCells, list[str]], msgspec.Struct]] = {
+    "queues": lambda cells, args: _PendingReply(cells.queue_pending(args[0])),
+    "cells": lambda cells, args: cells.fence(int(args[0]), int(args[2])),
+    "extensions": lambda cells, args: _Extension(
+        cells.extend(int(args[0]), int(args[1]), args[2:] == [_JOINED])
+    ),
+    "successions": lambda cells, args: _Succession(
+        cells.succeed(int(args[0]), int(args[1]))
+    ),
+    "ownerships": lambda cells, args: cells.ownership_status(int(args[0])),
+}
+
+
 class PeerServer:
     """Serves calls of other nodes."""
 
@@ -299,23 +425,14 @@
             return web.Response(status=404)
 
     async def _dispatch(self, parts: list[str]) -> web.Response:
-        collection = parts[1]
+        collection, args = parts[1], parts[2:]
         if collection == "alive":
             return web.Response()
         if collection == "jobs":
-            return _json_response(await self._cells.job_status(parts[2]))
-        if collection == "queues":
-            return _json_response(
-                _PendingReply(self._cells.queue_pending(parts[2]))
-            )
-        if collection == "cells":
-            return _json_response(
-                self._cells.fence(int(parts[2]), int(parts[4]))
-            )
-        if collection == "extensions":
-            extended = self._cells.extend(int(parts[2]), int(parts[3]))
-            return _json_response(_Extension(extended))
-        raise ValueError(collection)
+            return _json_response(await self._cells.job_status(args[0]))
+        if collection not in _REPLIES:
+            raise ValueError(collection)
+        return _json_response(_REPLIES[collection](self._cells, args))
 
 
 def _json_response(data: msgspec.Struct | None) -> web.Response:
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
@@ -17,6 +18,7 @@
     CLAIM_KEY,
     OWNERS_TOPIC,
     member_address,
+    member_confirms_by_claims,
     member_needs_witnesses,
     member_stores_places,
 )
@@ -46,8 +48,8 @@
         unleased_ends_ms: Latest time at which runs of that owner, or of earlier
             ones, may exist on workers to which it grants no lease, by id.
         witnesses: Addresses of the witnesses of earlier owners, by epoch.
-        held_ms: Time since which the new owner has held the cell, so that no
-            earlier one was confirmed after it; None while it is not known.
+        held_ms: Time after which no earlier owner was confirmed; None while it
+            is not known.
         settled_epoch: Epoch of an owner that knew that no owner before it
             issues orders, 0 if there was none; None before it has been read.
     """
@@ -166,6 +168,36 @@
                 end_ms = max(end_ms, min(ends_ms, default=longest_ms))
         return min(end_ms, longest_ms)
 
+    async def find_held(
+        self,
+        epoch: int,
+        claimed_ms: float,
+        read_holder: Callable[[], Awaitable[str]],
+    ) -> None:
+        """Determines `held_ms`, if that is possible yet.
+
+        The reply to the new claim confirms that no earlier owner is confirmed
+        after it, as reads of the claims show it. An owner of an earlier release
+        is confirmed by joins without such a read as long as it holds the
+        partition of the cell.
+
+        Args:
+            epoch: Epoch of the new ownership.
+            claimed_ms: When the reply to its claim arrived.
+            read_holder: Reads which member holds the partition of the cell;
+                returns "" if that is not known.
+        """
+        if self.held_ms is not None or self.settled_epoch is None:
+            return
+        epochs = self._unsettled_epochs()
+        if epochs is not None:
+            members = [await self._member_of(e, epoch) for e in epochs]
+            if all(member_confirms_by_claims(m or "") for m in members):
+                self.held_ms = claimed_ms
+                return
+        if member_confirms_by_claims(await read_holder()):
+            self.held_ms = self._clock.now_ms()
+
     def _unsettled_epochs(self) -> range | None:
         """Returns the epochs of earlier owners that may still issue orders.
 
@@ -188,8 +220,8 @@
         own = member_address(self.claims.get(owner_epoch, ""))
         return [a for a in (own, *self.witnesses[owner_epoch]) if a]
 
-    async def read(self) -> None:
-        """Reads the latest claim.
+    async def read(self) -> int:
+        """Reads the latest claim and returns its epoch, 0 without any.
 
         Must be called before the new owner appends its claim. What has been
         read is kept: after an unanswered append the latest claim may be that of
@@ -198,11 +230,11 @@
         Raises:
             StoreError: If the claims cannot be read.
         """
-        if self._read_ms is not None:
-            return
-        page = await self._store.read_latest(OWNERS_TOPIC, self._cell, "")
-        self._add_claims(page.records)
-        self._read_ms = self._clock.now_ms()
+        if self._read_ms is None:
+            page = await self._store.read_latest(OWNERS_TOPIC, self._cell, "")
+            self._add_claims(page.records)
+            self._read_ms = self._clock.now_ms()
+        return max(self.claims, default=0)
 
     def _add_claims(self, records: list[StoredRecord]) -> None:
         for record in records:
--- a/src/limpetyard/node/_store_layout.py
+++ b/src/limpetyard/node/_store_layout.py
@@ -49,6 +49,11 @@
 # `EngineParams.unwitnessed_ms` only if its witnesses extend them.
 WITNESSES_MARK = PLACES_MARK + "w"
 
+# Begin of the nonce of a member that, in addition, is confirmed as the owner by
+# reads of the claims alone, whichever partitions it holds, and keeps the cell
+# while it is in the group.
+CLAIMS_MARK = WITNESSES_MARK + "s"
+
 # Key prefix, before the id, of workers that may have received orders.
 WORKER_KEY_PREFIX = "w/"
 
@@ -84,6 +89,11 @@
     return _nonce(member).startswith(WITNESSES_MARK)
 
 
+def member_confirms_by_claims(member: str) -> bool:
+    """Returns whether reads of the claims confirm it; see `CLAIMS_MARK`."""
+    return _nonce(member).startswith(CLAIMS_MARK)
+
+
 def _nonce(member: str) -> str:
     parts = member.split("|")
     return parts[2].rpartition("-")[2] if len(parts) == 3 else ""
--- /dev/null
+++ b/src/limpetyard/node/_term.py
@@ -0,0 +1,136 @@
+"""One claim of a cell, and what confirms it.
+
+The offset of the claim is the epoch. An owner is confirmed, as of the send time
+of a call, by a reply that shows its claim as the latest one. So none is
+confirmed after the reply to a later claim.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from limpetyard._clock import MS_PER_SECOND, Clock
+from limpetyard._events import event
+from limpetyard.node._claims import ClaimsFollower
+from limpetyard.node._order_permit import OrderPermit
+from limpetyard.node._store_layout import CLAIM_KEY, OWNERS_TOPIC
+from limpetyard.store import KeyedRecord, Store, StoreError
+
+# Time-out of a read of the claims. It leaves time for another one before orders
+# are held back.
+CLAIM_CHECK_TIMEOUT_MS = 600
+
+# Delay after a failed read of the claims.
+CLAIM_RETRY_MS = 100
+
+
+class SupersededError(Exception):
+    """Another node has claimed the cell first."""
+
+
+class Term:
+    """Claim of a cell by this process, and its confirmation.
+
+    Attributes:
+        epoch: Epoch of the claim, 0 before the reply to it.
+        claimed_ms: When the reply to the claim arrived, None before that.
+    """
+
+    __slots__ = (
+        "_after_epoch",
+        "_cell",
+        "_claims",
+        "_clock",
+        "_interval_ms",
+        "_is_retry",
+        "_member",
+        "_permit",
+        "_store",
+        "claimed_ms",
+        "epoch",
+    )
+
+    def __init__(
+        self,
+        cell: int,
+        member: str,
+        after_epoch: int,
+        store: Store,
+        claims: ClaimsFollower,
+        permit: OrderPermit,
+        clock: Clock,
+        interval_ms: float,
+    ):
+        """Initializes a term.
+
+        Args:
+            cell: Number of the cell.
+            member: Member name of this process.
+            after_epoch: Epoch of the claim that this one follows.
+            store: Store of the claims.
+            claims: Claims of the cell.
+            permit: Permission to order that confirmations renew.
+            clock: Clock for all times.
+            interval_ms: Time between two reads of the claims.
+        """
+        self.epoch = 0
+        self.claimed_ms: float | None = None
+        self._cell = cell
+        self._member = member
+        self._after_epoch = after_epoch
+        self._store = store
+        self._claims = claims
+        self._permit = permit
+        self._clock = clock
+        self._interval_ms = interval_ms
+        self._is_retry = False
+
+    async def claim(self, latest_epoch: int) -> None:
+        """Appends the claim; may be called again after a StoreError.
+
+        Args:
+            latest_epoch: Epoch of the latest claim, as read before this.
+
+        Raises:
+            SupersededError: If there is a later claim than the one that this
+                one is to follow.
+            StoreError: If the claim got no usable reply.
+        """
+        if self._is_retry:
+            latest = await self._claims.read()
+            # An attempt without a reply may have been executed.
+            is_own = latest.member == self._member
+            latest_epoch = self._after_epoch if is_own else latest.epoch
+        if latest_epoch != self._after_epoch:
+            raise SupersededError(f"epoch {latest_epoch} has claimed the cell")
+        self._is_retry = True
+        record = KeyedRecord(CLAIM_KEY, self._member.encode())
+        sent_ms = self._clock.now_ms()
+        offset = await self._store.append(OWNERS_TOPIC, self._cell, [record])
+        self.epoch = offset + 1
+        self.claimed_ms = self._clock.now_ms()
+        self._permit.confirm(sent_ms)
+
+    async def confirm_repeatedly(self, end: Callable[[str], None]) -> None:
+        """Reads the claims until there is a later one.
+
+        Args:
+            end: Called with the reason when there is a later claim.
+        """
+        while True:
+            sent_ms = self._clock.now_ms()
+            pause_ms = self._interval_ms
+            try:
+                timeout_s = CLAIM_CHECK_TIMEOUT_MS / MS_PER_SECOND
+                async with asyncio.timeout(timeout_s):
+                    latest = await self._claims.read()
+            except (StoreError, TimeoutError) as exc:
+                reason = str(exc) or "no reply in time"
+                event("claims_unread", epoch=self.epoch, reason=reason)
+                pause_ms = CLAIM_RETRY_MS
+            else:
+                if latest.epoch > self.epoch:
+                    end(f"epoch {latest.epoch} has claimed the cell")
+                    return
+                self._permit.confirm(sent_ms)
+            left_ms = sent_ms + pause_ms - self._clock.now_ms()
+            await asyncio.sleep(max(0.0, left_ms) / MS_PER_SECOND)
--- a/src/limpetyard/node/_witness.py
+++ b/src/limpetyard/node/_witness.py
@@ -2,9 +2,10 @@
 
 An owner that hears nothing from the store may issue orders for some time. It
 may do so for longer while each witness, a node that is named in its claim,
-extends that time. A node extends none while it hears from the store itself,
-as another node can own the cell then. So a new owner needs the reply of one
-witness of an earlier owner to know when that one has stopped.
+extends that time. A node extends none while it hears from the store itself, as
+another node can own the cell then; but an owner that is in the group keeps it.
+So a new owner needs the reply of one witness of an earlier owner to know when
+that one has stopped.
 """
 
 from collections.abc import Callable
@@ -15,7 +16,8 @@
 # Time by which a witness extends the orders of an owner.
 EXTENSION_MS = 2000
 
-# A witness extends nothing if it has heard from the store in this time.
+# A witness extends nothing if it has heard from the store in this time, unless
+# the owner has joined in this time.
 MIN_STORE_SILENCE_MS = 1000
 
 
@@ -73,13 +75,19 @@
     def _raise_epoch(self, cell: int, epoch: int) -> None:
         self._epochs[cell] = max(epoch, self._epochs.get(cell, 0))
 
-    def extend(self, cell: int, epoch: int) -> bool:
+    def extend(self, cell: int, epoch: int, joined: bool = False) -> bool:
         """Extends the orders of an owner by `EXTENSION_MS` from now on.
 
+        Args:
+            cell: Number of the cell.
+            epoch: Epoch of the owner.
+            joined: Whether the owner has joined its group lately, so that no
+                other node claims the cell.
+
         Returns:
             False, without an extension, if this node has heard from the store
-            lately, has not read the claims of the cell since its start, or
-            knows of a later epoch.
+            lately and the owner has not joined, if it has not read the claims
+            of the cell since its start, or if it knows of a later epoch.
         """
         now_ms = self._clock.now_ms()
         heard_ms = self._heard_ms()
@@ -87,7 +95,7 @@
             cell not in self._read_cells
             or epoch < self._epochs[cell]
             or heard_ms is None
-            or now_ms - heard_ms < MIN_STORE_SILENCE_MS
+            or (not joined and now_ms - heard_ms < MIN_STORE_SILENCE_MS)
         ):
             return False
         self._extended_ms = max(
--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -186,6 +186,31 @@
         except PeerUnavailableError:
             return False
 
+    async def extend_joined(self, address: str, cell: int, epoch: int) -> bool:
+        try:
+            return await self._call_at(
+                address, lambda node: node.extend(cell, epoch, True)
+            )
+        except PeerUnavailableError:
+            return False
+
+    async def succeed(self, member: str, cell: int, epoch: int) -> bool:
+        try:
+            return await self._call(
+                member, lambda node: node.succeed(cell, epoch)
+            )
+        except PeerUnavailableError:
+            return False
+
+    async def ownership_age_ms(self, member: str, cell: int) -> float | None:
+        try:
+            status = await self._call(
+                member, lambda node: node.ownership_status(cell)
+            )
+        except PeerUnavailableError:
+            return None
+        return status.age_ms if status.member == member else None
+
 
 class SimulatedSite:
     """A site that runs in the event loop of the test.
