--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -365,19 +365,23 @@
 
     async def _fence_predecessor(self) -> None:
         await self._predecessor.fence(self.engine.epoch)
-        await self._bound_predecessors()
+        self._apply_predecessor_bounds()
         while not self._predecessor.is_certain and not self.ended:
             await self._predecessor.fence_again(self.engine.epoch)
-            await self._bound_predecessors()
+            self._apply_predecessor_bounds()
         if not self.ended:
             self._predecessor.log_bounds(self.engine.epoch)
 
-    async def _bound_predecessors(self) -> None:
-        self._apply_predecessor_bounds()
-        await self._predecessor.find_held(
-            self._term.epoch, self._term.claimed_ms, self._read_holder
-        )
-        self._apply_predecessor_bounds()
+    async def _find_held(self) -> None:
+        """Waits until it is known when earlier owners were confirmed last."""
+        predecessor, term = self._predecessor, self._term
+        while not self.ended:
+            await predecessor.find_held(
+                term.epoch, term.claimed_ms, self._read_holder
+            )
+            if predecessor.held_ms is not None:
+                break
+            await asyncio.sleep(STORE_RETRY_MS / MS_PER_SECOND)
 
     async def _read_holder(self) -> str:
         """Reads which member holds the partition of the cell."""
@@ -495,6 +499,8 @@
             worker.prior_lease_end_ms = float("inf")
         self.engine.predecessor_until_ms = float("inf")
         self.engine.crashes.expect_runs(self._clock.now_ms())
+        # What is stored and handed over of earlier owners' runs must be finite.
+        await self._find_held()
         if self.ended:
             return
         self._unleased = UnleasedWorkers(
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -174,12 +174,12 @@
         claimed_ms: float,
         read_holder: Callable[[], Awaitable[str]],
     ) -> None:
-        """Determines `held_ms`, if that is possible yet.
+        """Determines `held_ms`, if that is possible now.
 
-        The reply to the new claim confirms that no earlier owner is confirmed
-        after it, as reads of the claims show it. An owner of an earlier release
-        is confirmed by joins without such a read as long as it holds the
-        partition of the cell.
+        No read that is sent after the reply to the new claim shows an earlier
+        one as the latest. Only an owner of an earlier release is confirmed by
+        joins, without a read of the claims, as long as it holds the partition
+        of the cell.
 
         Args:
             epoch: Epoch of the new ownership.
@@ -187,12 +187,10 @@
             read_holder: Reads which member holds the partition of the cell;
                 returns "" if that is not known.
         """
-        if self.held_ms is not None or self.settled_epoch is None:
-            return
         epochs = self._unsettled_epochs()
         if epochs is not None:
-            members = [await self._member_of(e, epoch) for e in epochs]
-            if all(member_confirms_by_claims(m or "") for m in members):
+            members = [await self._member_of(e, epoch) or "" for e in epochs]
+            if all(map(member_confirms_by_claims, members)):
                 self.held_ms = claimed_ms
                 return
         if member_confirms_by_claims(await read_holder()):
