Tests name the owner and another node, whoever owned first

Cause: the first owner is no longer the first node in the order of names: the node that joined first claims, and keeps the cell. Three tests took the VM that lost the cell, or another one, by its place in the list of VMs.

Change: they hold on to the VM that was frozen, or take another one than the owner's. What they assert is the same.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -339,11 +339,11 @@
         if self.state_machine.state == "claiming":
             latest_epoch = await self._predecessor.read()
             await self._term.claim(latest_epoch)
-            if not self.ended:
-                self._on_claimed()
+            self._on_claimed()
+            self.state_machine.fire("claimed")
+            self._end_if_fenced()
             if self.ended:
                 return
-            self.state_machine.fire("claimed")
             self._spawn(self._term.confirm_repeatedly(self.end_ownership))
             self._spawn(self._fence_predecessor())
         await self._writer.fence()
@@ -442,7 +442,6 @@
             OWNER_PRODUCER,
             epoch,
         )
-        self._end_if_fenced()
 
     async def _load(self) -> None:
         self._record_applier = RecordApplier(
--- a/tests/node/test_long_running.py
+++ b/tests/node/test_long_running.py
@@ -118,9 +118,10 @@
 
         async def scenario(site: SimulatedSite) -> None:
             crash_worker(site, busy=False)
-            site.freeze(site.owner())
+            frozen = site.owner()
+            site.freeze(frozen)
             await asyncio.sleep(1.2)
-            self.assertIsNot(newest_owner(site), site.owner())
+            self.assertIsNot(newest_owner(site), frozen)
             fail_task(site)
 
         self.run_scenario(scenario)
--- a/tests/node/test_takeover_bounds.py
+++ b/tests/node/test_takeover_bounds.py
@@ -416,8 +416,7 @@
                     raise StoreOutcomeUnknownError("lost")
                 return await read_latest(topic, partition, after)
 
-            other = site.hosts[-1]
-            self.assertIsNot(other, host)
+            other = next(h for h in site.hosts if h is not host)
             held_back_ms = 0
             host.store_link.delay_ms = 25.0
             with mock.patch.object(store, "read_latest", lose_first):
--- a/tests/node/test_witness.py
+++ b/tests/node/test_witness.py
@@ -196,7 +196,8 @@
             site = SimulatedSite(4, 4)
             await site.start()
             await asyncio.sleep(SETTLED_S)
-            first, second = site.owner(), site.hosts[-1]
+            first = site.owner()
+            second = [host for host in site.hosts if host is not first][-1]
             name = first.node.member.name
             for link in second.worker_links.values():
                 link.cut = True
