--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -210,7 +210,7 @@
     ),
     "orders_held_back": EventKind(
         ("held_back", "age_ms"),
-        "Whether orders are withheld until the group confirms this owner or its"
+        "Whether orders are withheld until the claims confirm this owner or its"
         " witnesses extend them.",
     ),
     "owner_failed": EventKind(
--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -376,7 +376,7 @@
             reply = await self._http_client.call(
                 method, url, body, PEER_TIMEOUT_MS
             )
-        except (NotSentError, OutcomeUnknownError) as exc:
+        except (NotSentError, OutcomeUnknownError, ValueError) as exc:
             raise PeerUnavailableError(str(exc)) from exc
         if reply.status == _HTTP_GONE:
             raise JobNotFoundError(path)
