A leaving owner keeps the cell while its node drains; any order of a roll

Ruled out: a guess of the order of the roll; nodes that the owner has not seen join are asked in the order of their random names instead.

Change: only nodes without the cell leave the group at SIGTERM; the owner does 2.5 s later, which it spends draining anyway.

--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -18,6 +18,7 @@
     JOBS_TOPIC,
     member_address,
     member_cores,
+    member_nonce,
 )
 from limpetyard.store import Store, StoreError
 
@@ -328,12 +329,16 @@
     def newest_members(self) -> list[str]:
         """Returns the other members, those first that joined last.
 
-        Of members that joined at the same time, as far as is known, the most
-        preferred one comes first.
+        Of members that joined at the same time, as far as is known, the larger
+        one comes first, then any: a roll may follow the names of the nodes.
         """
         return sorted(
             self._first_reads.keys() - {"", self.name},
-            key=lambda name: (-self._first_reads[name], _rank(name)),
+            key=lambda name: (
+                -self._first_reads[name],
+                -member_cores(name),
+                member_nonce(name),
+            ),
         )
 
     def other_addresses(self) -> list[str] | None:
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -75,6 +75,13 @@
 # together, and lose the cell to each other, with room to spare.
 MAX_SAVED_CLAIMS = 64
 
+# A leaving node gives its cells up this long before it exits. Storing, naming a
+# successor and leaving the group take less.
+HAND_OVER_MS = 1200
+
+# Interval at which a leaving node checks whether it still owns a cell.
+KEEP_CHECK_MS = 50
+
 # A leaving node exits this long before it would be killed.
 EXIT_MARGIN_MS = 500
 
@@ -229,7 +236,7 @@
         event("node_started", node=cfg.node, zone=cfg.availability_zone)
 
     async def leave(self) -> None:
-        """Hands over all cells, drains requests in flight and leaves.
+        """Drains requests in flight, hands over all cells and leaves.
 
         Cuts off requests that are still in flight shortly before the node
         would be killed.
@@ -238,15 +245,29 @@
         until_ms = self._clock.now_ms() + self._cfg.leave_ms - EXIT_MARGIN_MS
         event("node_leaving", cells=len(self._owners))
         self._drain_callers()
+        notice_end_ms = self._clock.now_ms() + DRAIN_NOTICE_MS
+        await self._keep_cells(min(notice_end_ms, until_ms - HAND_OVER_MS))
         await self.member.stop()
         for cell in list(self._owners):
             await self._release(cell, "leaving")
         await self.member.leave()
-        await asyncio.sleep(DRAIN_NOTICE_MS / MS_PER_SECOND)
+        left_ms = notice_end_ms - self._clock.now_ms()
+        await asyncio.sleep(max(0.0, left_ms) / MS_PER_SECOND)
         while self._in_flight and self._clock.now_ms() < until_ms:
             await asyncio.sleep(0.02)
         event("node_left", cut=self._in_flight)
 
+    async def _keep_cells(self, until_ms: float) -> None:
+        """Keeps the cells of a leaving node until a time, if it owns any.
+
+        In a roll, nodes that have left before it are back by then. They are
+        the ones that can keep a cell.
+        """
+        while self._clock.now_ms() < until_ms and any(
+            not owner.ended for owner in self._owners.values()
+        ):
+            await asyncio.sleep(KEEP_CHECK_MS / MS_PER_SECOND)
+
     async def _serve_caller(self, req: web.BaseRequest) -> web.Response:
         self._in_flight += 1
         try:
--- a/src/limpetyard/node/_store_layout.py
+++ b/src/limpetyard/node/_store_layout.py
@@ -81,20 +81,21 @@
 
 def member_stores_places(member: str) -> bool:
     """Returns whether a member stores places; see `PLACES_MARK`."""
-    return _nonce(member).startswith(PLACES_MARK)
+    return member_nonce(member).startswith(PLACES_MARK)
 
 
 def member_needs_witnesses(member: str) -> bool:
     """Returns whether a member needs witnesses; see `WITNESSES_MARK`."""
-    return _nonce(member).startswith(WITNESSES_MARK)
+    return member_nonce(member).startswith(WITNESSES_MARK)
 
 
 def member_confirms_by_claims(member: str) -> bool:
     """Returns whether reads of the claims confirm it; see `CLAIMS_MARK`."""
-    return _nonce(member).startswith(CLAIMS_MARK)
+    return member_nonce(member).startswith(CLAIMS_MARK)
 
 
-def _nonce(member: str) -> str:
+def member_nonce(member: str) -> str:
+    """Returns the random string in a member name, or "" if it has none."""
     parts = member.split("|")
     return parts[2].rpartition("-")[2] if len(parts) == 3 else ""
 
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -1,11 +1,15 @@
 """Tests of the calls between nodes."""
 
 import unittest
+from unittest import mock
 
 import msgspec
-from aiohttp.test_utils import make_mocked_request
+from aiohttp import web
+from aiohttp.test_utils import TestServer, make_mocked_request
 
-from limpetyard.node import JobStatus, PeerServer
+from limpetyard.node import HttpPeerClient, JobStatus, PeerServer
+from limpetyard.node._peers import OwnershipStatus
+from limpetyard.node._store_layout import member_name
 
 
 class _Cells:
@@ -37,5 +41,55 @@
         self.assertEqual(status, JobStatus("queued", ""))
 
 
+class OwnershipCallsTest(unittest.IsolatedAsyncioTestCase):
+    """Calls about the ownership of a cell, over HTTP."""
+
+    async def asyncSetUp(self):
+        """Starts a server and a client."""
+        self.cells = mock.Mock()
+        self.server = TestServer(web.Application())
+        self.server.app.router.add_route(
+            "*", "/{path:.*}", PeerServer(self.cells).handle
+        )
+        await self.server.start_server()
+        self.addAsyncCleanup(self.server.close)
+        self.client = HttpPeerClient()
+        self.addAsyncCleanup(self.client.close)
+        self.address = f"127.0.0.1:{self.server.port}"
+        self.member = member_name("n", self.address, "pws0a1b")
+
+    async def test_extension(self):
+        """A witness learns whether the owner has joined."""
+        self.cells.extend.side_effect = lambda cell, epoch, joined: joined
+        self.assertFalse(await self.client.extend(self.address, 0, 7))
+        self.assertTrue(await self.client.extend_joined(self.address, 0, 7))
+        calls = [mock.call(0, 7, False), mock.call(0, 7, True)]
+        self.assertEqual(self.cells.extend.mock_calls, calls)
+
+    async def test_succession(self):
+        """A member says whether it claims; one without a reply does not."""
+        for accepted in (True, False):
+            self.cells.succeed.return_value = accepted
+            reply = await self.client.succeed(self.member, 0, 7)
+            self.assertEqual(reply, accepted)
+        self.cells.succeed.assert_called_with(0, 7)
+        self.cells.succeed.side_effect = ValueError
+        self.assertFalse(await self.client.succeed(self.member, 0, 7))
+        for address in ("127.0.0.1:1", "nowhere", "a:b"):
+            gone = member_name("n", address, "pws0a1b")
+            self.assertFalse(await self.client.succeed(gone, 0, 7))
+
+    async def test_ownership(self):
+        """The age counts only if the named process itself replies."""
+        for name, age_ms in ((self.member, 5.0), (self.member, None)):
+            status = OwnershipStatus(name, age_ms)
+            self.cells.ownership_status.return_value = status
+            reply = await self.client.ownership_age_ms(self.member, 0)
+            self.assertEqual(reply, age_ms)
+        other = OwnershipStatus("later process", 5.0)
+        self.cells.ownership_status.return_value = other
+        self.assertIsNone(await self.client.ownership_age_ms(self.member, 0))
+
+
 if __name__ == "__main__":
     unittest.main()
