Test of an owner that is lost before it loads the cell

Doubt: after the loss of an owner that has claimed the cell and not loaded it, the report of the owner before it might count, or the wait might exceed LOST. It cannot be shortened by asking the owner before, as no reply tells whether the lost one had loaded the cell.

--- a/tests/node/test_unstarted_doubts.py
+++ b/tests/node/test_unstarted_doubts.py
@@ -213,6 +213,30 @@
         self.assertEqual(len(waits_ms), 1)
         self.assertLess(waits_ms[0], 3000)
 
+    def test_owner_that_never_loads_and_is_lost(self):
+        """LOST: it may have loaded the cell, and no reply tells.
+
+        So the report of the owner before it must not count, and the wait is
+        that for a lost owner.
+        """
+
+        async def pass_on(site: SimulatedSite, worker_id: str) -> None:
+            between = await reassign(site)
+            async with held_writer_fence(between):
+                await until(
+                    lambda: (
+                        (owner := between.node._owners.get(0))
+                        and owner.engine is not None
+                    )
+                )
+                await asyncio.sleep(0.05)
+                await site.kill_node(between)
+
+        site, waits_ms = self.run_chain(pass_on)
+        self.assertEqual(violations(site.history), [])
+        self.assertEqual(len(waits_ms), 1)
+        self.assertLess(waits_ms[0], 9000)
+
     def test_two_nodes_in_turn(self):
         """TWICE, or LOST: a process that had the cell twice."""
 
