Confirm an owner by reads that overlap, however slow the store is

What callers would see: no new starts and no paces while the store answers slowly. An owner read its claim one call after the other, with a time-out of 600 ms, so a store that takes longer confirmed nothing, and after 2 s the owner held its orders back, after 6 s also with witnesses.

Ruled out: a longer time-out alone, as the interval of the reads would grow with the answers; confirmation by joins, which prove nothing since the claim lasts.

--- a/src/limpetyard/node/_term.py
+++ b/src/limpetyard/node/_term.py
@@ -15,13 +15,6 @@
 from limpetyard.node._store_layout import CLAIM_KEY, OWNERS_TOPIC
 from limpetyard.store import KeyedRecord, Store, StoreError
 
-# Time-out of a read of the claims. It leaves time for another one before orders
-# are held back.
-CLAIM_CHECK_TIMEOUT_MS = 600
-
-# Delay after a failed read of the claims.
-CLAIM_RETRY_MS = 100
-
 
 class SupersededError(Exception):
     """Another node has claimed the cell first."""
@@ -42,6 +35,7 @@
         "_clock",
         "_interval_ms",
         "_is_retry",
+        "_is_superseded",
         "_member",
         "_permit",
         "_store",
@@ -83,6 +77,7 @@
         self._clock = clock
         self._interval_ms = interval_ms
         self._is_retry = False
+        self._is_superseded = False
 
     async def claim(self, latest_epoch: int) -> None:
         """Appends the claim; may be called again after a StoreError.
@@ -111,26 +106,28 @@
         self._permit.confirm(sent_ms)
 
     async def confirm_repeatedly(self, end: Callable[[str], None]) -> None:
-        """Reads the claims until there is a later one.
+        """Reads the claims at the interval until there is a later one.
+
+        Slow replies do not lengthen the interval: reads overlap, as many as
+        their time-out allows.
 
         Args:
             end: Called with the reason when there is a later claim.
         """
-        while True:
-            sent_ms = self._clock.now_ms()
-            pause_ms = self._interval_ms
-            try:
-                timeout_s = CLAIM_CHECK_TIMEOUT_MS / MS_PER_SECOND
-                async with asyncio.timeout(timeout_s):
-                    latest = await self._claims.read()
-            except (StoreError, TimeoutError) as exc:
-                reason = str(exc) or "no reply in time"
-                event("claims_unread", epoch=self.epoch, reason=reason)
-                pause_ms = CLAIM_RETRY_MS
-            else:
-                if latest.epoch > self.epoch:
-                    end(f"epoch {latest.epoch} has claimed the cell")
-                    return
-                self._permit.confirm(sent_ms)
-            left_ms = sent_ms + pause_ms - self._clock.now_ms()
-            await asyncio.sleep(max(0.0, left_ms) / MS_PER_SECOND)
+        async with asyncio.TaskGroup() as reads:
+            while not self._is_superseded:
+                reads.create_task(self._confirm(end))
+                await asyncio.sleep(self._interval_ms / MS_PER_SECOND)
+
+    async def _confirm(self, end: Callable[[str], None]) -> None:
+        sent_ms = self._clock.now_ms()
+        try:
+            latest = await self._claims.read()
+        except StoreError as exc:
+            event("claims_unread", epoch=self.epoch, reason=exc)
+            return
+        if latest.epoch <= self.epoch:
+            self._permit.confirm(sent_ms)
+        elif not self._is_superseded:
+            self._is_superseded = True
+            end(f"epoch {latest.epoch} has claimed the cell")
--- a/tests/node/test_claims.py
+++ b/tests/node/test_claims.py
@@ -552,6 +552,32 @@
         self.assertEqual(self.run_site(scenario).claims, 1)
 
 
+class SlowStoreTest(unittest.TestCase):
+    """All answers of the store take long, and none fails."""
+
+    def test_owner_stays_confirmed(self):
+        """Reads that are slower than their interval confirmed nothing."""
+        reply_ms = 700.0
+
+        async def main() -> float:
+            site = SimulatedSite(3, 4)
+            await site.start()
+            await asyncio.sleep(SETTLED_S)
+            permit = site.owner().node._owners[0]._permit
+            for host in site.hosts:
+                host.store_link.delay_ms = reply_ms / 2
+            oldest_ms = 0.0
+            for _ in range(60):
+                await asyncio.sleep(0.1)
+                oldest_ms = max(oldest_ms, permit.age_ms)
+            await site.stop()
+            return oldest_ms
+
+        interval_ms = 400.0
+        oldest_ms = run_in_virtual_time(main())
+        self.assertLess(oldest_ms, reply_ms + 2 * interval_ms)
+
+
 class ClaimsOutageTest(unittest.TestCase):
     """The partition of the claims alone fails."""
 
