--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -284,6 +284,8 @@
 
     def _place(self, a_job, step_key, waiting, candidates, now_ms):
         step = a_job.spec.steps[step_key[2]]
+        if step.gang and len(waiting) < step.count:
+            return []
         fitting = [
             c
             for c in candidates
