Log clock readings and remaining leases around a worker's restart

The log lines could not tell whether a lease that lasts longer than its owner counts comes from a time of the earlier incarnation's clock, from an earlier owner or from a rejected start. Logging only.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -324,8 +324,18 @@
         "A best-effort task may use this share of its full speed.",
     ),
     "task_started": EventKind(
-        ("task", "run", "worker", "kind", "result", "queued_ms", "sends"),
-        "A start order was sent; the result is the worker's answer or silent.",
+        (
+            "task",
+            "run",
+            "worker",
+            "kind",
+            "result",
+            "queued_ms",
+            "sends",
+            "until_ms",
+        ),
+        "A start order was sent, which expires at until_ms on the worker's"
+        " clock; the result is the worker's answer or silent.",
     ),
     "task_waiting": EventKind(
         (
@@ -383,8 +393,9 @@
         "A worker is new, or its draining state changed.",
     ),
     "worker_reborn": EventKind(
-        ("worker", "born"),
-        "A worker restarted; its earlier runs are given up.",
+        ("worker", "born", "clock_ms", "lease_left_ms"),
+        "A worker restarted; its earlier runs are given up. The last reading of"
+        " its clock before, and for how long leases of then may last.",
     ),
     "worker_replaced": EventKind(
         ("worker", "runs"),
@@ -394,9 +405,10 @@
         ("worker", "reason"), "A worker did not answer a sync."
     ),
     "worker_sounded": EventKind(
-        ("worker", "token", "runs", "ends"),
+        ("worker", "token", "runs", "ends", "clock_ms", "lease_left_ms"),
         "A worker first answered this owner's token; its number of runs and"
-        " ends.",
+        " ends, its clock, and for how long leases may last that were granted"
+        " before.",
     ),
     "workers_usable": EventKind(
         (
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -427,6 +427,8 @@
                 token=worker.token,
                 runs=len(reply.runs),
                 ends=len(reply.ends),
+                clock_ms=reply.clock_ms,
+                lease_left_ms=worker.lease_left_ms(now_ms),
             )
         has_new_ends = self._run_end_handler.handle_ends(
             worker, reply.ends, now_ms
@@ -617,7 +619,13 @@
         one. The tasks therefore wait for the first reply of the new one, or for
         the end of the earlier lease.
         """
-        event("worker_reborn", worker=worker.id, born=born)
+        event(
+            "worker_reborn",
+            worker=worker.id,
+            born=born,
+            clock_ms=worker.last_clock_ms,
+            lease_left_ms=worker.lease_left_ms(now_ms),
+        )
         self.crashes.record_crash(worker, now_ms)
         runs = list(worker.runs.values())
         lease_end_ms = worker.lease_end_ms
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -383,6 +383,11 @@
             return 0.0
         return max(self.lease_end_ms, self.prior_lease_end_ms)
 
+    def lease_left_ms(self, now_ms: float) -> float:
+        """Returns for how long runs may exist that are reported no more."""
+        end_ms = max(self.lease_end_ms, self.prior_lease_end_ms)
+        return max(0.0, end_ms - now_ms)
+
     @property
     def on_probation(self) -> bool:
         """Whether the worker is on probation because of recent failures.
@@ -558,6 +563,11 @@
         if entry.draining:
             self.departure_ms = now_ms + entry.remaining_ms
 
+    @property
+    def last_clock_ms(self) -> float | None:
+        """Last reading of the current incarnation's clock, or None."""
+        return None if self._clock_read_ms is None else self._clock_ms
+
     def set_clock(self, clock_ms: float, at_ms: float) -> None:
         """Sets a reading of the worker's clock.
 
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -319,6 +319,7 @@
             result=result.value if result is not None else "silent",
             queued_ms=queued_ms,
             sends=sends,
+            until_ms=run.start_expires_ms,
         )
         self._engine.on_start_reply(effect, result, self._clock.now_ms())
 
