Stand-in: a restarted worker has an unrelated clock and takes late orders

The clock of each incarnation of WorkerModel started at 0, and an order that was under way during a restart was dropped unless a test turned a switch on.

- The clock of each incarnation starts at a random reading.
The readings come from a source of their own for each worker, so that other draws stay.
- An order under way during a restart is executed by the next incarnation.
The switch is gone, with its two uses in tests.
- A worker that was silent while it restarted resets the connections of before on their next use; the call after that succeeds.
- The longest lease is a parameter of WorkerModel and SimulatedSite, 10 s by default (6 s before), and nodes get it as a setting.
- A lease timer of one incarnation ended the runs of the next, and a poll of one was answered by the next.
Both now end with the incarnation.

test_room granted leases by a time of a clock at 0; it now adds the reading.

--- a/standins/platform/_site.py
+++ b/standins/platform/_site.py
@@ -42,7 +42,11 @@
 from standins.platform._processor import Processor
 from standins.platform._store import LinkedStoreClient, StoreModel
 from standins.platform._virtual_time import VirtualClock
-from standins.platform._worker import LinkedWorkerClient, WorkerModel
+from standins.platform._worker import (
+    LONGEST_LEASE_MS,
+    LinkedWorkerClient,
+    WorkerModel,
+)
 
 SERVICE = "pool"
 QUEUE = QueueParams("queue", SERVICE, 0, 3, 2.0, 1000.0)
@@ -242,6 +246,7 @@
         seed: int = 0,
         processor_cores: Sequence[float] = (),
         processors: bool = False,
+        longest_lease_ms: int = LONGEST_LEASE_MS,
     ):
         """Initializes a site.
 
@@ -252,7 +257,10 @@
             processor_cores: Processor capacity of each node; unknown for all
                 if empty.
             processors: Whether calls cost the nodes time; see `Processor`.
+            longest_lease_ms: Longest lease that workers accept.
         """
+        self._seed = seed
+        self._longest_lease_ms = longest_lease_ms
         self.rng = random.Random(seed)
         self.clock = VirtualClock()
         self.history = History()
@@ -332,6 +340,9 @@
             self.history.submitted.get,
             self.rng,
             self.gangs,
+            self._longest_lease_ms,
+            # Of its own, so that a restart changes no other random choice.
+            random.Random(f"{self._seed} {entry.id}"),
         )
         model.on_deadly_run = self.crash_worker
         self.workers[entry.id] = model
@@ -383,6 +394,7 @@
             "127.0.0.1:2",
             host.address,
             "127.0.0.1:3",
+            longest_lease_ms=self._longest_lease_ms,
             processor_cores=host.processor_cores,
         )
 
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -38,11 +38,15 @@
 )
 from standins.platform._link import Link, LinkRefusedError, LinkTimeoutError
 
-MAX_LEASE_MS = 6000
+LONGEST_LEASE_MS = 10_000
 STOP_MS = 100
 ORDER_TIMEOUT_MS = 500
 ENDS_PER_REPLY = 500
 
+# The clock of an incarnation starts at a reading below this. It is far longer
+# than a test, so that readings of two incarnations are unrelated.
+MAX_FIRST_READING_MS = 10_000_000
+
 # A start may exceed a capacity that shrank within this time, as the owner may
 # not have read the directory entry yet.
 SHRUNK_GRACE_MS = 1000
@@ -86,6 +90,8 @@
         clock_rate: Rate of its clock relative to simulation time.
         delivering_late: Whether the order in execution arrived after its
             sender's time-out.
+        last_closed_born: Latest incarnation that closed its connections when it
+            ended.
         on_deadly_run: Called when a task of a deadly job crashes the worker.
     """
 
@@ -97,7 +103,22 @@
         specs: Callable[[str], JobSpec | None],
         rng: random.Random,
         gangs: Gangs,
+        longest_lease_ms: float = LONGEST_LEASE_MS,
+        clock_rng: random.Random | None = None,
     ):
+        """Initializes a worker in its first incarnation.
+
+        Args:
+            entry: Its directory entry.
+            clock: Clock of the simulation.
+            history: History that it writes to.
+            specs: Returns the specification of a job by its id.
+            rng: Source of random choices about its runs.
+            gangs: Gangs of all workers.
+            longest_lease_ms: Longest lease that it accepts.
+            clock_rng: Source of the first reading of each incarnation's clock;
+                0 by default.
+        """
         self.entry = entry
         self.up = True
         self.has_left = False
@@ -107,6 +128,7 @@
         self.runs_never_end = False
         self.clock_rate = 1.0
         self.delivering_late = False
+        self.last_closed_born = 0
         # Capacity before the last change, and when that was.
         self._former_capacity = entry.capacity
         self._resized_ms = -math.inf
@@ -116,10 +138,18 @@
         self._specs = specs
         self._rng = rng
         self._gangs = gangs
-        self._begin_incarnation()
+        self._longest_lease_ms = longest_lease_ms
+        self._clock_rng = clock_rng
+        self._begin_incarnation(self._draw_first_reading())
+
+    def _draw_first_reading(self) -> float:
+        if self._clock_rng is None:
+            return 0.0
+        return self._clock_rng.uniform(0, MAX_FIRST_READING_MS)
 
-    def _begin_incarnation(self) -> None:
+    def _begin_incarnation(self, first_reading_ms: float) -> None:
         self._started_ms = self._clock.now_ms()
+        self._first_reading_ms = first_reading_ms
         self._runs: dict[TaskKey, _Run] = {}
         self._ends: list[RunEndReport] = []
         self._last_end_number = 0
@@ -155,8 +185,9 @@
         self.entry = msgspec.structs.replace(self.entry, capacity=capacity)
 
     def clock_ms(self) -> float:
-        """Returns the worker's own clock, 0 at the start of the incarnation."""
-        return (self._clock.now_ms() - self._started_ms) * self.clock_rate
+        """Returns the worker's own clock."""
+        age_ms = self._clock.now_ms() - self._started_ms
+        return self._first_reading_ms + age_ms * self.clock_rate
 
     def running(self) -> list[TaskKey]:
         """Returns the tasks that run now."""
@@ -221,22 +252,32 @@
         """Stops responding; running tasks end without a report."""
         for run in list(self._runs.values()):
             self._end(run, "crashed")
+        if self._lease_timer is not None:
+            self._lease_timer.cancel()
         self.up = False
 
     def refuse_connections(self) -> None:
         """Crashes; the address refuses connections from now on."""
         self.crash()
         self.has_left = True
+        self.last_closed_born = self.entry.born
         self._end_event.set()
 
     def leave(self) -> None:
         """Exits after draining."""
         self.refuse_connections()
 
-    def restart(self) -> None:
-        """Starts the next incarnation under the same id."""
+    def restart(self, first_reading_ms: float | None = None) -> None:
+        """Starts the next incarnation under the same id.
+
+        Args:
+            first_reading_ms: First reading of its clock; random by default.
+        """
+        if first_reading_ms is None:
+            first_reading_ms = self._draw_first_reading()
         self.entry = _next_incarnation(self.entry)
-        self._begin_incarnation()
+        self._end_event.set()
+        self._begin_incarnation(first_reading_ms)
         self.up = True
         self.has_left = False
 
@@ -248,11 +289,12 @@
         if order.acked_end:
             self._acknowledge_ends(order.acked_end)
         if not self._ends and order.wait_ms:
+            born = self.entry.born
             self._end_event = asyncio.Event()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(order.wait_ms / MS_PER_SECOND):
                     await self._end_event.wait()
-            if self.has_left:
+            if self.has_left or self.entry.born != born:
                 raise WorkerDisconnectedError(self.entry.id)
             self._check_token(order.token)
         reports = [
@@ -397,7 +439,7 @@
             self._gangs.leave(run, end_kind)
 
     def _extend_lease(self, until_ms: float) -> None:
-        max_until_ms = self.clock_ms() + MAX_LEASE_MS
+        max_until_ms = self.clock_ms() + self._longest_lease_ms
         self._lease_until_ms = max(
             self._lease_until_ms, min(until_ms, max_until_ms)
         )
@@ -434,29 +476,37 @@
 class LinkedWorkerClient:
     """Client of the workers over the links of one node.
 
+    An order that is under way while its worker restarts is executed by the next
+    incarnation. A connection to the one before is reset when it is used, unless
+    it was closed.
+
     Attributes:
         links: Link to each worker, by its id.
-        deliver_after_restart: Whether an order to one incarnation of a worker
-            may be executed by the next one.
     """
 
-    deliver_after_restart = False
-
     def __init__(
         self,
         models: dict[str, WorkerModel],
         links: dict[str, Link],
         may_order: Callable[[], bool] | None = None,
+        connections: dict[tuple[str, str], int] | None = None,
     ):
         self._models = models
         self.links = links
         self._may_order = may_order
+        # Incarnation at the other end of each connection, by worker id and
+        # kind of order.
+        self._connections = {} if connections is None else connections
 
     def guarded(self, may_order: Callable[[], bool]) -> "LinkedWorkerClient":
         """See `limpetyard.engine.StepWorkerClient.guarded`."""
-        return type(self)(self._models, self.links, may_order)
+        return type(self)(
+            self._models, self.links, may_order, self._connections
+        )
 
-    async def _call(self, entry: WorkerEntry, operation, timeout_ms: float):
+    async def _call(
+        self, entry: WorkerEntry, kind: str, operation, timeout_ms: float
+    ):
         if self._may_order is not None and not self._may_order():
             raise OrderWithheldError(entry.id)
         model = self._models.get(entry.id)
@@ -464,15 +514,20 @@
             raise WorkerDownError(f"{entry.id} refuses connections")
         born = model.entry.born
         sent_ms = model.now_ms()
+        connection = (entry.id, kind)
+        connected = self._connections.get(connection, born)
+        is_stale = model.last_closed_born < connected < born
 
         async def deliver():
-            """Executes the order unless the worker has restarted since."""
+            """Executes the order, perhaps in a later incarnation."""
+            if is_stale and model.up:
+                raise WorkerDisconnectedError(entry.id)
             if model.is_replaced:
                 raise WrongWorkerError(entry.id)
-            if model.entry.born != born and not self.deliver_after_restart:
-                raise LinkTimeoutError
             waited_ms = model.now_ms() - sent_ms
             model.delivering_late = waited_ms > timeout_ms
+            if not model.delivering_late:
+                self._connections[connection] = model.entry.born
             try:
                 return await operation(model)
             finally:
@@ -480,21 +535,28 @@
 
         try:
             return await self.links[entry.id].call(deliver, timeout_ms)
+        except WorkerDisconnectedError:
+            self._connections.pop(connection, None)
+            raise
         except LinkRefusedError:
             raise WorkerDownError(f"{entry.id} refuses connections") from None
         except LinkTimeoutError:
+            # A connection whose reply is still due is not used again.
+            self._connections.pop(connection, None)
             raise WorkerOutcomeUnknownError(entry.id) from None
 
     async def poll(
         self, entry: WorkerEntry, order: PollRequest, timeout_ms: float
     ) -> PollReply:
         """See `limpetyard.engine.StepWorkerClient.poll`."""
-        return await self._call(entry, lambda m: m.poll(order), timeout_ms)
+        return await self._call(
+            entry, "poll", lambda m: m.poll(order), timeout_ms
+        )
 
     async def start(self, entry: WorkerEntry, order: StartOrder) -> StartResult:
         """See `limpetyard.engine.StepWorkerClient.start`."""
         return await self._call(
-            entry, lambda m: m.start(order), ORDER_TIMEOUT_MS
+            entry, "start", lambda m: m.start(order), ORDER_TIMEOUT_MS
         )
 
     async def stop(
@@ -502,9 +564,11 @@
     ) -> None:
         """See `limpetyard.engine.StepWorkerClient.stop`."""
         await self._call(
-            entry, lambda m: m.stop(task, run, token), ORDER_TIMEOUT_MS
+            entry, "stop", lambda m: m.stop(task, run, token), ORDER_TIMEOUT_MS
         )
 
     async def pace(self, entry: WorkerEntry, order: PaceOrder) -> None:
         """See `limpetyard.engine.StepWorkerClient.pace`."""
-        await self._call(entry, lambda m: m.pace(order), ORDER_TIMEOUT_MS)
+        await self._call(
+            entry, "pace", lambda m: m.pace(order), ORDER_TIMEOUT_MS
+        )
--- a/tests/exploring/test_room.py
+++ b/tests/exploring/test_room.py
@@ -42,7 +42,8 @@
         site.history.submitted[job.id] = job
         for index, worker in enumerate(site.workers.values()):
             task = TaskKey(job.id, 0, 0, index)
-            await worker.start(StartOrder(task, 1, "payload", LEASE_MS, 1))
+            until_ms = worker.clock_ms() + LEASE_MS
+            await worker.start(StartOrder(task, 1, "payload", until_ms, 1))
 
     def assert_room(
         self, expected: bool, job: JobSpec, cores_milli: int = 6000, **more
@@ -111,7 +112,8 @@
             job = short_job(step(1000), step(3000, after=(0,)))
             site.history.submitted[job.id] = job
             task = TaskKey(job.id, 0, 0, 0)
-            await worker.start(StartOrder(task, 1, "payload", LEASE_MS, 1))
+            until_ms = worker.clock_ms() + LEASE_MS
+            await worker.start(StartOrder(task, 1, "payload", until_ms, 1))
             worker.end_run(task, RunEndKind.DONE)
             self.assertTrue(has_room(site, job))
             entry = worker.entry
--- a/tests/node/test_gang_members.py
+++ b/tests/node/test_gang_members.py
@@ -4,7 +4,7 @@
 import unittest
 
 from limpetyard.jobs import JobSpec, Resources, StepSpec
-from standins.platform import LinkedWorkerClient, SimulatedSite, violations
+from standins.platform import SimulatedSite, violations
 from standins.platform._site import QUEUE
 from tests.node.test_unstarted_doubts import DoubtTestCase, cut_off, until
 
@@ -90,10 +90,6 @@
             await self.send(dispatcher, worker, effect)
 
         async def scenario(site: SimulatedSite) -> None:
-            LinkedWorkerClient.deliver_after_restart = True
-            self.addCleanup(
-                setattr, LinkedWorkerClient, "deliver_after_restart", False
-            )
             self.assertTrue(await site.submit(spec))
             await until(lambda: len(workers) == 2)
             await asyncio.sleep(0.1)
--- a/tests/node/test_whole_site.py
+++ b/tests/node/test_whole_site.py
@@ -10,7 +10,6 @@
 from limpetyard.node import CellOwner
 from limpetyard.store import RefusalKind, StoreRefusedError, Writer
 from standins.platform import (
-    LinkedWorkerClient,
     SimulatedSite,
     run_in_virtual_time,
     violations,
@@ -579,10 +578,6 @@
         """
 
         async def scenario(site: SimulatedSite) -> None:
-            LinkedWorkerClient.deliver_after_restart = True
-            self.addCleanup(
-                setattr, LinkedWorkerClient, "deliver_after_restart", False
-            )
             for host in site.hosts:
                 for link in host.worker_links.values():
                     link.late_rate, link.late_ms = 0.3, (2000.0, 3000.0)
