Bound the leases that a restarted worker took from earlier orders

What callers saw: TWICE.

Cause: until a new incarnation has seen a higher token, it accepts orders to the earlier one. Their expiresMs is a reading of the earlier clock; where the new one is behind, the lease lasts for as long as the worker allows, and it never shortens. Owners counted only what they granted by the new clock.

Ruled out: runs of the new incarnation taken to have ended (the runs that went twice were started after its first reply), and rejected starts (none was).

Change: an incarnation has stale leases that are possible until a first reply to its own token, bounded by the longest lease after that reply, and then expired. The state is stored with the worker's record; a fenced owner hands over what is left; a new owner counts from its own reply where the recorded incarnation is another one, and not at all for workers that no earlier owner knew. Tasks that may have been started by an order under way wait as long.

Why it works: once a higher token was seen, no earlier order is accepted, so no stale lease is granted later than that reply, and the worker limits each.

--- a/src/limpetyard/engine/__init__.py
+++ b/src/limpetyard/engine/__init__.py
@@ -32,8 +32,11 @@
 )
 from limpetyard.engine._worker import (
     MIN_CLOCK_RATE,
+    RecordedState,
     RunState,
+    StaleLeases,
     Worker,
+    WorkerRecord,
     WorkerRun,
     lease_bound_ms,
 )
@@ -52,11 +55,13 @@
     "PaceOrder",
     "PollReply",
     "PollRequest",
+    "RecordedState",
     "RequestAdvice",
     "RunEndKind",
     "RunEndReport",
     "RunReport",
     "RunState",
+    "StaleLeases",
     "StaleTokenError",
     "Start",
     "StartOrder",
@@ -69,6 +74,7 @@
     "WorkerDownError",
     "WorkerEntry",
     "WorkerOutcomeUnknownError",
+    "WorkerRecord",
     "WorkerRun",
     "WrongWorkerError",
     "lease_bound_ms",
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -42,6 +42,7 @@
 )
 from limpetyard.engine._worker import (
     PROVEN_RUN_MS,
+    RecordedState,
     RunState,
     Worker,
     WorkerRun,
@@ -126,6 +127,8 @@
         confirmed_ms: Latest time at which no later owner can have renewed a
             lease. A lease that ends after it counts as lasting.
         may_lease: Returns whether a worker, by id, may be granted a lease.
+        may_have_stale_orders: Returns whether earlier owners may have sent
+            orders to a worker, by id, that no record of theirs names.
         predecessor_until_ms: Time until which an earlier owner may still start
             tasks, including those of jobs that arrive now.
         places_trusted: Whether the earlier owners stored the places of
@@ -155,6 +158,7 @@
         "params",
         "places_trusted",
         "confirmed_ms",
+        "may_have_stale_orders",
         "may_lease",
         "predecessor_until_ms",
         "unstored_jobs",
@@ -172,6 +176,9 @@
         self.dirty_workers = False
         self.confirmed_ms = float("inf")
         self.may_lease: Callable[[str], bool] = lambda worker_id: True
+        self.may_have_stale_orders: Callable[[str], bool] = lambda worker_id: (
+            True
+        )
         self.predecessor_until_ms = float("-inf")
         self.places_trusted = False
         self.interference = InterferenceModel()
@@ -256,17 +263,14 @@
         worker.missing_since_ms = None
         return worker
 
-    def set_recorded_workers(
-        self, recorded: dict[str, tuple[int, bool]]
-    ) -> None:
+    def set_recorded_workers(self, recorded: dict[str, RecordedState]) -> None:
         """Sets which workers are stored, so that a later owner polls them.
 
         Args:
-            recorded: Stored incarnation of each worker and whether the worker
-                was draining, by worker id.
+            recorded: Stored state of each worker, by worker id.
         """
         for worker in self.workers.values():
-            born, _ = recorded.get(worker.id, (0, False))
+            born, *_ = recorded.get(worker.id, (0,))
             worker.recorded = born == worker.born
 
     def add_tickets(
@@ -343,6 +347,7 @@
         """
         worker.lease_end_ms = 0.0
         worker.prior_lease_end_ms = 0.0
+        worker.stale_lease_end_ms = 0.0
         self._drop_runs(worker, now_ms)
 
     def _drop_runs(self, worker: Worker, now_ms: float) -> None:
@@ -442,14 +447,34 @@
         """Records that the worker rejects orders of earlier owners from now on.
 
         No earlier owner can renew its lease any more, so that leases of earlier
-        owners expire within one lease duration.
+        owners expire within one lease duration. Those that orders to an earlier
+        incarnation have granted can be the longest that the worker accepts.
         """
         worker.token_confirmed = True
+        if worker.accepts_stale_orders:
+            worker.accepts_stale_orders = False
+            if worker.has_restarted:
+                self._bound_stale_leases(worker, now_ms)
+            elif self.may_have_stale_orders(worker.id):
+                latest_ms = min(now_ms, self.predecessor_until_ms)
+                self._bound_stale_leases(worker, latest_ms)
         worker.prior_lease_end_ms = min(
             worker.prior_lease_end_ms,
             now_ms + lease_bound_ms(self.params.lease_ms),
         )
 
+    def _bound_stale_leases(self, worker: Worker, latest_ms: float) -> None:
+        """Limits the leases that orders to an earlier incarnation have granted.
+
+        Args:
+            worker: The worker.
+            latest_ms: Time until which it may have accepted such orders.
+        """
+        worker.stale_lease_end_ms = max(
+            worker.stale_lease_end_ms,
+            latest_ms + lease_bound_ms(self.params.longest_lease_ms),
+        )
+
     def end_job(self, job: Job, job_event: str, now_ms: float) -> None:
         """Moves a job to a final state and marks its runs as stopping.
 
@@ -615,9 +640,9 @@
     ) -> None:
         """Handles a restart of a worker: releases its runs.
 
-        A late order to the earlier incarnation could start a run in the new
-        one. The tasks therefore wait for the first reply of the new one, or for
-        the end of the earlier lease.
+        An order to the earlier incarnation could start a run in the new one.
+        The tasks therefore wait for the first reply of the new one, or for the
+        end of the longest lease that such an order may have granted.
         """
         event(
             "worker_reborn",
@@ -628,16 +653,17 @@
         )
         self.crashes.record_crash(worker, now_ms)
         runs = list(worker.runs.values())
-        lease_end_ms = worker.lease_end_ms
         worker.start_incarnation(born)
+        worker.has_restarted = True
+        self._bound_stale_leases(worker, now_ms)
         for run in runs:
             self._release_run(worker, run, now_ms)
             task = self.find_task(run.task)
             if task is not None:
                 task.restarted_worker = worker.id
-        if runs:
+        if runs or now_ms < worker.prior_lease_end_ms:
             worker.prior_lease_end_ms = max(
-                worker.prior_lease_end_ms, lease_end_ms
+                worker.prior_lease_end_ms, worker.stale_lease_end_ms
             )
 
     def find_task(self, key: TaskKey) -> Task | None:
--- a/src/limpetyard/engine/_params.py
+++ b/src/limpetyard/engine/_params.py
@@ -21,6 +21,7 @@
         unwitnessed_ms: Time after the last confirmation of its ownership at
             which an owner stops issuing orders unless all its witnesses extend
             it.
+        longest_lease_ms: Longest lease that a worker accepts.
     """
 
     lease_ms: float
@@ -31,3 +32,4 @@
     reserved_share: float = 0.0
     pacer: str = "measured"
     unwitnessed_ms: float = 2000.0
+    longest_lease_ms: float = 6000.0
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -3,7 +3,9 @@
 import enum
 import math
 from collections.abc import Collection
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
 
 from limpetyard.engine._step_worker_client import RunReport, WorkerEntry
 from limpetyard.jobs import Resources, StepSpec, TaskKey
@@ -80,6 +82,41 @@
     STOPPING = "stopping"
 
 
+class StaleLeases(enum.Enum):
+    """Leases by orders to an earlier incarnation that the current one accepted.
+
+    POSSIBLE means that it may still accept such orders, BOUNDED that their
+    leases may last, and EXPIRED that they have expired.
+    """
+
+    POSSIBLE = "possible"
+    BOUNDED = "bounded"
+    EXPIRED = "expired"
+
+
+class WorkerRecord(WorkerEntry, frozen=True):
+    """Stored state of a worker, from which a later owner knows of it.
+
+    Attributes:
+        stale_leases: Stale leases of this incarnation.
+    """
+
+    stale_leases: StaleLeases = StaleLeases.POSSIBLE
+
+    def to_entry(self) -> WorkerEntry:
+        """Returns the directory entry that was recorded."""
+        fields = WorkerEntry.__struct_fields__
+        return WorkerEntry(*(getattr(self, name) for name in fields))
+
+
+class RecordedState(NamedTuple):
+    """What of a `WorkerRecord` is compared to see whether it is up to date."""
+
+    born: int
+    draining: bool
+    stale_leases: StaleLeases
+
+
 class WorkerRun:
     """A run that may exist on a worker.
 
@@ -227,6 +264,14 @@
             expired; 0 if none was granted.
         prior_lease_end_ms: Time until which a run of an earlier owner or
             incarnation may exist.
+        accepts_stale_orders: Whether orders to an earlier incarnation may reach
+            the current one and be accepted, as no owner is known to have
+            confirmed a token of the current one.
+        stale_lease_end_ms: Time by which every lease has expired that such
+            orders may have granted. They give the end of the lease on another
+            clock, so that it is limited by the worker alone.
+        has_restarted: Whether owners are known to have sent orders to an
+            earlier incarnation.
         replied_ms: When the worker last replied to a poll, or None.
         missing_since_ms: Since when the worker has had no directory entry, or
             None.
@@ -254,6 +299,7 @@
         "_clock_read_ms",
         "_epoch",
         "_last_grant",
+        "accepts_stale_orders",
         "alive_ms",
         "backoff_until_ms",
         "best_effort_seen_ms",
@@ -264,6 +310,7 @@
         "entry",
         "failures",
         "has_all_ends",
+        "has_restarted",
         "incarnations",
         "isolated_run",
         "lapsed_ms",
@@ -280,6 +327,7 @@
         "runs",
         "silent_starts",
         "slowed_ms",
+        "stale_lease_end_ms",
         "stopped_trials",
         "strain_counts_from_ms",
         "token_confirmed",
@@ -317,6 +365,9 @@
         self.has_all_ends = False
         self.lease_end_ms = 0.0
         self.prior_lease_end_ms = 0.0
+        self.accepts_stale_orders = True
+        self.stale_lease_end_ms = 0.0
+        self.has_restarted = incarnations > 0
         self.replied_ms: float | None = None
         self.missing_since_ms: float | None = None
         self.ended = False
@@ -381,12 +432,17 @@
         """Time until which a run may exist whose end no later owner knows."""
         if self.is_idle:
             return 0.0
-        return max(self.lease_end_ms, self.prior_lease_end_ms)
+        return self._longest_lease_end_ms
+
+    @property
+    def _longest_lease_end_ms(self) -> float:
+        return max(
+            self.lease_end_ms, self.prior_lease_end_ms, self.stale_lease_end_ms
+        )
 
     def lease_left_ms(self, now_ms: float) -> float:
         """Returns for how long runs may exist that are reported no more."""
-        end_ms = max(self.lease_end_ms, self.prior_lease_end_ms)
-        return max(0.0, end_ms - now_ms)
+        return max(0.0, self._longest_lease_end_ms - now_ms)
 
     @property
     def on_probation(self) -> bool:
@@ -544,6 +600,8 @@
         self.last_acked_end = 0
         self.unacked_ends.clear()
         self.lease_end_ms = 0.0
+        self.accepts_stale_orders = True
+        self.stale_lease_end_ms = 0.0
         self.ended = False
         self.crashed = False
         self.alive_ms = 0.0
@@ -556,6 +614,27 @@
         self._clock_read_ms = None
         self._last_grant = None
 
+    def stale_leases(self, now_ms: float) -> StaleLeases:
+        """Returns the stale leases of the current incarnation."""
+        if self.accepts_stale_orders:
+            return StaleLeases.POSSIBLE
+        if now_ms < self.stale_lease_end_ms:
+            return StaleLeases.BOUNDED
+        return StaleLeases.EXPIRED
+
+    def recorded_state(self, now_ms: float) -> RecordedState:
+        """Returns what a record of the worker must have now."""
+        return RecordedState(
+            self.born, self.entry.draining, self.stale_leases(now_ms)
+        )
+
+    def record(self, now_ms: float) -> WorkerRecord:
+        """Returns a record of the worker; its entry must be current."""
+        return WorkerRecord(
+            **msgspec.structs.asdict(self.entry),
+            stale_leases=self.stale_leases(now_ms),
+        )
+
     def set_entry(self, entry: WorkerEntry, now_ms: float) -> None:
         """Sets a new directory entry."""
         self.entry = entry
--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -27,6 +27,10 @@
             as a witness may still be issued; None in the replies of earlier
             releases, which are no witnesses.
         unstarted: Tasks that have no run, although places of them are stored.
+        stale_left_ms: Maximum time for which leases may last that orders to an
+            earlier incarnation of a worker have granted, by worker id; None for
+            a worker that may still accept such orders. Other workers have none.
+            None as a whole in the replies of earlier releases.
     """
 
     epoch: int
@@ -36,6 +40,7 @@
     claims: dict[int, str] = {}
     extended_left_ms: float | None = None
     unstarted: tuple[TaskKey, ...] = ()
+    stale_left_ms: dict[str, float | None] | None = None
 
 
 class FenceResult(msgspec.Struct, frozen=True):
@@ -53,7 +58,13 @@
 class LeaseExpiries:
     """Lease expiries of an ownership that has ended."""
 
-    __slots__ = ("_epoch", "_orders_until_ms", "_unstarted", "_until_ms")
+    __slots__ = (
+        "_epoch",
+        "_orders_until_ms",
+        "_stale_until_ms",
+        "_unstarted",
+        "_until_ms",
+    )
 
     def __init__(self, engine: Engine, removed: Collection[str] = ()):
         """Copies the time until which runs may exist, by worker.
@@ -70,6 +81,12 @@
             worker.id: worker.runs_until_ms
             for worker in engine.workers.values()
         }
+        self._stale_until_ms = {
+            worker.id: None
+            if worker.accepts_stale_orders
+            else worker.stale_lease_end_ms
+            for worker in engine.workers.values()
+        }
 
     def remaining(self, now_ms: float) -> RemainingLeases:
         """Returns the remaining times at `now_ms`."""
@@ -81,4 +98,9 @@
             },
             max(0.0, self._orders_until_ms - now_ms),
             unstarted=self._unstarted,
+            stale_left_ms={
+                worker: None if until_ms is None else until_ms - now_ms
+                for worker, until_ms in self._stale_until_ms.items()
+                if until_ms is None or until_ms > now_ms
+            },
         )
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -173,6 +173,7 @@
             cfg.reserved_share,
             cfg.pacer,
             UNWITNESSED_MS,
+            cfg.longest_lease_ms,
         )
         name = member_name(
             cfg.node, cfg.peers, self._nonce, cfg.processor_cores
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -21,9 +21,12 @@
     Effect,
     Engine,
     EngineParams,
+    RecordedState,
+    StaleLeases,
     StepWorkerClient,
     Worker,
     WorkerEntry,
+    lease_bound_ms,
 )
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
@@ -208,8 +211,10 @@
         self._plan_needed = asyncio.Event()
         self._persist_needed = asyncio.Event()
         self._append_done = asyncio.Event()
-        # Stored incarnation and draining flag of each worker, by id.
-        self._recorded_workers: dict[str, tuple[int, bool]] = {}
+        # Stored state of each worker, by id.
+        self._recorded_workers: dict[str, RecordedState] = {}
+        # Workers whose current incarnation an earlier owner has recorded.
+        self._inherited_workers: frozenset[str] = frozenset()
         # Workers whose record is to be deleted, by id.
         self._removed_workers: set[str] = set()
         self._poll_tasks: dict[str, asyncio.Task] = {}
@@ -399,16 +404,31 @@
         if not self.state_loaded:
             return
         for worker in self.engine.workers.values():
-            worker.prior_lease_end_ms = min(
-                worker.prior_lease_end_ms,
-                self._predecessor.latest_run_end_ms(worker.id),
-            )
+            self._apply_lease_bounds(worker)
         self.engine.predecessor_until_ms = min(
             self.engine.predecessor_until_ms, self._predecessor.orders_end_ms
         )
         self.engine.on_unstarted_tasks(self._predecessor.unstarted_tasks)
         self._plan_needed.set()
 
+    def _apply_lease_bounds(self, worker: Worker) -> None:
+        predecessor = self._predecessor
+        if worker.id in self._inherited_workers and not worker.has_restarted:
+            worker.stale_lease_end_ms = min(
+                worker.stale_lease_end_ms,
+                predecessor.stale_lease_end_ms(worker.id),
+            )
+            end_ms = predecessor.latest_run_end_ms(
+                worker.id, worker.stale_leases(self._clock.now_ms())
+            )
+        elif worker.has_restarted or predecessor.may_have_ordered(worker.id):
+            end_ms = max(
+                predecessor.latest_stale_run_end_ms, worker.stale_lease_end_ms
+            )
+        else:
+            worker.stale_lease_end_ms = end_ms = 0.0
+        worker.prior_lease_end_ms = min(worker.prior_lease_end_ms, end_ms)
+
     def _on_claimed(self) -> None:
         """Handles the reply to the claim, which gives the epoch."""
         epoch = self._term.epoch
@@ -494,9 +514,7 @@
             job.mark_inherited()
             if not places_trusted:
                 job.forget_places()
-        for worker_id in self._recorded_workers:
-            worker = self.engine.workers[worker_id]
-            worker.prior_lease_end_ms = float("inf")
+        self._inherit_workers()
         self.engine.predecessor_until_ms = float("inf")
         self.engine.crashes.expect_runs(self._clock.now_ms())
         # What is stored and handed over of earlier owners' runs must be finite.
@@ -511,6 +529,29 @@
         self._apply_predecessor_bounds()
         self._track_workers()
 
+    def _inherit_workers(self) -> None:
+        """Applies what earlier owners have recorded of workers.
+
+        An incarnation was recorded as BOUNDED after an earlier owner had its
+        first reply, and before its appends were fenced.
+        """
+        longest_ms = lease_bound_ms(self._params.longest_lease_ms)
+        inherited = set()
+        for worker_id, state in self._recorded_workers.items():
+            worker = self.engine.workers[worker_id]
+            worker.prior_lease_end_ms = float("inf")
+            if state.born != worker.born:
+                worker.has_restarted = True
+                continue
+            inherited.add(worker_id)
+            worker.accepts_stale_orders = (
+                state.stale_leases is StaleLeases.POSSIBLE
+            )
+            if state.stale_leases is StaleLeases.BOUNDED:
+                worker.stale_lease_end_ms = self._writer_fenced_ms + longest_ms
+        self._inherited_workers = frozenset(inherited)
+        self.engine.may_have_stale_orders = self._predecessor.may_have_ordered
+
     async def _has_stored_places(self) -> bool:
         """Returns whether the places of long-running tasks are stored.
 
@@ -569,13 +610,14 @@
         of it. One whose present incarnation has no entry gets no new work, and
         its record leads to the address at which it replied.
         """
+        now_ms = self._clock.now_ms()
         return [
             worker
             for worker in self.engine.workers.values()
             if (worker.token_confirmed or worker.id in self._recorded_workers)
             and worker.entry_is_current
             and self._recorded_workers.get(worker.id)
-            != (worker.born, worker.entry.draining)
+            != worker.recorded_state(now_ms)
         ]
 
     def _may_order(self) -> bool:
@@ -630,13 +672,15 @@
         """
         jobs, batch = self.engine.pop_dirty()
         groups, too_large = self._job_records(jobs)
-        recorded: dict[str, tuple[int, bool]] = {}
+        recorded: dict[str, RecordedState] = {}
+        now_ms = self._clock.now_ms()
         for worker in self._unrecorded_workers():
             key = WORKER_KEY_PREFIX + worker.id
-            record = KeyedRecord(key, msgspec.msgpack.encode(worker.entry))
+            value = msgspec.msgpack.encode(worker.record(now_ms))
+            record = KeyedRecord(key, value)
             if self._fit_store([record]):
                 groups.append([record])
-                recorded[worker.id] = (worker.born, worker.entry.draining)
+                recorded[worker.id] = worker.recorded_state(now_ms)
         # Records of jobs that are not stored are those of the previous owner.
         is_complete = not (
             too_large or self.engine.unstored_jobs.difference(batch.jobs)
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -11,7 +11,12 @@
 
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
-from limpetyard.engine import MIN_CLOCK_RATE, EngineParams, lease_bound_ms
+from limpetyard.engine import (
+    MIN_CLOCK_RATE,
+    EngineParams,
+    StaleLeases,
+    lease_bound_ms,
+)
 from limpetyard.jobs import TaskKey
 from limpetyard.node._handover import FenceResult
 from limpetyard.node._peers import PeerClient
@@ -402,13 +407,54 @@
             return {}
         return self.unleased_ends_ms
 
-    def latest_run_end_ms(self, worker: str) -> float:
+    def may_have_ordered(self, worker: str) -> bool:
+        """Returns whether earlier owners may have sent orders to a worker."""
+        if self._fenced_ms is not None and not self._epoch:
+            return False
+        leases = self._fence_result.leases
+        if leases is None or not self.is_certain:
+            return True
+        return worker in leases.left_ms
+
+    def stale_lease_end_ms(self, worker: str) -> float:
+        """Returns the latest end of stale leases of a recorded incarnation.
+
+        See `limpetyard.engine.Worker.stale_lease_end_ms`. Infinite if the
+        previous owner did not report it.
+        """
+        leases = self._fence_result.leases
+        if leases is None or leases.stale_left_ms is None:
+            return float("inf")
+        left_ms = leases.stale_left_ms.get(worker, 0.0)
+        if left_ms is None:
+            return float("inf")
+        return self._fenced_ms + left_ms / MIN_CLOCK_RATE
+
+    @property
+    def latest_stale_run_end_ms(self) -> float:
+        """Latest time at which earlier runs may exist on a restarted worker.
+
+        What earlier owners knew of its leases says nothing of the current
+        incarnation, which may have accepted orders to the earlier one.
+        """
+        longest_ms = lease_bound_ms(self._params.longest_lease_ms)
+        return self.orders_end_ms + longest_ms
+
+    def latest_run_end_ms(
+        self, worker: str, stale_leases: StaleLeases = StaleLeases.EXPIRED
+    ) -> float:
         """Returns the latest time at which earlier runs may exist on a worker.
 
         If the previous owner reported no lease for the worker, this is a full
         lease from the latest time at which an earlier owner may order.
+
+        Args:
+            worker: Id of a worker whose incarnation is recorded.
+            stale_leases: Stale leases of that incarnation.
         """
         end_ms = self.orders_end_ms + lease_bound_ms(self._params.lease_ms)
+        if stale_leases is not StaleLeases.EXPIRED:
+            end_ms = self.latest_stale_run_end_ms
         end_ms = min(end_ms, self._known_ends_ms.get(worker, end_ms))
         leases = self._fence_result.leases
         if leases is not None and worker in leases.left_ms:
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -8,7 +8,12 @@
 
 from limpetyard._clock import Clock
 from limpetyard._events import event
-from limpetyard.engine import Engine, WorkerEntry
+from limpetyard.engine import (
+    Engine,
+    RecordedState,
+    WorkerEntry,
+    WorkerRecord,
+)
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -32,7 +37,7 @@
 from limpetyard.node._unleased_workers import UnleasedRecord, decode_unleased
 from limpetyard.store import StoredRecord
 
-_worker_decoder = msgspec.msgpack.Decoder(WorkerEntry)
+_worker_decoder = msgspec.msgpack.Decoder(WorkerRecord)
 
 # Records applied in one iteration of the event loop while a cell is loaded.
 # Some jobs have thousands of tasks, and heartbeats are due meanwhile.
@@ -94,8 +99,8 @@
         self._on_change = on_change
         # None once the collected records have been applied.
         self._collected: list[StoredRecord] | None = []
-        # Stored incarnation and draining flag of each worker, by id.
-        self._recorded_workers: dict[str, tuple[int, bool]] = {}
+        # By worker id.
+        self._recorded_workers: dict[str, RecordedState] = {}
         self.stray_keys: set[str] = set()
         self.stray_chunks: dict[str, bytes] = {}
 
@@ -157,12 +162,11 @@
             epoch = int.from_bytes(record.value)
         return epoch
 
-    async def apply_collected(self) -> dict[str, tuple[int, bool]]:
+    async def apply_collected(self) -> dict[str, RecordedState]:
         """Applies the collected records, a few in each loop iteration.
 
         Returns:
-            Incarnation of each worker that an earlier owner recorded, and
-            whether it was draining, by worker id.
+            State of each worker that an earlier owner recorded, by worker id.
         """
         records, self._collected = self._collected, None
         latest = {record.key: record for record in records}
@@ -255,11 +259,14 @@
         """
         if not loaded:
             return
-        entry = decode_record(_worker_decoder, record.value)
+        stored = decode_record(_worker_decoder, record.value)
+        entry = stored.to_entry()
         _check_key(record, WORKER_KEY_PREFIX + entry.id)
         if not math.isfinite(entry.remaining_ms):
             raise msgspec.ValidationError("time that is not finite")
-        self._recorded_workers[entry.id] = (entry.born, entry.draining)
+        self._recorded_workers[entry.id] = RecordedState(
+            entry.born, entry.draining, stored.stale_leases
+        )
         now_ms = self._clock.now_ms()
         if entry.id not in self._engine.workers:
             self._engine.set_entry(entry, now_ms)
--- a/tests/node/test_fuzzed_records.py
+++ b/tests/node/test_fuzzed_records.py
@@ -9,7 +9,13 @@
 from loguru import logger
 
 from limpetyard._clock import ManualClock
-from limpetyard.engine import Engine, EngineParams, StartOrder, WorkerEntry
+from limpetyard.engine import (
+    Engine,
+    EngineParams,
+    StaleLeases,
+    StartOrder,
+    WorkerEntry,
+)
 from limpetyard.jobs import (
     Job,
     JobSpec,
@@ -193,7 +199,7 @@
         applier.apply_jobs(records)
         self.assertLess(applier.places_epoch(), 1 << 64)
         recorded = run(applier.apply_collected())
-        self.assertEqual(recorded["w-1"], (7, False))
+        self.assertEqual(recorded["w-1"], (7, False, StaleLeases.POSSIBLE))
         msgspec.msgpack.encode(recorded)
         self.assertEqual(engine.workers["w-1"].entry, WORKER)
         self.assertEqual(engine.jobs[SPEC.id].spec, SPEC)
--- a/tests/node/test_records.py
+++ b/tests/node/test_records.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from limpetyard._clock import ManualClock
-from limpetyard.engine import Engine, EngineParams, WorkerEntry
+from limpetyard.engine import (
+    Engine,
+    EngineParams,
+    StaleLeases,
+    WorkerEntry,
+)
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -88,7 +93,7 @@
         )
         self.assertEqual(applier.places_epoch(), 0)
         recorded = await applier.apply_collected()
-        self.assertEqual(recorded, {"w-1": (7, False)})
+        self.assertEqual(recorded, {"w-1": (7, False, StaleLeases.POSSIBLE)})
         self.assertEqual(list(engine.workers), ["w-1"])
         self.assertEqual(encode_spec(engine.jobs["a" * 16].spec), job)
         applier.apply_jobs([StoredRecord(9, "s/" + "2" * 16, deep)])
--- /dev/null
+++ b/tests/node/test_stale_leases.py
@@ -0,0 +1,114 @@
+"""What an owner learns of stale leases from the owners before it."""
+
+import unittest
+from unittest import mock
+
+import msgspec
+
+from limpetyard._clock import ManualClock
+from limpetyard.engine import (
+    MIN_CLOCK_RATE,
+    EngineParams,
+    StaleLeases,
+    WorkerRecord,
+    lease_bound_ms,
+)
+from limpetyard.node import FenceResult, RemainingLeases
+from limpetyard.node._predecessor import Predecessor
+from standins.platform import SimulatedSite
+from tests.node.test_unstarted_doubts import until
+from tests.node.test_whole_site import SiteTestCase
+
+PARAMS = EngineParams(5200, 6000, longest_lease_ms=10_000)
+NOW_MS = 1000.0
+
+
+class HandoverTest(unittest.TestCase):
+    """Replies of a previous owner that was fenced at `NOW_MS`."""
+
+    def predecessor(self, leases: RemainingLeases | None) -> Predecessor:
+        """Returns a predecessor that has replied."""
+        predecessor = Predecessor(
+            0, mock.Mock(), mock.Mock(), ManualClock(NOW_MS), PARAMS
+        )
+        predecessor._fence_result = FenceResult(True, leases)
+        predecessor._fenced_ms = NOW_MS
+        predecessor._epoch = 4
+        return predecessor
+
+    def test_reported(self):
+        """A bound is taken over; no report on a known worker means none."""
+        leases = RemainingLeases(
+            4,
+            {"a": 0.0, "b": 0.0, "c": 0.0},
+            stale_left_ms={"a": 980, "b": None},
+        )
+        predecessor = self.predecessor(leases)
+        end_ms = predecessor.stale_lease_end_ms
+        self.assertEqual(end_ms("a"), NOW_MS + 980 / MIN_CLOCK_RATE)
+        self.assertEqual(end_ms("b"), float("inf"))
+        self.assertEqual(end_ms("c"), NOW_MS)
+        self.assertTrue(predecessor.may_have_ordered("c"))
+        self.assertFalse(predecessor.may_have_ordered("unknown"))
+
+    def test_nothing_reported(self):
+        """TWICE: an owner of an earlier release knows no stale leases."""
+        data = b'{"epoch": 4, "left_ms": {}}'
+        earlier = msgspec.json.decode(data, type=RemainingLeases)
+        for leases in (None, earlier):
+            with self.subTest(leases):
+                predecessor = self.predecessor(leases)
+                end_ms = predecessor.stale_lease_end_ms("w")
+                self.assertEqual(end_ms, float("inf"))
+        self.assertTrue(self.predecessor(None).may_have_ordered("w"))
+
+    def test_earlier_owner_still_orders(self):
+        """A worker that the previous owner does not know may get orders."""
+        leases = RemainingLeases(4, {}, orders_left_ms=500.0)
+        self.assertTrue(self.predecessor(leases).may_have_ordered("w"))
+
+    def test_owner_that_does_not_reply(self):
+        """TWICE: stale leases outlast those that owners grant."""
+        predecessor = self.predecessor(None)
+        predecessor.held_ms = NOW_MS
+        predecessor._new_epoch = 5
+        orders_end_ms = predecessor.orders_end_ms
+        for stale_leases, lease_ms in (
+            (StaleLeases.EXPIRED, 5200),
+            (StaleLeases.BOUNDED, 10_000),
+            (StaleLeases.POSSIBLE, 10_000),
+        ):
+            with self.subTest(stale_leases):
+                end_ms = predecessor.latest_run_end_ms("w", stale_leases)
+                bound_ms = lease_bound_ms(lease_ms)
+                self.assertEqual(end_ms, orders_end_ms + bound_ms)
+
+
+class RecordTest(SiteTestCase):
+    """Records of a worker that restarts."""
+
+    def stored(self, site: SimulatedSite) -> tuple[int, StaleLeases]:
+        """Returns the incarnation and the stale leases in the record."""
+        value = site.store.partition("jobs", 0).latest["w/w-0"].value
+        record = msgspec.msgpack.decode(value, type=WorkerRecord)
+        return record.born, record.stale_leases
+
+    def test_restart(self):
+        """A later owner learns of the restart until its effects are over."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            await until(lambda: self.stored(site) == (1, StaleLeases.EXPIRED))
+            site.workers["w-0"].crash()
+            site.workers["w-0"].restart()
+            await until(lambda: self.stored(site) == (2, StaleLeases.BOUNDED))
+            at_ms = site.clock.now_ms()
+            await until(lambda: self.stored(site) == (2, StaleLeases.EXPIRED))
+            took_ms = site.clock.now_ms() - at_ms
+            longest_ms = site.owner().node._params.longest_lease_ms
+            self.assertGreaterEqual(took_ms, longest_ms)
+
+        self.run_scenario(scenario, workers=1)
+
+
+if __name__ == "__main__":
+    unittest.main()
