Acknowledge ends once, and not to a worker that may have restarted

Callers can see (TWICE, BUDGET): a task that was done on a worker right after its restart runs again, and a failed run does not count.

Cause: each poll repeated `lastSeen`, the number of the last stored end, long after the worker had dropped these ends. Numbers of ends start anew with each incarnation, so a poll that a new incarnation executed, before the owner knew of it, made that one drop ends that no owner had read.

A poll now carries the number only while the last reply of the incarnation listed ends up to it, and not after an unanswered poll. What remains is a poll right after such a reply: the first one with a new number may still meet the next incarnation.

Evidence: test_after_an_unanswered_poll and test_between_two_polls failed before ("False is not true": the job was not done), and pass now.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -419,6 +419,7 @@
         self.crashes.retract_crash(worker)
         worker.record_reply(now_ms)
         worker.has_all_ends = reply.has_all_ends
+        worker.first_listed_end = reply.ends[0].number if reply.ends else 0
         if not worker.token_confirmed:
             self._confirm_token(worker, now_ms)
             event(
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -221,6 +221,8 @@
             the worker therefore need not report again.
         unacked_ends: Number and job of each ended run that was processed after
             that one, in order.
+        first_listed_end: Number of the first ended run in the last reply, or 0
+            if there was none.
         has_all_ends: Whether the last reply listed all ends that are not
             acknowledged.
         lease_end_ms: Time by which every lease granted by this owner has
@@ -228,6 +230,8 @@
         prior_lease_end_ms: Time until which a run of an earlier owner or
             incarnation may exist.
         replied_ms: When the worker last replied to a poll, or None.
+        may_have_restarted: Whether a poll or a start order got no reply since
+            the last poll that the current incarnation answered.
         missing_since_ms: Since when the worker has had no directory entry, or
             None.
         ended: Whether another worker was the last to reply at the address.
@@ -263,6 +267,7 @@
         "ended",
         "entry",
         "failures",
+        "first_listed_end",
         "has_all_ends",
         "incarnations",
         "isolated_run",
@@ -273,6 +278,7 @@
         "latest_load",
         "lease_end_ms",
         "lost_runs",
+        "may_have_restarted",
         "missing_since_ms",
         "prior_lease_end_ms",
         "recorded",
@@ -314,10 +320,12 @@
         self.last_received_end = 0
         self.last_acked_end = 0
         self.unacked_ends: list[tuple[int, str]] = []
+        self.first_listed_end = 0
         self.has_all_ends = False
         self.lease_end_ms = 0.0
         self.prior_lease_end_ms = 0.0
         self.replied_ms: float | None = None
+        self.may_have_restarted = False
         self.missing_since_ms: float | None = None
         self.ended = False
         self.crashed = False
@@ -361,6 +369,20 @@
             self.incarnations, MAX_INCARNATIONS - 1
         )
 
+    @property
+    def end_to_acknowledge(self) -> int:
+        """Number of the last ended run to acknowledge in the next poll, or 0.
+
+        A later incarnation that executes the poll drops its own ends up to this
+        number. So it is 0 unless the current one still lists such ends, and if
+        the worker may have restarted.
+        """
+        if self.may_have_restarted or not self.first_listed_end:
+            return 0
+        if self.first_listed_end > self.last_acked_end:
+            return 0
+        return self.last_acked_end
+
     @property
     def is_idle(self) -> bool:
         """Whether no run of any owner can exist, and all ends are stored."""
@@ -448,6 +470,7 @@
     def record_reply(self, now_ms: float) -> None:
         """Records that the current incarnation replied to a poll."""
         self.replied_ms = now_ms
+        self.may_have_restarted = False
         self.ended = False
         self.crashed = False
         self.alive_ms = now_ms
@@ -538,6 +561,8 @@
         self.last_received_end = 0
         self.last_acked_end = 0
         self.unacked_ends.clear()
+        self.first_listed_end = 0
+        self.may_have_restarted = False
         self.lease_end_ms = 0.0
         self.ended = False
         self.crashed = False
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -163,7 +163,7 @@
             lease_until_ms = worker.grant_lease(now_ms, self._lease_ms)
         wait_ms = _wait_ms(worker, lease_until_ms, len(self._engine.workers))
         request = PollRequest(
-            token, worker.last_acked_end, lease_until_ms, wait_ms
+            token, worker.end_to_acknowledge, lease_until_ms, wait_ms
         )
         try:
             reply = await self._workers.poll(
@@ -171,6 +171,8 @@
             )
         except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
             self._unanswered.add(worker.id)
+            if worker.token == token:
+                worker.may_have_restarted = True
             if isinstance(exc, (WorkerDownError, OrderWithheldError)):
                 worker.revoke_lease(lease_until_ms)
             # A later incarnation may have another address by now.
--- /dev/null
+++ b/tests/node/test_restarted_workers.py
@@ -0,0 +1,188 @@
+"""Polls and orders around the restart of a worker that the owner notices late.
+
+The new incarnation executes those that were meant for the earlier one.
+"""
+
+import asyncio
+import unittest
+
+from limpetyard.engine import (
+    Engine,
+    EngineParams,
+    PollReply,
+    PollRequest,
+    RunEndKind,
+    RunEndReport,
+    StaleTokenError,
+    Start,
+    StartResult,
+    WorkerEntry,
+    WorkerOutcomeUnknownError,
+)
+from limpetyard.jobs import (
+    JobSpec,
+    QueueParams,
+    Resources,
+    StepSpec,
+    TaskKey,
+)
+from limpetyard.node import _polling
+from standins.platform import run_in_virtual_time
+from standins.platform._virtual_time import VirtualClock
+
+REPLY_DELAY_MS = 10
+ENTRY = WorkerEntry("w", "pool", "", "z", "r", (), Resources(1000, 1000), 1)
+
+
+class _RestartingWorker:
+    """Worker client of one worker with tokens, incarnations and ends.
+
+    Attributes:
+        born: Incarnation that executes polls.
+        token: Highest token that it has seen.
+        ends: Ended runs that it still reports.
+        silent: Whether polls get no reply and are not executed.
+        before_poll: Called when a poll arrives, before it is executed.
+    """
+
+    def __init__(self):
+        self.born = 1
+        self.token = 0
+        self.ends: list[RunEndReport] = []
+        self.silent = False
+        self.before_poll = lambda: None
+
+    def restart(self, *ends: RunEndReport) -> None:
+        """Starts the next incarnation, in which some runs have ended."""
+        self.born += 1
+        self.token = 0
+        self.ends = list(ends)
+
+    async def poll(self, entry, request: PollRequest, timeout_ms) -> PollReply:
+        """Replies after the wait, unless a run has ended."""
+        await asyncio.sleep(REPLY_DELAY_MS / 1000)
+        self.before_poll()
+        if self.silent:
+            await asyncio.sleep(timeout_ms / 1000)
+            raise WorkerOutcomeUnknownError(entry.id)
+        if request.token < self.token:
+            raise StaleTokenError(entry.id)
+        self.token = request.token
+        self.ends = [e for e in self.ends if e.number > request.acked_end]
+        if not self.ends:
+            await asyncio.sleep(request.wait_ms / 1000)
+        return PollReply(self.born, 0.0, [], list(self.ends))
+
+
+class RestartTestCase(unittest.TestCase):
+    """Base of tests with one worker, which an owner polls."""
+
+    def poll(self, scenario) -> None:
+        """Runs a scenario while the worker is polled."""
+
+        async def main() -> None:
+            self.clock = VirtualClock()
+            self.engine = Engine(1, EngineParams(4000, 5000))
+            self.client = _RestartingWorker()
+            self.ended: list[str] = []
+            poller = _polling.WorkerPoller(
+                self.engine,
+                self.client,
+                self.clock,
+                4000,
+                lambda: True,
+                self.ended.append,
+                lambda: None,
+                asyncio.Event(),
+            )
+            self.worker = self.engine.set_entry(ENTRY, 0.0)
+            polling = asyncio.create_task(poller.poll_until_removed("w"))
+            await asyncio.sleep(0.1)
+            self.engine.set_recorded_workers({"w": (1, False)})
+            await scenario()
+            polling.cancel()
+
+        run_in_virtual_time(main())
+
+    def start(self) -> Start:
+        """Starts the only task of a job."""
+        spec = JobSpec("1" * 16, QueueParams("q", "pool"), "", (StepSpec(1),))
+        self.job = self.engine.add_job(spec, 0.0, loaded=False)
+        (effect,) = self.engine.plan(self.clock.now_ms(), 0.0)
+        self.engine.on_start_reply(
+            effect, StartResult.STARTED, self.clock.now_ms()
+        )
+        return effect
+
+    async def store_ends(self, count: int) -> None:
+        """Has the worker report ends, which are stored and acknowledged."""
+        self.client.ends = [
+            RunEndReport(n, TaskKey("0" * 16, 0, 0, n), 1, RunEndKind.DONE, "")
+            for n in range(1, count + 1)
+        ]
+        await asyncio.sleep(2)
+        self.engine.on_stored(self.engine.pop_dirty()[1])
+        await asyncio.sleep(2)
+        self.assertEqual(self.client.ends, [])
+
+
+class AcknowledgedEndsTest(RestartTestCase):
+    """Ends of a new incarnation that no owner has read."""
+
+    def restart_with_end(self, effect: Start) -> None:
+        """Restarts the worker, which then executes the start of a task."""
+        end = RunEndReport(1, effect.task, effect.run, RunEndKind.DONE, "")
+        self.client.restart(end)
+
+    def test_after_an_unanswered_poll(self):
+        """TWICE: `lastSeen` of the earlier incarnation deleted an end.
+
+        The worker did not answer before, so it might have restarted.
+        """
+
+        async def scenario() -> None:
+            await self.store_ends(3)
+            effect = self.start()
+            self.client.ends = [
+                RunEndReport(
+                    4, TaskKey("0" * 16, 0, 0, 4), 1, RunEndKind.DONE, ""
+                )
+            ]
+            await asyncio.sleep(2)
+            self.client.silent = True
+            await asyncio.sleep(2)
+            self.engine.on_stored(self.engine.pop_dirty()[1])
+            self.client.silent = False
+            self.restart_with_end(effect)
+            await asyncio.sleep(3)
+            self.assertEqual(self.worker.born, 2)
+            self.assertTrue(self.job.all_done)
+
+        self.poll(scenario)
+
+    def test_between_two_polls(self):
+        """TWICE: each poll repeated `lastSeen` though the ends were deleted.
+
+        The first poll after the restart deleted the ends of the new
+        incarnation, although no poll had failed.
+        """
+
+        async def scenario() -> None:
+            await self.store_ends(3)
+            effect = self.start()
+            polled = asyncio.Event()
+            self.client.before_poll = polled.set
+            await polled.wait()
+            polled.clear()
+            self.client.before_poll = lambda: (
+                self.client.born == 1 and self.restart_with_end(effect)
+            )
+            await asyncio.sleep(3)
+            self.assertEqual(self.worker.born, 2)
+            self.assertTrue(self.job.all_done)
+
+        self.poll(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
