Keep the cell if a poll is fenced by the same owner's newer token

Callers can see: an owner gives up its cell, without another claimant, right after a worker restarted under its id.

Cause: each incarnation of a worker gets a higher token. A poll that was sent before the restart was known can reach the new incarnation after an order with the new token, and is rejected as stale. The poller ended the ownership without comparing the tokens, as starts and stops do.

Evidence: FencedPollTest.test_fenced_by_the_same_owner failed before ("worker w has seen a higher fencing token"). The rejection now counts only if the worker's token is still the one that was sent, so that another owner's token still ends the ownership (test_fenced_by_another_owner).

--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -105,7 +105,7 @@
         """Polls a worker until the engine drops it.
 
         Ends the ownership and returns if the worker has seen a higher fencing
-        token. Also ends when this coroutine is cancelled.
+        token than the present one. Also ends when this coroutine is cancelled.
         """
         while True:
             worker = self._engine.workers.get(worker_id)
@@ -169,6 +169,12 @@
             reply = await self._workers.poll(
                 entry, request, wait_ms + POLL_TIMEOUT_MARGIN_MS
             )
+        except StaleTokenError:
+            # An order with the token for the next incarnation may have been
+            # executed before this poll.
+            if self._is_current(worker, token):
+                raise
+            return
         except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
             self._unanswered.add(worker.id)
             if worker.token == token:
--- a/tests/node/test_restarted_workers.py
+++ b/tests/node/test_restarted_workers.py
@@ -184,5 +184,46 @@
         self.poll(scenario)
 
 
+class FencedPollTest(RestartTestCase):
+    """A poll with the token of the earlier incarnation."""
+
+    def test_fenced_by_the_same_owner(self):
+        """An owner gave the cell up as its own newer token fenced a poll.
+
+        The poll was sent before the restart was known. An order with the token
+        for the new incarnation arrived first.
+        """
+
+        async def scenario() -> None:
+            def restart() -> None:
+                if self.client.born == 1:
+                    self.client.restart()
+                    self.engine.set_entry(
+                        WorkerEntry(
+                            *("w", "pool", "", "z", "r", ()), ENTRY.capacity, 2
+                        ),
+                        self.clock.now_ms(),
+                    )
+                    self.client.token = self.worker.token
+
+            self.client.before_poll = restart
+            await asyncio.sleep(3)
+            self.assertEqual(self.ended, [])
+            self.assertTrue(self.worker.token_confirmed)
+            self.assertEqual(self.worker.born, 2)
+
+        self.poll(scenario)
+
+    def test_fenced_by_another_owner(self):
+        """An owner that was replaced goes on with the token of its term."""
+
+        async def scenario() -> None:
+            self.client.token = self.worker.token + 1
+            await asyncio.sleep(3)
+            self.assertEqual(len(self.ended), 1)
+
+        self.poll(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
