Withhold orders that outlast the incarnation of their worker

Cause: an order or a poll may wait for a connection, up to its time-out, after its token and its lease time were chosen. Right before it was sent, only the ownership was checked. If the owner learned of a restart in the meantime, it still sent the earlier token and a time of the earlier clock, and a new incarnation that had seen no token yet executed them.

The check right before sending now also compares the token with that of the worker's present incarnation, which rises with each of them. A withheld order was not executed, so its grant is revoked as before.

WithheldOrderTest.test_restarted_worker shows the check over HTTP for a start that waits for a connection; it uses the new signature of `guarded`, so it could not run on the earlier code.

--- a/src/limpetyard/engine/_step_worker_client.py
+++ b/src/limpetyard/engine/_step_worker_client.py
@@ -212,13 +212,14 @@
     token is too low.
     """
 
-    def guarded(self, may_order: Callable[[], bool]) -> Self:
+    def guarded(self, may_send: Callable[[str, int], bool]) -> Self:
         """Returns a client that sends nothing once it may not.
 
         Args:
-            may_order: Returns whether orders may be issued. Asked right before
-                an order or a poll is sent, as it may wait for a connection; if
-                not, the call raises `OrderWithheldError`.
+            may_send: Returns whether an order or a poll to the worker with this
+                id may be sent with this token. Asked right before it is sent,
+                as it may wait for a connection; if not, the call raises
+                `OrderWithheldError`.
         """
 
     async def poll(
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -173,8 +173,9 @@
         self.state_loaded = False
         self._member = member
         self._store = store
-        # An order that waits for a connection may outlast the ownership.
-        self._workers = workers.guarded(self._may_order)
+        # An order that waits for a connection may outlast the ownership, or the
+        # incarnation of the worker that it is meant for.
+        self._workers = workers.guarded(self._may_send)
         self._advice = advice
         self._view = view
         self._parse_worker_entry = parse_worker_entry
@@ -578,6 +579,11 @@
             != (worker.born, worker.entry.draining)
         ]
 
+    def _may_send(self, worker_id: str, token: int) -> bool:
+        """Returns whether a worker may be sent an order with a token now."""
+        worker = self.engine and self.engine.workers.get(worker_id)
+        return bool(worker) and worker.token == token and self._may_order()
+
     def _may_order(self) -> bool:
         """Returns whether orders may be issued.
 
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -1,6 +1,7 @@
 """Clients of the platform's workers and of its advice service."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 import msgspec
@@ -128,6 +129,11 @@
     fencing_token: int
 
 
+_FencedRequest = (
+    _HoldRequest | _RunStartRequest | _RunStopRequest | _PaceRequest
+)
+
+
 class _Rejection(msgspec.Struct, rename="camel"):
     reason: str = ""
 
@@ -184,28 +190,30 @@
     Implements `limpetyard.engine.StepWorkerClient`.
     """
 
-    __slots__ = ("_http_client", "_may_order")
+    __slots__ = ("_http_client", "_may_send")
 
     def __init__(
         self,
-        may_order: Callable[[], bool] | None = None,
+        may_send: Callable[[str, int], bool] | None = None,
         http_client: HttpClient | None = None,
     ):
         """Creates a client.
 
         Args:
-            may_order: See `guarded`; None if everything may be sent.
+            may_send: See `guarded`; None if everything may be sent.
             http_client: Client whose connections are used, or None.
         """
         self._http_client = http_client or HttpClient(MAX_CONNECTIONS, "worker")
-        self._may_order = may_order
+        self._may_send = may_send
 
-    def guarded(self, may_order: Callable[[], bool]) -> "PlatformWorkerClient":
+    def guarded(
+        self, may_send: Callable[[str, int], bool]
+    ) -> "PlatformWorkerClient":
         """See `limpetyard.engine.StepWorkerClient.guarded`.
 
         Both clients share their connections.
         """
-        return PlatformWorkerClient(may_order, self._http_client)
+        return PlatformWorkerClient(may_send, self._http_client)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -281,15 +289,20 @@
         self,
         entry: WorkerEntry,
         path: str,
-        body: msgspec.Struct,
+        body: _FencedRequest,
         timeout_ms: float,
     ) -> HttpResponse:
         url = f"http://{entry.address}{path}"
         headers = {"Expected-Instance": entry.id}
         data = msgspec.json.encode(body)
+        may_send = None
+        if self._may_send is not None:
+            may_send = functools.partial(
+                self._may_send, entry.id, body.fencing_token
+            )
         try:
             return await self._http_client.call(
-                "POST", url, data, timeout_ms, headers, self._may_order
+                "POST", url, data, timeout_ms, headers, may_send
             )
         except WithheldError as exc:
             raise OrderWithheldError(f"{entry.id}: {exc}") from exc
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -446,18 +446,22 @@
         self,
         models: dict[str, WorkerModel],
         links: dict[str, Link],
-        may_order: Callable[[], bool] | None = None,
+        may_send: Callable[[str, int], bool] | None = None,
     ):
         self._models = models
         self.links = links
-        self._may_order = may_order
+        self._may_send = may_send
 
-    def guarded(self, may_order: Callable[[], bool]) -> "LinkedWorkerClient":
+    def guarded(
+        self, may_send: Callable[[str, int], bool]
+    ) -> "LinkedWorkerClient":
         """See `limpetyard.engine.StepWorkerClient.guarded`."""
-        return type(self)(self._models, self.links, may_order)
+        return type(self)(self._models, self.links, may_send)
 
-    async def _call(self, entry: WorkerEntry, operation, timeout_ms: float):
-        if self._may_order is not None and not self._may_order():
+    async def _call(
+        self, entry: WorkerEntry, token: int, operation, timeout_ms: float
+    ):
+        if self._may_send is not None and not self._may_send(entry.id, token):
             raise OrderWithheldError(entry.id)
         model = self._models.get(entry.id)
         if model is None or model.has_left and not self.links[entry.id].cut:
@@ -489,12 +493,14 @@
         self, entry: WorkerEntry, order: PollRequest, timeout_ms: float
     ) -> PollReply:
         """See `limpetyard.engine.StepWorkerClient.poll`."""
-        return await self._call(entry, lambda m: m.poll(order), timeout_ms)
+        return await self._call(
+            entry, order.token, lambda m: m.poll(order), timeout_ms
+        )
 
     async def start(self, entry: WorkerEntry, order: StartOrder) -> StartResult:
         """See `limpetyard.engine.StepWorkerClient.start`."""
         return await self._call(
-            entry, lambda m: m.start(order), ORDER_TIMEOUT_MS
+            entry, order.token, lambda m: m.start(order), ORDER_TIMEOUT_MS
         )
 
     async def stop(
@@ -502,9 +508,11 @@
     ) -> None:
         """See `limpetyard.engine.StepWorkerClient.stop`."""
         await self._call(
-            entry, lambda m: m.stop(task, run, token), ORDER_TIMEOUT_MS
+            entry, token, lambda m: m.stop(task, run, token), ORDER_TIMEOUT_MS
         )
 
     async def pace(self, entry: WorkerEntry, order: PaceOrder) -> None:
         """See `limpetyard.engine.StepWorkerClient.pace`."""
-        await self._call(entry, lambda m: m.pace(order), ORDER_TIMEOUT_MS)
+        await self._call(
+            entry, order.token, lambda m: m.pace(order), ORDER_TIMEOUT_MS
+        )
--- a/tests/node/test_fencing.py
+++ b/tests/node/test_fencing.py
@@ -145,6 +145,30 @@
         self.assertEqual(len(site.history.of(RunStarted)), 2)
 
 
+class RestartedWorkerTest(SiteTestCase):
+    """Orders that are about to be sent when the restart of a worker is known.
+
+    They wait for a connection. The new incarnation would execute them.
+    """
+
+    def test_token_of_the_incarnation_before(self):
+        """TWICE: orders with an earlier token, and times, reached a worker."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            owner = site.owner().node._owners[0]
+            worker = owner.engine.workers["w-0"]
+            token = worker.token
+            site.workers["w-0"].crash()
+            site.workers["w-0"].restart()
+            self.assertTrue(await reached(lambda: worker.token > token))
+            task = TaskKey("f" * 16, 0, 0, 0)
+            with self.assertRaises(OrderWithheldError):
+                await owner._workers.stop(worker.entry, task, 1, token)
+            await owner._workers.stop(worker.entry, task, 1, worker.token)
+
+        self.run_scenario(scenario)
+
+
 class RefusedFenceTest(SiteTestCase):
     """A network fault refuses connections to a previous owner that works on."""
 
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -267,7 +267,7 @@
 
 
 class WithheldOrderTest(unittest.IsolatedAsyncioTestCase):
-    """Orders that wait for a connection while the ownership ends."""
+    """Orders that wait for a connection while they become outdated."""
 
     async def asyncSetUp(self) -> None:
         """Occupies all connections to a worker with polls."""
@@ -280,8 +280,13 @@
         port = site._server.sockets[0].getsockname()[1]
         self.entry = entry(f"127.0.0.1:{port}")
         self.may_order = True
+        self.token = 1
         self.client = PlatformWorkerClient()
-        self.workers = self.client.guarded(lambda: self.may_order)
+        self.workers = self.client.guarded(
+            lambda worker_id, token: (
+                self.may_order and (worker_id, token) == ("w-1", self.token)
+            )
+        )
         self.polls = [
             asyncio.create_task(
                 self.workers.poll(self.entry, PollRequest(1, 0, None, 0), 5000)
@@ -338,6 +343,20 @@
         order = PollRequest(1, 0, 60_000, 0)
         await self.check_withheld(self.workers.poll(self.entry, order, 500))
 
+    async def test_restarted_worker(self):
+        """TWICE: a start left after the restart of its worker was known.
+
+        The new incarnation executed it, with a time of the earlier clock.
+        """
+        order = StartOrder(TASK, 1, "payload", 60_000, 1)
+        waiting = asyncio.create_task(self.workers.start(self.entry, order))
+        await asyncio.sleep(0.05)
+        self.token = 2
+        self.held.set()
+        await asyncio.wait([waiting])
+        self.assertEqual(self.paths, ["/hold"] * MAX_CONNECTIONS)
+        self.assertIsInstance(waiting.exception(), OrderWithheldError)
+
     async def test_still_permitted(self):
         """An order that waited for a connection is sent."""
         order = self.workers.stop(self.entry, TASK, 1, 1)
