Raise the token of a worker that was dropped and is listed again

Callers can see (TWICE), where a worker ends, its owner drops it, and it is back under its id while a start for the earlier incarnation is still under way.

Cause: the number of incarnations was kept for dropped workers only if they had more than one. The others came back with the token of before, so that the first poll of the new incarnation did not fence late orders.

The number is now kept for each dropped worker, until the ownership ends. What that takes in memory was not measured.

Evidence: test_listed_again_as_the_next_incarnation failed before ("12289 not greater than 12289").

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -185,7 +185,7 @@
         # Ids of the workers that have got runs of a job, by its id, until it
         # ends.
         self._workers_by_job: dict[str, set[str]] = {}
-        # Incarnations of dropped workers that had more than one, by id.
+        # Number of incarnations of each dropped worker, by id.
         self._removed_incarnations: dict[str, int] = {}
         self.unstored_jobs: set[str] = set()
 
@@ -386,9 +386,9 @@
         ]
         for worker_id in departed_ids:
             worker = self.workers.pop(worker_id)
-            # The first token of a worker that is listed again is not lower.
-            if worker.incarnations > 1:
-                self._removed_incarnations[worker_id] = worker.incarnations
+            # A worker that is listed again gets a higher token, as late orders
+            # may still reach it.
+            self._removed_incarnations[worker_id] = worker.incarnations
         return departed_ids
 
     def _is_missing_long(self, worker: Worker, now_ms: float) -> bool:
--- a/tests/engine/test_incarnations.py
+++ b/tests/engine/test_incarnations.py
@@ -75,6 +75,18 @@
         worker = self.engine.set_entry(entry(0, born=2), self.now_ms)
         self.assertGreaterEqual(worker.token, token)
 
+    def test_listed_again_as_the_next_incarnation(self):
+        """TWICE: late orders of before were executed, as the token was equal.
+
+        The worker was dropped, and came back as its second incarnation.
+        """
+        token = self.engine.workers["w-0"].token
+        self.engine.mark_entry_missing("w-0", self.now_ms)
+        self.now_ms += 60_000
+        self.assertEqual(self.engine.remove_gone_workers(self.now_ms), ["w-0"])
+        worker = self.engine.set_entry(entry(0, born=2), self.now_ms)
+        self.assertGreater(worker.token, token)
+
     def test_reported_run(self):
         """A run is not adopted, or is stopped as the one before drained."""
         self.add(entry(1))
