Drop stops that waited for their turn while their worker restarted

Callers can see (AVAIL, lost work), where the start of a task got no reply, so that its run is to be stopped, and the next incarnation of the worker executes that start. Found by reading; not seen in a run.

Cause: a stop that waits behind others to the same worker took the token at its turn. It then had the token of the new incarnation, whose run of the same number the owner had found and kept, as its task needed it.

A stop keeps the token of the incarnation for which it was planned, and is dropped if that has changed.

Evidence: StopTest.test_restarted_worker failed before: both stops were sent, expected is the first only.

--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -356,22 +356,27 @@
         )
 
     async def _stop(self, effect: Stop) -> None:
-        """Sends a stop order in its turn, unless it already waits for it."""
-        if effect in self._stops:
+        """Sends a stop order in its turn, unless it already waits for it.
+
+        Drops it if the worker has restarted by then: the run may be needed if
+        it is there again.
+        """
+        worker = self._engine.workers.get(effect.worker)
+        if worker is None or effect in self._stops:
             return
+        token = worker.token
         self._stops.add(effect)
         lock = self._stop_locks.setdefault(effect.worker, asyncio.Lock())
         try:
             async with lock, self._stop_slots:
-                await self._send_stop(effect)
+                await self._send_stop(effect, token)
         finally:
             self._stops.discard(effect)
 
-    async def _send_stop(self, effect: Stop) -> None:
+    async def _send_stop(self, effect: Stop, token: int) -> None:
         worker = self._engine.workers.get(effect.worker)
-        if worker is None or not self._may_order():
+        if worker is None or worker.token != token or not self._may_order():
             return
-        token = worker.token
         try:
             await self._workers.stop(
                 worker.entry, effect.task, effect.run, token
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -13,6 +13,7 @@
     EngineParams,
     OrderWithheldError,
     PollReply,
+    RunReport,
     RunState,
     Start,
     StartResult,
@@ -470,6 +471,32 @@
         self.client.held_stops.set()
         await asyncio.gather(*tasks)
 
+    async def test_restarted_worker(self):
+        """AVAIL: a stop for the earlier incarnation ended a run of the next.
+
+        The stop waited for its turn. The new incarnation had executed the start
+        of the run, which its task needed.
+        """
+        starts = self.plan(1, 2)
+        self.client.held_stops = asyncio.Event()
+        stops = [
+            asyncio.create_task(
+                self.dispatcher.execute(Stop(s.worker, s.task, s.run))
+            )
+            for s in starts
+        ]
+        await self.settle()
+        worker = self.engine.workers["w-0"]
+        report = RunReport(starts[1].task, starts[1].run, "", 100, 0.0)
+        for _ in range(2):
+            reply = PollReply(2, 0.0, [report], [])
+            self.engine.on_poll_reply(worker, 1000.0, reply, 1000.0)
+        (run,) = worker.runs.values()
+        self.assertIs(run.state, RunState.RUNNING)
+        self.client.held_stops.set()
+        await asyncio.gather(*stops)
+        self.assertEqual(self.client.stops, [(starts[0].task, starts[0].run)])
+
 
 class WithdrawnStartTest(DispatchTestCase):
     """Starts that must not be sent any more."""
