Count a crash less if the run may have begun after it

Callers can see (LOST): a job fails as one whose task crashes workers, while its run works on in the incarnation that has replaced the crashed one.

Cause: a new incarnation answers starts as the earlier one did. Its reply made the run count as one that had begun before the crash, and with the full weight of a run that was alone.

A start that is acknowledged after an unanswered poll or order is now marked as doubtful until the run is reported, and a crash with a doubtful run adds what one with several suspects adds. It still counts: the task may have crashed the new incarnation, too.

Evidence: test_start_after_an_unanswered_poll failed before (score 4, at which a job fails, instead of 3), after the restart was shown by a reply and by the directory. test_reported_after_an_unanswered_poll, which passed before, keeps the full weight of reported runs.

--- a/src/limpetyard/engine/_crashes.py
+++ b/src/limpetyard/engine/_crashes.py
@@ -20,8 +20,9 @@
     from limpetyard.engine._engine import Engine
     from limpetyard.engine._placement import Candidate
 
-# What a crash adds to the score of a task: if it is proven and the job alone
-# had unproven runs on the worker, and otherwise.
+# What a crash adds to the score of a task: if it is proven, the job alone had
+# unproven runs on the worker, and these certainly began before the crash; and
+# otherwise.
 LONE_CRASH = 2
 SHARED_CRASH = 1
 
@@ -105,7 +106,8 @@
             run.crash_counted = True
         lone = len({run.task.job for run in unproven}) == 1
         known = worker.replied_ms is not None
-        added = LONE_CRASH if lone and known and proven else SHARED_CRASH
+        certain = known and proven and not any(r.began_in_doubt for r in runs)
+        added = LONE_CRASH if lone and certain else SHARED_CRASH
         counted = {run.task: run for run in runs}.values()
         if counted:
             self._counted[incarnation] = [(run, added) for run in counted]
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -671,6 +671,8 @@
         if not run:
             return
         if result is StartResult.STARTED:
+            if not run.began:
+                run.began_in_doubt = worker.may_have_restarted
             self._mark_begun(worker, run)
             run.acked_ms = now_ms
             worker.silent_starts = 0
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -94,6 +94,9 @@
         began: Whether the worker has accepted a start order for the run or
             reported it. An order without a reply may have met a worker that was
             down, and a stop order is acknowledged for any run.
+        began_in_doubt: Whether the only acknowledgement arrived while the
+            worker might have restarted, so that a later incarnation may have
+            accepted the start.
         start_expires_ms: Time on the worker's clock from which it rejects all
             start orders that this owner sent; infinite if it sent none.
         checkpoint: Latest checkpoint that was reported.
@@ -118,6 +121,7 @@
         "acked_ms",
         "at_full_speed",
         "began",
+        "began_in_doubt",
         "checkpoint",
         "crash_counted",
         "last_stop_ms",
@@ -142,6 +146,7 @@
         self.state = RunState.ORDERED
         self.acked_ms: float | None = None
         self.began = False
+        self.began_in_doubt = False
         self.start_expires_ms = float("inf")
         self.checkpoint = ""
         self.speed_percent = 100
@@ -181,6 +186,7 @@
         """Updates the run from a report of the worker that arrived now."""
         if self.acked_ms is None:
             self.acked_ms = now_ms
+        self.began_in_doubt = False
         if self.state is RunState.ORDERED:
             self.state = RunState.RUNNING
         self.checkpoint = report.checkpoint or self.checkpoint
@@ -484,6 +490,11 @@
         if now_ms - sent_ms >= MIN_POLL_MS:
             self.alive_ms = now_ms
 
+    def record_unanswered(self, token: int) -> None:
+        """Records that an order or a poll with a token got no reply."""
+        if token == self.token:
+            self.may_have_restarted = True
+
     def record_failure(self, now_ms: float) -> None:
         """Records that a run failed on the worker."""
         self.failures += 1
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -299,6 +299,7 @@
             except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
                 event("order_failed", order="start", reason=exc)
                 may_have_begun = True
+                worker.record_unanswered(token)
             except StaleTokenError:
                 if worker.token == token:
                     self._end_ownership(
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -177,8 +177,7 @@
             return
         except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
             self._unanswered.add(worker.id)
-            if worker.token == token:
-                worker.may_have_restarted = True
+            worker.record_unanswered(token)
             if isinstance(exc, (WorkerDownError, OrderWithheldError)):
                 worker.revoke_lease(lease_until_ms)
             # A later incarnation may have another address by now.
--- a/tests/engine/test_crashes.py
+++ b/tests/engine/test_crashes.py
@@ -154,6 +154,40 @@
         self.replace(start)
         self.assertEqual(self.task(start).crash_score, LONE_CRASH)
 
+    def doubt(self, start: Start) -> None:
+        """Starts a run after a poll of its worker got no reply."""
+        self.worker(start).may_have_restarted = True
+        self.engine.on_start_reply(start, StartResult.STARTED, self.now_ms)
+
+    def test_start_after_an_unanswered_poll(self):
+        """LOST: a job failed as its run was in the incarnation that worked on.
+
+        The new incarnation had acknowledged the start, before the restart was
+        known.
+        """
+        for restart in (self.reply_reborn, self.list_reborn):
+            with self.subTest(restart.__name__):
+                self.setUp()
+                self.replace(self.start_one())
+                (again,) = self.plan(Start)
+                task = self.task(again)
+                self.assertEqual(task.crash_score, LONE_CRASH)
+                self.doubt(again)
+                restart(again)
+                self.assertEqual(task.crash_score, LONE_CRASH + SHARED_CRASH)
+                self.assertEqual(
+                    self.engine.jobs[again.task.job].state, "running"
+                )
+
+    def test_reported_after_an_unanswered_poll(self):
+        """A crash counts less though the run was reported before it."""
+        self.submit(job(1, StepSpec(1, ONE_CORE)))
+        (start,) = self.plan(Start)
+        self.doubt(start)
+        self.poll(start.worker)
+        self.reply_reborn(start)
+        self.assertEqual(self.task(start).crash_score, LONE_CRASH)
+
     def test_order_beside_a_run_that_began(self):
         """A run that began is the only suspect where another order was sent."""
         start = self.start_one()
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -126,6 +126,16 @@
         run = await self.start(None, StartResult.STARTED)
         self.assertIs(run.state, RunState.RUNNING)
 
+    async def test_started_by_the_next_incarnation(self):
+        """LOST: a crash counted against a run that began after it.
+
+        The first attempt had no reply, as the worker restarted.
+        """
+        run = await self.start(None, StartResult.STARTED)
+        self.assertTrue(run.began_in_doubt)
+        run = await self.start(StartResult.STARTED)
+        self.assertFalse(run.began_in_doubt)
+
     async def test_refused_after_unanswered_attempt(self):
         """A rejected retry does not prove that there is no run.
 
