Test that stored ends and tickets stay with their incarnation

Both hold on the earlier code: an append that is confirmed after a restart acknowledges no end to the new incarnation, and a ticket that was requested for the earlier one is not used for the new one.

--- a/tests/engine/test_incarnations.py
+++ b/tests/engine/test_incarnations.py
@@ -2,8 +2,16 @@
 
 import unittest
 
-from limpetyard.engine import RunReport, RunState, Start, Stop
-from limpetyard.jobs import StepSpec, TaskKey
+from limpetyard.engine import (
+    RequestAdvice,
+    RunEndKind,
+    RunReport,
+    RunState,
+    Start,
+    Stop,
+    Ticket,
+)
+from limpetyard.jobs import AdviceParams, StepSpec, TaskKey
 from tests.engine.test_engine import ONE_CORE, EngineTestCase, entry, job
 
 
@@ -87,6 +95,48 @@
         worker = self.engine.set_entry(entry(0, born=2), self.now_ms)
         self.assertGreater(worker.token, token)
 
+    def acknowledged_after(self, next_incarnation) -> int:
+        """Stores the end of a run once the next incarnation is known.
+
+        Returns:
+            Number of the last end that is acknowledged to that one.
+        """
+        key = TaskKey("f" * 16, 0, 0, 0)
+        self.poll("w-0", ((key, 1, RunEndKind.DONE),))
+        _, batch = self.engine.pop_dirty()
+        next_incarnation()
+        self.engine.on_stored(batch)
+        return self.engine.workers["w-0"].last_acked_end
+
+    def test_ends_stored_after_the_restart(self):
+        """TWICE: a stored end of before is acknowledged to the next one."""
+        self.assertEqual(
+            self.acknowledged_after(lambda: self.poll("w-0", born=2)), 0
+        )
+
+    def test_ends_stored_after_the_worker_is_listed_again(self):
+        """TWICE: the same for a worker that was dropped in between."""
+
+        def list_again() -> None:
+            del self.engine.workers["w-0"]
+            self.engine.set_entry(entry(0, born=2), self.now_ms)
+
+        self.assertEqual(self.acknowledged_after(list_again), 0)
+
+    def test_ticket_of_the_incarnation_before(self):
+        """A start has a ticket that was requested for the one before."""
+        advice = AdviceParams(1, 1, 3000)
+        self.submit(job(1, StepSpec(1, ONE_CORE), advice=advice))
+        (request,) = self.plan(RequestAdvice)
+        self.restart()
+        self.list_as(2, 4)
+        self.engine.add_tickets(request, [Ticket("w-0", "old", 1e9)])
+        (again,) = self.plan()
+        self.assertIsInstance(again, RequestAdvice)
+        self.engine.add_tickets(again, [Ticket("w-0", "new", 1e9)])
+        (start,) = self.plan(Start)
+        self.assertEqual(start.ticket, "new")
+
     def test_reported_run(self):
         """A run is not adopted, or is stopped as the one before drained."""
         self.add(entry(1))
