Test a late start that the next incarnation of a worker executes

The stop that the earlier incarnation acknowledged, or the expiry of the start on its clock, says nothing about the next one.

--- a/tests/node/test_restarted_workers.py
+++ b/tests/node/test_restarted_workers.py
@@ -27,8 +27,15 @@
     TaskKey,
 )
 from limpetyard.node import _polling
-from standins.platform import run_in_virtual_time
+from standins.platform import (
+    LinkedWorkerClient,
+    SimulatedSite,
+    run_in_virtual_time,
+    violations,
+)
+from standins.platform._site import QUEUE
 from standins.platform._virtual_time import VirtualClock
+from tests.node.test_unstarted_doubts import DoubtTestCase, until
 
 REPLY_DELAY_MS = 10
 ENTRY = WorkerEntry("w", "pool", "", "z", "r", (), Resources(1000, 1000), 1)
@@ -225,5 +232,44 @@
         self.poll(scenario)
 
 
+class LateStartTest(DoubtTestCase):
+    """A start without a reply is executed seconds later, after a restart."""
+
+    def test_stopped_start(self):
+        """TWICE: the earlier incarnation's stop does not bind the next one.
+
+        It acknowledges the stop of the run, and so the task starts elsewhere.
+        """
+        step = StepSpec(1, Resources(1000, 500), 6000)
+        spec = JobSpec("1" * 16, QUEUE, "payload", (step,))
+        sent: list[str] = []
+
+        async def hook(site, dispatcher, worker, effect) -> None:
+            link = site.owner().worker_links[worker.id]
+            if effect.run == 1:
+                link.late_rate, link.late_ms = 1.0, (4000.0, 4000.0)
+                sent.append(worker.id)
+            await self.send(dispatcher, worker, effect)
+            link.late_rate = 0.0
+
+        async def scenario(site: SimulatedSite) -> None:
+            LinkedWorkerClient.deliver_after_restart = True
+            self.addCleanup(
+                setattr, LinkedWorkerClient, "deliver_after_restart", False
+            )
+            self.assertTrue(await site.submit(spec))
+            await until(lambda: sent)
+            worker = site.workers[sent[0]]
+            await asyncio.sleep(3.395)
+            worker.crash()
+            await asyncio.sleep(0.6)
+            worker.restart()
+            await asyncio.sleep(8)
+
+        site = self.run_site(scenario, hook)
+        found = violations(site.history)
+        self.assertEqual([v for v in found if v.startswith("TWICE")], [])
+
+
 if __name__ == "__main__":
     unittest.main()
