--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -192,7 +192,7 @@
         # Ids of the workers that have got runs of a job, by its id, until it
         # ends.
         self._workers_by_job: dict[str, set[str]] = {}
-        # Incarnations of dropped workers that had more than one, by id.
+        # Number of incarnations of each dropped worker, by id.
         self._removed_incarnations: dict[str, int] = {}
         self.unstored_jobs: set[str] = set()
 
@@ -391,9 +391,9 @@
         ]
         for worker_id in departed_ids:
             worker = self.workers.pop(worker_id)
-            # The first token of a worker that is listed again is not lower.
-            if worker.incarnations > 1:
-                self._removed_incarnations[worker_id] = worker.incarnations
+            # A worker that is listed again gets a higher token, as late orders
+            # may still reach it.
+            self._removed_incarnations[worker_id] = worker.incarnations
         return departed_ids
 
     def _is_missing_long(self, worker: Worker, now_ms: float) -> bool:
@@ -424,6 +424,7 @@
         self.crashes.retract_crash(worker)
         worker.record_reply(now_ms)
         worker.has_all_ends = reply.has_all_ends
+        worker.first_listed_end = reply.ends[0].number if reply.ends else 0
         if not worker.token_confirmed:
             self._confirm_token(worker, now_ms)
             event(
@@ -704,6 +705,8 @@
         if not run:
             return
         if result is StartResult.STARTED:
+            if not run.began:
+                run.began_in_doubt = worker.may_have_restarted
             self._mark_begun(worker, run)
             run.acked_ms = now_ms
             worker.silent_starts = 0
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -131,6 +131,9 @@
         began: Whether the worker has accepted a start order for the run or
             reported it. An order without a reply may have met a worker that was
             down, and a stop order is acknowledged for any run.
+        began_in_doubt: Whether the only acknowledgement arrived while the
+            worker might have restarted, so that a later incarnation may have
+            accepted the start.
         start_expires_ms: Time on the worker's clock from which it rejects all
             start orders that this owner sent; infinite if it sent none.
         checkpoint: Latest checkpoint that was reported.
@@ -155,6 +158,7 @@
         "acked_ms",
         "at_full_speed",
         "began",
+        "began_in_doubt",
         "checkpoint",
         "crash_counted",
         "last_stop_ms",
@@ -179,6 +183,7 @@
         self.state = RunState.ORDERED
         self.acked_ms: float | None = None
         self.began = False
+        self.began_in_doubt = False
         self.start_expires_ms = float("inf")
         self.checkpoint = ""
         self.speed_percent = 100
@@ -218,6 +223,7 @@
         """Updates the run from a report of the worker that arrived now."""
         if self.acked_ms is None:
             self.acked_ms = now_ms
+        self.began_in_doubt = False
         if self.state is RunState.ORDERED:
             self.state = RunState.RUNNING
         self.checkpoint = report.checkpoint or self.checkpoint
@@ -258,6 +264,8 @@
             the worker therefore need not report again.
         unacked_ends: Number and job of each ended run that was processed after
             that one, in order.
+        first_listed_end: Number of the first ended run in the last reply, or 0
+            if there was none.
         has_all_ends: Whether the last reply listed all ends that are not
             acknowledged.
         lease_end_ms: Time by which every lease granted by this owner has
@@ -273,6 +281,8 @@
         has_restarted: Whether owners are known to have sent orders to an
             earlier incarnation.
         replied_ms: When the worker last replied to a poll, or None.
+        may_have_restarted: Whether a poll or a start order got no reply since
+            the last poll that the current incarnation answered.
         missing_since_ms: Since when the worker has had no directory entry, or
             None.
         ended: Whether another worker was the last to reply at the address.
@@ -309,6 +319,7 @@
         "ended",
         "entry",
         "failures",
+        "first_listed_end",
         "has_all_ends",
         "has_restarted",
         "incarnations",
@@ -320,6 +331,7 @@
         "latest_load",
         "lease_end_ms",
         "lost_runs",
+        "may_have_restarted",
         "missing_since_ms",
         "prior_lease_end_ms",
         "recorded",
@@ -362,6 +374,7 @@
         self.last_received_end = 0
         self.last_acked_end = 0
         self.unacked_ends: list[tuple[int, str]] = []
+        self.first_listed_end = 0
         self.has_all_ends = False
         self.lease_end_ms = 0.0
         self.prior_lease_end_ms = 0.0
@@ -369,6 +382,7 @@
         self.stale_lease_end_ms = 0.0
         self.has_restarted = incarnations > 0
         self.replied_ms: float | None = None
+        self.may_have_restarted = False
         self.missing_since_ms: float | None = None
         self.ended = False
         self.crashed = False
@@ -412,6 +426,20 @@
             self.incarnations, MAX_INCARNATIONS - 1
         )
 
+    @property
+    def end_to_acknowledge(self) -> int:
+        """Number of the last ended run to acknowledge in the next poll, or 0.
+
+        A later incarnation that executes the poll drops its own ends up to this
+        number. So it is 0 unless the current one still lists such ends, and if
+        the worker may have restarted.
+        """
+        if self.may_have_restarted or not self.first_listed_end:
+            return 0
+        if self.first_listed_end > self.last_acked_end:
+            return 0
+        return self.last_acked_end
+
     @property
     def is_idle(self) -> bool:
         """Whether no run of any owner can exist, and all ends are stored."""
@@ -509,6 +537,7 @@
     def record_reply(self, now_ms: float) -> None:
         """Records that the current incarnation replied to a poll."""
         self.replied_ms = now_ms
+        self.may_have_restarted = False
         self.ended = False
         self.crashed = False
         self.alive_ms = now_ms
@@ -522,6 +551,11 @@
         if now_ms - sent_ms >= MIN_POLL_MS:
             self.alive_ms = now_ms
 
+    def record_unanswered(self, token: int) -> None:
+        """Records that an order or a poll with a token got no reply."""
+        if token == self.token:
+            self.may_have_restarted = True
+
     def record_failure(self, now_ms: float) -> None:
         """Records that a run failed on the worker."""
         self.failures += 1
@@ -599,6 +633,8 @@
         self.last_received_end = 0
         self.last_acked_end = 0
         self.unacked_ends.clear()
+        self.first_listed_end = 0
+        self.may_have_restarted = False
         self.lease_end_ms = 0.0
         self.accepts_stale_orders = True
         self.stale_lease_end_ms = 0.0
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -105,7 +105,7 @@
         """Polls a worker until the engine drops it.
 
         Ends the ownership and returns if the worker has seen a higher fencing
-        token. Also ends when this coroutine is cancelled.
+        token than the present one. Also ends when this coroutine is cancelled.
         """
         while True:
             worker = self._engine.workers.get(worker_id)
@@ -163,14 +163,21 @@
             lease_until_ms = worker.grant_lease(now_ms, self._lease_ms)
         wait_ms = _wait_ms(worker, lease_until_ms, len(self._engine.workers))
         request = PollRequest(
-            token, worker.last_acked_end, lease_until_ms, wait_ms
+            token, worker.end_to_acknowledge, lease_until_ms, wait_ms
         )
         try:
             reply = await self._workers.poll(
                 entry, request, wait_ms + POLL_TIMEOUT_MARGIN_MS
             )
+        except StaleTokenError:
+            # An order with the token for the next incarnation may have been
+            # executed before this poll.
+            if self._is_current(worker, token):
+                raise
+            return
         except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
             self._unanswered.add(worker.id)
+            worker.record_unanswered(token)
             if isinstance(exc, (WorkerDownError, OrderWithheldError)):
                 worker.revoke_lease(lease_until_ms)
             # A later incarnation may have another address by now.
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -488,26 +488,31 @@
         self,
         models: dict[str, WorkerModel],
         links: dict[str, Link],
-        may_order: Callable[[], bool] | None = None,
+        may_send: Callable[[str, int], bool] | None = None,
         connections: dict[tuple[str, str], int] | None = None,
     ):
         self._models = models
         self.links = links
-        self._may_order = may_order
+        self._may_send = may_send
         # Incarnation at the other end of each connection, by worker id and
         # kind of order.
         self._connections = {} if connections is None else connections
 
-    def guarded(self, may_order: Callable[[], bool]) -> "LinkedWorkerClient":
+    def guarded(
+        self, may_send: Callable[[str, int], bool]
+    ) -> "LinkedWorkerClient":
         """See `limpetyard.engine.StepWorkerClient.guarded`."""
-        return type(self)(
-            self._models, self.links, may_order, self._connections
-        )
+        return type(self)(self._models, self.links, may_send, self._connections)
 
     async def _call(
-        self, entry: WorkerEntry, kind: str, operation, timeout_ms: float
+        self,
+        entry: WorkerEntry,
+        kind: str,
+        token: int,
+        operation,
+        timeout_ms: float,
     ):
-        if self._may_order is not None and not self._may_order():
+        if self._may_send is not None and not self._may_send(entry.id, token):
             raise OrderWithheldError(entry.id)
         model = self._models.get(entry.id)
         if model is None or model.has_left and not self.links[entry.id].cut:
@@ -550,13 +555,17 @@
     ) -> PollReply:
         """See `limpetyard.engine.StepWorkerClient.poll`."""
         return await self._call(
-            entry, "poll", lambda m: m.poll(order), timeout_ms
+            entry, "poll", order.token, lambda m: m.poll(order), timeout_ms
         )
 
     async def start(self, entry: WorkerEntry, order: StartOrder) -> StartResult:
         """See `limpetyard.engine.StepWorkerClient.start`."""
         return await self._call(
-            entry, "start", lambda m: m.start(order), ORDER_TIMEOUT_MS
+            entry,
+            "start",
+            order.token,
+            lambda m: m.start(order),
+            ORDER_TIMEOUT_MS,
         )
 
     async def stop(
@@ -564,11 +573,19 @@
     ) -> None:
         """See `limpetyard.engine.StepWorkerClient.stop`."""
         await self._call(
-            entry, "stop", lambda m: m.stop(task, run, token), ORDER_TIMEOUT_MS
+            entry,
+            "stop",
+            token,
+            lambda m: m.stop(task, run, token),
+            ORDER_TIMEOUT_MS,
         )
 
     async def pace(self, entry: WorkerEntry, order: PaceOrder) -> None:
         """See `limpetyard.engine.StepWorkerClient.pace`."""
         await self._call(
-            entry, "pace", lambda m: m.pace(order), ORDER_TIMEOUT_MS
+            entry,
+            "pace",
+            order.token,
+            lambda m: m.pace(order),
+            ORDER_TIMEOUT_MS,
         )
--- /dev/null
+++ b/tests/node/test_late_restarts.py
@@ -0,0 +1,270 @@
+"""Polls and orders around the restart of a worker that the owner notices late.
+
+The new incarnation executes those that were meant for the earlier one.
+"""
+
+import asyncio
+import unittest
+
+from limpetyard.engine import (
+    Engine,
+    EngineParams,
+    PollReply,
+    PollRequest,
+    RunEndKind,
+    RunEndReport,
+    StaleTokenError,
+    Start,
+    StartResult,
+    WorkerEntry,
+    WorkerOutcomeUnknownError,
+)
+from limpetyard.jobs import (
+    JobSpec,
+    QueueParams,
+    Resources,
+    StepSpec,
+    TaskKey,
+)
+from limpetyard.node import _polling
+from standins.platform import (
+    SimulatedSite,
+    run_in_virtual_time,
+    violations,
+)
+from standins.platform._site import QUEUE
+from standins.platform._virtual_time import VirtualClock
+from tests.node.test_unstarted_doubts import DoubtTestCase, until
+
+REPLY_DELAY_MS = 10
+ENTRY = WorkerEntry("w", "pool", "", "z", "r", (), Resources(1000, 1000), 1)
+
+
+class _RestartingWorker:
+    """Worker client of one worker with tokens, incarnations and ends.
+
+    Attributes:
+        born: Incarnation that executes polls.
+        token: Highest token that it has seen.
+        ends: Ended runs that it still reports.
+        silent: Whether polls get no reply and are not executed.
+        before_poll: Called when a poll arrives, before it is executed.
+    """
+
+    def __init__(self):
+        self.born = 1
+        self.token = 0
+        self.ends: list[RunEndReport] = []
+        self.silent = False
+        self.before_poll = lambda: None
+
+    def restart(self, *ends: RunEndReport) -> None:
+        """Starts the next incarnation, in which some runs have ended."""
+        self.born += 1
+        self.token = 0
+        self.ends = list(ends)
+
+    async def poll(self, entry, request: PollRequest, timeout_ms) -> PollReply:
+        """Replies after the wait, unless a run has ended."""
+        await asyncio.sleep(REPLY_DELAY_MS / 1000)
+        self.before_poll()
+        if self.silent:
+            await asyncio.sleep(timeout_ms / 1000)
+            raise WorkerOutcomeUnknownError(entry.id)
+        if request.token < self.token:
+            raise StaleTokenError(entry.id)
+        self.token = request.token
+        self.ends = [e for e in self.ends if e.number > request.acked_end]
+        if not self.ends:
+            await asyncio.sleep(request.wait_ms / 1000)
+        return PollReply(self.born, 0.0, [], list(self.ends))
+
+
+class RestartTestCase(unittest.TestCase):
+    """Base of tests with one worker, which an owner polls."""
+
+    def poll(self, scenario) -> None:
+        """Runs a scenario while the worker is polled."""
+
+        async def main() -> None:
+            self.clock = VirtualClock()
+            self.engine = Engine(1, EngineParams(4000, 5000))
+            self.client = _RestartingWorker()
+            self.ended: list[str] = []
+            poller = _polling.WorkerPoller(
+                self.engine,
+                self.client,
+                self.clock,
+                4000,
+                lambda: True,
+                self.ended.append,
+                lambda: None,
+                asyncio.Event(),
+            )
+            self.worker = self.engine.set_entry(ENTRY, 0.0)
+            polling = asyncio.create_task(poller.poll_until_removed("w"))
+            await asyncio.sleep(0.1)
+            self.engine.set_recorded_workers({"w": (1, False)})
+            await scenario()
+            polling.cancel()
+
+        run_in_virtual_time(main())
+
+    def start(self) -> Start:
+        """Starts the only task of a job."""
+        spec = JobSpec("1" * 16, QueueParams("q", "pool"), "", (StepSpec(1),))
+        self.job = self.engine.add_job(spec, 0.0, loaded=False)
+        (effect,) = self.engine.plan(self.clock.now_ms(), 0.0)
+        self.engine.on_start_reply(
+            effect, StartResult.STARTED, self.clock.now_ms()
+        )
+        return effect
+
+    async def store_ends(self, count: int) -> None:
+        """Has the worker report ends, which are stored and acknowledged."""
+        self.client.ends = [
+            RunEndReport(n, TaskKey("0" * 16, 0, 0, n), 1, RunEndKind.DONE, "")
+            for n in range(1, count + 1)
+        ]
+        await asyncio.sleep(2)
+        self.engine.on_stored(self.engine.pop_dirty()[1])
+        await asyncio.sleep(2)
+        self.assertEqual(self.client.ends, [])
+
+
+class AcknowledgedEndsTest(RestartTestCase):
+    """Ends of a new incarnation that no owner has read."""
+
+    def restart_with_end(self, effect: Start) -> None:
+        """Restarts the worker, which then executes the start of a task."""
+        end = RunEndReport(1, effect.task, effect.run, RunEndKind.DONE, "")
+        self.client.restart(end)
+
+    def test_after_an_unanswered_poll(self):
+        """TWICE: `lastSeen` of the earlier incarnation deleted an end.
+
+        The worker did not answer before, so it might have restarted.
+        """
+
+        async def scenario() -> None:
+            await self.store_ends(3)
+            effect = self.start()
+            self.client.ends = [
+                RunEndReport(
+                    4, TaskKey("0" * 16, 0, 0, 4), 1, RunEndKind.DONE, ""
+                )
+            ]
+            await asyncio.sleep(2)
+            self.client.silent = True
+            await asyncio.sleep(2)
+            self.engine.on_stored(self.engine.pop_dirty()[1])
+            self.client.silent = False
+            self.restart_with_end(effect)
+            await asyncio.sleep(3)
+            self.assertEqual(self.worker.born, 2)
+            self.assertTrue(self.job.all_done)
+
+        self.poll(scenario)
+
+    def test_between_two_polls(self):
+        """TWICE: each poll repeated `lastSeen` though the ends were deleted.
+
+        The first poll after the restart deleted the ends of the new
+        incarnation, although no poll had failed.
+        """
+
+        async def scenario() -> None:
+            await self.store_ends(3)
+            effect = self.start()
+            polled = asyncio.Event()
+            self.client.before_poll = polled.set
+            await polled.wait()
+            polled.clear()
+            self.client.before_poll = lambda: (
+                self.client.born == 1 and self.restart_with_end(effect)
+            )
+            await asyncio.sleep(3)
+            self.assertEqual(self.worker.born, 2)
+            self.assertTrue(self.job.all_done)
+
+        self.poll(scenario)
+
+
+class FencedPollTest(RestartTestCase):
+    """A poll with the token of the earlier incarnation."""
+
+    def test_fenced_by_the_same_owner(self):
+        """An owner gave the cell up as its own newer token fenced a poll.
+
+        The poll was sent before the restart was known. An order with the token
+        for the new incarnation arrived first.
+        """
+
+        async def scenario() -> None:
+            def restart() -> None:
+                if self.client.born == 1:
+                    self.client.restart()
+                    self.engine.set_entry(
+                        WorkerEntry(
+                            *("w", "pool", "", "z", "r", ()), ENTRY.capacity, 2
+                        ),
+                        self.clock.now_ms(),
+                    )
+                    self.client.token = self.worker.token
+
+            self.client.before_poll = restart
+            await asyncio.sleep(3)
+            self.assertEqual(self.ended, [])
+            self.assertTrue(self.worker.token_confirmed)
+            self.assertEqual(self.worker.born, 2)
+
+        self.poll(scenario)
+
+    def test_fenced_by_another_owner(self):
+        """An owner that was replaced goes on with the token of its term."""
+
+        async def scenario() -> None:
+            self.client.token = self.worker.token + 1
+            await asyncio.sleep(3)
+            self.assertEqual(len(self.ended), 1)
+
+        self.poll(scenario)
+
+
+class LateStartTest(DoubtTestCase):
+    """A start without a reply is executed seconds later, after a restart."""
+
+    def test_stopped_start(self):
+        """TWICE: the earlier incarnation's stop does not bind the next one.
+
+        It acknowledges the stop of the run, and so the task starts elsewhere.
+        """
+        step = StepSpec(1, Resources(1000, 500), 6000)
+        spec = JobSpec("1" * 16, QUEUE, "payload", (step,))
+        sent: list[str] = []
+
+        async def hook(site, dispatcher, worker, effect) -> None:
+            link = site.owner().worker_links[worker.id]
+            if effect.run == 1:
+                link.late_rate, link.late_ms = 1.0, (4000.0, 4000.0)
+                sent.append(worker.id)
+            await self.send(dispatcher, worker, effect)
+            link.late_rate = 0.0
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.assertTrue(await site.submit(spec))
+            await until(lambda: sent)
+            worker = site.workers[sent[0]]
+            await asyncio.sleep(3.395)
+            worker.crash()
+            await asyncio.sleep(0.6)
+            worker.restart(0.0)
+            await asyncio.sleep(8)
+
+        site = self.run_site(scenario, hook)
+        found = violations(site.history)
+        self.assertEqual([v for v in found if v.startswith("TWICE")], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
