Hand over what an owner knows of tasks without a run

Callers saw a long-running task lose work, or run again without its backoff: its run had ended, the end was not stored yet when the cell passed on, and the next owner started the task from the stored checkpoint.

Cause: since a fenced owner reports the tasks that have no run (unstarted), the next owner does not wait for the worker with the end. The report did not have what the end told: the checkpoint, the failures and the backoff.

The reply now has a history of each such task: run, processed ends, checkpoint, early failures, avoided worker and what is left of the backoff. It is applied when the report is, unless the worker has told a later end by then. As the processed ends are included, the worker's report of the same end counts once. Earlier releases ignore the field, and a reply without it counts as before (the old fault remains for a takeover from an earlier release).

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -53,7 +53,10 @@
     Resources,
     StepSpec,
     Task,
+    TaskHistory,
     TaskKey,
+    apply_history,
+    task_history,
 )
 
 # Step of a run whose job is unknown. Its cores and memory exceed those of any
@@ -907,8 +910,25 @@
             and (task.state == "waiting" or task.key in planned)
         )
 
-    def on_unstarted_tasks(self, keys: Collection[TaskKey]) -> None:
-        """Handles that the previous owner reports that tasks have no run."""
+    def task_histories(
+        self, keys: Collection[TaskKey]
+    ) -> tuple[TaskHistory, ...]:
+        """Returns what this owner knows of the earlier runs of tasks."""
+        return tuple(task_history(self.find_task(key)) for key in keys)
+
+    def on_unstarted_tasks(
+        self,
+        keys: Collection[TaskKey],
+        histories: Collection[TaskHistory] = (),
+    ) -> None:
+        """Handles that the previous owner reports that tasks have no run.
+
+        Args:
+            keys: These tasks.
+            histories: What it knew of their earlier runs; none from an owner of
+                an earlier release.
+        """
+        history_by_key = {history.task: history for history in histories}
         for key in keys:
             task = self.find_task(key)
             if task is None or task.state != "waiting":
@@ -916,6 +936,8 @@
             if task.step.long_running and task.may_be_running:
                 task.may_be_running = False
                 task.possible_worker = ""
+                if key in history_by_key:
+                    apply_history(task, history_by_key[key])
                 self.jobs[key.job].dirty = True
 
     def is_place_recorded(self, key: TaskKey, worker: str) -> bool:
--- a/src/limpetyard/jobs/__init__.py
+++ b/src/limpetyard/jobs/__init__.py
@@ -34,6 +34,11 @@
     check_id,
     check_spec,
 )
+from limpetyard.jobs._task_history import (
+    TaskHistory,
+    apply_history,
+    task_history,
+)
 
 __all__ = [
     "ACCEPTED_PREFIX",
@@ -50,8 +55,10 @@
     "Resources",
     "StepSpec",
     "Task",
+    "TaskHistory",
     "TaskKey",
     "TaskProgress",
+    "apply_history",
     "apply_progress",
     "cancellation_keys",
     "cancelled_job",
@@ -65,4 +72,5 @@
     "encode_spec",
     "chunk_job",
     "progress_changes",
+    "task_history",
 ]
--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from limpetyard.engine import Engine
-from limpetyard.jobs import TaskKey
+from limpetyard.jobs import TaskHistory, TaskKey
 
 
 class RemainingLeases(msgspec.Struct, frozen=True):
@@ -27,6 +27,8 @@
             as a witness may still be issued; None in the replies of earlier
             releases, which are no witnesses.
         unstarted: Tasks that have no run, although places of them are stored.
+        histories: Earlier runs of these tasks; none in the replies of earlier
+            releases.
     """
 
     epoch: int
@@ -36,6 +38,7 @@
     claims: dict[int, str] = {}
     extended_left_ms: float | None = None
     unstarted: tuple[TaskKey, ...] = ()
+    histories: tuple[TaskHistory, ...] = ()
 
 
 class FenceResult(msgspec.Struct, frozen=True):
@@ -53,7 +56,13 @@
 class LeaseExpiries:
     """Lease expiries of an ownership that has ended."""
 
-    __slots__ = ("_epoch", "_orders_until_ms", "_unstarted", "_until_ms")
+    __slots__ = (
+        "_epoch",
+        "_histories",
+        "_orders_until_ms",
+        "_unstarted",
+        "_until_ms",
+    )
 
     def __init__(self, engine: Engine, removed: Collection[str] = ()):
         """Copies the time until which runs may exist, by worker.
@@ -66,6 +75,7 @@
         self._epoch = engine.epoch
         self._orders_until_ms = engine.predecessor_until_ms
         self._unstarted = engine.unstarted_tasks()
+        self._histories = engine.task_histories(self._unstarted)
         self._until_ms = dict.fromkeys(removed, 0.0) | {
             worker.id: worker.runs_until_ms
             for worker in engine.workers.values()
@@ -81,4 +91,17 @@
             },
             max(0.0, self._orders_until_ms - now_ms),
             unstarted=self._unstarted,
+            histories=shift_histories(self._histories, -now_ms),
         )
+
+
+def shift_histories(
+    histories: Collection[TaskHistory], by_ms: float
+) -> tuple[TaskHistory, ...]:
+    """Returns histories with another origin of their times."""
+    return tuple(
+        msgspec.structs.replace(
+            history, retry_ms=max(0.0, history.retry_ms + by_ms)
+        )
+        for history in histories
+    )
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -406,7 +406,9 @@
         self.engine.predecessor_until_ms = min(
             self.engine.predecessor_until_ms, self._predecessor.orders_end_ms
         )
-        self.engine.on_unstarted_tasks(self._predecessor.unstarted_tasks)
+        self.engine.on_unstarted_tasks(
+            self._predecessor.unstarted_tasks, self._predecessor.task_histories
+        )
         self._plan_needed.set()
 
     def _on_claimed(self) -> None:
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -12,8 +12,8 @@
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
 from limpetyard.engine import MIN_CLOCK_RATE, EngineParams, lease_bound_ms
-from limpetyard.jobs import TaskKey
-from limpetyard.node._handover import FenceResult
+from limpetyard.jobs import TaskHistory, TaskKey
+from limpetyard.node._handover import FenceResult, shift_histories
 from limpetyard.node._peers import PeerClient
 from limpetyard.node._store_layout import (
     CLAIM_KEY,
@@ -134,6 +134,14 @@
         leases = self._fence_result.leases
         return () if leases is None else leases.unstarted
 
+    @property
+    def task_histories(self) -> tuple[TaskHistory, ...]:
+        """What that owner knew of the earlier runs of these tasks."""
+        leases = self._fence_result.leases
+        if leases is None:
+            return ()
+        return shift_histories(leases.histories, self._fenced_ms)
+
     @property
     def orders_end_ms(self) -> float:
         """Latest time at which any earlier owner may issue an order."""
--- a/tests/node/test_known_ends.py
+++ b/tests/node/test_known_ends.py
@@ -3,7 +3,12 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from limpetyard.engine import RunEndKind
+from limpetyard.jobs import TaskHistory, TaskKey
+from limpetyard.node import RemainingLeases
+from limpetyard.node._handover import shift_histories
 from standins.platform import SimulatedSite, violations
 from tests.node.test_long_running import (
     SETTLED_S,
@@ -51,5 +56,55 @@
         self.assertEqual(checkpoint, "saved")
 
 
+class EarlierLeases(msgspec.Struct, frozen=True):
+    """`RemainingLeases` of the release before histories."""
+
+    epoch: int
+    left_ms: dict[str, float]
+    orders_left_ms: float = 0.0
+    member: str = ""
+    claims: dict[int, str] = {}
+    extended_left_ms: float | None = None
+    unstarted: tuple[TaskKey, ...] = ()
+
+
+class ReplyTest(unittest.TestCase):
+    """Histories in the reply, as other releases send and read it."""
+
+    key = TaskKey("1" * 16, 0, 0, 7)
+
+    def test_round_trip(self):
+        """Histories are lost, or of another type, on the wire."""
+        history = TaskHistory(self.key, 9, (8,), "saved", 3, "w", 250.0)
+        leases = RemainingLeases(
+            3, {}, unstarted=(self.key,), histories=(history,)
+        )
+        data = msgspec.json.encode(leases)
+        decoded = msgspec.json.decode(data, type=RemainingLeases | None)
+        self.assertEqual(decoded, leases)
+
+    def test_earlier_release(self):
+        """A reply with histories is not read, or one without them."""
+        history = TaskHistory(self.key, 9)
+        leases = RemainingLeases(
+            3, {"w": 1.0}, unstarted=(self.key,), histories=(history,)
+        )
+        data = msgspec.json.encode(leases)
+        earlier = msgspec.json.decode(data, type=EarlierLeases | None)
+        self.assertEqual(earlier.unstarted, (self.key,))
+        self.assertEqual(earlier.left_ms, {"w": 1.0})
+        data = msgspec.json.encode(earlier)
+        decoded = msgspec.json.decode(data, type=RemainingLeases | None)
+        self.assertEqual(decoded.histories, ())
+
+    def test_times(self):
+        """A backoff is longer or shorter on the clock of the next owner."""
+        histories = [TaskHistory(self.key, 9, retry_ms=t) for t in (0, 1250)]
+        left = shift_histories(histories, -1000)
+        self.assertEqual([h.retry_ms for h in left], [0, 250])
+        applied = shift_histories(left, 70_000)
+        self.assertEqual([h.retry_ms for h in applied], [70_000, 70_250])
+
+
 if __name__ == "__main__":
     unittest.main()
