Ask earlier owners what the previous one was not told

Callers saw a long-running task wait 7.8 s for a lost worker, although an owner that still answered knew that the task had no run. It waits for the worker's lease and for the bound on earlier orders.

Cause: an owner that loads the cell and loses it before its predecessor has replied knows nothing of that report, and the next owner asked only the latest owner that had loaded the cell.

A fenced owner now also replies which long-running tasks it has not been told of (untold): they wait, an earlier owner's run of them may exist, and it has neither started nor found a run. About these the new owner asks the owners before it, from the latest down. What one of them reports counts only for tasks that are untold in all later replies, so no later owner can have started them. The walk ends at an owner that does not reply, whose claim is unknown, or whose process has been replaced; it is repeated with the fencing until the earlier owners' orders are bounded. It runs beside the fencing, so that a dead owner delays neither the leases nor the witnesses. Earlier releases ignore the field; after a reply without it nobody else is asked.

Tests: OwnersBetweenTest.test_owner_that_is_replaced_before_the_reply failed before (7,759 ms), and passes (379 ms). New: UntoldTest in tests.engine and tests.node, and test_owner_in_between_that_starts_the_task on a whole site, which is TWICE if all tasks are taken to be untold. Mutants that leave out the check of runs, of restarted workers or of later replies each fail a test.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -910,6 +910,26 @@
             and (task.state == "waiting" or task.key in planned)
         )
 
+    def untold_tasks(self) -> tuple[TaskKey, ...]:
+        """Returns the tasks that only an earlier owner can have started.
+
+        These are long-running tasks that wait since an earlier owner's run of
+        them may exist. This owner has neither started nor found any.
+        """
+        existing = {
+            r.task for w in self.workers.values() for r in w.runs.values()
+        }
+        return tuple(
+            task.key
+            for job in self.open_jobs.values()
+            for task in job.long_running_tasks()
+            if task.state == "waiting"
+            and task.may_be_running
+            and task.possible_worker != ""
+            and not task.restarted_worker
+            and task.key not in existing
+        )
+
     def task_histories(
         self, keys: Collection[TaskKey]
     ) -> tuple[TaskHistory, ...]:
--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -29,6 +29,9 @@
         unstarted: Tasks that have no run, although places of them are stored.
         histories: Earlier runs of these tasks; none in the replies of earlier
             releases.
+        untold: Tasks that the replying process has not started, and of which
+            no earlier owner has told it that they have no run; none in the
+            replies of earlier releases.
     """
 
     epoch: int
@@ -39,6 +42,15 @@
     extended_left_ms: float | None = None
     unstarted: tuple[TaskKey, ...] = ()
     histories: tuple[TaskHistory, ...] = ()
+    untold: tuple[TaskKey, ...] = ()
+
+    def unstarted_among(self, keys: Collection[TaskKey]) -> "RemainingLeases":
+        """Returns the reply with some of the tasks that have no run."""
+        unstarted = tuple(key for key in self.unstarted if key in keys)
+        histories = tuple(h for h in self.histories if h.task in keys)
+        return msgspec.structs.replace(
+            self, unstarted=unstarted, histories=histories
+        )
 
 
 class FenceResult(msgspec.Struct, frozen=True):
@@ -62,6 +74,7 @@
         "_orders_until_ms",
         "_unstarted",
         "_until_ms",
+        "_untold",
     )
 
     def __init__(self, engine: Engine, removed: Collection[str] = ()):
@@ -76,6 +89,7 @@
         self._orders_until_ms = engine.predecessor_until_ms
         self._unstarted = engine.unstarted_tasks()
         self._histories = engine.task_histories(self._unstarted)
+        self._untold = engine.untold_tasks()
         self._until_ms = dict.fromkeys(removed, 0.0) | {
             worker.id: worker.runs_until_ms
             for worker in engine.workers.values()
@@ -92,6 +106,7 @@
             max(0.0, self._orders_until_ms - now_ms),
             unstarted=self._unstarted,
             histories=shift_histories(self._histories, -now_ms),
+            untold=self._untold,
         )
 
 
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -366,12 +366,18 @@
     async def _fence_predecessor(self) -> None:
         await self._predecessor.fence(self.engine.epoch)
         self._apply_predecessor_bounds()
+        self._spawn(self._ask_untold())
         while not self._predecessor.is_certain and not self.ended:
             await self._predecessor.fence_again(self.engine.epoch)
             self._apply_predecessor_bounds()
         if not self.ended:
             self._predecessor.log_bounds(self.engine.epoch)
 
+    async def _ask_untold(self) -> None:
+        """Learns from earlier owners what the previous one was not told."""
+        await self._predecessor.ask_untold(self.engine.epoch)
+        self._apply_predecessor_bounds()
+
     async def _find_held(self) -> None:
         """Waits until it is known when earlier owners were confirmed last."""
         predecessor, term = self._predecessor, self._term
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -13,7 +13,11 @@
 from limpetyard._events import event
 from limpetyard.engine import MIN_CLOCK_RATE, EngineParams, lease_bound_ms
 from limpetyard.jobs import TaskHistory, TaskKey
-from limpetyard.node._handover import FenceResult, shift_histories
+from limpetyard.node._handover import (
+    FenceResult,
+    RemainingLeases,
+    shift_histories,
+)
 from limpetyard.node._peers import PeerClient
 from limpetyard.node._store_layout import (
     CLAIM_KEY,
@@ -65,7 +69,9 @@
         "_params",
         "_peers",
         "_read_ms",
+        "_reports",
         "_store",
+        "_untold",
         "_witness",
         "_witness_ends_ms",
         "claims",
@@ -114,6 +120,10 @@
         self._epoch = 0
         self._fence_result = FenceResult(False)
         self._fenced_ms: float | None = None
+        # Replies that tell which tasks have no run, and when they arrived.
+        self._reports: list[tuple[RemainingLeases, float]] = []
+        # Tasks of which the owners that replied were not told.
+        self._untold: frozenset[TaskKey] = frozenset()
         self._read_ms: float | None = None
         self._witness = witness
         # Latest time of an order that a witness, or an owner that has ended,
@@ -130,17 +140,19 @@
 
     @property
     def unstarted_tasks(self) -> tuple[TaskKey, ...]:
-        """Tasks of which that owner reported that they have no run."""
-        leases = self._fence_result.leases
-        return () if leases is None else leases.unstarted
+        """Tasks of which earlier owners reported that they have no run."""
+        return tuple(
+            key for leases, _ in self._reports for key in leases.unstarted
+        )
 
     @property
     def task_histories(self) -> tuple[TaskHistory, ...]:
-        """What that owner knew of the earlier runs of these tasks."""
-        leases = self._fence_result.leases
-        if leases is None:
-            return ()
-        return shift_histories(leases.histories, self._fenced_ms)
+        """What these owners knew of the earlier runs of these tasks."""
+        return tuple(
+            history
+            for leases, replied_ms in self._reports
+            for history in shift_histories(leases.histories, replied_ms)
+        )
 
     @property
     def orders_end_ms(self) -> float:
@@ -337,13 +349,41 @@
         await asyncio.sleep(FENCE_RETRY_MS / MS_PER_SECOND)
         await asyncio.gather(
             self._ask_witnesses(epoch),
-            asyncio.sleep(0) if self.fence_confirmed else self._retry(epoch),
+            self.ask_untold(epoch)
+            if self.fence_confirmed
+            else self._retry(epoch),
         )
 
     async def _retry(self, epoch: int) -> None:
         await self._fence_once(epoch)
         if self.fence_confirmed:
             self._log_fencing(epoch)
+            await self.ask_untold(epoch)
+
+    async def ask_untold(self, epoch: int) -> None:
+        """Asks earlier owners about tasks of which the fenced one was not told.
+
+        What one of them reports holds if no later one has started the task.
+
+        Args:
+            epoch: Epoch of the new ownership.
+        """
+        if not self._untold:
+            return
+        owner_epoch, untold = self._epoch, self._untold
+        reports = self._reports[:1]
+        while untold:
+            owner_epoch, result, replied_ms = await self._fence_below(
+                owner_epoch, epoch
+            )
+            leases = result.leases
+            if leases is None:
+                break
+            reports.append((leases.unstarted_among(untold), replied_ms))
+            untold = untold.intersection(leases.untold)
+        else:
+            self._untold = frozenset()
+        self._reports = reports
 
     async def _ask_witnesses(self, epoch: int) -> None:
         """Asks the witnesses of earlier owners that have not replied yet."""
@@ -369,10 +409,30 @@
 
     async def _fence_once(self, epoch: int) -> None:
         """Fences owners, from the latest to one that may have ordered."""
+        owner_epoch, result, fenced_ms = await self._fence_below(epoch, epoch)
+        self._epoch = owner_epoch
+        self._fence_result = result
+        self._fenced_ms = fenced_ms
+        if result.leases is not None:
+            self._reports = [(result.leases, fenced_ms)]
+            self._untold = frozenset(result.leases.untold)
+
+    async def _fence_below(
+        self, limit: int, epoch: int
+    ) -> tuple[int, FenceResult, float]:
+        """Fences owners, from some epoch down to one that may have ordered.
+
+        Args:
+            limit: Epoch below which to begin.
+            epoch: Epoch of the new ownership.
+
+        Returns:
+            Epoch of the last of them, the result, and when it was there.
+        """
         result = FenceResult(True)
         fenced_ms = self._clock.now_ms()
         owner_epoch = 0
-        for owner_epoch in range(epoch - 1, 0, -1):
+        for owner_epoch in range(limit - 1, 0, -1):
             result = FenceResult(False)
             member = await self._member_of(owner_epoch, epoch)
             if member is None:
@@ -388,9 +448,7 @@
                 break
             # This owner has never loaded the cell.
             self.claims = leases.claims | self.claims
-        self._epoch = owner_epoch
-        self._fence_result = result
-        self._fenced_ms = fenced_ms
+        return owner_epoch, result, fenced_ms
 
     def _log_fencing(self, epoch: int) -> None:
         event(
--- a/tests/engine/test_unstarted_doubts.py
+++ b/tests/engine/test_unstarted_doubts.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from limpetyard.engine import RunEndKind, Start
+from limpetyard.engine import RunEndKind, RunReport, Start
 from limpetyard.jobs import (
     TaskKey,
 )
@@ -96,13 +96,83 @@
         self.assertEqual(task.restarted_worker, start.worker)
 
 
+class UntoldTest(TakeoverTestCase):
+    """Which tasks an owner reports as started by earlier owners only."""
+
+    def setUp(self):
+        """Takes over while the worker of the task is silent."""
+        super().setUp()
+        self.take_over(self.store())
+        self.answer(self.other_worker())
+
+    def test_task_that_waits(self):
+        """The next owner does not ask for a task that waits."""
+        self.assertEqual(self.engine.untold_tasks(), (self.task.key,))
+        self.assertEqual(self.engine.unstarted_tasks(), ())
+
+    def test_told(self):
+        """The next owner asks once more."""
+        self.engine.on_unstarted_tasks((self.task.key,))
+        self.assertEqual(self.engine.untold_tasks(), ())
+        self.assertEqual(self.engine.unstarted_tasks(), (self.task.key,))
+
+    def test_started_task(self):
+        """TWICE: the next owner believes a report from before a start."""
+        self.answer(self.start.worker)
+        (start,) = self.start_all()
+        self.assertEqual(self.engine.untold_tasks(), ())
+        # Nor after the run is lost.
+        self.poll(start.worker, drop=(self.task.key,))
+        self.assertEqual(self.task.state, "waiting")
+        self.assertEqual(self.engine.untold_tasks(), ())
+
+    def test_run_that_was_found(self):
+        """TWICE: the next owner believes a report that a run disproves."""
+        report = RunReport(self.task.key, self.start.run, "", 100, 0.0)
+        self.poll(self.start.worker, extra=(report,), first_poll=True)
+        self.assertEqual(self.engine.untold_tasks(), ())
+
+    def test_older_run_that_stops(self):
+        """TWICE: the same for an older run, which is being stopped."""
+        self.task.run = self.start.run + 1
+        report = RunReport(self.task.key, self.start.run, "", 100, 0.0)
+        self.poll(self.start.worker, extra=(report,), first_poll=True)
+        self.assertEqual(self.task.state, "waiting")
+        self.assertTrue(self.task.may_be_running)
+        self.assertEqual(self.engine.untold_tasks(), ())
+        # A late order may start it again.
+        self.poll(self.start.worker, born=2)
+        self.assertTrue(self.task.may_be_running)
+        self.assertEqual(self.engine.untold_tasks(), ())
+
+    def test_restarted_worker(self):
+        """TWICE: a late order may start a run that was found."""
+        report = RunReport(self.task.key, self.start.run, "", 100, 0.0)
+        self.poll(self.start.worker, extra=(report,), first_poll=True)
+        self.poll(self.start.worker, born=2)
+        self.assertEqual(self.task.restarted_worker, self.start.worker)
+        self.assertEqual(self.engine.untold_tasks(), ())
+
+    def test_cancelled_job(self):
+        """A task of a cancelled job is asked for."""
+        self.engine.cancel_job(self.spec.id, self.now_ms)
+        self.assertEqual(self.engine.untold_tasks(), ())
+
+    def test_task_without_a_place(self):
+        """A task that needs no report is asked for."""
+        self.take_over(None)
+        self.assertEqual(self.engine.untold_tasks(), ())
+
+
 class ReplyTest(unittest.TestCase):
     """The reply as other releases send and read it."""
 
     def test_round_trip(self):
         """The tasks are lost, or those of another type, on the wire."""
         key = TaskKey("1" * 16, 0, 0, 7)
-        leases = RemainingLeases(3, {"w": 1.0}, unstarted=(key,) * 1000)
+        leases = RemainingLeases(
+            3, {"w": 1.0}, unstarted=(key,) * 1000, untold=(key,) * 1000
+        )
         data = msgspec.json.encode(leases)
         decoded = msgspec.json.decode(data, type=RemainingLeases | None)
         self.assertEqual(decoded, leases)
@@ -112,6 +182,7 @@
         data = b'{"epoch":3,"left_ms":{"w":1.0}}'
         decoded = msgspec.json.decode(data, type=RemainingLeases | None)
         self.assertEqual(decoded.unstarted, ())
+        self.assertEqual(decoded.untold, ())
 
 
 if __name__ == "__main__":
--- a/tests/node/test_predecessor.py
+++ b/tests/node/test_predecessor.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from limpetyard.engine import MIN_CLOCK_RATE, EngineParams
+from limpetyard.jobs import TaskHistory, TaskKey
 from limpetyard.node import FenceResult, RemainingLeases
 from limpetyard.node._predecessor import Predecessor
 from limpetyard.node._store_layout import CLAIM_KEY
@@ -138,6 +139,10 @@
         self, replies: dict[str, RemainingLeases | None], kept: range, read: int
     ):
         self.replies = replies
+        # Members that were asked, in order.
+        self.asked: list[str] = []
+        # Number of calls of each member that get no answer at first.
+        self.unanswered: dict[str, int] = {}
         self._kept = kept
         self._read = read
 
@@ -154,7 +159,10 @@
 
     async def fence_owner(self, member, cell, epoch) -> FenceResult:
         """Returns the reply of a member; none answers if it is not listed."""
-        if member not in self.replies:
+        self.asked.append(member)
+        left = self.unanswered.get(member, 0)
+        self.unanswered[member] = left - 1
+        if left > 0 or member not in self.replies:
             return FenceResult(False)
         return FenceResult(True, self.replies[member])
 
@@ -245,5 +253,135 @@
         self.assertFalse(run_in_virtual_time(trusted(6)))
 
 
+class UntoldTest(unittest.TestCase):
+    """What earlier owners tell of tasks; epoch 6 is the new one."""
+
+    first, second, third = (TaskKey("1" * 16, 0, 0, n) for n in range(3))
+
+    def ask(
+        self,
+        replies: dict[str, RemainingLeases | None],
+        attempts: int = 1,
+        unanswered: dict[str, int] | None = None,
+        kept: range = range(1, 6),
+    ) -> tuple[Predecessor, FormerOwners]:
+        """Fences the previous owner, and asks those before it."""
+
+        async def main() -> tuple[Predecessor, FormerOwners]:
+            owners = FormerOwners(replies, kept, 5)
+            owners.unanswered = unanswered or {}
+            params = EngineParams(LEASE_MS, LEASE_MS)
+            clock = VirtualClock()
+            predecessor = Predecessor(0, owners, owners, clock, params)
+            await predecessor.read()
+            await predecessor.fence(6)
+            for _ in range(attempts):
+                await predecessor.ask_untold(6)
+            return predecessor, owners
+
+        return run_in_virtual_time(main())
+
+    def loaded(self, epoch: int, **fields) -> RemainingLeases:
+        """Returns the reply of an owner that has loaded the cell."""
+        return RemainingLeases(epoch, {}, member=f"node-{epoch}", **fields)
+
+    def test_tasks_that_the_later_owner_may_have_started(self):
+        """TWICE: a report counts though a later owner may have started it."""
+        histories = (
+            TaskHistory(self.first, 1, (), "cp"),
+            TaskHistory(self.second, 1, (), "cp"),
+        )
+        predecessor, _ = self.ask(
+            {
+                "node-5": self.loaded(5, untold=(self.first, self.third)),
+                "node-4": self.loaded(
+                    4,
+                    unstarted=(self.first, self.second),
+                    histories=histories,
+                ),
+            }
+        )
+        self.assertEqual(predecessor.unstarted_tasks, (self.first,))
+        self.assertEqual(predecessor.task_histories, histories[:1])
+
+    def test_chain(self):
+        """Several owners in turn were not told, or one was and started it."""
+        predecessor, _ = self.ask(
+            {
+                "node-5": self.loaded(
+                    5, unstarted=(self.third,), untold=(self.first, self.second)
+                ),
+                # Never loaded the cell.
+                "node-4": RemainingLeases(0, {}, member="node-4"),
+                "node-3": self.loaded(3, untold=(self.first, self.third)),
+                "node-2": self.loaded(
+                    2, unstarted=(self.first, self.second, self.third)
+                ),
+            }
+        )
+        self.assertEqual(predecessor.unstarted_tasks, (self.third, self.first))
+
+    def test_nothing_untold(self):
+        """Owners are asked in vain, such as after an earlier release."""
+        _, owners = self.ask(
+            {
+                "node-5": self.loaded(5, unstarted=(self.first,)),
+                "node-4": self.loaded(4, unstarted=(self.second,)),
+            },
+            attempts=2,
+        )
+        self.assertEqual(owners.asked, ["node-5"])
+
+    def test_late_answer(self):
+        """An owner is not asked again, or is once it has answered."""
+        replies = {
+            "node-5": self.loaded(5, untold=(self.first,)),
+            "node-4": self.loaded(4, unstarted=(self.first,)),
+        }
+        predecessor, owners = self.ask(replies, 1, {"node-4": 2})
+        self.assertEqual(predecessor.unstarted_tasks, ())
+        predecessor, owners = self.ask(replies, 4, {"node-4": 2})
+        self.assertEqual(predecessor.unstarted_tasks, (self.first,))
+        self.assertEqual(owners.asked.count("node-4"), 3)
+
+    def test_replies_that_prove_nothing(self):
+        """TWICE: an owner in between, of which nothing is known, is skipped."""
+        for reply in (
+            None,
+            RemainingLeases(2, {}, unstarted=(self.first,)),
+            RemainingLeases(0, {}, member="successor"),
+            RemainingLeases(6, {}, member="node-4", unstarted=(self.first,)),
+        ):
+            with self.subTest(reply):
+                predecessor, owners = self.ask(
+                    {
+                        "node-5": self.loaded(5, untold=(self.first,)),
+                        "node-4": reply,
+                        "node-3": self.loaded(3, unstarted=(self.first,)),
+                    }
+                )
+                self.assertEqual(predecessor.unstarted_tasks, ())
+                self.assertNotIn("node-3", owners.asked)
+
+    def test_silent_previous_owner(self):
+        """TWICE: the owner before one that does not answer is believed."""
+        predecessor, owners = self.ask(
+            {"node-4": self.loaded(4, unstarted=(self.first,))}
+        )
+        self.assertEqual(predecessor.unstarted_tasks, ())
+        self.assertEqual(owners.asked, ["node-5"])
+
+    def test_unknown_claim(self):
+        """TWICE: the walk passes over a claim that is not known."""
+        predecessor, _ = self.ask(
+            {
+                "node-5": self.loaded(5, untold=(self.first,)),
+                "node-3": self.loaded(3, unstarted=(self.first,)),
+            },
+            kept=range(5, 6),
+        )
+        self.assertEqual(predecessor.unstarted_tasks, ())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/node/test_unstarted_doubts.py
+++ b/tests/node/test_unstarted_doubts.py
@@ -294,6 +294,53 @@
         self.assertEqual(len(waits_ms), 1)
         self.assertLess(waits_ms[0], 3000)
 
+    def test_owner_in_between_that_starts_the_task(self):
+        """TWICE: what the first owner reports counts after a start.
+
+        The one in between gets no reply, and starts the task as its worker
+        has answered. The next one does not reach the new worker of the task.
+        """
+        starts: list[tuple[int, str]] = []
+
+        async def hook(site, dispatcher, worker, effect) -> None:
+            if effect.run == 2:
+                stored.set()
+                await asyncio.Event().wait()
+            starts.append((effect.run, worker.id))
+            await self.send(dispatcher, worker, effect)
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.assertTrue(await site.submit(long_running_job(1)))
+            await asyncio.sleep(SETTLED_S)
+            fail_task(site)
+            await stored.wait()
+            previous = newest_owner(site)
+            fence = Node.fence
+            released = asyncio.Event()
+
+            async def slow_fence(node, cell, epoch):
+                reply = fence(node, cell, epoch)
+                if node is previous.node and not released.is_set():
+                    await released.wait()
+                return reply
+
+            with mock.patch.object(Node, "fence", slow_fence):
+                between = await reassign(site)
+                await until(lambda: len(self.starts(site)) > 1)
+                _, worker_id = starts[-1]
+                for host in site.hosts:
+                    if host is not between:
+                        host.worker_links[worker_id].cut = True
+                await reassign(site)
+                await until(lambda: not between.node.owns_cell())
+                released.set()
+                await asyncio.sleep(12)
+
+        stored = asyncio.Event()
+        site = self.run_site(scenario, hook)
+        self.assertEqual(violations(site.history), [])
+        self.assertGreater(len(self.starts(site)), 2)
+
     def test_owner_in_between_that_is_not_reached(self):
         """TWICE: what an earlier owner reported counts after a start."""
 
