--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from limpetyard.engine import Engine
-from limpetyard.jobs import TaskKey
+from limpetyard.jobs import TaskHistory, TaskKey
 
 
 class RemainingLeases(msgspec.Struct, frozen=True):
@@ -27,6 +27,11 @@
             as a witness may still be issued; None in the replies of earlier
             releases, which are no witnesses.
         unstarted: Tasks that have no run, although places of them are stored.
+        histories: Earlier runs of these tasks; none in the replies of earlier
+            releases.
+        untold: Tasks that the replying process has not started, and of which
+            no earlier owner has told it that they have no run; none in the
+            replies of earlier releases.
         stale_left_ms: Maximum time for which leases may last that orders to an
             earlier incarnation of a worker have granted, by worker id; None for
             a worker that may still accept such orders. Other workers have none.
@@ -40,8 +45,18 @@
     claims: dict[int, str] = {}
     extended_left_ms: float | None = None
     unstarted: tuple[TaskKey, ...] = ()
+    histories: tuple[TaskHistory, ...] = ()
+    untold: tuple[TaskKey, ...] = ()
     stale_left_ms: dict[str, float | None] | None = None
 
+    def unstarted_among(self, keys: Collection[TaskKey]) -> "RemainingLeases":
+        """Returns the reply with some of the tasks that have no run."""
+        unstarted = tuple(key for key in self.unstarted if key in keys)
+        histories = tuple(h for h in self.histories if h.task in keys)
+        return msgspec.structs.replace(
+            self, unstarted=unstarted, histories=histories
+        )
+
 
 class FenceResult(msgspec.Struct, frozen=True):
     """Result of fencing the previous owner of a cell.
@@ -60,10 +75,12 @@
 
     __slots__ = (
         "_epoch",
+        "_histories",
         "_orders_until_ms",
         "_stale_until_ms",
         "_unstarted",
         "_until_ms",
+        "_untold",
     )
 
     def __init__(self, engine: Engine, removed: Collection[str] = ()):
@@ -77,6 +94,8 @@
         self._epoch = engine.epoch
         self._orders_until_ms = engine.predecessor_until_ms
         self._unstarted = engine.unstarted_tasks()
+        self._histories = engine.task_histories(self._unstarted)
+        self._untold = engine.untold_tasks()
         self._until_ms = dict.fromkeys(removed, 0.0) | {
             worker.id: worker.runs_until_ms
             for worker in engine.workers.values()
@@ -103,4 +122,18 @@
                 for worker, until_ms in self._stale_until_ms.items()
                 if until_ms is None or until_ms > now_ms
             },
+            histories=shift_histories(self._histories, -now_ms),
+            untold=self._untold,
+        )
+
+
+def shift_histories(
+    histories: Collection[TaskHistory], by_ms: float
+) -> tuple[TaskHistory, ...]:
+    """Returns histories with another origin of their times."""
+    return tuple(
+        msgspec.structs.replace(
+            history, retry_ms=max(0.0, history.retry_ms + by_ms)
         )
+        for history in histories
+    )
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -372,12 +372,18 @@
     async def _fence_predecessor(self) -> None:
         await self._predecessor.fence(self.engine.epoch)
         self._apply_predecessor_bounds()
+        self._spawn(self._ask_untold())
         while not self._predecessor.is_certain and not self.ended:
             await self._predecessor.fence_again(self.engine.epoch)
             self._apply_predecessor_bounds()
         if not self.ended:
             self._predecessor.log_bounds(self.engine.epoch)
 
+    async def _ask_untold(self) -> None:
+        """Learns from earlier owners what the previous one was not told."""
+        await self._predecessor.ask_untold(self.engine.epoch)
+        self._apply_predecessor_bounds()
+
     async def _find_held(self) -> None:
         """Waits until it is known when earlier owners were confirmed last."""
         predecessor, term = self._predecessor, self._term
@@ -409,7 +415,9 @@
         self.engine.predecessor_until_ms = min(
             self.engine.predecessor_until_ms, self._predecessor.orders_end_ms
         )
-        self.engine.on_unstarted_tasks(self._predecessor.unstarted_tasks)
+        self.engine.on_unstarted_tasks(
+            self._predecessor.unstarted_tasks, self._predecessor.task_histories
+        )
         self._plan_needed.set()
 
     def _apply_lease_bounds(self, worker: Worker) -> None:
