Ask earlier owners beside the witnesses, again until they reply

Earlier owners were asked about untold tasks together with the witnesses, so that a dead owner held up the replies of the witnesses; and one that replied late was asked once.

They are asked in a coroutine of its own, again until the earlier owners' orders are bounded. test_first_owner_that_replies_late is new.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -47,7 +47,7 @@
 )
 from limpetyard.node._peers import PeerClient
 from limpetyard.node._polling import WorkerPoller
-from limpetyard.node._predecessor import Predecessor
+from limpetyard.node._predecessor import FENCE_RETRY_MS, Predecessor
 from limpetyard.node._records import RecordApplier
 from limpetyard.node._site import SiteView
 from limpetyard.node._store_layout import (
@@ -381,8 +381,14 @@
 
     async def _ask_untold(self) -> None:
         """Learns from earlier owners what the previous one was not told."""
-        await self._predecessor.ask_untold(self.engine.epoch)
-        self._apply_predecessor_bounds()
+        predecessor = self._predecessor
+        while not self.ended:
+            is_last = predecessor.is_certain
+            await predecessor.ask_untold(self.engine.epoch)
+            self._apply_predecessor_bounds()
+            if is_last or predecessor.is_told:
+                break
+            await asyncio.sleep(FENCE_RETRY_MS / MS_PER_SECOND)
 
     async def _find_held(self) -> None:
         """Waits until it is known when earlier owners were confirmed last."""
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -354,16 +354,18 @@
         await asyncio.sleep(FENCE_RETRY_MS / MS_PER_SECOND)
         await asyncio.gather(
             self._ask_witnesses(epoch),
-            self.ask_untold(epoch)
-            if self.fence_confirmed
-            else self._retry(epoch),
+            asyncio.sleep(0) if self.fence_confirmed else self._retry(epoch),
         )
 
     async def _retry(self, epoch: int) -> None:
         await self._fence_once(epoch)
         if self.fence_confirmed:
             self._log_fencing(epoch)
-            await self.ask_untold(epoch)
+
+    @property
+    def is_told(self) -> bool:
+        """Whether earlier owners have told which tasks have no run."""
+        return self.fence_confirmed and not self._untold
 
     async def ask_untold(self, epoch: int) -> None:
         """Asks earlier owners about tasks of which the fenced one was not told.
--- a/tests/node/test_unstarted_doubts.py
+++ b/tests/node/test_unstarted_doubts.py
@@ -268,6 +268,19 @@
 
         All owners reply, and the first one still knows that there is no run.
         """
+        self.check_replaced_before_the_reply(0.0)
+
+    def test_first_owner_that_replies_late(self):
+        """A task waits 8.1 s: the first owner is asked only once."""
+        self.check_replaced_before_the_reply(1.0)
+
+    def check_replaced_before_the_reply(self, silent_s: float) -> None:
+        """Checks a chain in which the one in between gets no reply.
+
+        Args:
+            silent_s: Time for which the first owner does not reply to the last
+                one either.
+        """
 
         async def pass_on(site: SimulatedSite, worker_id: str) -> None:
             previous = newest_owner(site)
@@ -286,6 +299,7 @@
                 await asyncio.sleep(0.1)
                 await reassign(site)
                 await until(lambda: not between.node.owns_cell())
+                await asyncio.sleep(silent_s)
                 held.set()
                 await asyncio.sleep(1)
 
