--- a/tests/exploring/ownership_storms.py
+++ b/tests/exploring/ownership_storms.py
@@ -556,6 +556,31 @@
         await asyncio.sleep(rng.uniform(0.5, 12))
 
 
+@FAULTS.register("worker_reborn_and_cut_off")
+async def _restart_and_cut_off(site: OwnershipSite, rng: random.Random) -> None:
+    """A worker restarts while orders are late, and is cut off soon after.
+
+    Its owner may lose the cell in between.
+    """
+    up = [worker for worker in site.workers.values() if worker.up]
+    if not up:
+        return
+    worker = rng.choice(up)
+    links = site.links_to(worker, None)
+    with (
+        site.hold(links, "late_ms", storms.LATE_AT_RESTART_MS),
+        site.hold(links, "late_rate", rng.choice([0.0, 0.5, 1.0])),
+    ):
+        await storms.restart_before_cut(site, worker, rng)
+    change = rng.choice([None, None, site.pass_cell_on, site.lose])
+    if change == site.pass_cell_on:
+        site.pass_cell_on()
+    elif change == site.lose:
+        await site.lose(site.owner_before(0, rng), rng)
+    with site.hold(links, "cut", True):
+        await asyncio.sleep(rng.uniform(*storms.CUT_AFTER_RESTART_S))
+
+
 @FAULTS.register("owner_cut_off")
 @storms.records_store_fault
 async def _cut_off_owner(site: OwnershipSite, rng: random.Random) -> None:
@@ -730,6 +755,12 @@
             worker.crash()
 
 
+# Faults of the schedules about workers that restart.
+RESTART_FAULTS: Registry[storms.Fault] = Registry("fault about a restart")
+for _name in ("worker_reborn_and_cut_off", "orders_late"):
+    RESTART_FAULTS.register(_name)(FAULTS.get(_name))
+
+
 def _ordinary_job(number: int, rng: random.Random) -> JobSpec:
     need = Resources(rng.randint(200, 1000), 500, 0)
     step = StepSpec(
@@ -766,15 +797,21 @@
     jobs = [_long_running_job(n, rng) for n in range(rng.randint(1, 2))]
     jobs += [_ordinary_job(len(jobs) + n, rng) for n in range(JOB_COUNT)]
     clients = [_client(site, spec, rng) for spec in jobs]
-    # Many faults at once, or few that leave time to see what waits too long.
-    if rng.random() < 0.6:
+    # Many faults at once, few that leave time to see what waits too long, or
+    # those about restarts of workers.
+    kind = rng.random()
+    if kind < 0.4:
         pause_s = rng.choice([0.3, 1.0, 3.0])
         injectors = [
             storms.inject_faults(site, rng, FAULTS, pause_s)
             for _ in range(rng.randint(1, 3))
         ]
-    else:
+    elif kind < 0.7:
         injectors = [storms.inject_faults(site, rng, FAULTS, 9.0, SPARSE_S)]
+    else:
+        injectors = [
+            storms.inject_faults(site, rng, RESTART_FAULTS) for _ in range(2)
+        ]
     await asyncio.gather(*clients, *injectors)
     await site.wait_for_background()
     return await storms.finish(site)
--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -23,6 +23,7 @@
 )
 from standins.platform._site import HEARTBEAT_INTERVAL_MS, QUEUE
 from standins.platform._virtual_time import START_WALL_MS
+from standins.platform._worker import WorkerModel
 
 JOB_COUNT = 25
 FAULT_PHASE_S = 25.0
@@ -34,6 +35,12 @@
 # Longest wait for the jobs after that: enough for the longest jobs on the
 # smallest site.
 JOB_TIMEOUT_MS = 20_000
+
+# Delay of late orders to a worker that restarts, and how long it is cut
+# off after that.
+LATE_AT_RESTART_MS = (50.0, 1500.0)
+CUT_AFTER_RESTART_S = (6.0, 12.0)
+
 Fault = Callable[[SimulatedSite, random.Random], Awaitable[None]]
 FAULTS: Registry[Fault] = Registry("fault")
 
@@ -205,6 +212,45 @@
     worker.restart()
 
 
+async def restart_before_cut(
+    site: SimulatedSite, worker: WorkerModel, rng: random.Random
+) -> None:
+    """Restarts a worker and waits until it is to be cut off.
+
+    A job whose tasks outlast the leases arrives while the worker is down.
+    """
+    need = Resources(rng.randint(100, 400), 500, 0)
+    step = StepSpec(rng.randint(8, 16), need, rng.randint(8000, 14_000))
+    job_id = f"{rng.getrandbits(64):016x}"
+    worker.crash()
+    down_s = rng.uniform(0.05, 0.6)
+    arrival_s = rng.uniform(0, down_s)
+    await asyncio.sleep(arrival_s)
+    submission = asyncio.ensure_future(
+        site.submit(JobSpec(job_id, QUEUE, "payload", (step,)))
+    )
+    await asyncio.sleep(down_s - arrival_s)
+    worker.restart()
+    await asyncio.sleep(rng.uniform(0, 2))
+    await submission
+
+
+@FAULTS.register("worker_reborn_and_cut_off")
+async def _restart_and_cut_off(site: SimulatedSite, rng: random.Random) -> None:
+    """A worker restarts while orders are late, and is cut off soon after."""
+    worker = rng.choice([w for w in site.workers.values() if w.up])
+    links = [host.worker_links[worker.entry.id] for host in site.hosts]
+    late_rate = rng.choice([0.0, 0.5, 1.0])
+    for link in links:
+        link.late_rate, link.late_ms = late_rate, LATE_AT_RESTART_MS
+    await restart_before_cut(site, worker, rng)
+    for link in links:
+        link.late_rate, link.cut = 0.0, True
+    await asyncio.sleep(rng.uniform(*CUT_AFTER_RESTART_S))
+    for link in links:
+        link.cut = False
+
+
 @FAULTS.register("worker_gone")
 async def _crash_worker(site: SimulatedSite, rng: random.Random) -> None:
     up = [worker for worker in site.workers.values() if worker.up]
