--- a/tests/node/test_restarted_workers.py
+++ b/tests/node/test_restarted_workers.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable
 
 from limpetyard.jobs import TaskKey
+from limpetyard.node._order_dispatch import START_VALID_MS
 from standins.platform import SimulatedSite, violations
 from standins.platform._worker import WorkerModel
 from tests.node.test_long_running import newest_owner
@@ -19,6 +20,9 @@
 # The order reaches the next incarnation before a poll with a new token does.
 LATE_MS = 100.0
 
+# More than the time for which a start order is valid.
+EXPIRED_MS = START_VALID_MS + 600.0
+
 # Longer than any scenario.
 RUN_MS = 40_000
 
@@ -51,7 +55,8 @@
             if self.holds_next_start:
                 self.holds_next_start = False
                 link = site.owner().worker_links[worker.id]
-                link.late_rate, link.late_ms = 1.0, (LATE_MS, LATE_MS)
+                link.late_rate = 1.0
+                link.late_ms = (self.late_ms, self.late_ms)
                 self.sent.put_nowait(worker.id)
             await self.send(dispatcher, worker, effect)
 
@@ -63,14 +68,21 @@
         found = violations(site.history, finished=False)
         self.assertEqual([v for v in found if v.startswith("TWICE")], [])
 
+    def running(self, site: SimulatedSite) -> set[TaskKey]:
+        """Returns the tasks that run now."""
+        return {t for w in site.workers.values() for t in w.running()}
+
     async def submit(self, site: SimulatedSite, number: int) -> None:
         """Submits a job whose tasks leave room on all workers."""
         spec = job(number, count=6, run_ms=RUN_MS)
         self.assertTrue(await site.submit(spec))
 
-    async def delay_start(self, site: SimulatedSite, number: int) -> str:
+    async def delay_start(
+        self, site: SimulatedSite, number: int, late_ms: float = LATE_MS
+    ) -> str:
         """Submits a job, one start of which is late; returns its worker."""
         self.holds_next_start = True
+        self.late_ms = late_ms
         await self.submit(site, number)
         worker_id = await self.sent.get()
         link = site.owner().worker_links[worker_id]
@@ -278,6 +290,34 @@
         self.check(scenario)
 
 
+class ExpiredStartTest(RestartTestCase):
+    """A start expires by the earlier clock before the worker restarts."""
+
+    def test_start_that_the_next_incarnation_accepts(self):
+        """TWICE: the new clock was behind the time at which a start expired.
+
+        Its task had started elsewhere by then.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            worker_id = await self.delay_start(site, 0, EXPIRED_MS)
+            worker = site.workers[worker_id]
+            link = site.owner().worker_links[worker_id]
+            # The start is not sent again.
+            link.refusing = True
+            await asyncio.sleep(0.7)
+            link.refusing = False
+            await asyncio.sleep((EXPIRED_MS - 750) / 1000)
+            self.assertEqual(len(self.running(site)), 6)
+            worker.crash()
+            worker.restart(0.0)
+            await asyncio.sleep(0.1)
+            self.assertTrue(worker.running())
+            await asyncio.sleep(REPLY_S)
+
+        self.check(scenario)
+
+
 class OrdinaryDelayTest(RestartTestCase):
     """Tasks of a lost worker start elsewhere after the ordinary time."""
 
@@ -323,10 +363,6 @@
         found = violations(site.history, finished=False)
         self.assertEqual([v for v in found if v.startswith("TWICE")], [])
 
-    def running(self, site: SimulatedSite) -> set[TaskKey]:
-        """Returns the tasks that run now."""
-        return {t for w in site.workers.values() for t in w.running()}
-
     def test_worker_lost_long_after_its_restart(self):
         """LOST: a restart prolonged the wait for the worker for good."""
 
