Soak: nodes know the longest lease; workers' clocks start at random readings

The workers of the soak accept leases of 10 s now, while its nodes took 6 s, their default, to be the longest. The clock of each incarnation started at 0.

The nodes get the figure in their settings, as on the platform, and the clocks start as in the simulated site.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -44,7 +44,7 @@
     SERVICE,
 )
 from standins.platform._store import StoreModel
-from standins.platform._worker import WorkerModel
+from standins.platform._worker import LONGEST_LEASE_MS, WorkerModel
 from standins.site import free_port
 from tests.platform.test_worker_entries import malformed_entries
 
@@ -67,6 +67,8 @@
 frontend = "{frontend}"
 readiness = "{readiness}"
 controlPlane = "{peers}"
+[bounds]
+maxHoldMs = {longest_lease_ms}
 [platform]
 address = "{store}"
 """
@@ -152,6 +154,7 @@
             readiness=self._readiness,
             peers=free_address(),
             store=store,
+            longest_lease_ms=LONGEST_LEASE_MS,
         )
         self._path.write_text(text)
 
@@ -257,7 +260,13 @@
             )
             specs = self.history.submitted.get
             model = WorkerModel(
-                entry, self.clock, self.history, specs, rng, gangs
+                entry,
+                self.clock,
+                self.history,
+                specs,
+                rng,
+                gangs,
+                clock_rng=rng,
             )
             listener = Server(WorkerServer(model).handle)
             model.entry = msgspec.structs.replace(
