Wait for late starts of a restarted worker, and only for these

Cause: the bound of the longest lease was counted from the moment when the restart was seen, for all tasks of the worker alike.

A run that the earlier incarnation has reported, and of which each start order was answered, has ended with it: its task starts at once. The others wait for the first reply of the new incarnation, or until the last order to the earlier one can have been carried out (12 s) and the longest lease has expired.

ShortGangTest looks for the second start for 24 s in place of 12 s, as that start may wait for 22.3 s.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -41,6 +41,7 @@
     WorkerEntry,
 )
 from limpetyard.engine._worker import (
+    MAX_ORDER_DELAY_MS,
     PROVEN_RUN_MS,
     RecordedState,
     RunState,
@@ -351,6 +352,7 @@
         worker.lease_end_ms = 0.0
         worker.prior_lease_end_ms = 0.0
         worker.stale_lease_end_ms = 0.0
+        worker.late_run_end_ms = 0.0
         self._drop_runs(worker, now_ms)
 
     def _drop_runs(self, worker: Worker, now_ms: float) -> None:
@@ -455,6 +457,7 @@
         incarnation have granted can be the longest that the worker accepts.
         """
         worker.token_confirmed = True
+        worker.late_run_end_ms = 0.0
         if worker.accepts_stale_orders:
             worker.accepts_stale_orders = False
             if worker.has_restarted:
@@ -598,6 +601,7 @@
             # It may have been over its target since long before.
             run.over_since_ms = now_ms - adopted_strain_ms(self.params)
         run.acked_ms = now_ms
+        run.unanswered_start = True
         run.proven = task is None or not task.crash_score
         self.add_run(worker, run)
         event(
@@ -644,9 +648,10 @@
     ) -> None:
         """Handles a restart of a worker: releases its runs.
 
-        An order to the earlier incarnation could start a run in the new one.
-        The tasks therefore wait for the first reply of the new one, or for the
-        end of the longest lease that such an order may have granted.
+        Some of them may have been started in the new incarnation, or may still
+        be, by orders to the earlier one. Their tasks wait for the first reply
+        of the new one, or until the last of these orders has been carried out
+        and the longest lease that it may grant has expired.
         """
         event(
             "worker_reborn",
@@ -663,9 +668,12 @@
         for run in runs:
             self._release_run(worker, run, now_ms)
             task = self.find_task(run.task)
-            if task is not None:
+            if task is not None and run.may_outlast_incarnation(now_ms):
                 task.restarted_worker = worker.id
-        if runs or now_ms < worker.prior_lease_end_ms:
+                worker.late_run_end_ms = (
+                    worker.stale_lease_end_ms + MAX_ORDER_DELAY_MS
+                )
+        if now_ms < worker.prior_lease_end_ms:
             worker.prior_lease_end_ms = max(
                 worker.prior_lease_end_ms, worker.stale_lease_end_ms
             )
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -97,6 +97,7 @@
         """
         unconfirmed = self._unconfirmed_workers(now_ms)
         unconfirmed_by_service = _by_service(unconfirmed)
+        restarted = self._restarted_workers(now_ms)
         self._confirm_places(unconfirmed, now_ms)
         self._placed = []
         self._rooms = {}
@@ -125,7 +126,7 @@
             waiting = _startable(
                 job.waiting_tasks(occurrence, step),
                 unconfirmed_by_service.get(service, ()),
-                unconfirmed,
+                restarted,
                 now_ms,
             )
             if restarts_only:
@@ -160,7 +161,7 @@
             waiting = _startable(
                 job.waiting_tasks(occurrence, step),
                 unconfirmed_by_service.get(service, ()),
-                unconfirmed,
+                restarted,
                 now_ms,
             )
             trial = self._place_trial(job, waiting, rounds[service], now_ms)
@@ -172,6 +173,7 @@
                 rounds,
                 unconfirmed,
                 min(left, self._unrecorded_left),
+                restarted,
             )
         )
         self._drain_workers(rounds, now_ms)
@@ -299,6 +301,16 @@
             and certain_ms < worker.prior_lease_end_ms
         }
 
+    def _restarted_workers(self, now_ms: float) -> set[str]:
+        """Returns the workers on which tasks of before a restart may run."""
+        certain_ms = min(now_ms, self._engine.confirmed_ms)
+        return {
+            worker.id
+            for worker in self._engine.workers.values()
+            if not worker.token_confirmed
+            and certain_ms < worker.late_run_end_ms
+        }
+
     def _confirm_places(
         self, unconfirmed: Mapping[str, str], now_ms: float
     ) -> None:
@@ -712,7 +724,7 @@
 def _startable(
     waiting: list[Task],
     unconfirmed: Collection[str],
-    all_unconfirmed: Collection[str],
+    restarted: Collection[str],
     now_ms: float,
 ) -> list[Task]:
     """Returns the tasks that may start now.
@@ -720,8 +732,9 @@
     Args:
         waiting: Waiting tasks.
         unconfirmed: Ids of the workers of the service on which runs of an
-            earlier owner or incarnation may exist.
-        all_unconfirmed: The same for all services.
+            earlier owner may exist.
+        restarted: Ids of the workers, of any service, on which tasks of before
+            their restart may run.
         now_ms: Current time.
     """
     return [
@@ -729,7 +742,7 @@
         for task in waiting
         if task.retry_at_ms <= now_ms
         and not task.may_run_on(unconfirmed)
-        and task.restarted_worker not in all_unconfirmed
+        and task.restarted_worker not in restarted
     ]
 
 
--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -1,7 +1,7 @@
 """Explains why long-running tasks wait although they should run."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 from limpetyard._events import event
@@ -68,9 +68,18 @@
         unconfirmed: Service of each worker on which a run of an earlier owner
             or incarnation may exist, by worker id.
         starts_left: Number of starts that were not used.
+        restarted: Ids of the workers on which tasks of before their restart may
+            run.
     """
 
-    __slots__ = ("_withheld", "now_ms", "rounds", "starts_left", "unconfirmed")
+    __slots__ = (
+        "_withheld",
+        "now_ms",
+        "restarted",
+        "rounds",
+        "starts_left",
+        "unconfirmed",
+    )
 
     def __init__(
         self,
@@ -78,11 +87,13 @@
         rounds: dict[str, ServiceRound],
         unconfirmed: dict[str, str],
         starts_left: float,
+        restarted: Collection[str] = (),
     ):
         self.now_ms = now_ms
         self.rounds = rounds
         self.unconfirmed = unconfirmed
         self.starts_left = starts_left
+        self.restarted = restarted
         self._withheld: dict[str, Withheld] = {}
 
     def withheld(self, service: str, engine: "Engine") -> "Withheld":
@@ -274,7 +285,7 @@
 def _restarted_worker(step: WaitingStep, state: RoundState) -> str | None:
     """A late order may start the task's last run again on its worker."""
     worker = step.task.restarted_worker
-    return f"unconfirmed: {worker}" if worker in state.unconfirmed else None
+    return f"unconfirmed: {worker}" if worker in state.restarted else None
 
 
 @REASONS.register("withheld")
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -24,6 +24,9 @@
 # older than the arrival of the reply.
 LEASE_SLACK_MS = 100
 
+# Longest time after which an order without a reply is still carried out.
+MAX_ORDER_DELAY_MS = 12_000
+
 # Failed runs, without a healthy one in between, that put a worker on probation.
 PROBATION_FAILURES = 2
 
@@ -136,6 +139,10 @@
             accepted the start.
         start_expires_ms: Time on the worker's clock from which it rejects all
             start orders that this owner sent; infinite if it sent none.
+        start_sent_ms: When the last start order was sent or, if an earlier
+            owner sent it, before when.
+        unanswered_start: Whether a start order got no reply.
+        reported: Whether the worker has reported the run.
         checkpoint: Latest checkpoint that was reported.
         speed_percent: Share of its full speed that the run was last given.
         at_full_speed: Whether the last report showed the run at 100 % speed.
@@ -168,12 +175,15 @@
         "paused_since_ms",
         "placed_ms",
         "proven",
+        "reported",
         "run",
         "speed_percent",
         "start_expires_ms",
+        "start_sent_ms",
         "state",
         "step",
         "task",
+        "unanswered_start",
     )
 
     def __init__(self, task: TaskKey, run: int, step: StepSpec, now_ms: float):
@@ -185,6 +195,9 @@
         self.began = False
         self.began_in_doubt = False
         self.start_expires_ms = float("inf")
+        self.start_sent_ms = now_ms
+        self.unanswered_start = False
+        self.reported = False
         self.checkpoint = ""
         self.speed_percent = 100
         self.at_full_speed = False
@@ -202,6 +215,19 @@
         """Whether a start order was sent, or a worker reported the run."""
         return self.acked_ms is not None or math.isfinite(self.start_expires_ms)
 
+    def may_outlast_incarnation(self, now_ms: float) -> bool:
+        """Returns whether the next incarnation may have the run, or get it.
+
+        A start order that the worker has answered, and that the run in its
+        reports goes back to, is carried out by no other incarnation.
+        """
+        if not self.reported:
+            return self.may_exist
+        return (
+            self.unanswered_start
+            and now_ms - self.start_sent_ms < MAX_ORDER_DELAY_MS
+        )
+
     def is_proven(self, alive_ms: float) -> bool:
         """Returns whether a crash of the worker does not count.
 
@@ -213,8 +239,9 @@
             and alive_ms - self.acked_ms >= PROVEN_RUN_MS
         )
 
-    def add_start_expiry(self, until_ms: float) -> None:
+    def add_start_expiry(self, until_ms: float, now_ms: float = 0.0) -> None:
         """Records a start order and when it expires on the worker's clock."""
+        self.start_sent_ms = max(self.start_sent_ms, now_ms)
         if math.isinf(self.start_expires_ms):
             self.start_expires_ms = until_ms
         self.start_expires_ms = max(self.start_expires_ms, until_ms)
@@ -224,6 +251,7 @@
         if self.acked_ms is None:
             self.acked_ms = now_ms
         self.began_in_doubt = False
+        self.reported = True
         if self.state is RunState.ORDERED:
             self.state = RunState.RUNNING
         self.checkpoint = report.checkpoint or self.checkpoint
@@ -278,6 +306,9 @@
         stale_lease_end_ms: Time by which every lease has expired that such
             orders may have granted. They give the end of the lease on another
             clock, so that it is limited by the worker alone.
+        late_run_end_ms: Time until which a run may exist that the current
+            incarnation has started by an order of this owner to an earlier one;
+            0 once it has confirmed its token.
         has_restarted: Whether owners are known to have sent orders to an
             earlier incarnation.
         replied_ms: When the worker last replied to a poll, or None.
@@ -328,6 +359,7 @@
         "last_acked_end",
         "last_failure_ms",
         "last_received_end",
+        "late_run_end_ms",
         "latest_load",
         "lease_end_ms",
         "lost_runs",
@@ -380,6 +412,7 @@
         self.prior_lease_end_ms = 0.0
         self.accepts_stale_orders = True
         self.stale_lease_end_ms = 0.0
+        self.late_run_end_ms = 0.0
         self.has_restarted = incarnations > 0
         self.replied_ms: float | None = None
         self.may_have_restarted = False
@@ -465,7 +498,10 @@
     @property
     def _longest_lease_end_ms(self) -> float:
         return max(
-            self.lease_end_ms, self.prior_lease_end_ms, self.stale_lease_end_ms
+            self.lease_end_ms,
+            self.prior_lease_end_ms,
+            self.stale_lease_end_ms,
+            self.late_run_end_ms,
         )
 
     def lease_left_ms(self, now_ms: float) -> float:
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -283,7 +283,7 @@
                 effect.ticket,
             )
             sends += 1
-            run.add_start_expiry(until_ms)
+            run.add_start_expiry(until_ms, now_ms)
             if not attempt:
                 queued_ms = now_ms - run.placed_ms
             try:
@@ -298,7 +298,7 @@
                 worker.revoke_lease(until_ms)
             except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
                 event("order_failed", order="start", reason=exc)
-                may_have_begun = True
+                may_have_begun = run.unanswered_start = True
                 worker.record_unanswered(token)
             except StaleTokenError:
                 if worker.token == token:
--- a/tests/engine/test_long_running.py
+++ b/tests/engine/test_long_running.py
@@ -361,6 +361,8 @@
         self.start_all()
         own, *others = self.engine.workers
         self.assertEqual(task.worker, own)
+        (run,) = self.engine.workers[own].runs.values()
+        run.unanswered_start = True
         self.submit(job(2, StepSpec(4, ONE_CORE, per_worker=1)))
         self.start_all()
         self.now_ms += 1000
--- a/tests/engine/test_stale_leases.py
+++ b/tests/engine/test_stale_leases.py
@@ -3,6 +3,7 @@
 import unittest
 
 from limpetyard.engine import StaleLeases, Start, lease_bound_ms
+from limpetyard.engine._worker import MAX_ORDER_DELAY_MS
 from limpetyard.jobs import StepSpec
 from tests.engine.test_engine import (
     LEASE_MS,
@@ -46,15 +47,45 @@
         self.plan()
         self.assertFalse(self.worker.runs)
 
-    def test_silent_incarnation(self):
-        """TWICE: a task started again though its order may have arrived."""
+    def waits_after_restart(
+        self, reported: bool, unanswered: bool, age_ms: float
+    ) -> bool:
+        """Returns whether the task of a restarted, silent worker waits.
+
+        Checks that it waits until no order to the earlier incarnation can be
+        carried out any more, and the longest lease has expired.
+        """
+        self.setUp()
         self.submit(job(1, StepSpec(1, ONE_CORE)))
         self.start_all()
-        self.poll("w-0", born=2)
-        restarted_ms = self.now_ms
-        self.assertEqual(
-            self.worker.prior_lease_end_ms, restarted_ms + self.longest_ms
-        )
+        (run,) = self.worker.runs.values()
+        run.unanswered_start = unanswered
+        if reported:
+            self.poll("w-0")
+        self.now_ms += age_ms
+        self.engine.set_entry(entry(0, born=2), self.now_ms)
+        self.add(entry(1))
+        if self.plan(Start):
+            return False
+        self.now_ms += self.longest_ms + MAX_ORDER_DELAY_MS - 1
+        self.poll("w-1")
+        self.assertEqual(self.plan(Start), [])
+        self.now_ms += 1
+        self.assertEqual(len(self.plan(Start)), 1)
+        return True
+
+    def test_silent_incarnation(self):
+        """TWICE: a task started again though its order may be carried out."""
+        waits = self.waits_after_restart
+        self.assertTrue(waits(reported=False, unanswered=False, age_ms=0))
+        self.assertTrue(waits(reported=True, unanswered=True, age_ms=0))
+
+    def test_run_that_ended_with_its_incarnation(self):
+        """LOST: a task waited for a silent worker without need."""
+        waits = self.waits_after_restart
+        self.assertFalse(waits(reported=True, unanswered=False, age_ms=0))
+        delay_ms = MAX_ORDER_DELAY_MS
+        self.assertFalse(waits(reported=True, unanswered=True, age_ms=delay_ms))
 
     def test_renewed_lease(self):
         """Later grants do not lower the bound, nor does taking one back."""
--- a/tests/node/test_gang_members.py
+++ b/tests/node/test_gang_members.py
@@ -97,7 +97,7 @@
             first.crash()
             first.restart()
             cut_off(site, workers[0])
-            await asyncio.sleep(12)
+            await asyncio.sleep(24)
 
         site = self.run_site(scenario, hook)
         self.assertGreater(len(self.starts(site)), 1)
