Record that a worker has restarted before its entry shows it

Cause: a worker's record was renewed only once the entry of the new incarnation had been read, so that the record said that there are no stale leases.

The record now says that stale leases are possible, with the entry of before, until the new entry has been read.

test_restart_that_the_directory_does_not_show failed before (the record did not change), and passes.

--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -687,8 +687,12 @@
         self._last_grant = None
 
     def stale_leases(self, now_ms: float) -> StaleLeases:
-        """Returns the stale leases of the current incarnation."""
-        if self.accepts_stale_orders:
+        """Returns the stale leases of the current incarnation.
+
+        For later owners they are possible until its entry has been read, as
+        they know only the incarnation of the entry.
+        """
+        if self.accepts_stale_orders or not self.entry_is_current:
             return StaleLeases.POSSIBLE
         if now_ms < self.stale_lease_end_ms:
             return StaleLeases.BOUNDED
@@ -697,11 +701,11 @@
     def recorded_state(self, now_ms: float) -> RecordedState:
         """Returns what a record of the worker must have now."""
         return RecordedState(
-            self.born, self.entry.draining, self.stale_leases(now_ms)
+            self.entry.born, self.entry.draining, self.stale_leases(now_ms)
         )
 
     def record(self, now_ms: float) -> WorkerRecord:
-        """Returns a record of the worker; its entry must be current."""
+        """Returns a record of the worker."""
         return WorkerRecord(
             **msgspec.structs.asdict(self.entry),
             stale_leases=self.stale_leases(now_ms),
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -619,18 +619,21 @@
         self._poll_tasks.pop(worker_id, None)
 
     def _unrecorded_workers(self) -> list[Worker]:
-        """Returns workers whose incarnation or draining flag is not stored.
+        """Returns workers of which what later owners must know is not stored.
 
         One that has never replied gets no orders, so later owners need not know
         of it. One whose present incarnation has no entry gets no new work, and
-        its record leads to the address at which it replied.
+        its record keeps the entry that leads to the address at which it
+        replied.
         """
         now_ms = self._clock.now_ms()
         return [
             worker
             for worker in self.engine.workers.values()
-            if (worker.token_confirmed or worker.id in self._recorded_workers)
-            and worker.entry_is_current
+            if (
+                worker.id in self._recorded_workers
+                or (worker.token_confirmed and worker.entry_is_current)
+            )
             and self._recorded_workers.get(worker.id)
             != worker.recorded_state(now_ms)
         ]
--- a/tests/engine/test_stale_leases.py
+++ b/tests/engine/test_stale_leases.py
@@ -109,6 +109,8 @@
         self.poll("w-0", born=2)
         self.assertIs(self.stale_leases(), StaleLeases.POSSIBLE)
         self.poll("w-0", born=2)
+        self.assertIs(self.stale_leases(), StaleLeases.POSSIBLE)
+        self.engine.set_entry(entry(0, born=2), self.now_ms)
         self.assertIs(self.stale_leases(), StaleLeases.BOUNDED)
         self.now_ms += self.longest_ms
         self.assertIs(self.stale_leases(), StaleLeases.EXPIRED)
--- a/tests/node/test_stale_leases.py
+++ b/tests/node/test_stale_leases.py
@@ -109,6 +109,20 @@
 
         self.run_scenario(scenario, workers=1)
 
+    def test_restart_that_the_directory_does_not_show(self):
+        """TWICE: a later owner counted only leases of before the restart."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            await until(lambda: self.stored(site) == (1, StaleLeases.EXPIRED))
+            site.workers["w-0"].reaches_store = False
+            site.workers["w-0"].crash()
+            site.workers["w-0"].restart()
+            await until(lambda: self.stored(site) == (1, StaleLeases.POSSIBLE))
+            site.workers["w-0"].reaches_store = True
+            await until(lambda: self.stored(site) == (2, StaleLeases.BOUNDED))
+
+        self.run_scenario(scenario, workers=1)
+
 
 if __name__ == "__main__":
     unittest.main()
