A member in no row for a moment has not joined last

Seen by callers: a third change of owner in a roll over all nodes, that is one more pause of starts and cold takeover.

Cause: a leaving owner hands the cell to the member that joined last, as that one has had its turn. GroupMember forgot a member that was missing in one table, as members are that wait for their partitions, and took it to have joined last when it was back. So the cell passed to a node that was still to restart. In a trace of a roll (every 2 s, owner first, dealt in order, 8 nodes) the second successor was a node that had been up since the start, ahead of three that had restarted.

Change: a member is forgotten after 10 s outside all tables. Successors are members in the last table, as before.

Evidence: test_member_without_a_cell_for_a_moment failed before.

--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -62,6 +62,10 @@
 # changed.
 CANDIDATE_CHECK_MS = 2000
 
+# A member that was not among the assignments for less than this time has not
+# joined anew: it may have had no cell for a moment.
+MAX_ABSENCE_MS = 10_000
+
 
 class GroupMember(Service):
     """Membership of one node in the group.
@@ -118,8 +122,10 @@
         # Generation of the group at the last read of the assignments.
         self._checked_generation = 0
         self._assigned_members: dict[int, str] = {}
-        # Number of the read that first showed each member, by name.
+        # Number of the read that first showed each member, by name, and send
+        # time of the read that last did.
         self._first_reads: dict[str, int] = {}
+        self._seen_ms: dict[str, float] = {}
         self._reads = 0
         # Send times of the last read and of the last successful one.
         self._assignments_read_ms = float("-inf")
@@ -341,7 +347,7 @@
         one comes first, then any: a roll may follow the names of the nodes.
         """
         return sorted(
-            self._first_reads.keys() - {"", self.name},
+            set(self._assigned_members.values()) - {"", self.name},
             key=lambda name: (
                 -self._first_reads[name],
                 -member_cores(name),
@@ -401,9 +407,15 @@
         self._assigned_members = members
         self._assignments_confirmed_ms = now_ms
         self._reads += 1
+        self._seen_ms |= dict.fromkeys(members.values(), now_ms)
+        self._seen_ms = {
+            name: seen_ms
+            for name, seen_ms in self._seen_ms.items()
+            if now_ms - seen_ms < MAX_ABSENCE_MS
+        }
         self._first_reads = {
             name: self._first_reads.get(name, self._reads)
-            for name in members.values()
+            for name in self._seen_ms
         }
         if self.on_standby:
             self.confirmed_ms = now_ms
--- a/tests/node/test_member.py
+++ b/tests/node/test_member.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from limpetyard.node._member import JOINS_PER_TTL, GroupMember
 from limpetyard.store import GroupAssignment
@@ -73,5 +74,47 @@
         self.assertLessEqual(self.longest_gap_ms(450), 460)
 
 
+class NewestMembersTest(unittest.TestCase):
+    """Order of the members by the time at which they joined."""
+
+    def newest_members(
+        self, tables: list[list[str]], gap_s: float = 0.3
+    ) -> list[str]:
+        """Returns the order after some reads of the table.
+
+        Args:
+            tables: Members in each table.
+            gap_s: Time between two reads.
+        """
+
+        async def main() -> list[str]:
+            clock = VirtualClock()
+            store = mock.Mock()
+            member = GroupMember("own", store, clock, TTL_MS, None, None)
+            for names in tables:
+                table = dict(enumerate(names))
+                store.partition_owners = mock.AsyncMock(return_value=table)
+                self.assertEqual(await member.read_assignments(), table)
+                await asyncio.sleep(gap_s)
+            return member.newest_members()
+
+        return run_in_virtual_time(main())
+
+    def test_member_without_a_cell_for_a_moment(self):
+        """It was taken to have joined last, so it was the first successor."""
+        tables = [["own", "a|1.2.3.4:5|0"], ["own", "b|1.2.3.5:5|1"]]
+        tables.append([*tables[0], "b|1.2.3.5:5|1"])
+        newest = ["b|1.2.3.5:5|1", "a|1.2.3.4:5|0"]
+        self.assertEqual(self.newest_members(tables), newest)
+
+    def test_member_that_is_gone(self):
+        """It is no successor, and is forgotten."""
+        tables = [["own", "a|1.2.3.4:5|0"], ["own", "b|1.2.3.5:5|1"]]
+        self.assertEqual(self.newest_members(tables), ["b|1.2.3.5:5|1"])
+        tables.append([*tables[0], "b|1.2.3.5:5|1"])
+        newest = ["a|1.2.3.4:5|0", "b|1.2.3.5:5|1"]
+        self.assertEqual(self.newest_members(tables, gap_s=10.0), newest)
+
+
 if __name__ == "__main__":
     unittest.main()
