An owner without other nodes stores that it has no witnesses

Seen by callers: a task could run twice (TWICE). An owner that was alone in the group is cut off from the store and the other node, which has just started, but reaches the worker of a task. It goes on for 6 s after its last confirmation, and its successor counts with 2 s, so that the task starts elsewhere while its lease is still renewed.

The owner took its set to be stored and needed no extension by anyone; the successor found no set, and so took it that the orders had never been extended. The same holds for an owner whose last witness has left.

--- a/src/limpetyard/node/_order_permit.py
+++ b/src/limpetyard/node/_order_permit.py
@@ -127,7 +127,8 @@
             epoch=epoch,
             witnesses=_SEPARATOR.join(self._sent),
         )
-        value = _SEPARATOR.join(self._sent).encode()
+        # The store drops a key without a value.
+        value = (_SEPARATOR.join(self._sent) or _SEPARATOR).encode()
         return KeyedRecord(f"{WITNESSES_PREFIX}{epoch}", value)
 
     def on_stored(self) -> None:
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -56,12 +56,14 @@
     def append(self, records: list[KeyedRecord]) -> int:
         offset = self.end
         for number, record in enumerate(records, offset):
-            self.records.append(record)
-            if record.value is None:
+            # A record has a value if any bytes follow its key.
+            value = record.value or None
+            self.records.append(KeyedRecord(record.key, value))
+            if value is None:
                 self.latest.pop(record.key, None)
             else:
                 self.latest[record.key] = StoredRecord(
-                    number, record.key, record.value
+                    number, record.key, value
                 )
         self.appended.set()
         self.appended = asyncio.Event()
--- a/tests/node/test_witness.py
+++ b/tests/node/test_witness.py
@@ -19,6 +19,7 @@
 from standins.platform._history import RunStarted
 from tests.clocks import SetClock
 from tests.node.test_long_running import SETTLED_S, long_running_job
+from tests.node.test_stale_bounds import cut_all_but
 from tests.node.test_whole_site import LEASE_MS
 
 # Longest outage of the store that running work outlasts.
@@ -228,5 +229,46 @@
         run_in_virtual_time(main())
 
 
+class OnlyNodeTest(unittest.TestCase):
+    """An owner without other nodes, which can have no witnesses."""
+
+    def test_orders_of_an_owner_that_was_alone(self):
+        """TWICE: its empty set of witnesses was no record for its successor.
+
+        It goes on for 6 s without the store. The other node starts just when it
+        is cut off, with the only worker that it reaches.
+        """
+
+        async def main() -> list[str]:
+            site = SimulatedSite(2, 4)
+            await site.start()
+            await asyncio.sleep(SETTLED_S)
+            alone = site.owner()
+            other = next(host for host in site.hosts if host is not alone)
+            await site.kill_node(other)
+            self.assertTrue(await site.submit(long_running_job(1), alone))
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(alone.node._owners[0]._permit.witnesses, set())
+            busy = next(w for w in site.workers.values() if w.running())
+            await site.start_node(other)
+            cut_all_but(site, alone, busy.entry.id)
+            alone.store_link.cut = alone.peer_link.cut = True
+            await asyncio.sleep(15)
+            self.assertTrue(other.node.owns_cell())
+            await site.stop()
+            return violations(site.history)
+
+        found = [v for v in run_in_virtual_time(main()) if "TWICE" in v]
+        self.assertEqual(found, [])
+
+    def test_record_without_witnesses(self):
+        """The store drops a key whose record has no value."""
+        params = EngineParams(LEASE_MS, LEASE_MS)
+        permit = OrderPermit(0, mock.Mock(), SetClock(), params)
+        record = permit.make_record(3, [])
+        self.assertTrue(record.value)
+        self.assertEqual(decode_witnesses(record.value), [])
+
+
 if __name__ == "__main__":
     unittest.main()
