--- a/tests/test_noded.py
+++ b/tests/test_noded.py
@@ -7,6 +7,7 @@
 import unittest
 from pathlib import Path
 
+from standins.platform._worker import LONGEST_LEASE_MS
 from tests.soak import SETTINGS, free_address, has_hangup
 
 START_S = 10.0
@@ -24,7 +25,10 @@
             name: free_address()
             for name in ("frontend", "readiness", "peers", "store")
         }
-        path.write_text(SETTINGS.format(name="node", **addresses))
+        settings = SETTINGS.format(
+            name="node", longest_lease_ms=LONGEST_LEASE_MS, **addresses
+        )
+        path.write_text(settings)
         process = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "limpetyard.noded"),
             env={"LIMPETYARD_SETTINGS": str(path)},
