Count stale leases of incarnations that are reported, but not recorded

What callers would see: TWICE. A poll shows a new incarnation, which is not recorded before its directory entry is read.

Cause: the bound was the lower of the reported lease, which includes the stale one, and that of a recorded incarnation without stale leases.

Why it works: the fenced owner knows the recorded incarnation or a later one. One that it reports stale leases of has the longest bound, or the reported one.

--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -496,6 +496,17 @@
             return float("inf")
         return self._fenced_ms + left_ms / MIN_CLOCK_RATE
 
+    def _reported_stale(self, worker: str) -> bool:
+        """Returns whether the previous owner reported stale leases.
+
+        It may know an incarnation that is later than the recorded one: a poll
+        shows it before its directory entry does.
+        """
+        leases = self._fence_result.leases
+        if leases is None or leases.stale_left_ms is None:
+            return False
+        return worker in leases.stale_left_ms
+
     @property
     def latest_stale_run_end_ms(self) -> float:
         """Latest time at which earlier runs may exist on a restarted worker.
@@ -519,7 +530,9 @@
             stale_leases: Stale leases of that incarnation.
         """
         end_ms = self.orders_end_ms + lease_bound_ms(self._params.lease_ms)
-        if stale_leases is not StaleLeases.EXPIRED:
+        if stale_leases is not StaleLeases.EXPIRED or self._reported_stale(
+            worker
+        ):
             end_ms = self.latest_stale_run_end_ms
         end_ms = min(end_ms, self._known_ends_ms.get(worker, end_ms))
         leases = self._fence_result.leases
