Keep the bound on stale leases once earlier owners cannot order

What callers would see: TWICE. A restarted worker that the previous owner does not know took a poll of the owner before that one, which had not replied.

Cause: it was bounded while that owner might still order. After that, the bound was set to 0, although the lease lasts up to the longest one from then.

Evidence: ReplyTest.test_order_of_an_owner_before fails before, and passes.

Why it works: orders_left_ms of the reply tells whether an owner before the previous one could order, whatever the time is now; the bound counts from the end of its orders.

--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -478,7 +478,8 @@
         if self._fenced_ms is not None and not self._epoch:
             return False
         leases = self._fence_result.leases
-        if leases is None or not self.is_certain:
+        if leases is None or leases.orders_left_ms:
+            # The leases of such orders may last though no more are sent.
             return True
         return worker in leases.left_ms
 
