Keep restarted workers until their stale leases have expired

What callers would see: TWICE. An idle worker that restarted lately and has lost its directory entry was dropped, and its record deleted. A later owner that finds it listed again bounds no stale lease.

Cause: runs_until_ms is 0 for an idle worker, as no run exists; but its stale lease covers what starts there later.

Evidence: RemovedWorkerTest.test_idle_worker_without_an_entry fails before, and passes.

Why it works: the record stays until no run can have that lease.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -365,9 +365,10 @@
         """Drops departed workers and returns their ids.
 
         Counts the crashes of those that were lost in silence. A worker is kept
-        as long as a run may exist on it or, for a limited time, a crash would
-        count against tasks. One that has ended or drained need not be missing
-        for long, as it gets no work if it is listed again.
+        as long as a run may exist on it, its next runs would have a stale lease
+        or, for a limited time, a crash would count against tasks. One that has
+        ended or drained need not be missing for long, as it gets no work if it
+        is listed again.
         """
         for worker in self.workers.values():
             if (
@@ -387,6 +388,7 @@
             )
             and not worker.runs
             and now_ms > worker.runs_until_ms
+            and now_ms > worker.stale_lease_end_ms
             and not (
                 worker.lost_runs
                 and now_ms - worker.lapsed_ms < CRASH_PROOF_WAIT_MS
