Store the times of unleased workers before their new incarnation

A worker that was silent for a while restarts, its owner records the new incarnation and is killed within a second; the next owner never reaches the worker and counts what was left of the lease before.

Cause: the record of workers without leases names no incarnations, and is refreshed each second; the worker's own record is stored at once.

Evidence: UnleasedRecordTest.test_silent_worker_that_restarts: 2.5 s were stored beside the second incarnation, in place of 8.6 s or more.

Why it works: appends are in order, and this record comes first in each.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -695,6 +695,8 @@
             if self._fit_store([record]):
                 groups.append([record])
                 recorded[worker.id] = worker.recorded_state(now_ms)
+                # The stored times may be those of the incarnation before.
+                self._unleased_due |= not self._unleased.may_lease(worker.id)
         # Records of jobs that are not stored are those of the previous owner.
         is_complete = not (
             too_large or self.engine.unstored_jobs.difference(batch.jobs)
