Prefer the reply of the previous owner to the times that it stored

Cause: the bound was the lower of both.

Evidence: ReplyTest.test_times_stored_before_the_reply fails before, and passes.

Why it works: the reply is later, and no lease that it reports is longer than the owner's bound on it. Open: until the reply, the stored times hold.

--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -535,10 +535,11 @@
             worker
         ):
             end_ms = self.latest_stale_run_end_ms
-        end_ms = min(end_ms, self._known_ends_ms.get(worker, end_ms))
         leases = self._fence_result.leases
         if leases is not None and worker in leases.left_ms:
+            # Later than what it stored, perhaps of an earlier incarnation.
             left_ms = leases.left_ms[worker]
-            reported_ms = self._fenced_ms + left_ms / MIN_CLOCK_RATE
-            end_ms = min(end_ms, reported_ms)
-        return end_ms
+            known_ms = self._fenced_ms + left_ms / MIN_CLOCK_RATE
+        else:
+            known_ms = self._known_ends_ms.get(worker, end_ms)
+        return min(end_ms, known_ms)
--- a/tests/node/test_stale_lease_review.py
+++ b/tests/node/test_stale_lease_review.py
@@ -68,6 +68,15 @@
         )
         self.assertEqual(end_ms, NOW_MS + 9000 / MIN_CLOCK_RATE)
 
+    def test_times_stored_before_the_reply(self):
+        """TWICE: times of the incarnation before were used, not the reply."""
+        leases = RemainingLeases(4, {"w": 8000.0}, stale_left_ms={"w": 8000.0})
+        predecessor = self.predecessor(leases)
+        predecessor.unleased_epoch = 4
+        predecessor.unleased_ends_ms = {"w": NOW_MS + 1000}
+        end_ms = predecessor.latest_run_end_ms("w", StaleLeases.EXPIRED)
+        self.assertEqual(end_ms, NOW_MS + 8000 / MIN_CLOCK_RATE)
+
     def test_owner_of_an_earlier_release(self):
         """TWICE: leases were reported by an owner that counts no stale ones."""
         data = b'{"epoch": 4, "left_ms": {"w": 1000.0}}'
