--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -480,7 +480,8 @@
         if self._fenced_ms is not None and not self._epoch:
             return False
         leases = self._fence_result.leases
-        if leases is None or not self.is_certain:
+        if leases is None or leases.orders_left_ms:
+            # The leases of such orders may last though no more are sent.
             return True
         return worker in leases.left_ms
 
@@ -498,6 +499,17 @@
             return float("inf")
         return self._fenced_ms + left_ms / MIN_CLOCK_RATE
 
+    def _reported_stale(self, worker: str) -> bool:
+        """Returns whether the previous owner reported stale leases.
+
+        It may know an incarnation that is later than the recorded one: a poll
+        shows it before its directory entry does.
+        """
+        leases = self._fence_result.leases
+        if leases is None or leases.stale_left_ms is None:
+            return False
+        return worker in leases.stale_left_ms
+
     @property
     def latest_stale_run_end_ms(self) -> float:
         """Latest time at which earlier runs may exist on a restarted worker.
@@ -521,12 +533,15 @@
             stale_leases: Stale leases of that incarnation.
         """
         end_ms = self.orders_end_ms + lease_bound_ms(self._params.lease_ms)
-        if stale_leases is not StaleLeases.EXPIRED:
+        if stale_leases is not StaleLeases.EXPIRED or self._reported_stale(
+            worker
+        ):
             end_ms = self.latest_stale_run_end_ms
-        end_ms = min(end_ms, self._known_ends_ms.get(worker, end_ms))
         leases = self._fence_result.leases
         if leases is not None and worker in leases.left_ms:
+            # Later than what it stored, perhaps of an earlier incarnation.
             left_ms = leases.left_ms[worker]
-            reported_ms = self._fenced_ms + left_ms / MIN_CLOCK_RATE
-            end_ms = min(end_ms, reported_ms)
-        return end_ms
+            known_ms = self._fenced_ms + left_ms / MIN_CLOCK_RATE
+        else:
+            known_ms = self._known_ends_ms.get(worker, end_ms)
+        return min(end_ms, known_ms)
