Do not take the leases that an owner of an earlier release reports as stale ones

Callers would see TWICE in a rolling upgrade: an owner of the release before reports only the leases that it granted; its successor took them for all leases of a worker that had restarted lately, or that is recorded by that release.

Cause: the bound was the lower of the reported lease and the longest one, though the report has no stale leases.

Such a report now counts only for workers without stale leases. test_owner_of_an_earlier_release failed before, and passes.

--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -538,10 +538,12 @@
         ):
             end_ms = self.latest_stale_run_end_ms
         leases = self._fence_result.leases
-        if leases is not None and worker in leases.left_ms:
-            # Later than what it stored, perhaps of an earlier incarnation.
-            left_ms = leases.left_ms[worker]
-            known_ms = self._fenced_ms + left_ms / MIN_CLOCK_RATE
-        else:
-            known_ms = self._known_ends_ms.get(worker, end_ms)
-        return min(end_ms, known_ms)
+        if leases is None or worker not in leases.left_ms:
+            return min(end_ms, self._known_ends_ms.get(worker, end_ms))
+        may_be_stale = stale_leases is not StaleLeases.EXPIRED
+        if may_be_stale and leases.stale_left_ms is None:
+            # An owner of an earlier release counts no stale leases.
+            return end_ms
+        # Later than what it stored, perhaps of an earlier incarnation.
+        left_ms = leases.left_ms[worker]
+        return min(end_ms, self._fenced_ms + left_ms / MIN_CLOCK_RATE)
