Count orders of earlier owners that restarted workers carry out late

Cause: the bound on runs of earlier owners on a worker that has restarted, and has not replied to any owner, counted the longest lease from the last order that is sent, not from the last one that is carried out.

Workers that have replied to an owner since their restart keep the bound of before.

--- a/src/limpetyard/engine/__init__.py
+++ b/src/limpetyard/engine/__init__.py
@@ -31,6 +31,7 @@
     WrongWorkerError,
 )
 from limpetyard.engine._worker import (
+    MAX_ORDER_DELAY_MS,
     MIN_CLOCK_RATE,
     RecordedState,
     RunState,
@@ -43,6 +44,7 @@
 
 __all__ = [
     "DEFAULT_PACER",
+    "MAX_ORDER_DELAY_MS",
     "MIN_CLOCK_RATE",
     "PACERS",
     "AdviceClient",
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -677,7 +677,8 @@
                 )
         if now_ms < worker.prior_lease_end_ms:
             worker.prior_lease_end_ms = max(
-                worker.prior_lease_end_ms, worker.stale_lease_end_ms
+                worker.prior_lease_end_ms,
+                worker.stale_lease_end_ms + MAX_ORDER_DELAY_MS,
             )
 
     def find_task(self, key: TaskKey) -> Task | None:
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -12,6 +12,7 @@
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
 from limpetyard.engine import (
+    MAX_ORDER_DELAY_MS,
     MIN_CLOCK_RATE,
     EngineParams,
     StaleLeases,
@@ -70,6 +71,7 @@
         "_epoch",
         "_fence_result",
         "_fenced_ms",
+        "_lease_ms_by_state",
         "_new_epoch",
         "_params",
         "_peers",
@@ -120,6 +122,10 @@
         self._peers = peers
         self._clock = clock
         self._params = params
+        self._lease_ms_by_state = {
+            StaleLeases.EXPIRED: params.lease_ms,
+            StaleLeases.BOUNDED: params.longest_lease_ms,
+        }
         self._new_epoch = 0
         # Epoch of the owner that the result of fencing is about.
         self._epoch = 0
@@ -515,10 +521,11 @@
         """Latest time at which earlier runs may exist on a restarted worker.
 
         What earlier owners knew of its leases says nothing of the current
-        incarnation, which may have accepted orders to the earlier one.
+        incarnation, which may accept orders to the earlier one until they can
+        no longer be carried out late.
         """
         longest_ms = lease_bound_ms(self._params.longest_lease_ms)
-        return self.orders_end_ms + longest_ms
+        return self.orders_end_ms + MAX_ORDER_DELAY_MS + longest_ms
 
     def latest_run_end_ms(
         self, worker: str, stale_leases: StaleLeases = StaleLeases.EXPIRED
@@ -532,11 +539,12 @@
             worker: Id of a worker whose incarnation is recorded.
             stale_leases: Stale leases of that incarnation.
         """
-        end_ms = self.orders_end_ms + lease_bound_ms(self._params.lease_ms)
-        if stale_leases is not StaleLeases.EXPIRED or self._reported_stale(
-            worker
-        ):
-            end_ms = self.latest_stale_run_end_ms
+        if stale_leases is StaleLeases.EXPIRED and self._reported_stale(worker):
+            stale_leases = StaleLeases.POSSIBLE
+        end_ms = self.latest_stale_run_end_ms
+        if stale_leases is not StaleLeases.POSSIBLE:
+            lease_ms = self._lease_ms_by_state[stale_leases]
+            end_ms = self.orders_end_ms + lease_bound_ms(lease_ms)
         leases = self._fence_result.leases
         if leases is None or worker not in leases.left_ms:
             return min(end_ms, self._known_ends_ms.get(worker, end_ms))
