An owner without partitions reads the table, too

Seen by callers: after the loss of a witness, running work did not outlast an outage of the store that it is to outlast, and a handover asked nodes that were gone. Only nodes of unknown size are concerned, which have no setting for it.

Cause: a member of unknown size read the table only while it held partitions. An owner stays now without any, and then neither replaced its witnesses nor learnt of members that came or went. An owner with a dead witness orders for 2 s without the store instead of 6 s.

Change: every member reads the table when the group has changed, and every 2 s. Price: a read every 2 s for members of unknown size without a partition, as for all others.

Evidence: test_witnesses_of_an_owner_without_partitions failed before (30 nodes and 24 partitions; the lost witness was still in the set 6 s later). The slow store of test_member had no partition_owners, which its member now calls; it has one that is as slow as its joins, and the checks are the same.

--- a/src/limpetyard/node/_member.py
+++ b/src/limpetyard/node/_member.py
@@ -295,10 +295,11 @@
         return self._clock.now_ms() - self._assignments_confirmed_ms
 
     def _start_check_if_due(self) -> None:
-        """Reads the assignments in the background, as joins must not wait."""
-        # The witnesses of an owner are chosen from the assignments.
-        if not (self._cores or self.assigned_cells):
-            return
+        """Reads the assignments in the background, as joins must not wait.
+
+        The witnesses and the successor of an owner, which may have no cell
+        assigned, are chosen from them.
+        """
         if self._assignments_lock.locked():
             return
         age_ms = self._clock.now_ms() - self._assignments_read_ms
--- a/tests/node/test_claims.py
+++ b/tests/node/test_claims.py
@@ -550,6 +550,28 @@
         self.run_site(scenario, nodes=30)
         self.assertEqual(claims[1] - claims[0], 1)
 
+    def test_witnesses_of_an_owner_without_partitions(self):
+        """A witness that was lost stayed the witness of such an owner."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            owner = site.owner()
+            member = owner.node.member
+            site.store.deal = lambda group: sorted(
+                group.members, key=lambda name: (name == member.name, name)
+            )
+            permit = owner.node._owners[0]._permit
+            for _ in range(2):
+                lost = next(
+                    h for h in site.hosts if h.address in permit.witnesses
+                )
+                await site.kill_node(lost)
+                await asyncio.sleep(SETTLED_S)
+                self.assertEqual(member.assigned_cells, frozenset())
+                self.assertIs(site.owner(), owner)
+                self.assertNotIn(lost.address, permit.witnesses)
+
+        self.assertEqual(self.run_site(scenario, nodes=30).claims, 0)
+
     def test_roll(self):
         """In a roll over all nodes, two changes of owner are enough."""
         for first in range(7):
--- a/tests/node/test_member.py
+++ b/tests/node/test_member.py
@@ -29,6 +29,10 @@
         await asyncio.sleep(self._delay_ms / 1000)
         return GroupAssignment(1, frozenset())
 
+    async def partition_owners(self, *args) -> dict[int, str]:
+        await asyncio.sleep(self._delay_ms / 1000)
+        return {}
+
     async def leave(self, *args) -> None:
         pass
 
