--- a/tests/node/test_stale_lease_review.py
+++ b/tests/node/test_stale_lease_review.py
@@ -23,6 +23,7 @@
 from standins.platform import SimulatedSite
 from standins.platform._worker import WorkerModel
 from tests.engine.test_engine import ONE_CORE, EngineTestCase, entry, job
+from tests.node.test_long_running import newest_owner
 from tests.node.test_restarted_workers import RestartTestCase
 from tests.node.test_unstarted_doubts import cut_off, until
 from tests.node.test_whole_site import SiteTestCase
@@ -236,5 +237,55 @@
         self.check(scenario)
 
 
+class InheritedBoundTest(RestartTestCase):
+    """The next owner reaches the worker, which is then cut off."""
+
+    async def record(self, site: SimulatedSite, worker: WorkerModel) -> None:
+        """Waits until the current incarnation of a worker is recorded."""
+        latest = site.store.partition("jobs", 0).latest
+        key = WORKER_KEY_PREFIX + worker.entry.id
+
+        def is_recorded() -> bool:
+            value = latest[key].value
+            record = msgspec.msgpack.decode(value, type=WorkerRecord)
+            return (
+                record.born == worker.entry.born
+                and record.stale_leases is StaleLeases.BOUNDED
+            )
+
+        await until(is_recorded)
+
+    async def lose(self, site: SimulatedSite, worker: WorkerModel) -> None:
+        """Cuts a worker off once it has replied to the newest owner."""
+        await until(lambda: newest_owner(site) is not None)
+        await self.confirm(site, worker)
+        self.assertTrue(worker.running())
+        await self.cut(site, worker)
+
+    def test_killed_owner(self):
+        """TWICE: the stale lease that a killed owner recorded was dropped."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            worker = await self.start_late(site)
+            await self.confirm(site, worker)
+            await self.record(site, worker)
+            await site.kill_node(site.owner())
+            await self.lose(site, worker)
+
+        self.check(scenario)
+
+    def test_fenced_owner(self):
+        """TWICE: the stale lease that a fenced owner reported was dropped."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            worker = await self.start_late(site)
+            await self.confirm(site, worker)
+            await self.record(site, worker)
+            self.assertTrue(await site.pass_cell_on())
+            await self.lose(site, worker)
+
+        self.check(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
