--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -216,10 +216,11 @@
         return self.acked_ms is not None or math.isfinite(self.start_expires_ms)
 
     def may_outlast_incarnation(self, now_ms: float) -> bool:
-        """Returns whether the next incarnation may have the run, or get it.
+        """Returns whether the worker's next incarnation may have the run.
 
-        A start order that the worker has answered, and that the run in its
-        reports goes back to, is carried out by no other incarnation.
+        It may have accepted, or may still accept, a start order that the
+        present one has not answered. An answered one counts once the present
+        one has reported the run, as the reply does not tell the incarnation.
         """
         if not self.reported:
             return self.may_exist
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -427,6 +427,11 @@
         self._plan_needed.set()
 
     def _apply_lease_bounds(self, worker: Worker) -> None:
+        """Applies the bounds on runs and leases of one worker.
+
+        What the previous owner reported holds for a recorded incarnation only.
+        A worker that no earlier owner has known has no bounds.
+        """
         predecessor = self._predecessor
         if worker.id in self._inherited_workers and not worker.has_restarted:
             worker.stale_lease_end_ms = min(
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -43,6 +43,12 @@
 # the bound without witnesses holds.
 MAX_UNSETTLED = 32
 
+# Parameter that limits the leases of a confirmed incarnation.
+_LEASES = {
+    StaleLeases.EXPIRED: "lease_ms",
+    StaleLeases.BOUNDED: "longest_lease_ms",
+}
+
 
 class Predecessor:
     """Previous owners of a cell, the latest that may have ordered above all.
@@ -71,7 +77,6 @@
         "_epoch",
         "_fence_result",
         "_fenced_ms",
-        "_lease_ms_by_state",
         "_new_epoch",
         "_params",
         "_peers",
@@ -122,10 +127,6 @@
         self._peers = peers
         self._clock = clock
         self._params = params
-        self._lease_ms_by_state = {
-            StaleLeases.EXPIRED: params.lease_ms,
-            StaleLeases.BOUNDED: params.longest_lease_ms,
-        }
         self._new_epoch = 0
         # Epoch of the owner that the result of fencing is about.
         self._epoch = 0
@@ -543,7 +544,7 @@
             stale_leases = StaleLeases.POSSIBLE
         end_ms = self.latest_stale_run_end_ms
         if stale_leases is not StaleLeases.POSSIBLE:
-            lease_ms = self._lease_ms_by_state[stale_leases]
+            lease_ms = getattr(self._params, _LEASES[stale_leases])
             end_ms = self.orders_end_ms + lease_bound_ms(lease_ms)
         leases = self._fence_result.leases
         if leases is None or worker not in leases.left_ms:
--- a/tests/node/test_stale_leases.py
+++ b/tests/node/test_stale_leases.py
@@ -1,5 +1,6 @@
 """What an owner learns of stale leases from the owners before it."""
 
+import asyncio
 import unittest
 from unittest import mock
 
@@ -23,6 +24,9 @@
 PARAMS = EngineParams(5200, 6000, longest_lease_ms=10_000)
 NOW_MS = 1000.0
 
+# Longest wait for a record: the longest lease and the interval of purges.
+RECORD_S = 20.0
+
 
 class HandoverTest(unittest.TestCase):
     """Replies of a previous owner that was fenced at `NOW_MS`."""
@@ -88,6 +92,13 @@
 class RecordTest(SiteTestCase):
     """Records of a worker that restarts."""
 
+    async def until_stored(
+        self, site: SimulatedSite, born: int, stale_leases: StaleLeases
+    ) -> None:
+        """Waits until the record shows an incarnation and its stale leases."""
+        async with asyncio.timeout(RECORD_S):
+            await until(lambda: self.stored(site) == (born, stale_leases))
+
     def stored(self, site: SimulatedSite) -> tuple[int, StaleLeases]:
         """Returns the incarnation and the stale leases in the record."""
         value = site.store.partition("jobs", 0).latest["w/w-0"].value
@@ -98,12 +109,12 @@
         """A later owner learns of the restart until its effects are over."""
 
         async def scenario(site: SimulatedSite) -> None:
-            await until(lambda: self.stored(site) == (1, StaleLeases.EXPIRED))
+            await self.until_stored(site, 1, StaleLeases.EXPIRED)
             site.workers["w-0"].crash()
             site.workers["w-0"].restart()
-            await until(lambda: self.stored(site) == (2, StaleLeases.BOUNDED))
+            await self.until_stored(site, 2, StaleLeases.BOUNDED)
             at_ms = site.clock.now_ms()
-            await until(lambda: self.stored(site) == (2, StaleLeases.EXPIRED))
+            await self.until_stored(site, 2, StaleLeases.EXPIRED)
             took_ms = site.clock.now_ms() - at_ms
             longest_ms = site.owner().node._params.longest_lease_ms
             self.assertGreaterEqual(took_ms, longest_ms)
@@ -114,13 +125,13 @@
         """TWICE: a later owner counted only leases of before the restart."""
 
         async def scenario(site: SimulatedSite) -> None:
-            await until(lambda: self.stored(site) == (1, StaleLeases.EXPIRED))
+            await self.until_stored(site, 1, StaleLeases.EXPIRED)
             site.workers["w-0"].reaches_store = False
             site.workers["w-0"].crash()
             site.workers["w-0"].restart()
-            await until(lambda: self.stored(site) == (1, StaleLeases.POSSIBLE))
+            await self.until_stored(site, 1, StaleLeases.POSSIBLE)
             site.workers["w-0"].reaches_store = True
-            await until(lambda: self.stored(site) == (2, StaleLeases.BOUNDED))
+            await self.until_stored(site, 2, StaleLeases.BOUNDED)
 
         self.run_scenario(scenario, workers=1)
 
