The storms pass the cell on from an owner that lapses

Change: the fault passes the cell on, as the other storms do: the membership lapses, again with each join, until there is another claim.

--- a/tests/exploring/storms.py
+++ b/tests/exploring/storms.py
@@ -240,7 +240,7 @@
 
 @FAULTS.register("owner_lapses")
 async def _expire_owner(site: SimulatedSite, rng: random.Random) -> None:
-    site.expire_claimant()
+    await site.pass_cell_on()
 
 
 @FAULTS.register("forget")
