Tests that notice what an owner inherits of stale leases

The review's changes to the code that no test noticed: a record that says that stale leases are possible ignored at the load, workers without a record never or always bounded, bounded from another time, or not bounded when they are listed again.

--- a/tests/node/test_stale_lease_review.py
+++ b/tests/node/test_stale_lease_review.py
@@ -31,10 +31,29 @@
 
 PARAMS = EngineParams(5200, 6000, longest_lease_ms=10_000)
 NOW_MS = 1000.0
+
+# Longest wait for a record.
+RECORD_S = 10.0
 STEP_MS = 400.0
 LONGEST_MS = lease_bound_ms(10_000)
 
 
+async def until_recorded(
+    site: SimulatedSite, worker: WorkerModel, born: int, state: StaleLeases
+) -> None:
+    """Waits until the record of a worker has an incarnation and a state."""
+    latest = site.store.partition("jobs", 0).latest
+    key = WORKER_KEY_PREFIX + worker.entry.id
+
+    def is_recorded() -> bool:
+        value = latest[key].value
+        record = msgspec.msgpack.decode(value, type=WorkerRecord)
+        return (record.born, record.stale_leases) == (born, state)
+
+    async with asyncio.timeout(RECORD_S):
+        await until(is_recorded)
+
+
 class ReplyTest(unittest.TestCase):
     """Bounds from the reply of a previous owner, fenced at `NOW_MS`."""
 
@@ -170,6 +189,50 @@
         self.now_ms = stale_end_ms + 1
         self.assertEqual(self.engine.remove_gone_workers(self.now_ms), ["w-0"])
 
+    def test_listed_again(self):
+        """TWICE: a worker that came back was taken to have no stale lease."""
+        self.engine.mark_entry_missing("w-0", self.now_ms)
+        self.now_ms += 60_000
+        self.assertEqual(self.engine.remove_gone_workers(self.now_ms), ["w-0"])
+        worker = self.engine.set_entry(entry(0, born=2), self.now_ms)
+        self.poll("w-0", born=2)
+        self.assertIs(worker.stale_leases(self.now_ms), StaleLeases.BOUNDED)
+
+
+class UnrecordedWorkerTest(EngineTestCase):
+    """A worker of which no record of an earlier owner tells."""
+
+    workers = 0
+
+    def stale_end_ms(self, until_ms: float, may_have_ordered: bool) -> float:
+        """Returns the bound on stale leases after the first reply.
+
+        Args:
+            until_ms: Time until which earlier owners may send orders.
+            may_have_ordered: Whether one may have sent some to the worker.
+        """
+        self.setUp()
+        self.engine.predecessor_until_ms = until_ms
+        self.engine.may_have_stale_orders = lambda worker_id: may_have_ordered
+        self.add(entry(0))
+        return self.engine.workers["w-0"].stale_lease_end_ms
+
+    def test_first_reply(self):
+        """TWICE: an earlier owner may have known an earlier incarnation."""
+        longest_ms = lease_bound_ms(self.engine.params.longest_lease_ms)
+        for until_ms in (self.now_ms - 400, self.now_ms + 400):
+            with self.subTest(until_ms):
+                self.assertEqual(
+                    self.stale_end_ms(until_ms, may_have_ordered=True),
+                    min(until_ms, self.now_ms) + longest_ms,
+                )
+
+    def test_worker_that_no_owner_knew(self):
+        """LOST: tasks of a new worker that was lost waited too long."""
+        self.assertEqual(
+            self.stale_end_ms(self.now_ms, may_have_ordered=False), 0
+        )
+
 
 class RepeatedRestartsTest(EngineTestCase):
     """A worker that restarts again and again and replies to no poll."""
@@ -228,6 +291,19 @@
 
         self.check(scenario)
 
+    def test_killed_owner_that_has_recorded_it(self):
+        """TWICE: the next owner ignored that stale leases are possible."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            worker = await self.start_late(site)
+            worker.reaches_store = False
+            await self.confirm(site, worker)
+            await until_recorded(site, worker, 1, StaleLeases.POSSIBLE)
+            await site.kill_node(site.owner())
+            await self.lose(site, worker)
+
+        self.check(scenario)
+
     def test_fenced_owner(self):
         """TWICE: the next owner ignored the stale lease that it was told."""
 
@@ -247,18 +323,8 @@
 
     async def record(self, site: SimulatedSite, worker: WorkerModel) -> None:
         """Waits until the current incarnation of a worker is recorded."""
-        latest = site.store.partition("jobs", 0).latest
-        key = WORKER_KEY_PREFIX + worker.entry.id
-
-        def is_recorded() -> bool:
-            value = latest[key].value
-            record = msgspec.msgpack.decode(value, type=WorkerRecord)
-            return (
-                record.born == worker.entry.born
-                and record.stale_leases is StaleLeases.BOUNDED
-            )
-
-        await until(is_recorded)
+        born = worker.entry.born
+        await until_recorded(site, worker, born, StaleLeases.BOUNDED)
 
     async def lose(self, site: SimulatedSite, worker: WorkerModel) -> None:
         """Cuts a worker off once it has replied to the newest owner."""
