Take a reply with status 410 as no job only if a job was asked for

Callers would see a node that ends, or a cell that nobody claims. Found by reading; not seen in a run: another process that listens at a node's former address replies 410 to the question whether it owns the cell.

Cause: each reply with that status raised JobNotFoundError, which callers of the other questions do not expect.

It counts as a peer that is not available now, but for questions about a job. test_other_process_at_the_address failed before (JobNotFoundError), and passes.

--- a/src/limpetyard/node/_peers.py
+++ b/src/limpetyard/node/_peers.py
@@ -186,7 +186,9 @@
             PeerUnavailableError: If the owner is unknown, did not reply or
                 replied with an error.
         """
-        reply = await self._get(member, f"/v1/jobs/{job_id}")
+        reply = await self._get(
+            member, f"/v1/jobs/{job_id}", gone=JobNotFoundError
+        )
         return msgspec.json.decode(reply.body, type=JobStatus)
 
     async def queue_pending(self, member: str, queue: str) -> int:
@@ -362,12 +364,22 @@
             return False
         return True
 
-    async def _get(self, member: str, path: str) -> HttpResponse:
-        return await self._request("GET", member, path)
+    async def _get(
+        self,
+        member: str,
+        path: str,
+        gone: type[Exception] = PeerUnavailableError,
+    ) -> HttpResponse:
+        return await self._request("GET", member, path, gone)
 
     async def _request(
-        self, method: str, member: str, path: str
+        self,
+        method: str,
+        member: str,
+        path: str,
+        gone: type[Exception] = PeerUnavailableError,
     ) -> HttpResponse:
+        """Sends a request; `gone` is what a reply with status 410 raises."""
         address = member_address(member)
         if not address:
             raise PeerUnavailableError("no owner is known")
@@ -380,7 +392,7 @@
         except (NotSentError, OutcomeUnknownError, ValueError) as exc:
             raise PeerUnavailableError(str(exc)) from exc
         if reply.status == _HTTP_GONE:
-            raise JobNotFoundError(path)
+            raise gone(path)
         if reply.status != 200:
             raise PeerUnavailableError(f"{url}: status {reply.status}")
         return reply
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -7,7 +7,13 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer, make_mocked_request
 
-from limpetyard.node import HttpPeerClient, JobStatus, PeerServer
+from limpetyard.node import (
+    HttpPeerClient,
+    JobNotFoundError,
+    JobStatus,
+    PeerServer,
+    PeerUnavailableError,
+)
 from limpetyard.node._peers import OwnershipStatus
 from limpetyard.node._store_layout import member_name
 
@@ -66,6 +72,24 @@
         calls = [mock.call(0, 7, False), mock.call(0, 7, True)]
         self.assertEqual(self.cells.extend.mock_calls, calls)
 
+    async def test_other_process_at_the_address(self):
+        """A reply with status 410 to a call about no job was not caught."""
+        server = TestServer(web.Application())
+
+        async def reply_gone(req: web.Request) -> web.Response:
+            return web.Response(status=410)
+
+        server.app.router.add_route("*", "/{path:.*}", reply_gone)
+        await server.start_server()
+        self.addAsyncCleanup(server.close)
+        member = member_name("n", f"127.0.0.1:{server.port}", "pws0a1b")
+        self.assertIsNone(await self.client.ownership_age_ms(member, 0))
+        self.assertFalse(await self.client.succeed(member, 0, 1))
+        with self.assertRaises(PeerUnavailableError):
+            await self.client.queue_pending(member, "q")
+        with self.assertRaises(JobNotFoundError):
+            await self.client.job_status(member, "5c0e7a21d94b36f8")
+
     async def test_succession(self):
         """A member says whether it claims; one without a reply does not."""
         for accepted in (True, False):
