Ask witnesses in a fixed order

Cause: a new owner asked the witnesses of earlier owners in the iteration order of a set of addresses; the order of the calls decides which of them the simulated network delays or loses. They are asked in the order of their addresses now.

--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -408,7 +408,7 @@
                 return
             addresses.update(self._addresses_to_ask(owner_epoch))
         addresses.difference_update(self._witness_ends_ms)
-        await asyncio.gather(*(self._ask(a, epoch) for a in addresses))
+        await asyncio.gather(*(self._ask(a, epoch) for a in sorted(addresses)))
 
     async def _ask(self, address: str, epoch: int) -> None:
         if self._witness is not None and address == self._witness.address:
