Bench: processor time of planning rounds

Nothing measured what a round of the engine costs; "scale" measures that of limpetyardd.

`python -m bench planning` plays 60 rounds of cells with 30, 300 and 1,000 workers that are nearly full, while more tasks wait.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,16 @@
 import sys
 from pathlib import Path
 
-from bench import colocation, decisions, path, recovery, scale, shares, slots
+from bench import (
+    colocation,
+    decisions,
+    path,
+    planning,
+    recovery,
+    scale,
+    shares,
+    slots,
+)
 from bench.report import Section
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -23,6 +32,7 @@
     "shares": shares.measure_section,
     "path": path.measure_section,
     "scale": scale.measure_section,
+    "planning": planning.measure_section,
     "recovery": recovery.measure_section,
     "colocation": colocation.measure_section,
 }
