Put candidates and loads below their users

Placement, ranking, reserve and worker imported each other, three of them for annotations only, so none could be read or changed on its own.

_load.py has what the runs on a worker use (`WorkerLoad`, `serving_runs`, `best_effort_cores`, `is_short`) and knows a run only by a protocol; _candidate.py has `Candidate`, `worker_load` and `Score`. _placement.py keeps the placers.

Tests follow the names: the calls of `used_cores` in an idle round are counted in both modules that have the name.

--- a/src/limpetyard/engine/_advice.py
+++ b/src/limpetyard/engine/_advice.py
@@ -4,15 +4,11 @@
 Whether a worker is permitted does not change during its incarnation.
 """
 
-from typing import TYPE_CHECKING
-
+from limpetyard.engine._candidate import Candidate
 from limpetyard.engine._effects import RequestAdvice
 from limpetyard.engine._step_worker_client import Ticket
 from limpetyard.engine._worker import Worker
 
-if TYPE_CHECKING:
-    from limpetyard.engine._placement import Candidate
-
 # Maximum number of workers in one request; each adds to the latency of the
 # reply.
 MAX_ADVICE_WORKERS = 30
@@ -116,7 +112,7 @@
         return ticket if now_ms + TICKET_MARGIN_MS < valid_ms else None
 
     def request(
-        self, step_key: StepKey, candidates: list["Candidate"], now_ms: float
+        self, step_key: StepKey, candidates: list[Candidate], now_ms: float
     ) -> RequestAdvice | None:
         """Returns the next request for a step, or None.
 
--- a/src/limpetyard/engine/_crashes.py
+++ b/src/limpetyard/engine/_crashes.py
@@ -12,13 +12,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from limpetyard._events import event
+from limpetyard.engine._candidate import Candidate
 from limpetyard.engine._step_worker_client import WorkerEntry
 from limpetyard.engine._worker import Worker, WorkerRun
 from limpetyard.jobs import Task, TaskKey
 
 if TYPE_CHECKING:
     from limpetyard.engine._engine import Engine
-    from limpetyard.engine._placement import Candidate
 
 # What a crash adds to the score of a task: if it is proven, the job alone had
 # unproven runs on the worker, and these certainly began before the crash; and
@@ -213,7 +213,7 @@
             crash.entry.availability_zone for crash in self._recent
         )
 
-        def risk(candidate: "Candidate") -> tuple[bool, int, int]:
+        def risk(candidate: Candidate) -> tuple[bool, int, int]:
             entry = candidate.entry
             return (
                 entry.address in addresses,
--- a/src/limpetyard/engine/_draining.py
+++ b/src/limpetyard/engine/_draining.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 
 from limpetyard._events import event
-from limpetyard.engine._placement import PLACERS, Candidate, placer_name
+from limpetyard.engine._candidate import Candidate
+from limpetyard.engine._placement import PLACERS, placer_name
 from limpetyard.engine._ranking import ServiceRound
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 from limpetyard.jobs import Task, TaskKey
--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -9,14 +9,15 @@
 from collections.abc import Callable
 
 from limpetyard._registry import Registry
+from limpetyard.engine._candidate import worker_load
 from limpetyard.engine._effects import Effect
 from limpetyard.engine._interference import (
     HEADROOM_AT_TARGET,
     InterferenceModel,
     tail_headroom,
 )
+from limpetyard.engine._load import serving_runs
 from limpetyard.engine._params import EngineParams
-from limpetyard.engine._placement import serving_runs, worker_load
 from limpetyard.engine._speeds import pause_all, restore, slow, stop_paused
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 
@@ -74,7 +75,7 @@
         if run.step.fills and run.measurement > 0:
             used = cores.get(run.step.image, 0.0)
             cores[run.step.image] = used + run.measurement / 1000
-    for run in serving_runs(worker):
+    for run in serving_runs(worker.runs.values()):
         warmed_up = now_ms - run.placed_ms > 2 * MEASUREMENT_WINDOW_MS
         if run.measurement > 0 and run.at_full_speed and warmed_up:
             interference.update(
@@ -216,7 +217,9 @@
 def _longest_over_target(worker: Worker) -> WorkerRun | None:
     """Returns the serving run that has been over its target for longest."""
     over = [
-        run for run in serving_runs(worker) if run.over_since_ms is not None
+        run
+        for run in serving_runs(worker.runs.values())
+        if run.over_since_ms is not None
     ]
     return min(over, key=lambda run: run.over_since_ms, default=None)
 
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -11,11 +11,12 @@
 
 from limpetyard._events import event
 from limpetyard.engine._advice import AdviceCache
+from limpetyard.engine._candidate import Candidate
 from limpetyard.engine._crashes import split_suspects
 from limpetyard.engine._draining import drain_worker
 from limpetyard.engine._effects import Effect, RequestAdvice, Start
 from limpetyard.engine._eligibility import usable_workers
-from limpetyard.engine._placement import PLACERS, Candidate, placer_name
+from limpetyard.engine._placement import PLACERS, placer_name
 from limpetyard.engine._ranking import Ranking, ServiceRound
 from limpetyard.engine._reserve import LongRunningRoom
 from limpetyard.engine._step_worker_client import Ticket
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -9,8 +9,8 @@
 import math
 import operator
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
+from limpetyard.engine._candidate import Candidate, Score
 from limpetyard.engine._trials import (
     CROWDED_SHARE,
     MIN_IDLE_CROWDED_MS,
@@ -18,13 +18,6 @@
 )
 from limpetyard.jobs import StepSpec, Task
 
-if TYPE_CHECKING:
-    from limpetyard.engine._placement import Candidate
-
-# Returns the sort key of a worker for one more task of a step, lowest first, or
-# None if the worker is not suitable.
-Score = Callable[["Candidate", StepSpec, tuple[str, int, int]], tuple | None]
-
 
 class Ranking:
     """The workers that may get a task of a step, best first."""
@@ -44,8 +37,8 @@
         score: Score,
         step: StepSpec,
         step_key: tuple[str, int, int],
-        candidates: list["Candidate"],
-        placed: list["Candidate"],
+        candidates: list[Candidate],
+        placed: list[Candidate],
     ):
         """Scores all candidates.
 
@@ -81,7 +74,7 @@
         """Whether no worker was suitable at the last choice."""
         return all(entry is None for entry in self._entries.values())
 
-    def choose(self, task: Task) -> "Candidate | None":
+    def choose(self, task: Task) -> Candidate | None:
         """Returns the best worker for a task, or None.
 
         Avoids, if there are others, the worker where the task failed last and,
@@ -95,7 +88,7 @@
             heapq.heappop(heap)
         return heap[0][3] if heap else None
 
-    def _choose_after_failure(self, task: Task) -> "Candidate | None":
+    def _choose_after_failure(self, task: Task) -> Candidate | None:
         others = [
             entry
             for candidate, entry in self._entries.items()
@@ -187,7 +180,7 @@
         "candidates",
     )
 
-    def __init__(self, candidates: list["Candidate"]):
+    def __init__(self, candidates: list[Candidate]):
         self.candidates = candidates
         self._isolated: list[Candidate] | None = None
         self._min_idle_ms: float | None = None
@@ -197,8 +190,8 @@
         self._unmet = UnmetNeeds()
 
     def isolated(
-        self, select: Callable[[list["Candidate"]], list["Candidate"]]
-    ) -> list["Candidate"]:
+        self, select: Callable[[list[Candidate]], list[Candidate]]
+    ) -> list[Candidate]:
         """Returns the workers left for suspects, selected once in a round.
 
         The caller removes each that receives one.
@@ -207,7 +200,7 @@
             self._isolated = select(self.candidates)
         return self._isolated
 
-    def recorded_place(self, task: Task) -> "Candidate | None":
+    def recorded_place(self, task: Task) -> Candidate | None:
         """Returns the worker that is stored for a task, or None.
 
         None also if the task may not start there now.
@@ -239,7 +232,7 @@
         is_crowded = total - free >= CROWDED_SHARE * total
         return MIN_IDLE_CROWDED_MS if is_crowded else MIN_IDLE_MS
 
-    def labelled(self, label: str) -> list["Candidate"]:
+    def labelled(self, label: str) -> list[Candidate]:
         """Returns the workers with a label; all workers for ""."""
         if not label:
             return self.candidates
@@ -249,7 +242,7 @@
             ]
         return self._by_label[label]
 
-    def fitting(self, step: StepSpec) -> list["Candidate"]:
+    def fitting(self, step: StepSpec) -> list[Candidate]:
         """Returns the workers with the label and the resources for a task."""
         if self._unmet.includes("all", step.label, _joint_need(step, 1)):
             return []
@@ -307,7 +300,7 @@
         score: Score,
         step: StepSpec,
         step_key: tuple[str, int, int],
-        placed: list["Candidate"],
+        placed: list[Candidate],
     ) -> Ranking:
         """Returns the ranking for a step.
 
--- a/src/limpetyard/engine/_reserve.py
+++ b/src/limpetyard/engine/_reserve.py
@@ -10,14 +10,12 @@
 """
 
 import math
-from typing import TYPE_CHECKING
 
+from limpetyard.engine._candidate import Candidate
+from limpetyard.engine._load import is_short
 from limpetyard.engine._ranking import UnmetNeeds, single_need
 from limpetyard.jobs import JobSpec, StepSpec, Task
 
-if TYPE_CHECKING:
-    from limpetyard.engine._placement import Candidate
-
 # Time over which arrived work is averaged.
 WINDOW_MS = 10_000.0
 
@@ -93,7 +91,7 @@
 
     def __init__(
         self,
-        candidates: "list[Candidate]",
+        candidates: list[Candidate],
         load: OfferedLoad,
         min_share: float,
         now_ms: float,
@@ -124,8 +122,8 @@
         self._left = sum(map(self._usable, candidates)) - reserved
 
     def take(
-        self, best: "Candidate", task: Task, step_key: tuple[str, int, int]
-    ) -> "Candidate | None":
+        self, best: Candidate, task: Task, step_key: tuple[str, int, int]
+    ) -> Candidate | None:
         """Returns the worker for a task, or None if it must wait.
 
         Args:
@@ -167,7 +165,7 @@
             if not step.label or step.label in candidate.entry.labels
         )
 
-    def _may_take(self, candidate: "Candidate", step: StepSpec) -> bool:
+    def _may_take(self, candidate: Candidate, step: StepSpec) -> bool:
         loss = self._loss(candidate, step)
         return (
             not loss
@@ -175,18 +173,13 @@
             or candidate.fits_times(step, PLENTY_FACTOR)
         )
 
-    def _usable(self, candidate: "Candidate", less: float = 0.0) -> float:
+    def _usable(self, candidate: Candidate, less: float = 0.0) -> float:
         """Returns the cores for short tasks, 0 if less than a piece."""
         free = candidate.free_resources.cores_milli / 1000
         cores = free + candidate.short_cores - less
         return cores if cores >= self._piece else 0.0
 
-    def _loss(self, candidate: "Candidate", step: StepSpec) -> float:
+    def _loss(self, candidate: Candidate, step: StepSpec) -> float:
         """Returns the cores that short tasks lose by a task there."""
         cores = step.need.cores_milli / 1000
         return self._usable(candidate) - self._usable(candidate, cores)
-
-
-def is_short(step: StepSpec) -> bool:
-    """Returns whether the tasks of a step end and need cores of their own."""
-    return not step.long_running and not step.fills
--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -6,12 +6,12 @@
 
 from limpetyard._events import event
 from limpetyard._registry import Registry
+from limpetyard.engine._candidate import Candidate
 from limpetyard.engine._eligibility import (
     LEAVING,
     count_text,
     withheld_workers,
 )
-from limpetyard.engine._placement import Candidate
 from limpetyard.engine._ranking import ServiceRound
 from limpetyard.jobs import Job, Task
 
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -3,16 +3,14 @@
 import enum
 import math
 from collections.abc import Collection
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
+from limpetyard.engine._load import WorkerLoad
 from limpetyard.engine._step_worker_client import RunReport, WorkerEntry
 from limpetyard.jobs import Resources, StepSpec, TaskKey
 
-if TYPE_CHECKING:
-    from limpetyard.engine._placement import WorkerLoad
-
 # Number of incarnations of a worker that fencing tokens of one epoch can tell
 # apart.
 MAX_INCARNATIONS = 1 << 12
--- a/standins/platform/_processor.py
+++ b/standins/platform/_processor.py
@@ -16,7 +16,7 @@
 
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard.engine import Engine
-from limpetyard.engine._placement import Candidate
+from limpetyard.engine._candidate import Candidate
 from limpetyard.jobs import Resources
 
 # Cost of sending one call, of handling its reply, of receiving one call and of
--- a/tests/engine/test_pacing_cost.py
+++ b/tests/engine/test_pacing_cost.py
@@ -13,8 +13,9 @@
     RunReport,
     Start,
     Stop,
+    _candidate,
+    _load,
 )
-from limpetyard.engine import _placement as placement
 from limpetyard.engine._interference import InterferenceModel, _Baseline
 from limpetyard.engine._pacing import (
     PACERS,
@@ -141,11 +142,13 @@
         self.submit(job(4, StepSpec(1, Resources(9000, 1000, 0))))
         self.plan()
         with (
-            count_calls(placement, "_used_cores") as used_cores,
+            count_calls(_load, "used_cores") as summed,
+            count_calls(_candidate, "used_cores") as reserved,
             count_calls(Worker, "free_resources") as free_resources,
         ):
             self.assertEqual(self.plan(), [])
-        self.assertEqual(used_cores.call_count, 0)
+        self.assertEqual(summed.call_count, 0)
+        self.assertEqual(reserved.call_count, 0)
         self.assertEqual(free_resources.call_count, 0)
 
     def test_changed_workers(self):
@@ -261,8 +264,8 @@
         self.assertEqual(self.stops(), 1)
         for worker in self.engine.workers.values():
             self.assertEqual(
-                placement.worker_load(worker).best_effort_cores,
-                placement.best_effort_cores(worker),
+                _candidate.worker_load(worker).best_effort_cores,
+                _load.best_effort_cores(worker.runs.values()),
             )
 
     def test_members_of_gang(self):
@@ -368,10 +371,11 @@
         if run.step.fills and run.state is RunState.RUNNING
     ]
     lowest, limiting = float("inf"), None
-    for serving in placement.serving_runs(worker) if runs else ():
+    all_runs = worker.runs.values()
+    for serving in _load.serving_runs(all_runs) if runs else ():
         headroom = model.predicted_baseline(serving.task.job, now_ms) - sum(
             model.weight(serving.step.image, image) * used
-            for image, used in placement.best_effort_cores(worker).items()
+            for image, used in _load.best_effort_cores(all_runs).items()
         )
         if headroom < lowest:
             lowest, limiting = headroom, serving.step.image
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -20,15 +20,14 @@
     Stop,
     Ticket,
 )
+from limpetyard.engine._candidate import Candidate
 from limpetyard.engine._draining import FORCED_STOP_MS, _should_stop
 from limpetyard.engine._interference import PRIOR_WEIGHT
+from limpetyard.engine._load import best_effort_cores, serving_runs
 from limpetyard.engine._placement import (
     MIN_PLACEMENT_HEADROOM,
     PLACERS,
-    Candidate,
-    best_effort_cores,
     placer_name,
-    serving_runs,
 )
 from limpetyard.engine._planner import Planner
 from limpetyard.engine._ranking import Ranking, ServiceRound
@@ -405,19 +404,21 @@
         if not step.fills:
             runs = worker.runs.values()
             same = sum(run.task.job == step_key[0] for run in runs)
-            return (-same, not serving_runs(worker), -cores_milli)
+            return (-same, not serving_runs(worker.runs.values()), -cores_milli)
         model, cores = self._engine.interference, step.need.cores_milli / 1000
         if candidate.idle_cores < cores:
             return None
         headroom, excess = float("inf"), None
-        for run in serving_runs(worker):
+        for run in serving_runs(worker.runs.values()):
             if run.over_since_ms is not None:
                 return None
             image = run.step.image
             weight = model.weight(image, step.image)
             left = model.predicted_baseline(run.task.job, now_ms) - sum(
                 model.weight(image, other) * used
-                for other, used in best_effort_cores(worker).items()
+                for other, used in best_effort_cores(
+                    worker.runs.values()
+                ).items()
             )
             headroom = min(headroom, left - weight * cores)
             known = [w for (s, _), w in model._weights.items() if s == image]
--- a/tests/exploring/test_room.py
+++ b/tests/exploring/test_room.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from limpetyard.engine import RunEndKind, StartOrder
-from limpetyard.engine._placement import Candidate
+from limpetyard.engine._candidate import Candidate
 from limpetyard.jobs import JobSpec, Resources, StepSpec, TaskKey
 from standins.platform import (
     SimulatedSite,
--- a/tests/exploring/test_storms.py
+++ b/tests/exploring/test_storms.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from limpetyard.engine import Engine, Worker
-from limpetyard.engine._placement import Candidate
+from limpetyard.engine._candidate import Candidate
 from limpetyard.engine._planner import Planner
 from limpetyard.engine._worker import MAX_INCARNATIONS
 from limpetyard.jobs import Job
