Tests of five guards on stale leases of restarted workers

No test noticed when one of these guards of the TWICE incident was taken out. Each is needed; one test for each, tried on a scratch copy with the guard out (fails) and with it in (passes):

- late_run_end_ms out of Worker._longest_lease_end_ms: the next owner is told too short a time (TWICE); RestartedWorkerTest.test_late_start.
- LeaseExpiries without workers that accept stale orders, or accepts_stale_orders not set by start_incarnation (TWICE); RestartedWorkerTest.test_stale_orders.
- _apply_lease_bounds without the min with the reported bound (LOST, 10.3 s anew for a worker that is lost after its reply), and latest_run_end_ms that ignores the reply for it (the same before its reply); InheritedBoundTest.test_reported_bound.
- _inherit_workers without the comparison of born, or without has_restarted in it (TWICE); InheritedBoundTest.test_recorded_earlier_incarnation.
- _apply_lease_bounds that leaves stale_lease_end_ms of a worker that the previous owner did not know (LOST); UnknownWorkerTest.test_bound_before_the_reply.

InheritedBoundTest.test_fenced_owner waited for the owner before instead of the next one, which had not loaded the cell yet; it waits for the next one.

--- a/tests/node/test_stale_lease_bounds.py
+++ b/tests/node/test_stale_lease_bounds.py
@@ -16,7 +16,7 @@
     lease_bound_ms,
 )
 from limpetyard.engine._worker import MAX_ORDER_DELAY_MS
-from limpetyard.jobs import StepSpec
+from limpetyard.jobs import StepSpec, TaskKey
 from limpetyard.node import FenceResult, RemainingLeases
 from limpetyard.node._predecessor import Predecessor
 from limpetyard.node._store_layout import UNLEASED_KEY, WORKER_KEY_PREFIX
@@ -25,7 +25,10 @@
 from standins.platform._worker import WorkerModel
 from tests.engine.test_engine import ONE_CORE, EngineTestCase, entry, job
 from tests.node.test_long_running import newest_owner
-from tests.node.test_restarted_workers import RestartTestCase
+from tests.node.test_restarted_workers import (
+    ORDINARY_DELAY_MS,
+    RestartTestCase,
+)
 from tests.node.test_unstarted_doubts import cut_off, until
 from tests.node.test_whole_site import SiteTestCase
 
@@ -37,6 +40,12 @@
 STEP_MS = 400.0
 LONGEST_MS = lease_bound_ms(10_000)
 
+# Time after which less of the longest lease is left than of an ordinary one.
+OLD_LEASE_S = 6.0
+
+# Delay of an order that is carried out after its owner was fenced.
+LATE_ORDER_MS = 4000.0
+
 
 async def until_recorded(
     site: SimulatedSite, worker: WorkerModel, born: int, state: StaleLeases
@@ -326,6 +335,12 @@
         born = worker.entry.born
         await until_recorded(site, worker, born, StaleLeases.BOUNDED)
 
+    async def pass_on(self, site: SimulatedSite) -> None:
+        """Passes the cell on, and waits until the next owner has loaded it."""
+        former = newest_owner(site)
+        self.assertTrue(await site.pass_cell_on())
+        await until(lambda: newest_owner(site) not in (None, former))
+
     async def lose(self, site: SimulatedSite, worker: WorkerModel) -> None:
         """Cuts a worker off once it has replied to the newest owner."""
         await until(lambda: newest_owner(site) is not None)
@@ -352,7 +367,64 @@
             worker = await self.start_late(site)
             await self.confirm(site, worker)
             await self.record(site, worker)
-            self.assertTrue(await site.pass_cell_on())
+            await self.pass_on(site)
+            await self.lose(site, worker)
+
+        self.check(scenario)
+
+    def check_wait(self, reached: bool) -> None:
+        """Checks how long tasks wait once most of a stale lease is over.
+
+        Args:
+            reached: Whether the worker replies to the next owner before it is
+                lost.
+        """
+        missing: list[TaskKey] = []
+
+        async def scenario(site: SimulatedSite) -> None:
+            worker = await self.start_late(site)
+            await self.confirm(site, worker)
+            await asyncio.sleep(OLD_LEASE_S)
+            tasks = worker.running()
+            if not reached:
+                worker.crash()
+            await self.pass_on(site)
+            if reached:
+                await self.confirm(site, worker)
+                worker.crash()
+            await asyncio.sleep(ORDINARY_DELAY_MS / 1000)
+            missing.extend(set(tasks) - self.running(site))
+
+        self.play(scenario)
+        self.assertEqual(missing, [])
+
+    def test_reported_bound(self):
+        """LOST: a fenced owner's bound was not used; it began anew."""
+        for reached in (True, False):
+            with self.subTest(reached=reached):
+                self.check_wait(reached)
+
+    def test_recorded_earlier_incarnation(self):
+        """TWICE: leases of a late order counted from the end of the owner.
+
+        No owner before has noticed the restart, and the order is carried out
+        after the last one was fenced.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            worker_id = await self.delay_start(site, 0, LATE_ORDER_MS)
+            worker = site.workers[worker_id]
+            worker.crash()
+            worker.restart(0.0)
+            cut_off(site, worker_id)
+            site.owner().store_link.cut = True
+            # Its successor reads the entry, which it does not.
+            entry = msgspec.msgpack.encode(worker.entry)
+            site.store.write("workers", worker_id, entry)
+            await self.pass_on(site)
+            await until(worker.running)
+            for host in site.hosts:
+                host.worker_links[worker_id].cut = False
             await self.lose(site, worker)
 
         self.check(scenario)
--- a/tests/node/test_stale_leases.py
+++ b/tests/node/test_stale_leases.py
@@ -15,9 +15,12 @@
     WorkerRecord,
     lease_bound_ms,
 )
-from limpetyard.node import FenceResult, RemainingLeases
+from limpetyard.jobs import StepSpec
+from limpetyard.node import CellOwner, FenceResult, RemainingLeases
+from limpetyard.node._handover import LeaseExpiries
 from limpetyard.node._predecessor import Predecessor
 from standins.platform import SimulatedSite
+from tests.engine.test_engine import ONE_CORE, EngineTestCase, entry, job
 from tests.node.test_unstarted_doubts import until
 from tests.node.test_whole_site import SiteTestCase
 
@@ -89,6 +92,51 @@
                 self.assertEqual(end_ms, orders_end_ms + bound_ms)
 
 
+class RestartedWorkerTest(EngineTestCase):
+    """What is handed over of a worker that has not confirmed its token."""
+
+    workers = 1
+
+    def remaining(self) -> RemainingLeases:
+        """Returns the handover after a restart that a poll has shown."""
+        self.submit(job(1, StepSpec(1, ONE_CORE)))
+        self.start_all()
+        self.poll("w-0", born=2)
+        return LeaseExpiries(self.engine).remaining(self.now_ms)
+
+    def test_stale_orders(self):
+        """TWICE: the next owner took a worker to have no stale lease."""
+        self.assertEqual(self.remaining().stale_left_ms, {"w-0": None})
+
+    def test_late_start(self):
+        """TWICE: the time in which a late start may arrive was left out."""
+        longest_ms = lease_bound_ms(self.engine.params.longest_lease_ms)
+        self.assertEqual(
+            self.remaining().left_ms, {"w-0": longest_ms + MAX_ORDER_DELAY_MS}
+        )
+
+
+class UnknownWorkerTest(EngineTestCase):
+    """A worker replies before the previous owner does, which has no lease."""
+
+    workers = 0
+
+    def test_bound_before_the_reply(self):
+        """LOST: tasks of a new worker waited as if it had restarted."""
+        self.engine.may_have_stale_orders = lambda worker_id: True
+        self.engine.predecessor_until_ms = float("inf")
+        self.add(entry(0))
+        worker = self.engine.workers["w-0"]
+        worker.prior_lease_end_ms = worker.stale_lease_end_ms
+        self.assertGreater(worker.stale_lease_end_ms, self.now_ms)
+        owner = mock.Mock()
+        owner._inherited_workers = frozenset()
+        owner._predecessor.may_have_ordered.return_value = False
+        CellOwner._apply_lease_bounds(owner, worker)
+        self.assertEqual(worker.stale_lease_end_ms, 0)
+        self.assertEqual(worker.prior_lease_end_ms, 0)
+
+
 class RecordTest(SiteTestCase):
     """Records of a worker that restarts."""
 
