revoke_lease takes a grant of the current incarnation only

By reading only: revoke_lease compared times, and the clock of the next incarnation may show any time. Within one incarnation equal ends are the same lease, and both bounds hold. The caller gives the token of the order now, as for record_unanswered.

--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -763,12 +763,16 @@
         )
         return until_ms
 
-    def revoke_lease(self, until_ms: int | None) -> None:
+    def revoke_lease(self, token: int, until_ms: int | None) -> None:
         """Takes back a grant that was not sent, unless another one followed.
 
         Args:
+            token: Fencing token at that time; the clock of a later incarnation
+                may show any time.
             until_ms: What `grant_lease` returned for it.
         """
+        if token != self.token:
+            return
         if self._last_grant is not None and self._last_grant[0] == until_ms:
             self.lease_end_ms = self._last_grant[1]
             self._last_grant = None
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -295,7 +295,7 @@
                 break
             except (WorkerDownError, OrderWithheldError) as exc:
                 event("order_failed", order="start", reason=exc)
-                worker.revoke_lease(until_ms)
+                worker.revoke_lease(token, until_ms)
             except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
                 event("order_failed", order="start", reason=exc)
                 may_have_begun = run.unanswered_start = True
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -179,7 +179,7 @@
             self._unanswered.add(worker.id)
             worker.record_unanswered(token)
             if isinstance(exc, (WorkerDownError, OrderWithheldError)):
-                worker.revoke_lease(lease_until_ms)
+                worker.revoke_lease(token, lease_until_ms)
             # A later incarnation may have another address by now.
             if (
                 self._is_current(worker, token)
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -596,12 +596,12 @@
         worker = self.engine.workers["w-0"]
         end_ms = worker.lease_end_ms
         first = worker.grant_lease(self.now_ms + 100, LEASE_MS)
-        worker.revoke_lease(first)
+        worker.revoke_lease(worker.token, first)
         self.assertEqual(worker.lease_end_ms, end_ms)
         first = worker.grant_lease(self.now_ms + 100, LEASE_MS)
         worker.grant_lease(self.now_ms + 200, LEASE_MS // 2)
         end_ms = worker.lease_end_ms
-        worker.revoke_lease(first)
+        worker.revoke_lease(worker.token, first)
         self.assertEqual(worker.lease_end_ms, end_ms)
 
     def test_drained_worker(self):
--- a/tests/engine/test_stale_leases.py
+++ b/tests/engine/test_stale_leases.py
@@ -92,10 +92,28 @@
         self.restart()
         end_ms = self.worker.runs_until_ms
         self.submit(job(1, StepSpec(1, ONE_CORE)))
-        self.worker.revoke_lease(self.worker.grant_lease(self.now_ms, LEASE_MS))
+        until_ms = self.worker.grant_lease(self.now_ms, LEASE_MS)
+        self.worker.revoke_lease(self.worker.token, until_ms)
         self.assertEqual(self.worker.lease_left_ms(0.0), self.longest_ms + 1400)
         self.assertLessEqual(end_ms, self.worker.lease_left_ms(0.0))
 
+    def test_grant_of_the_incarnation_before(self):
+        """TWICE: a late refusal took back a grant of the next incarnation.
+
+        Its clock shows the same time.
+        """
+        token = self.worker.token
+        until_ms = self.worker.grant_lease(self.now_ms, LEASE_MS)
+        self.restart()
+        end_ms = self.now_ms + lease_bound_ms(LEASE_MS)
+        self.worker.set_clock(until_ms - LEASE_MS, self.now_ms + 1)
+        self.now_ms += 1
+        self.assertEqual(
+            self.worker.grant_lease(self.now_ms, LEASE_MS), until_ms
+        )
+        self.worker.revoke_lease(token, until_ms)
+        self.assertGreater(self.worker.lease_end_ms, end_ms)
+
     def test_first_incarnation(self):
         """Workers that have not restarted keep the ordinary bound."""
         self.submit(job(1, StepSpec(1, ONE_CORE)))
