A connection closed after an unanswered poll proves no life

By reading only: a poll whose connection is closed after 50 ms or more proved that its worker had been up until then, so that runs which had been up for 0.5 s by then were cleared of the crash. But the next incarnation may have closed it, as the poll was sent while the worker was down.

A closed connection counts now only if the poll before was answered.

--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -155,9 +155,10 @@
         token = worker.token
         entry = worker.entry
         lease_until_ms = None
+        may_be_down = worker.id in self._unanswered
         if (
             worker.is_responsive(now_ms)
-            and worker.id not in self._unanswered
+            and not may_be_down
             and self._engine.may_lease(worker.id)
         ):
             lease_until_ms = worker.grant_lease(now_ms, self._lease_ms)
@@ -185,7 +186,7 @@
                 self._is_current(worker, token)
                 and worker.entry.address == entry.address
             ):
-                self._report_failure(worker, exc, now_ms)
+                self._report_failure(worker, exc, now_ms, may_be_down)
             raise
         self._unanswered.discard(worker.id)
         if not self._is_current(worker, token):
@@ -206,13 +207,26 @@
         return known is worker and worker.token == token
 
     def _report_failure(
-        self, worker: Worker, exc: Exception, sent_ms: float
+        self,
+        worker: Worker,
+        exc: Exception,
+        sent_ms: float,
+        may_be_down: bool,
     ) -> None:
-        """Reports a poll that failed with an error to the engine."""
+        """Reports a poll that failed with an error to the engine.
+
+        Args:
+            worker: The worker.
+            exc: The error.
+            sent_ms: When the poll was sent.
+            may_be_down: Whether the poll before got no reply, so that the next
+                incarnation may have closed the connection.
+        """
         now_ms = self._clock.now_ms()
         changed = False
         if isinstance(exc, WorkerDisconnectedError):
-            worker.record_disconnect(sent_ms, now_ms)
+            if not may_be_down:
+                worker.record_disconnect(sent_ms, now_ms)
         elif isinstance(exc, WrongWorkerError):
             changed = self._engine.on_worker_replaced(worker, now_ms)
         elif isinstance(exc, WorkerDownError):
--- a/tests/node/test_polling.py
+++ b/tests/node/test_polling.py
@@ -12,6 +12,7 @@
     RunEndKind,
     RunEndReport,
     RunReport,
+    WorkerDisconnectedError,
     WorkerEntry,
     WorkerOutcomeUnknownError,
     WrongWorkerError,
@@ -30,6 +31,9 @@
 
 REPLY_DELAY_MS = 10
 
+# Time that a worker is known to have been up if it closes a poll then.
+RESET_DELAY_MS = 500
+
 
 class _Workers:
     """Worker client that counts polls; the workers in `silent` do not reply.
@@ -37,6 +41,7 @@
     Attributes:
         silent: Ids of workers that do not reply.
         replaced: Ids of workers at whose address another worker replies.
+        resetting: Ids of workers that close the connections of polls late.
         ends: Ended runs in each reply.
         runs: Current runs in each reply.
         polled: Worker of each poll, in order.
@@ -50,6 +55,7 @@
         self._polls = 0
         self.silent: set[str] = set()
         self.replaced: set[str] = set()
+        self.resetting: set[str] = set()
         self.ends: list[RunEndReport] = []
         self.runs: list[RunReport] = []
         self.polled: list[str] = []
@@ -67,6 +73,9 @@
             if entry.id in self.silent:
                 await asyncio.sleep(timeout_ms / 1000)
                 raise WorkerOutcomeUnknownError(entry.id)
+            if entry.id in self.resetting:
+                await asyncio.sleep(RESET_DELAY_MS / 1000)
+                raise WorkerDisconnectedError(entry.id)
             if entry.id in self.replaced:
                 raise WrongWorkerError(entry.id)
             await asyncio.sleep((REPLY_DELAY_MS + request.wait_ms) / 1000)
@@ -206,6 +215,36 @@
         client = self.poll(1, 0, scenario)
         self.assertLessEqual(len(client.polled), 6)
 
+    def alive_ms(self, silent: bool) -> float:
+        """Returns when a worker whose connections are closed was last up.
+
+        Args:
+            silent: Whether a poll got no reply before.
+        """
+
+        async def scenario(client: _Workers) -> None:
+            await asyncio.sleep(1)
+            if silent:
+                client.silent.add("w-0")
+                await asyncio.sleep(3)
+                client.silent.clear()
+            client.resetting.add("w-0")
+            await asyncio.sleep(3)
+
+        self.poll(1, 0, scenario)
+        return self.engine.workers["w-0"].alive_ms
+
+    def test_connections_closed_by_the_next_incarnation(self):
+        """A deadly task was cleared: its worker was taken to be up too long.
+
+        The worker is silent after its crash, and closes connections once it is
+        back.
+        """
+        self.assertLess(self.alive_ms(silent=True), 2000)
+        self.assertGreaterEqual(
+            self.alive_ms(silent=False), 1000 + RESET_DELAY_MS
+        )
+
     def test_ends_that_are_not_stored(self):
         """Workers are polled all the time while the store refuses appends."""
 
