Test of an owner that is not fenced and a worker that restarts

By reading only: a worker that a new owner had confirmed accepts, after a restart, orders of an owner before that is not fenced yet. An owner that is cut off from the store and the nodes starts a timed task on the only worker that it reaches, which the new owner had confirmed and which has restarted since. It needs a restart and a link that works again within 1.6 s of a reply of the incarnation before, and work that comes up just then.

--- a/tests/node/test_restarted_workers.py
+++ b/tests/node/test_restarted_workers.py
@@ -9,8 +9,12 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
+from limpetyard.engine._worker import RESPONSIVE_WITHIN_MS
 from limpetyard.jobs import TaskKey
 from limpetyard.node._order_dispatch import START_VALID_MS
+from limpetyard.node._polling import POLL_WAIT_MS
 from standins.platform import SimulatedSite, violations
 from standins.platform._worker import WorkerModel
 from tests.node.test_long_running import newest_owner
@@ -40,6 +44,11 @@
 # Time after which no order to an earlier incarnation counts any more.
 LONG_AFTER_S = 13.0
 
+# Time for which an owner starts tasks on a worker that does not reply, and most
+# of it.
+UNCERTAIN_MS = RESPONSIVE_WITHIN_MS
+DUE_AFTER_MS = 0.9 * UNCERTAIN_MS
+
 Scenario = Callable[[SimulatedSite], Awaitable[None]]
 
 
@@ -318,6 +327,68 @@
         self.check(scenario)
 
 
+class UnfencedOwnerTest(RestartTestCase):
+    """An owner that is cut off from all else reaches a restarted worker.
+
+    Its successor has had a reply of the incarnation before.
+    """
+
+    def link(self, site: SimulatedSite, host, up: bool, others: bool) -> None:
+        """Connects the worker w-0 with a VM, or with all others, or cuts it."""
+        for other in site.hosts:
+            if (other is not host) == others:
+                other.worker_links["w-0"].cut = not up
+
+    def test_task_that_is_due_then(self):
+        """TWICE: both owners started a timed task.
+
+        The one before sends the start less than 1.6 s after the last reply of
+        the incarnation before, which had not seen the newer token then.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            former, worker = site.owner(), site.workers["w-0"]
+            clock = former.clock
+            known = former.node._owners[0].engine.workers["w-0"]
+
+            async def next_reply() -> float:
+                last_ms = known.replied_ms
+                await until(lambda: known.replied_ms > last_ms)
+                return known.replied_ms
+
+            first_ms = await next_reply()
+            interval_ms = await next_reply() - first_ms
+            due_ms = first_ms + 5 * interval_ms + DUE_AFTER_MS
+            spec = msgspec.structs.replace(
+                job(0, count=6, run_ms=RUN_MS),
+                first_due_ms=clock.wall_ms() - clock.now_ms() + due_ms,
+            )
+            self.assertTrue(await site.submit(spec))
+            await next_reply()
+            for worker_id, link in former.worker_links.items():
+                link.cut = worker_id != "w-0"
+            last_ms = await next_reply()
+            while due_ms - last_ms > UNCERTAIN_MS:
+                last_ms = await next_reply()
+            # The next reply is lost, and the poll after it is never received.
+            self.link(site, former, up=False, others=False)
+            former.store_link.cut = former.peer_link.cut = True
+            self.link(site, former, up=False, others=True)
+            site.pass_cell_on()
+            await asyncio.sleep((POLL_WAIT_MS + 10) / 1000)
+            self.link(site, former, up=True, others=True)
+            await until(lambda: newest_owner(site) not in (None, former))
+            await self.confirm(site, worker)
+            self.link(site, former, up=False, others=True)
+            worker.reaches_store = False
+            worker.crash()
+            worker.restart(0.0)
+            self.link(site, former, up=True, others=False)
+            await asyncio.sleep((due_ms - clock.now_ms()) / 1000 + REPLY_S)
+
+        self.check(scenario)
+
+
 class OrdinaryDelayTest(RestartTestCase):
     """Tasks of a lost worker start elsewhere after the ordinary time."""
 
