Processes of tests tell why they are not ready; exclusive port ranges

Seen: the set-up of OwnerTest.test_delayed_start_after_move and of test_killed_owner timed out once beside load, as a daemon was not ready within 20 s; nothing of its output was kept.

Site and the soak describe each process that they have started: whether it runs or its exit status, who listens on each port that it was given (itself, nobody, another process; TCP and UDP, from /proc), and the last 20 lines of its output. A failure to get ready, a refused connection, and a call or a condition without an answer in time carry this as a note, which the traceback prints. The soak also prints it on the standard error if a rule was violated; refused calls are part of its faults.

Ports came from a range by process id modulo 60, so that two processes on one machine could share one. Each process now reserves its range by binding the first port of it for as long as it lives. No process binds port 0 and reports back: daemons and nodes are given their ports by contract, and a reserved range serves the stand-ins as well.

--- a/standins/site.py
+++ b/standins/site.py
@@ -1,12 +1,13 @@
 """Runs platform stand-ins and daemons as processes on loopback."""
 
 import asyncio
-import itertools
+import contextlib
+import functools
 import os
 import signal
-import socket
 import subprocess
 import sys
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import aiohttp
@@ -14,6 +15,8 @@
 
 from limpetyard.cell import ResourceVector
 from limpetyard.fleet import Vm, VmRole
+from standins import process_state
+from standins.ports import PortRange
 from standins.target import TargetRecord
 from standins.worker import WorkerSpec
 from standins.worker_model import WorkerEvent
@@ -21,36 +24,17 @@
 ADMIN_TOKEN = "bench-token"
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20
-PORT_RANGE_COUNT = 60
-PORTS_PER_PROCESS = 200
 WORKER_SIZE = ResourceVector(32.0, 128_000)
 
 
-def free_port() -> int:
-    """Returns a loopback port that is free for TCP and UDP now.
-
-    Each process takes ports from a range of its own below the ephemeral ports,
-    so that no other process binds them before use.
-    """
-    for port in _ports:
-        if _is_free(port, socket.SOCK_STREAM) and _is_free(
-            port, socket.SOCK_DGRAM
-        ):
-            return port
-    raise RuntimeError("no port in this process's range is free")
+@functools.cache
+def _port_range() -> PortRange:
+    return PortRange()
 
 
-def _is_free(port: int, kind: socket.SocketKind) -> bool:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
-_FIRST_PORT = 20_000 + os.getpid() % PORT_RANGE_COUNT * PORTS_PER_PROCESS
-_ports = itertools.cycle(range(_FIRST_PORT, _FIRST_PORT + PORTS_PER_PROCESS))
+def free_port() -> int:
+    """Returns a port of this process's range; see `PortRange.free_port`."""
+    return _port_range().free_port()
 
 
 class Process:
@@ -60,8 +44,24 @@
         url: Base URL of its HTTP server.
     """
 
-    def __init__(self, arguments: list[str], url: str, output: Path):
+    def __init__(
+        self,
+        arguments: list[str],
+        url: str,
+        output: Path,
+        more_ports: Sequence[int] = (),
+    ):
+        """Starts the process.
+
+        Args:
+            arguments: Arguments of the interpreter.
+            url: Base URL of its HTTP server.
+            output: File that its output is appended to.
+            more_ports: Ports that it was given besides that of `url`.
+        """
         self.url = url
+        self._ports = (int(url.rpartition(":")[2]), *more_ports)
+        self._path = output
         self._output = output.open("ab")
         self._popen = subprocess.Popen(
             [sys.executable, *arguments],
@@ -76,6 +76,16 @@
         """Process id."""
         return self._popen.pid
 
+    def describe(self) -> str:
+        """Describes its state, its ports and its last lines of output."""
+        return process_state.describe(
+            self._path.stem,
+            self.pid,
+            self._popen.poll(),
+            self._ports,
+            self._path,
+        )
+
     def send_signal(self, signum: signal.Signals) -> None:
         """Sends a signal to the process if it still runs."""
         if self._popen.poll() is None:
@@ -141,6 +151,7 @@
         self._processes: list[Process] = []
         self._vms: dict[str, Vm] = {}
         self._daemon_arguments: dict[str, list[str]] = {}
+        self._daemon_ports: dict[str, tuple[int, ...]] = {}
 
     async def __aenter__(self) -> "Site":
         self.output.mkdir(parents=True, exist_ok=True)
@@ -224,9 +235,13 @@
         """
         for number in range(count):
             node = f"entry-{number}"
-            peer = f"127.0.0.1:{free_port()}"
+            self._daemon_ports[node] = peer_port, admin_port = (
+                free_port(),
+                free_port(),
+            )
+            peer = f"127.0.0.1:{peer_port}"
             self._add_vm(Vm(node, VmRole.ENTRY, self._zone(number), peer))
-            admin = f"127.0.0.1:{free_port()}"
+            admin = f"127.0.0.1:{admin_port}"
             self.admin[node] = f"http://{admin}"
             self._daemon_arguments[node] = [
                 "-m",
@@ -253,7 +268,9 @@
             f"--listen=127.0.0.1:{port}",
         ]
         url = f"http://127.0.0.1:{port}"
-        self.daemons[node] = self._start_process(node, arguments, url)
+        self.daemons[node] = self._start_process(
+            node, arguments, url, self._daemon_ports[node]
+        )
 
     async def wait_ready(self, *nodes: str) -> None:
         """Waits until daemons pass the readiness check.
@@ -267,14 +284,33 @@
         for node in nodes or tuple(self.daemons):
             await self._wait_until_up(f"{self.daemons[node].url}/health/ready")
 
+    @contextlib.contextmanager
+    def described(self) -> Iterator[None]:
+        """Adds the state of all processes to errors of calls in the context.
+
+        These are calls that are refused, or that get no answer in time.
+        """
+        try:
+            yield
+        except (OSError, aiohttp.ClientError) as exc:
+            if not hasattr(exc, "__notes__"):
+                exc.add_note(self.describe())
+            raise
+
+    def describe(self) -> str:
+        """Describes all processes that were started."""
+        return "\n".join(process.describe() for process in self._processes)
+
     async def publish_vms(self) -> None:
         """Publishes all VMs in the VM list."""
         body = msgspec.json.encode(list(self._vms.values()))
-        await self.http.put(f"{self.vms.url}/vms", data=body)
+        with self.described():
+            await self.http.put(f"{self.vms.url}/vms", data=body)
 
     async def set_vm_state(self, vm_id: str, state: str) -> None:
         """Sets the state of one VM in the VM list."""
-        await self.http.post(f"{self.vms.url}/state/{vm_id}/{state}")
+        with self.described():
+            await self.http.post(f"{self.vms.url}/state/{vm_id}/{state}")
 
     async def set_faults(self, url: str, **switches: object) -> None:
         """Sets the fault switches of a stand-in; all others are reset.
@@ -283,7 +319,8 @@
             url: URL of its switch endpoint.
             **switches: Values of the switches, by name.
         """
-        resp = await self.http.post(url, json=switches)
+        with self.described():
+            resp = await self.http.post(url, json=switches)
         resp.raise_for_status()
 
     async def set_log_faults(self, **switches: object) -> None:
@@ -309,17 +346,17 @@
         """
         base = self.admin[node or next(iter(self.daemons))]
         headers = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
-        async with self.http.request(
-            method, f"{base}{path}", json=body, headers=headers
-        ) as resp:
-            return resp.status, await resp.json()
+        with self.described():
+            async with self.http.request(
+                method, f"{base}{path}", json=body, headers=headers
+            ) as resp:
+                return resp.status, await resp.json()
 
     async def worker_events(self) -> list[WorkerEvent]:
         """Returns the records of all workers in the order of time."""
         found: list[WorkerEvent] = []
         for process in {p.pid: p for p in self.workers.values()}.values():
-            async with self.http.get(f"{process.url}/record") as resp:
-                body = await resp.read()
+            body = await self._read(f"{process.url}/record")
             found += msgspec.json.decode(body, type=list[WorkerEvent])
         return sorted(found, key=lambda event: event.at_ms)
 
@@ -327,11 +364,15 @@
         """Returns the record of each target, by id."""
         found = {}
         for vm_id, process in self.targets.items():
-            async with self.http.get(f"{process.url}/_record") as resp:
-                body = await resp.read()
+            body = await self._read(f"{process.url}/_record")
             found[vm_id] = msgspec.json.decode(body, type=TargetRecord)
         return found
 
+    async def _read(self, url: str) -> bytes:
+        with self.described():
+            async with self.http.get(url) as resp:
+                return await resp.read()
+
     def _zone(self, number: int) -> str:
         return self.zones[number % len(self.zones)]
 
@@ -344,17 +385,23 @@
         return self._start_process(name, [*arguments, "--port", str(port)], url)
 
     def _start_process(
-        self, name: str, arguments: list[str], url: str
+        self,
+        name: str,
+        arguments: list[str],
+        url: str,
+        more_ports: Sequence[int] = (),
     ) -> Process:
-        process = Process(arguments, url, self.output / f"{name}.log")
+        output = self.output / f"{name}.log"
+        process = Process(arguments, url, output, more_ports)
         self._processes.append(process)
         return process
 
     async def _wait_until_up(self, *urls: str) -> None:
-        async with asyncio.timeout(START_TIMEOUT_S):
-            for url in urls:
-                while not await self._is_up(url):
-                    await asyncio.sleep(0.05)
+        with self.described():
+            async with asyncio.timeout(START_TIMEOUT_S):
+                for url in urls:
+                    while not await self._is_up(url):
+                        await asyncio.sleep(0.05)
 
     async def _is_up(self, url: str) -> bool:
         try:
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -131,9 +131,10 @@
         Raises:
             TimeoutError: If it is still false after `timeout_s`.
         """
-        async with asyncio.timeout(timeout_s):
-            while not await condition():
-                await asyncio.sleep(0.05)
+        with self.site.described():
+            async with asyncio.timeout(timeout_s):
+                while not await condition():
+                    await asyncio.sleep(0.05)
 
     async def find_owner(self) -> str:
         """Returns the name of a daemon that owns a cell, or ""."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -27,6 +27,7 @@
 from limpetyard._registry import Registry
 from limpetyard.engine import WorkerEntry
 from limpetyard.jobs import FINAL_STATES, JobSpec, Resources, StepSpec
+from standins import process_state
 from standins.platform import violations
 from standins.platform._gangs import Gangs
 from standins.platform._history import (
@@ -143,6 +144,9 @@
     def __init__(self, name: str, folder: Path, store: str):
         self.name = name
         self.frontend, self._readiness = free_address(), free_address()
+        peers = free_address()
+        addresses = (self.frontend, self._readiness, peers)
+        self._ports = [int(a.rpartition(":")[2]) for a in addresses]
         self.expected_down = True
         self._path = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
@@ -152,7 +156,7 @@
             name=name,
             frontend=self.frontend,
             readiness=self._readiness,
-            peers=free_address(),
+            peers=peers,
             store=store,
             longest_lease_ms=LONGEST_LEASE_MS,
         )
@@ -183,6 +187,13 @@
         """Exit status, or the negative number of the signal that ended it."""
         return self._process and self._process.returncode
 
+    def describe(self) -> str:
+        """Describes its state, its ports and its last lines of output."""
+        pid = self._process and self._process.pid
+        return process_state.describe(
+            self.name, pid, self.status, self._ports, self._log
+        )
+
     def send_signal(self, number: int) -> None:
         """Sends a signal to the process, if it is up."""
         if self.is_up:
@@ -291,14 +302,22 @@
             for node in self.nodes:
                 await node.start()
                 stack.push_async_callback(node.end, signal.SIGKILL)
-            async with (
-                aiohttp.ClientSession() as http,
-                asyncio.timeout(READY_S),
-            ):
-                for node in self.nodes:
-                    await node.wait_ready(http)
+            try:
+                async with (
+                    aiohttp.ClientSession() as http,
+                    asyncio.timeout(READY_S),
+                ):
+                    for node in self.nodes:
+                        await node.wait_ready(http)
+            except TimeoutError as exc:
+                exc.add_note(self.describe())
+                raise
             yield
 
+    def describe(self) -> str:
+        """Describes the nodes."""
+        return "\n".join(node.describe() for node in self.nodes)
+
     async def _heartbeats(self) -> None:
         missing = dict.fromkeys(self.workers, 0)
         while True:
@@ -561,8 +580,9 @@
 async def run_soak(seed: int, faults_s: float = 20.0, jobs: int = 20) -> list:
     """Runs one soak and returns the violations of rules.
 
-    The logs of the nodes are copied to the folder that the environment variable
-    SOAK_LOGS names, if a rule was violated.
+    If a rule was violated, the nodes are described on the standard error, and
+    their logs are copied to the folder that the environment variable SOAK_LOGS
+    names.
     """
     # Connections that are cut end handlers of the stand-ins.
     logging.getLogger("aiohttp.server").disabled = True
@@ -576,6 +596,8 @@
             await asyncio.gather(*injectors, *clients)
             await asyncio.sleep(CALM_S)
             found = violations(soak.history) + soak.ended
+            if found:
+                print(soak.describe(), file=sys.stderr)
         kept = os.environ.get("SOAK_LOGS")
         if found and kept:
             shutil.copytree(folder, Path(kept) / str(seed), dirs_exist_ok=True)
