End the stand-ins of a site that does not get ready

Site.__aenter__ raised without an end of the processes that it had started, as no __aexit__ follows: a set-up that timed out left the stand-ins of the log and the VM list running for good, with their ports. It ends them now.

DescriptionTest.test_standins_that_are_not_ready; tests.test_site: 6 pass.

--- a/standins/site.py
+++ b/standins/site.py
@@ -160,12 +160,19 @@
         )
         self.log = self._start_standin("log", ["-m", "standins.log"])
         self.vms = self._start_standin("vms", ["-m", "standins.vms"])
-        await self._wait_until_up(
-            f"{self.log.url}/record", f"{self.vms.url}/vms"
-        )
+        try:
+            await self._wait_until_up(
+                f"{self.log.url}/record", f"{self.vms.url}/vms"
+            )
+        except BaseException:
+            await self._stop()
+            raise
         return self
 
     async def __aexit__(self, *exc: object) -> None:
+        await self._stop()
+
+    async def _stop(self) -> None:
         await self.http.close()
         for process in reversed(self._processes):
             process.send_signal(signal.SIGCONT)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -64,6 +64,18 @@
         self.assertIn("| line one", note)
         self.assertIn("log: runs", note)
 
+    async def test_standins_that_are_not_ready(self):
+        """The stand-ins of a site that did not get ready ran on for good."""
+        other = site.Site(self.folder / "other")
+        with (
+            mock.patch.object(site, "START_TIMEOUT_S", 0),
+            self.assertRaises(TimeoutError) as caught,
+        ):
+            await other.__aenter__()
+        self.assertIn("log: runs", caught.exception.__notes__[0])
+        self.assertIn("log: ended", other.describe())
+        self.assertIn("vms: ended", other.describe())
+
     async def test_refused_connection(self):
         """A call that is refused tells the same."""
         self.site.admin["none"] = f"http://127.0.0.1:{site.free_port()}"
