Hold a task to the incarnation that got its start without a reply

Callers saw a task run twice (TWICE): a start without a reply may be carried out up to 12 s later, also by a later incarnation of the worker, which has seen neither token nor stop. Its run was given up once the stop was acknowledged, its time was over on the earlier clock, or an ordinary lease had expired, and the task started elsewhere.

Such a start now leaves a doubt on its task, unless that is long-running or copies of it may run: worker, incarnation, time of sending. While it lasts, the task starts only on that very incarnation. It ends as told in DESIGN.md, "Unknown outcomes": by a reply of the same incarnation to a poll that was sent 12 s after the start or later, by a later one that has answered its own token and lacks the run, by another worker at the address, or by time. The bound by time counts from the last order that may grant a lease, as a late poll may renew the lease of a late run.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -111,6 +111,12 @@
     "deadline_unreadable": EventKind(
         ("value",), "A caller's deadline is not a number; the default applies."
     ),
+    "doubt_ended": EventKind(
+        ("task", "worker", "how", "age_ms", "waited_ms"),
+        "A start without a reply, sent to this worker age_ms ago, holds its"
+        ' task to that worker no more; see "Unknown outcomes" in DESIGN.md.'
+        " The task has waited for waited_ms; 0 if it runs or is done.",
+    ),
     "end_outdated": EventKind(
         ("task", "run", "worker", "how"),
         "A worker reported the end of a run that was already replaced.",
--- /dev/null
+++ b/src/limpetyard/engine/_doubts.py
@@ -0,0 +1,141 @@
+"""Starts without a reply that a later incarnation may still carry out.
+
+The incarnation to which such a start was sent rejects it once it was stopped,
+has expired, or was followed by a later run of the task. A later incarnation has
+seen neither token nor stop, and its clock is another one. So the task starts on
+that very incarnation only, until no later one can have the run.
+"""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from limpetyard._events import event
+from limpetyard._registry import Registry
+from limpetyard.engine._worker import (
+    MAX_ORDER_DELAY_MS,
+    Worker,
+    lease_bound_ms,
+)
+from limpetyard.jobs import StartDoubt, Task, TaskKey
+
+if TYPE_CHECKING:
+    from limpetyard.engine._engine import Engine
+
+# Returns whether a doubt is over, given its worker and whether a run of the
+# task may exist there, other than its present one.
+Ending = Callable[[StartDoubt, Worker, bool], bool]
+
+ENDINGS: Registry[Ending] = Registry("ending of a doubt")
+
+
+class StartDoubts:
+    """The doubts of one ownership."""
+
+    __slots__ = ("_engine", "_tasks", "_until_ms")
+
+    def __init__(self, engine: "Engine"):
+        self._engine = engine
+        self._tasks: dict[TaskKey, Task] = {}
+        # Time by which the longest lease has expired that a late start, or an
+        # order that was sent to the same incarnation after it, may grant.
+        self._until_ms: dict[TaskKey, float] = {}
+
+    def add(self, key: TaskKey, doubt: StartDoubt) -> None:
+        """Adds a doubt, unless a later one exists or the task needs none.
+
+        Long-running tasks have none, as they must not wait for so long, nor
+        have those of which copies may run.
+        """
+        if key.job not in self._engine.open_jobs:
+            return
+        task = self._engine.find_task(key)
+        if task is None or task.step.long_running or task.step.copies:
+            return
+        last = task.start_doubt
+        if last is not None and last.sent_ms > doubt.sent_ms:
+            return
+        task.start_doubt = doubt
+        self._tasks[key] = task
+        self._until_ms[key] = max(
+            self._until_ms.get(key, 0.0), self._bound_ms(doubt.sent_ms)
+        )
+
+    def all(self) -> dict[TaskKey, StartDoubt]:
+        """Returns the doubts by task."""
+        return {key: task.start_doubt for key, task in self._tasks.items()}
+
+    def end_over(self, now_ms: float) -> None:
+        """Ends the doubts that are over."""
+        certain_ms = min(now_ms, self._engine.confirmed_ms)
+        for key, task in list(self._tasks.items()):
+            how = self._how_ended(key, task, certain_ms)
+            if how is None:
+                continue
+            doubt = task.start_doubt
+            task.start_doubt = None
+            del self._tasks[key], self._until_ms[key]
+            waits = task.state == "waiting" and task.idle_since_ms is not None
+            event(
+                "doubt_ended",
+                task=key.name,
+                worker=doubt.worker,
+                how=how,
+                age_ms=now_ms - doubt.sent_ms,
+                waited_ms=now_ms - task.idle_since_ms if waits else 0.0,
+            )
+
+    def _how_ended(
+        self, key: TaskKey, task: Task, certain_ms: float
+    ) -> str | None:
+        """Returns in which way a doubt is over; None if it is not."""
+        if key.job not in self._engine.open_jobs or task.state == "done":
+            return "needless"
+        doubt = task.start_doubt
+        worker = self._engine.workers.get(doubt.worker)
+        has_run = worker is not None and any(
+            other == key and (task.worker, task.run) != (worker.id, run)
+            for other, run in worker.runs
+        )
+        if worker is not None:
+            for name in ENDINGS:
+                if ENDINGS.get(name)(doubt, worker, has_run):
+                    return name
+            if worker.born <= doubt.born:
+                self._until_ms[key] = max(
+                    self._until_ms[key], self._bound_ms(worker.granted_ms)
+                )
+        if not has_run and certain_ms > self._until_ms[key]:
+            return "time"
+        return None
+
+    def _bound_ms(self, sent_ms: float) -> float:
+        longest_ms = lease_bound_ms(self._engine.params.longest_lease_ms)
+        return sent_ms + MAX_ORDER_DELAY_MS + longest_ms
+
+
+@ENDINGS.register("replaced")
+def _replaced(doubt: StartDoubt, worker: Worker, has_run: bool) -> bool:
+    """Another worker is at the address; see `Engine.on_worker_replaced`."""
+    return worker.ended
+
+
+@ENDINGS.register("same_incarnation")
+def _same_incarnation(doubt: StartDoubt, worker: Worker, has_run: bool) -> bool:
+    """The incarnation was up when late starts had been carried out."""
+    return (
+        worker.born == doubt.born
+        and worker.polled_ms >= doubt.sent_ms + MAX_ORDER_DELAY_MS
+    )
+
+
+@ENDINGS.register("later_incarnation")
+def _later_incarnation(
+    doubt: StartDoubt, worker: Worker, has_run: bool
+) -> bool:
+    """A later incarnation rejects the start, and its run does not exist."""
+    return (
+        worker.born > doubt.born
+        and worker.token_confirmed
+        and worker.has_all_ends
+        and not has_run
+    )
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -13,6 +13,7 @@
 from limpetyard._events import event
 from limpetyard.engine._census import Census
 from limpetyard.engine._crashes import CrashTracker
+from limpetyard.engine._doubts import StartDoubts
 from limpetyard.engine._effects import (
     Effect,
     Pace,
@@ -53,6 +54,7 @@
     Job,
     JobSpec,
     Resources,
+    StartDoubt,
     StepSpec,
     Task,
     TaskHistory,
@@ -142,6 +144,7 @@
         interference: Model of the effect of best-effort tasks on tail
             latencies.
         crashes: Counts crashes of workers for each task.
+        doubts: Starts that later incarnations may still carry out.
     """
 
     __slots__ = (
@@ -155,6 +158,7 @@
         "_workers_by_job",
         "crashes",
         "dirty_workers",
+        "doubts",
         "epoch",
         "interference",
         "jobs",
@@ -187,6 +191,7 @@
         self.places_trusted = False
         self.interference = InterferenceModel()
         self.crashes = CrashTracker(self)
+        self.doubts = StartDoubts(self)
         self._offered_loads: dict[str, OfferedLoad] = {}
         self._run_end_handler = RunEndHandler(self)
         self._planner = Planner(self)
@@ -339,6 +344,7 @@
             return False
         worker.ended = True
         event("worker_replaced", worker=worker.id, runs=len(worker.runs))
+        self.doubts.end_over(now_ms)
         self.crashes.record_crash(worker, now_ms)
         worker.replied_ms = None
         self._drop_ended_worker(worker, now_ms)
@@ -430,6 +436,7 @@
         worker.set_clock(reply.clock_ms, now_ms)
         self.crashes.retract_crash(worker)
         worker.record_reply(now_ms)
+        worker.polled_ms = sent_ms
         worker.has_all_ends = reply.has_all_ends
         worker.first_listed_end = reply.ends[0].number if reply.ends else 0
         if not worker.token_confirmed:
@@ -700,6 +707,22 @@
             job.dirty = True
         return job.task(*key[1:])
 
+    def on_start_unanswered(
+        self, effect: Start, born: int, sent_ms: float
+    ) -> None:
+        """Records that an order for a start got no reply.
+
+        Args:
+            effect: The `Start`.
+            born: Incarnation to which the order was sent.
+            sent_ms: When it was sent.
+        """
+        worker = self.workers.get(effect.worker)
+        run = worker and worker.runs.get((effect.task, effect.run))
+        if run:
+            run.unanswered_start = True
+        self.doubts.add(effect.task, StartDoubt(effect.worker, born, sent_ms))
+
     def on_start_reply(
         self, effect: Start, result: StartResult | None, now_ms: float
     ) -> None:
@@ -866,6 +889,7 @@
             Effects for the caller to execute.
         """
         self._expire_leases(now_ms)
+        self.doubts.end_over(now_ms)
         effects: list[Effect] = self._due_stops(now_ms)
         effects += self._planner.place(
             now_ms, wall_ms, max_starts, max_unrecorded
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -129,6 +129,12 @@
                 restarted,
                 now_ms,
             )
+            waiting = [
+                task
+                for task in waiting
+                if task.start_doubt is None
+                or rounds[service].doubted_place(task) is not None
+            ]
             if restarts_only:
                 waiting = [task for task in waiting if task.is_restart]
             if self._needs_record(job.spec.steps[step]):
@@ -485,7 +491,11 @@
         allowed = set(candidates)
         fitting = [c for c in fitting if c in allowed]
         count = int(min(left, len(suspects)))
-        for task, candidate in zip(suspects[:count], fitting, strict=False):
+        for task in suspects[:count]:
+            candidate = _first_allowed(task, fitting, service_round)
+            if candidate is None:
+                continue
+            fitting.remove(candidate)
             isolated.remove(candidate)
             run_number = self._next_run(task)
             starts.append(
@@ -519,6 +529,11 @@
                 candidate = service_round.recorded_place(task)
                 if candidate is None:
                     continue
+            elif task.start_doubt is not None:
+                place = service_round.doubted_place(task)
+                candidate = ranking.choose_only(place)
+                if candidate is None:
+                    continue
             else:
                 candidate = ranking.choose(task)
             if candidate is None:
@@ -548,6 +563,7 @@
         with the most headroom; see `limpetyard.engine._trials`.
         """
         _, waiting = split_suspects(waiting, now_ms)
+        waiting = [task for task in waiting if task.start_doubt is None]
         if not waiting:
             return []
         task = min(waiting, key=_start_order)
@@ -624,7 +640,7 @@
             isolated = [c for c in fitting if not c.worker.unproven_runs()]
             choices = self._rack_choices(step.same_rack, isolated) + choices
         for choice in choices:
-            chosen = _fit_all(step, choice, step_key, len(members))
+            chosen = _fit_all(step, choice, step_key, members)
             if chosen is None:
                 continue
             run_number = max(self._next_run(task) for task in members)
@@ -759,19 +775,65 @@
     step: StepSpec,
     candidates: list[Candidate],
     step_key: tuple[str, int, int],
-    count: int,
+    tasks: list[Task],
 ) -> list[Candidate] | None:
-    """Returns a worker for each of `count` tasks, or None."""
+    """Returns a worker for each of some tasks, or None.
+
+    A task with a doubt gets the incarnation that this names.
+    """
+    count = len(tasks)
+    doubts = [
+        task.start_doubt for task in tasks if task.start_doubt is not None
+    ]
+    needed = {doubt.worker for doubt in doubts}
     chosen: list[Candidate] = []
     for candidate in sorted(
-        candidates, key=lambda c: -c.free_resources.cores_milli
+        candidates,
+        key=lambda c: (
+            c.worker.id not in needed,
+            -c.free_resources.cores_milli,
+        ),
     ):
         for placed in itertools.count():
             if len(chosen) == count:
-                return chosen
+                break
             limit = step.per_worker
             full = limit and placed >= limit
             if full or not candidate.fits_times(step, placed + 1):
                 break
             chosen.append(candidate)
-    return chosen if len(chosen) == count else None
+    if len(chosen) < count:
+        return None
+    return _assigned(tasks, chosen) if doubts else chosen
+
+
+def _assigned(
+    tasks: list[Task], chosen: list[Candidate]
+) -> list[Candidate] | None:
+    """Returns the chosen workers in the order of tasks, some with doubts.
+
+    None if the worker of a doubt is not among them often enough.
+    """
+    left = list(chosen)
+    places: dict[TaskKey, Candidate] = {}
+    for task in sorted(tasks, key=lambda task: task.start_doubt is None):
+        doubt = task.start_doubt
+        place = next(
+            (c for c in left if doubt is None or c.worker.id == doubt.worker),
+            None,
+        )
+        if place is None:
+            return None
+        left.remove(place)
+        places[task.key] = place
+    return [places[task.key] for task in tasks]
+
+
+def _first_allowed(
+    task: Task, candidates: list[Candidate], service_round: ServiceRound
+) -> Candidate | None:
+    """Returns the first worker on which the doubt of a task lets it start."""
+    if task.start_doubt is None:
+        return candidates[0] if candidates else None
+    place = service_round.doubted_place(task)
+    return place if place in candidates else None
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -95,6 +95,12 @@
             heapq.heappop(heap)
         return heap[0][3] if heap else None
 
+    def choose_only(self, candidate: "Candidate | None") -> "Candidate | None":
+        """Returns a worker if it may get a task, or None."""
+        self._update_scores()
+        is_suitable = self._entries.get(candidate) is not None
+        return candidate if is_suitable else None
+
     def _choose_after_failure(self, task: Task) -> "Candidate | None":
         others = [
             entry
@@ -220,6 +226,17 @@
             return None
         return candidate if candidate.allows(step, task.key[:3]) else None
 
+    def doubted_place(self, task: Task) -> "Candidate | None":
+        """Returns the worker on which a task with a doubt may start, or None.
+
+        None also if that incarnation gets no new work.
+        """
+        doubt = task.start_doubt
+        candidate = self._by_id.get(doubt.worker)
+        if candidate is None or candidate.worker.born != doubt.born:
+            return None
+        return candidate
+
     @property
     def min_idle_ms(self) -> float:
         """Time without runs after which a job gets a trial.
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -313,6 +313,9 @@
         has_restarted: Whether owners are known to have sent orders to an
             earlier incarnation.
         replied_ms: When the worker last replied to a poll, or None.
+        polled_ms: When the last poll was sent that the incarnation known then
+            answered.
+        granted_ms: When an order that may grant a lease was last sent.
         may_have_restarted: Whether a poll or a start order got no reply since
             the last poll that the current incarnation answered.
         missing_since_ms: Since when the worker has had no directory entry, or
@@ -352,6 +355,7 @@
         "entry",
         "failures",
         "first_listed_end",
+        "granted_ms",
         "has_all_ends",
         "has_restarted",
         "incarnations",
@@ -366,6 +370,7 @@
         "lost_runs",
         "may_have_restarted",
         "missing_since_ms",
+        "polled_ms",
         "prior_lease_end_ms",
         "recorded",
         "replied_ms",
@@ -416,6 +421,8 @@
         self.late_run_end_ms = 0.0
         self.has_restarted = incarnations > 0
         self.replied_ms: float | None = None
+        self.polled_ms = float("-inf")
+        self.granted_ms = float("-inf")
         self.may_have_restarted = False
         self.missing_since_ms: float | None = None
         self.ended = False
@@ -753,6 +760,7 @@
         """
         if self._clock_read_ms is None:
             return None
+        self.granted_ms = now_ms
         until_ms = int(
             self._clock_ms + (now_ms - self._clock_read_ms) + lease_ms
         )
--- a/src/limpetyard/jobs/__init__.py
+++ b/src/limpetyard/jobs/__init__.py
@@ -4,7 +4,7 @@
 `limpetyard.daemon`.
 """
 
-from limpetyard.jobs._job import FINAL_STATES, Job, Task, TaskKey
+from limpetyard.jobs._job import FINAL_STATES, Job, StartDoubt, Task, TaskKey
 from limpetyard.jobs._records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -53,6 +53,7 @@
     "JobSpec",
     "QueueParams",
     "Resources",
+    "StartDoubt",
     "StepSpec",
     "Task",
     "TaskHistory",
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -33,6 +33,20 @@
         return ".".join(map(str, self))
 
 
+class StartDoubt(NamedTuple):
+    """A start without a reply that a later incarnation may still carry out.
+
+    Attributes:
+        worker: Worker to which the start was sent.
+        born: Incarnation to which it was sent.
+        sent_ms: When it was sent.
+    """
+
+    worker: str
+    born: int
+    sent_ms: float
+
+
 class Task:
     """One task and the state of its runs.
 
@@ -73,6 +87,9 @@
         restarted_worker: Worker that restarted with a run of the task, or "". A
             late order to its earlier incarnation may start that run again until
             the worker is confirmed.
+        start_doubt: Latest start that a later incarnation may still carry out,
+            or None. Until it is over, the task starts only on the incarnation
+            to which that was sent.
         idle_since_ms: When the task last returned to the waiting state, or
             None.
         retry_at_ms: Time before which the task is not started again.
@@ -99,6 +116,7 @@
         "restarted_worker",
         "retry_at_ms",
         "run",
+        "start_doubt",
         "state",
         "step",
         "stored_born",
@@ -146,6 +164,7 @@
         self.possible_worker: str | None = None
         self.recorded_place: str | None = ""
         self.restarted_worker = ""
+        self.start_doubt: StartDoubt | None = None
         self.idle_since_ms: float | None = None
         self.retry_at_ms = 0.0
 
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -283,6 +283,7 @@
                 effect.ticket,
             )
             sends += 1
+            born = worker.born
             run.add_start_expiry(until_ms, now_ms)
             if not attempt:
                 queued_ms = now_ms - run.placed_ms
@@ -298,7 +299,8 @@
                 worker.revoke_lease(until_ms)
             except (WorkerOutcomeUnknownError, WrongWorkerError) as exc:
                 event("order_failed", order="start", reason=exc)
-                may_have_begun = run.unanswered_start = True
+                may_have_begun = True
+                self._engine.on_start_unanswered(effect, born, now_ms)
                 worker.record_unanswered(token)
             except StaleTokenError:
                 if worker.token == token:
--- /dev/null
+++ b/tests/engine/test_doubts.py
@@ -0,0 +1,483 @@
+"""Starts without a reply that a later incarnation may still carry out."""
+
+import unittest
+
+from limpetyard.engine import (
+    MAX_ORDER_DELAY_MS,
+    PollReply,
+    RunEndKind,
+    RunReport,
+    Start,
+    StartResult,
+    Stop,
+    lease_bound_ms,
+)
+from limpetyard.jobs import StepSpec
+from tests.engine.test_engine import (
+    LEASE_MS,
+    ONE_CORE,
+    EngineTestCase,
+    entry,
+    job,
+)
+
+# Longer than any backoff of a worker.
+BACKOFF_OVER_MS = 2000.0
+STEP_MS = 1000.0
+
+
+class DoubtTestCase(EngineTestCase):
+    """Base of tests of a task whose start got no reply and was given up."""
+
+    step = StepSpec(1, ONE_CORE)
+    # Which of the first starts gets no reply.
+    number = 0
+
+    def setUp(self):
+        """Gives a start up; the other worker has room."""
+        super().setUp()
+        self.job = self.submit(job(1, self.step))
+        self.start = self.plan(Start)[self.number]
+        self.sent_ms = self.now_ms
+        self.worker = self.engine.workers[self.start.worker]
+        self.other = next(w for w in self.engine.workers if w != self.worker.id)
+        self.task = self.engine.find_task(self.start.task)
+        self.give_up(self.start)
+
+    def give_up(self, start: Start) -> None:
+        """Has an order get no reply, and the worker acknowledge the stop."""
+        self.engine.on_start_unanswered(start, 1, self.now_ms)
+        self.engine.on_start_reply(start, None, self.now_ms)
+        stops = self.plan(Stop)
+        self.assertTrue(stops)
+        for stop in stops:
+            self.engine.on_stop_reply(stop, self.now_ms)
+        self.now_ms += 10
+        runs = self.engine.workers[start.worker].runs
+        self.poll(start.worker, drop=[task for task, _ in runs])
+
+    def withhold(self) -> None:
+        """Lets the worker of the doubt get no new work."""
+        self.worker.backoff_until_ms = 1e9
+
+    def places(self) -> list[str]:
+        """Returns the workers of the next starts; the other worker is up."""
+        self.poll(self.other)
+        return [start.worker for start in self.plan(Start)]
+
+    @property
+    def bound_ms(self) -> float:
+        """Time after the last order for which the longest lease may last."""
+        longest_ms = self.engine.params.longest_lease_ms
+        return MAX_ORDER_DELAY_MS + lease_bound_ms(longest_ms)
+
+
+class SameIncarnationTest(DoubtTestCase):
+    """The incarnation that got the order works on."""
+
+    def test_only_place(self):
+        """TWICE: the task started elsewhere once its stop was acknowledged."""
+        self.assertEqual(self.task.avoided_worker, self.worker.id)
+        self.assertEqual(self.places(), [])
+        self.now_ms += BACKOFF_OVER_MS
+        self.poll(self.worker.id)
+        (start,) = self.start_all()
+        self.assertEqual(start.worker, self.worker.id)
+        self.assertGreater(start.run, self.start.run)
+
+    def test_up_when_late_starts_are_over(self):
+        """LOST: the doubt lasted though no later incarnation can exist."""
+        self.withhold()
+        self.now_ms = self.sent_ms + MAX_ORDER_DELAY_MS - 1
+        self.poll(self.worker.id)
+        self.assertEqual(self.places(), [])
+        self.now_ms += 1
+        self.poll(self.worker.id)
+        self.assertEqual(self.places(), [self.other])
+
+    def test_reply_to_an_earlier_poll(self):
+        """TWICE: a reply counted as sent when it arrived."""
+        self.withhold()
+        self.now_ms = self.sent_ms + MAX_ORDER_DELAY_MS
+        reply = PollReply(1, self.now_ms, [], [])
+        self.engine.on_poll_reply(
+            self.worker, self.now_ms - 1, reply, self.now_ms
+        )
+        self.assertEqual(self.places(), [])
+
+    def test_last_order_counts(self):
+        """TWICE: the first order of a start that was sent twice counted."""
+        self.withhold()
+        self.engine.on_start_unanswered(self.start, 1, self.sent_ms + 500)
+        self.engine.on_start_unanswered(self.start, 1, self.sent_ms + 100)
+        self.now_ms = self.sent_ms + MAX_ORDER_DELAY_MS + 499
+        self.poll(self.worker.id)
+        self.assertEqual(self.places(), [])
+        self.now_ms += 1
+        self.poll(self.worker.id)
+        self.assertEqual(self.places(), [self.other])
+
+
+class LaterIncarnationTest(DoubtTestCase):
+    """The worker restarts."""
+
+    def setUp(self):
+        """See `DoubtTestCase.setUp`."""
+        super().setUp()
+        self.withhold()
+        # The first reply is to the token of the earlier incarnation.
+        self.poll(self.worker.id, born=2)
+        self.assertFalse(self.worker.token_confirmed)
+
+    def test_confirmed(self):
+        """LOST: the task waited for an incarnation that rejects the order."""
+        self.assertEqual(self.places(), [])
+        self.poll(self.worker.id, born=2)
+        self.assertEqual(self.places(), [self.other])
+
+    def test_not_started_before_the_reply(self):
+        """TWICE: the task started anew where its run may be carried out."""
+        self.worker.backoff_until_ms = 0.0
+        self.engine.set_entry(
+            entry(int(self.worker.id[2:]), born=2), self.now_ms
+        )
+        self.assertEqual(self.places(), [])
+
+    def test_listed_run(self):
+        """TWICE: the task started while the late run was being stopped."""
+        self.task.run += 1
+        report = RunReport(self.task.key, self.start.run, "", 100, 0.0)
+        self.poll(self.worker.id, born=2, extra=(report,))
+        self.assertEqual(self.task.state, "waiting")
+        self.assertEqual(self.places(), [])
+        self.now_ms += STEP_MS
+        self.poll(self.worker.id, born=2, drop=(self.task.key,))
+        self.assertEqual(self.places(), [self.other])
+
+    def test_run_that_goes_on(self):
+        """LOST: the doubt lasted as long as the late run, and longer."""
+        report = RunReport(self.task.key, self.start.run, "", 100, 0.0)
+        self.poll(self.worker.id, born=2, extra=(report,))
+        self.assertEqual(self.task.worker, self.worker.id)
+        self.plan()
+        self.assertEqual(self.engine.doubts.all(), {})
+
+    def test_listed_run_after_the_time(self):
+        """TWICE: the time was over before the late run was stopped."""
+        self.task.run += 1
+        self.now_ms = self.sent_ms + self.bound_ms
+        report = RunReport(self.task.key, self.start.run, "", 100, 0.0)
+        self.poll(self.worker.id, born=2, extra=(report,))
+        self.now_ms += 100
+        self.assertEqual(self.places(), [])
+
+    def test_incomplete_ends(self):
+        """TWICE: the late run had ended, and its end was not listed yet."""
+        for complete in (False, True):
+            reply = PollReply(2, self.now_ms, [], [], complete)
+            self.engine.on_poll_reply(
+                self.worker, self.now_ms, reply, self.now_ms
+            )
+            expected = [self.other] if complete else []
+            self.assertEqual(self.places(), expected)
+
+    def test_run_of_a_task_that_restarts_with_its_worker(self):
+        """TWICE: the loss of a later run ended the doubt about the first."""
+        self.setUp()
+        self.engine.on_start_unanswered(self.start, 2, self.now_ms)
+        self.poll(self.worker.id, born=2)
+        self.engine.set_entry(
+            entry(int(self.worker.id[2:]), born=2), self.now_ms
+        )
+        self.engine.set_recorded_workers({self.worker.id: (2, False)})
+        self.worker.backoff_until_ms = 0.0
+        (start,) = self.start_all()
+        self.assertEqual(start.worker, self.worker.id)
+        self.poll(self.worker.id, born=2)
+        self.now_ms += STEP_MS
+        self.poll(self.worker.id, born=3)
+        self.assertEqual(self.places(), [])
+        self.poll(self.worker.id, born=3)
+        self.now_ms += STEP_MS
+        self.engine.set_recorded_workers({self.other: (1, False)})
+        self.assertEqual(self.places(), [self.other])
+
+
+class FullWorkerTest(DoubtTestCase):
+    """The worker has no room for the task."""
+
+    step = StepSpec(2, ONE_CORE, per_worker=1)
+
+    def test_other_task_of_the_step(self):
+        """LOST: a task that has to wait held the others of its step back."""
+        (key,) = (task for task, _ in self.engine.workers[self.other].runs)
+        self.poll(self.other)
+        self.now_ms += 10
+        self.poll(self.other, drop=(key,))
+        number = int(self.worker.id[2:])
+        self.engine.set_entry(entry(number, cores=0), self.now_ms)
+        self.now_ms += BACKOFF_OVER_MS
+        self.poll(self.worker.id)
+        self.poll(self.other)
+        self.assertEqual([s.task for s in self.plan(Start)], [key])
+
+
+class GoneWorkerTest(DoubtTestCase):
+    """The worker is silent, replaced or dropped."""
+
+    def wait_until(self, end_ms: float) -> None:
+        """Checks that the task waits until some time, and no longer."""
+        for now_ms in (end_ms, end_ms + 1):
+            self.now_ms = now_ms
+            expected = [] if now_ms == end_ms else [self.other]
+            self.assertEqual(self.places(), expected)
+
+    def test_silent(self):
+        """TWICE: the task waited for an ordinary lease only."""
+        self.worker.granted_ms = self.sent_ms
+        self.wait_until(self.sent_ms + self.bound_ms)
+
+    def test_later_order(self):
+        """TWICE: a late poll that was sent after the start renewed its run."""
+        self.now_ms = self.sent_ms + MAX_ORDER_DELAY_MS - 1
+        self.poll(self.worker.id)
+        self.withhold()
+        self.wait_until(self.now_ms + self.bound_ms)
+
+    def test_order_to_a_later_incarnation(self):
+        """LOST: orders that cannot renew the run prolonged the wait."""
+        self.withhold()
+        self.worker.granted_ms = self.sent_ms
+        self.poll(self.worker.id, born=2)
+        self.now_ms += STEP_MS
+        self.worker.granted_ms = self.now_ms
+        self.wait_until(self.sent_ms + self.bound_ms)
+
+    def test_unconfirmed_ownership(self):
+        """TWICE: a later owner may have renewed the lease."""
+        self.worker.granted_ms = self.sent_ms
+        self.engine.confirmed_ms = self.sent_ms
+        self.now_ms = self.sent_ms + 2 * self.bound_ms
+        self.assertEqual(self.places(), [])
+        self.engine.confirmed_ms = self.now_ms
+        self.assertEqual(self.places(), [self.other])
+
+    def test_replaced(self):
+        """LOST: the task waited for a worker that has ended."""
+        self.assertEqual(self.places(), [])
+        self.engine.on_worker_replaced(self.worker, self.now_ms)
+        self.assertEqual(self.places(), [self.other])
+
+    def test_replaced_and_dropped(self):
+        """LOST: the same, with a worker that is dropped before the plan."""
+        self.engine.mark_entry_missing(self.worker.id, self.now_ms)
+        self.engine.on_worker_replaced(self.worker, self.now_ms)
+        self.now_ms += 1
+        self.engine.remove_gone_workers(self.now_ms)
+        self.assertNotIn(self.worker.id, self.engine.workers)
+        self.assertEqual(self.places(), [self.other])
+
+    def test_dropped(self):
+        """LOST or TWICE: the doubt ended with the worker, or never."""
+        self.plan()
+        granted_ms = self.worker.granted_ms
+        del self.engine.workers[self.worker.id]
+        self.wait_until(granted_ms + self.bound_ms)
+
+    def test_order_after_an_earlier_start(self):
+        """TWICE: a second start without a reply ended the wait early."""
+        granted_ms = self.sent_ms + 800
+        self.worker.granted_ms = granted_ms
+        self.plan()
+        self.poll(self.worker.id, born=2)
+        self.engine.on_start_unanswered(self.start, 1, self.sent_ms + 500)
+        self.wait_until(granted_ms + self.bound_ms)
+
+    def test_withheld(self):
+        """LOST: a worker that gets no new work kept the doubt for good."""
+
+        def drain() -> None:
+            self.worker.entry = entry(
+                int(self.worker.id[2:]), draining=True, remaining_ms=1e9
+            )
+
+        def lose_zone() -> None:
+            zone = self.worker.entry.availability_zone
+            self.engine.zones_out = frozenset({zone})
+
+        def shrink() -> None:
+            number = int(self.worker.id[2:])
+            self.engine.set_entry(entry(number, cores=0), self.now_ms)
+
+        def leave() -> None:
+            self.engine.mark_entry_missing(self.worker.id, self.now_ms)
+
+        for cause in (drain, lose_zone, shrink, leave, self.withhold):
+            with self.subTest(cause.__name__):
+                self.setUp()
+                cause()
+                self.now_ms += BACKOFF_OVER_MS
+                self.poll(self.worker.id)
+                self.assertEqual(self.places(), [])
+                self.now_ms = self.sent_ms + MAX_ORDER_DELAY_MS
+                self.poll(self.worker.id)
+                self.assertEqual(self.places(), [self.other])
+
+
+class NoDoubtTest(DoubtTestCase):
+    """Tasks that start elsewhere at once, as they did before."""
+
+    def check_none(self, step: StepSpec) -> None:
+        """Checks that a step's task has no doubt."""
+        self.step = step
+        self.setUp()
+        self.assertEqual(self.engine.doubts.all(), {})
+        self.assertEqual(self.places(), [self.other])
+
+    def test_long_running(self):
+        """LOST: a long-running task waited for longer than 9 s."""
+        self.check_none(StepSpec(1, ONE_CORE, long_running=True))
+
+    def test_copies(self):
+        """LOST: a task waited of which copies may run."""
+        self.check_none(StepSpec(1, ONE_CORE, copies=True))
+
+    def test_cancelled_job(self):
+        """The doubt of a task that is not needed any more was kept."""
+        self.assertTrue(self.engine.doubts.all())
+        self.engine.cancel_job(self.job.spec.id, self.now_ms)
+        self.plan()
+        self.assertEqual(self.engine.doubts.all(), {})
+        self.engine.on_start_unanswered(self.start, 1, self.now_ms)
+        self.assertEqual(self.engine.doubts.all(), {})
+
+    def test_done_task(self):
+        """The doubt of a task that is done was kept."""
+        self.step = StepSpec(2, ONE_CORE, per_worker=1)
+        self.setUp()
+        end = (self.task.key, self.start.run, RunEndKind.DONE)
+        self.poll(self.worker.id, (end,))
+        self.assertEqual(self.task.state, "done")
+        self.plan()
+        self.assertEqual(self.engine.doubts.all(), {})
+
+
+class GangTest(DoubtTestCase):
+    """A member of a gang has a doubt."""
+
+    workers = 3
+    number = 1
+    step = StepSpec(2, ONE_CORE, gang=True, per_worker=1)
+
+    def setUp(self):
+        """Has all members stopped."""
+        super().setUp()
+        for worker in self.engine.workers.values():
+            for task, run in list(worker.runs):
+                stop = Stop(worker.id, task, run)
+                self.engine.on_stop_reply(stop, self.now_ms)
+        self.now_ms += 10
+        for worker_id, worker in self.engine.workers.items():
+            self.poll(worker_id, drop=[task for task, _ in worker.runs])
+
+    def test_place_of_a_member(self):
+        """TWICE: the member started elsewhere with its gang."""
+        self.assertEqual(self.plan(Start), [])
+        # The others have more room.
+        self.engine.set_entry(
+            entry(int(self.worker.id[2:]), cores=2), self.now_ms
+        )
+        self.now_ms += BACKOFF_OVER_MS
+        for worker_id in self.engine.workers:
+            self.poll(worker_id)
+        starts = {s.task: s.worker for s in self.plan(Start)}
+        self.assertEqual(len(starts), 2)
+        self.assertEqual(starts[self.task.key], self.worker.id)
+
+    def test_late_run_of_a_member(self):
+        """TWICE: the gang started beside the late run of its member."""
+        self.task.run += 1
+        report = RunReport(self.task.key, self.start.run, "", 100, 0.0)
+        self.poll(self.worker.id, born=2)
+        self.poll(self.worker.id, born=2, extra=(report,))
+        number = int(self.worker.id[2:])
+        self.engine.set_entry(entry(number, born=2), self.now_ms)
+        recorded = dict.fromkeys(self.engine.workers, (1, False))
+        recorded[self.worker.id] = (2, False)
+        self.engine.set_recorded_workers(recorded)
+        self.now_ms += BACKOFF_OVER_MS
+        for worker_id in self.engine.workers:
+            self.poll(worker_id, born=recorded[worker_id][0])
+        self.assertEqual(self.plan(Start), [])
+
+
+class SuspectTest(DoubtTestCase):
+    """A task with a doubt may crash workers."""
+
+    def test_isolated(self):
+        """TWICE: a suspect started on the safest worker."""
+        self.now_ms += BACKOFF_OVER_MS
+        self.engine.workers[self.other].backoff_until_ms = 1e9
+        self.task.retry_at_ms = 1e9
+        self.submit(job(2, StepSpec(1, ONE_CORE)))
+        self.poll(self.worker.id)
+        (start,) = self.start_all()
+        self.assertEqual(start.worker, self.worker.id)
+        self.now_ms += STEP_MS
+        self.poll(self.worker.id)
+        # Now the other worker comes first for suspects.
+        self.task.retry_at_ms = 0.0
+        self.task.crash_score = 1
+        self.engine.workers[self.other].backoff_until_ms = 0.0
+        self.assertEqual(self.places(), [self.worker.id])
+
+
+class BestEffortTest(DoubtTestCase):
+    """A best-effort task with a doubt waits for long."""
+
+    step = StepSpec(1, ONE_CORE, fills=True)
+
+    def test_trial(self):
+        """TWICE: the task started elsewhere as a trial."""
+        self.withhold()
+        until_ms = self.sent_ms + self.bound_ms
+        self.worker.granted_ms = self.sent_ms
+        while self.now_ms < until_ms - STEP_MS:
+            self.now_ms += STEP_MS
+            self.assertEqual(self.places(), [])
+
+
+class AnsweredTest(EngineTestCase):
+    """A start whose second order was answered."""
+
+    def test_lapsed_worker(self):
+        """TWICE: the first order was carried out after a restart unseen.
+
+        The task started elsewhere after an ordinary lease.
+        """
+        self.submit(job(1, StepSpec(1, ONE_CORE)))
+        (start,) = self.plan(Start)
+        sent_ms = self.now_ms
+        self.engine.on_start_unanswered(start, 1, sent_ms)
+        self.engine.on_start_reply(start, StartResult.STARTED, sent_ms)
+        other = next(w for w in self.engine.workers if w != start.worker)
+        self.now_ms += lease_bound_ms(LEASE_MS) + STEP_MS
+        self.poll(other)
+        self.assertEqual(self.plan(Start), [])
+        task = self.engine.find_task(start.task)
+        self.assertEqual(task.state, "waiting")
+
+    def test_long_running(self):
+        """TWICE: a task started before its restarted worker had replied."""
+        self.submit(job(1, StepSpec(1, ONE_CORE, long_running=True)))
+        (start,) = self.plan(Start)
+        self.engine.on_start_unanswered(start, 1, self.now_ms)
+        self.engine.on_start_reply(start, StartResult.STARTED, self.now_ms)
+        self.poll(start.worker)
+        self.poll(start.worker, born=2)
+        task = self.engine.find_task(start.task)
+        self.assertEqual(task.restarted_worker, start.worker)
+
+
+if __name__ == "__main__":
+    unittest.main()
