Hand doubts about starts over to the next owner

A fenced owner told its successor nothing of its starts without a reply. The successor polled the worker, which had no run, started the task elsewhere, and a later incarnation of the worker carried the start out (TWICE). The reply to the fence now names the doubts of the owner, and a doubt for each start that still waits for its reply; the next owner applies each of them once, and hands them on.

Evidence: two new tests of LateStartTest (start stopped before the cell passes on, and still without a reply then) fail with TWICE if the next owner drops what it is told, the second one also if starts in flight are left out. tests.engine.test_doubts (HandoverTest) covers the reply. test_stopped_start now also checks that the late start was executed; its times are as before.

Doubts of an owner that is killed are lost.

--- a/src/limpetyard/engine/_doubts.py
+++ b/src/limpetyard/engine/_doubts.py
@@ -31,7 +31,7 @@
 class StartDoubts:
     """The doubts of one ownership."""
 
-    __slots__ = ("_engine", "_tasks", "_until_ms")
+    __slots__ = ("_engine", "_inherited", "_tasks", "_until_ms")
 
     def __init__(self, engine: "Engine"):
         self._engine = engine
@@ -39,12 +39,34 @@
         # Time by which the longest lease has expired that a late start, or an
         # order that was sent to the same incarnation after it, may grant.
         self._until_ms: dict[TaskKey, float] = {}
+        # Doubts of earlier owners that were added, as replies are applied
+        # again and again.
+        self._inherited: set[tuple[TaskKey, StartDoubt]] = set()
 
-    def add(self, key: TaskKey, doubt: StartDoubt) -> None:
+    def inherit(self, key: TaskKey, doubt: StartDoubt, until_ms: float) -> None:
+        """Adds a doubt of an earlier owner, once.
+
+        Args:
+            key: The task.
+            doubt: The doubt.
+            until_ms: Time after which it is over in any case.
+        """
+        if (key, doubt) not in self._inherited:
+            self._inherited.add((key, doubt))
+            self.add(key, doubt, until_ms)
+
+    def add(
+        self, key: TaskKey, doubt: StartDoubt, until_ms: float = 0.0
+    ) -> None:
         """Adds a doubt, unless a later one exists or the task needs none.
 
         Long-running tasks have none, as they must not wait for so long, nor
         have those of which copies may run.
+
+        Args:
+            key: The task.
+            doubt: The doubt.
+            until_ms: Time before which nothing but a reply ends it.
         """
         if key.job not in self._engine.open_jobs:
             return
@@ -57,12 +79,31 @@
         task.start_doubt = doubt
         self._tasks[key] = task
         self._until_ms[key] = max(
-            self._until_ms.get(key, 0.0), self._bound_ms(doubt.sent_ms)
+            self._until_ms.get(key, 0.0),
+            self._bound_ms(doubt.sent_ms),
+            until_ms,
         )
 
-    def all(self) -> dict[TaskKey, StartDoubt]:
-        """Returns the doubts by task."""
-        return {key: task.start_doubt for key, task in self._tasks.items()}
+    def all(self) -> dict[TaskKey, tuple[StartDoubt, float]]:
+        """Returns the doubts, and the times after which they are over."""
+        for key, task in self._tasks.items():
+            self._extend(key, task.start_doubt)
+        return {
+            key: (task.start_doubt, self._until_ms[key])
+            for key, task in self._tasks.items()
+        }
+
+    def add_unanswered(self) -> None:
+        """Adds doubts about all starts that have no reply yet.
+
+        Called once the ownership has ended, so that no reply will count.
+        """
+        for worker in self._engine.workers.values():
+            for run in worker.runs.values():
+                if run.may_exist and run.acked_ms is None:
+                    sent_ms = run.start_sent_ms
+                    doubt = StartDoubt(worker.id, worker.born, sent_ms)
+                    self.add(run.task, doubt)
 
     def end_over(self, now_ms: float) -> None:
         """Ends the doubts that are over."""
@@ -100,14 +141,19 @@
             for name in ENDINGS:
                 if ENDINGS.get(name)(doubt, worker, has_run):
                     return name
-            if worker.born <= doubt.born:
-                self._until_ms[key] = max(
-                    self._until_ms[key], self._bound_ms(worker.granted_ms)
-                )
+            self._extend(key, doubt)
         if not has_run and certain_ms > self._until_ms[key]:
             return "time"
         return None
 
+    def _extend(self, key: TaskKey, doubt: StartDoubt) -> None:
+        """Extends a doubt by the last order that may renew the late run."""
+        worker = self._engine.workers.get(doubt.worker)
+        if worker is not None and worker.born <= doubt.born:
+            self._until_ms[key] = max(
+                self._until_ms[key], self._bound_ms(worker.granted_ms)
+            )
+
     def _bound_ms(self, sent_ms: float) -> float:
         longest_ms = lease_bound_ms(self._engine.params.longest_lease_ms)
         return sent_ms + MAX_ORDER_DELAY_MS + longest_ms
--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -8,6 +8,24 @@
 from limpetyard.jobs import TaskHistory, TaskKey
 
 
+class HandedDoubt(msgspec.Struct, frozen=True):
+    """A `StartDoubt` in a reply to another node.
+
+    Attributes:
+        task: Key of the task.
+        worker: See `StartDoubt`.
+        born: See `StartDoubt`.
+        age_ms: Time since the start was sent.
+        left_ms: Time after which the doubt is over in any case.
+    """
+
+    task: TaskKey
+    worker: str
+    born: int
+    age_ms: float
+    left_ms: float
+
+
 class RemainingLeases(msgspec.Struct, frozen=True):
     """Remaining leases that one ownership granted or took over.
 
@@ -36,6 +54,8 @@
             earlier incarnation of a worker have granted, by worker id; None for
             a worker that may still accept such orders. Other workers have none.
             None as a whole in the replies of earlier releases.
+        doubts: Starts that later incarnations may still carry out; none in the
+            replies of earlier releases.
     """
 
     epoch: int
@@ -48,6 +68,7 @@
     histories: tuple[TaskHistory, ...] = ()
     untold: tuple[TaskKey, ...] = ()
     stale_left_ms: dict[str, float | None] | None = None
+    doubts: tuple[HandedDoubt, ...] = ()
 
     def unstarted_among(self, keys: Collection[TaskKey]) -> "RemainingLeases":
         """Returns the reply with some of the tasks that have no run."""
@@ -74,6 +95,7 @@
     """Lease expiries of an ownership that has ended."""
 
     __slots__ = (
+        "_doubts",
         "_epoch",
         "_histories",
         "_orders_until_ms",
@@ -92,6 +114,8 @@
                 their records.
         """
         self._epoch = engine.epoch
+        engine.doubts.add_unanswered()
+        self._doubts = engine.doubts.all()
         self._orders_until_ms = engine.predecessor_until_ms
         self._unstarted = engine.unstarted_tasks()
         self._histories = engine.task_histories(self._unstarted)
@@ -124,6 +148,16 @@
             },
             histories=shift_histories(self._histories, -now_ms),
             untold=self._untold,
+            doubts=tuple(
+                HandedDoubt(
+                    task,
+                    doubt.worker,
+                    doubt.born,
+                    now_ms - doubt.sent_ms,
+                    until_ms - now_ms,
+                )
+                for task, (doubt, until_ms) in self._doubts.items()
+            ),
         )
 
 
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -424,6 +424,8 @@
         self.engine.on_unstarted_tasks(
             self._predecessor.unstarted_tasks, self._predecessor.task_histories
         )
+        for task, doubt, until_ms in self._predecessor.start_doubts:
+            self.engine.doubts.inherit(task, doubt, until_ms)
         self._plan_needed.set()
 
     def _apply_lease_bounds(self, worker: Worker) -> None:
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
@@ -18,7 +18,7 @@
     StaleLeases,
     lease_bound_ms,
 )
-from limpetyard.jobs import TaskHistory, TaskKey
+from limpetyard.jobs import StartDoubt, TaskHistory, TaskKey
 from limpetyard.node._handover import (
     FenceResult,
     RemainingLeases,
@@ -166,6 +166,19 @@
             for history in shift_histories(leases.histories, replied_ms)
         )
 
+    @property
+    def start_doubts(self) -> Iterator[tuple[TaskKey, StartDoubt, float]]:
+        """Doubts of these owners, and the times after which they are over.
+
+        The clocks of nodes may differ, so that a start counts as sent later.
+        """
+        for leases, replied_ms in self._reports:
+            for handed in leases.doubts:
+                sent_ms = replied_ms - handed.age_ms * MIN_CLOCK_RATE
+                until_ms = replied_ms + handed.left_ms / MIN_CLOCK_RATE
+                doubt = StartDoubt(handed.worker, handed.born, sent_ms)
+                yield handed.task, doubt, until_ms
+
     @property
     def orders_end_ms(self) -> float:
         """Latest time at which any earlier owner may issue an order."""
--- a/tests/engine/test_doubts.py
+++ b/tests/engine/test_doubts.py
@@ -1,9 +1,13 @@
 """Starts without a reply that a later incarnation may still carry out."""
 
 import unittest
+from unittest import mock
+
+import msgspec
 
 from limpetyard.engine import (
     MAX_ORDER_DELAY_MS,
+    MIN_CLOCK_RATE,
     PollReply,
     RunEndKind,
     RunReport,
@@ -12,7 +16,10 @@
     Stop,
     lease_bound_ms,
 )
-from limpetyard.jobs import StepSpec
+from limpetyard.jobs import StartDoubt, StepSpec
+from limpetyard.node import RemainingLeases
+from limpetyard.node._handover import LeaseExpiries
+from limpetyard.node._predecessor import Predecessor
 from tests.engine.test_engine import (
     LEASE_MS,
     ONE_CORE,
@@ -447,6 +454,89 @@
             self.assertEqual(self.places(), [])
 
 
+class HandoverTest(DoubtTestCase):
+    """What a later owner learns."""
+
+    def expiries(self) -> RemainingLeases:
+        """Returns the reply of the owner, which has ended."""
+        return LeaseExpiries(self.engine).remaining(self.now_ms)
+
+    def test_doubt(self):
+        """TWICE: an owner that had ended did not tell of its doubts."""
+        self.now_ms += STEP_MS
+        (doubt,) = self.expiries().doubts
+        self.assertEqual(
+            (doubt.task, doubt.worker, doubt.born, doubt.age_ms),
+            (self.task.key, self.worker.id, 1, self.now_ms - self.sent_ms),
+        )
+        end_ms = self.worker.granted_ms + self.bound_ms
+        self.assertAlmostEqual(doubt.left_ms, end_ms - self.now_ms)
+
+    def test_start_in_flight(self):
+        """TWICE: a start that waited for its reply was not told."""
+        self.submit(job(2, StepSpec(1, ONE_CORE)))
+        (start,) = self.plan(Start)
+        run = self.engine.workers[start.worker].runs[start.task, start.run]
+        self.assertNotIn(start.task, self.told())
+        run.add_start_expiry(int(self.now_ms) + 3000, self.now_ms)
+        self.assertIn(start.task, self.told())
+        self.setUp()
+        self.submit(job(2, StepSpec(1, ONE_CORE)))
+        self.start_all()
+        self.assertNotIn(start.task, self.told())
+
+    def told(self) -> set:
+        """Returns the tasks of which the owner tells doubts."""
+        return {doubt.task for doubt in self.expiries().doubts}
+
+    def test_inherited(self):
+        """TWICE: the next owner dropped the time, or LOST: it never ended."""
+        end_ms = self.sent_ms + 2 * self.bound_ms
+        doubt = StartDoubt(self.worker.id, 1, self.sent_ms + STEP_MS)
+        self.engine.doubts.inherit(self.task.key, doubt, end_ms)
+        self.withhold()
+        self.worker.granted_ms = self.sent_ms
+        self.now_ms = end_ms
+        self.assertEqual(self.places(), [])
+        self.now_ms += 1
+        self.plan()
+        self.assertEqual(self.engine.doubts.all(), {})
+
+    def test_inherited_again(self):
+        """LOST: a doubt that was over came back with the same reply."""
+        doubt = StartDoubt(self.worker.id, 1, self.sent_ms + STEP_MS)
+        for _ in range(2):
+            self.engine.doubts.inherit(self.task.key, doubt, 0.0)
+            self.engine.on_worker_replaced(self.worker, self.now_ms)
+            self.assertEqual(self.engine.doubts.all(), {})
+            self.worker.ended = False
+
+    def test_reply(self):
+        """The doubts are lost on the wire, or an earlier release is not read.
+
+        A start counts as sent later by a clock that may be another one.
+        """
+        leases = self.expiries()
+        data = msgspec.json.encode(leases)
+        decoded = msgspec.json.decode(data, type=RemainingLeases | None)
+        self.assertEqual(decoded, leases)
+        old = b'{"epoch": 3, "left_ms": {"w": 1.0}}'
+        self.assertEqual(
+            msgspec.json.decode(old, type=RemainingLeases).doubts, ()
+        )
+        predecessor = Predecessor(
+            0, mock.Mock(), mock.Mock(), mock.Mock(), self.engine.params
+        )
+        replied_ms = 50_000.0
+        predecessor._reports = [(decoded, replied_ms)]
+        ((key, doubt, until_ms),) = predecessor.start_doubts
+        (handed,) = leases.doubts
+        self.assertEqual(key, self.task.key)
+        sent_ms = replied_ms - MIN_CLOCK_RATE * handed.age_ms
+        self.assertEqual(doubt, StartDoubt(self.worker.id, 1, sent_ms))
+        self.assertEqual(until_ms, replied_ms + handed.left_ms / MIN_CLOCK_RATE)
+
+
 class AnsweredTest(EngineTestCase):
     """A start whose second order was answered."""
 
--- a/tests/node/test_late_restarts.py
+++ b/tests/node/test_late_restarts.py
@@ -32,6 +32,7 @@
     run_in_virtual_time,
     violations,
 )
+from standins.platform._history import RunStarted
 from standins.platform._site import QUEUE
 from standins.platform._virtual_time import VirtualClock
 from tests.node.test_unstarted_doubts import DoubtTestCase, until
@@ -234,10 +235,19 @@
 class LateStartTest(DoubtTestCase):
     """A start without a reply is executed seconds later, after a restart."""
 
-    def test_stopped_start(self):
-        """TWICE: the earlier incarnation's stop does not bind the next one.
-
-        It acknowledges the stop of the run, and so the task starts elsewhere.
+    def check(
+        self,
+        late_ms: float = 4000.0,
+        down_s: float = 0.6,
+        pass_on_s: float | None = None,
+    ) -> None:
+        """Checks that the task does not run twice.
+
+        Args:
+            late_ms: How late the start is executed.
+            down_s: How long the worker is down before.
+            pass_on_s: When the cell passes on after the start was sent, or
+                None.
         """
         step = StepSpec(1, Resources(1000, 500), 6000)
         spec = JobSpec("1" * 16, QUEUE, "payload", (step,))
@@ -246,7 +256,7 @@
         async def hook(site, dispatcher, worker, effect) -> None:
             link = site.owner().worker_links[worker.id]
             if effect.run == 1:
-                link.late_rate, link.late_ms = 1.0, (4000.0, 4000.0)
+                link.late_rate, link.late_ms = 1.0, (late_ms, late_ms)
                 sent.append(worker.id)
             await self.send(dispatcher, worker, effect)
             link.late_rate = 0.0
@@ -255,15 +265,36 @@
             self.assertTrue(await site.submit(spec))
             await until(lambda: sent)
             worker = site.workers[sent[0]]
-            await asyncio.sleep(3.395)
+            crash_ms = site.clock.now_ms() + 3395
+            if pass_on_s is not None:
+                await asyncio.sleep(pass_on_s)
+                self.assertTrue(await site.pass_cell_on())
+            await until(lambda: site.clock.now_ms() >= crash_ms)
             worker.crash()
-            await asyncio.sleep(0.6)
+            await asyncio.sleep(down_s)
             worker.restart(0.0)
             await asyncio.sleep(8)
 
         site = self.run_site(scenario, hook)
         found = violations(site.history)
         self.assertEqual([v for v in found if v.startswith("TWICE")], [])
+        late = [s for s in site.history.of(RunStarted) if s.late_delivery]
+        self.assertEqual([s.run for s in late], [1])
+
+    def test_stopped_start(self):
+        """TWICE: the earlier incarnation's stop does not bind the next one.
+
+        It acknowledges the stop of the run, and so the task starts elsewhere.
+        """
+        self.check()
+
+    def test_start_that_a_fenced_owner_had_stopped(self):
+        """TWICE: the next owner did not know of the start without a reply."""
+        self.check(3990.0, 0.58, pass_on_s=2.6)
+
+    def test_start_without_a_reply_by_the_end_of_its_owner(self):
+        """TWICE: the same, with a start that still waited for its reply."""
+        self.check(3990.0, 0.58, pass_on_s=0.2)
 
 
 if __name__ == "__main__":
