Hold no task to a worker that answers polls but no starts

A start without a reply on the only place that a doubt allows prolongs the doubt. A worker that answers polls, and whose starts get no replies, could so hold a task for as long as the fault lasts.

--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -21,6 +21,10 @@
 if TYPE_CHECKING:
     from limpetyard.engine._placement import Candidate
 
+# Start orders without a reply, since the last one that was answered, after
+# which a worker gets none for a task that may start nowhere else.
+MAX_SILENT_STARTS = 3
+
 # Returns the sort key of a worker for one more task of a step, lowest first, or
 # None if the worker is not suitable.
 Score = Callable[["Candidate", StepSpec, tuple[str, int, int]], tuple | None]
@@ -229,12 +233,15 @@
     def doubted_place(self, task: Task) -> "Candidate | None":
         """Returns the worker on which a task with a doubt may start, or None.
 
-        None also if that incarnation gets no new work.
+        None also if that incarnation gets no new work, or if it keeps on
+        leaving starts without a reply: each would prolong the doubt.
         """
         doubt = task.start_doubt
         candidate = self._by_id.get(doubt.worker)
         if candidate is None or candidate.worker.born != doubt.born:
             return None
+        if candidate.worker.silent_starts >= MAX_SILENT_STARTS:
+            return None
         return candidate
 
     @property
--- a/tests/engine/test_doubts.py
+++ b/tests/engine/test_doubts.py
@@ -92,6 +92,23 @@
         self.assertEqual(start.worker, self.worker.id)
         self.assertGreater(start.run, self.start.run)
 
+    def test_worker_that_answers_no_start(self):
+        """LOST: the task was held to a worker that answered polls only."""
+        sent_ms = self.sent_ms
+        while self.now_ms < self.sent_ms + 2 * self.bound_ms:
+            self.now_ms += BACKOFF_OVER_MS
+            self.poll(self.worker.id)
+            self.poll(self.other)
+            starts = self.plan(Start)
+            if starts and starts[0].worker == self.other:
+                break
+            for start in starts:
+                sent_ms = self.now_ms
+                self.give_up(start)
+        self.assertEqual(starts[0].worker, self.other)
+        self.assertGreaterEqual(self.now_ms, sent_ms + MAX_ORDER_DELAY_MS)
+        self.assertEqual(self.task.run, self.start.run + 3)
+
     def test_up_when_late_starts_are_over(self):
         """LOST: the doubt lasted though no later incarnation can exist."""
         self.withhold()
