Hold long-running tasks to the place of a late start for a second

Doubts left long-running tasks out, as they must not wait for 22 s (LOST after 9 s).

They now have doubts, too, that hold them for 1 s at most, and only while the incarnation replies and has left no two starts in a row without a reply, or while the next one has not answered its token. So the task usually starts where the late start can be rejected, or is found by the owner that waits for its place.

--- a/src/limpetyard/engine/_doubts.py
+++ b/src/limpetyard/engine/_doubts.py
@@ -27,6 +27,15 @@
 ENDINGS: Registry[Ending] = Registry("ending of a doubt")
 
 
+# Longest wait of a long-running task for the worker of a doubt. It covers the
+# backoff after a start without a reply.
+MAX_LONG_RUNNING_HOLD_MS = 1000
+
+# Start orders without a reply, since the last one that was answered, after
+# which a worker holds no long-running task.
+MAX_LONG_RUNNING_SILENT_STARTS = 2
+
+
 class StartDoubts:
     """The doubts of one ownership."""
 
@@ -59,8 +68,7 @@
     ) -> None:
         """Adds a doubt, unless a later one exists or the task needs none.
 
-        Long-running tasks have none, as they must not wait for so long, nor
-        have those of which copies may run.
+        Tasks of which copies may run have none.
 
         Args:
             key: The task.
@@ -70,7 +78,7 @@
         if key.job not in self._engine.open_jobs:
             return
         task = self._engine.find_task(key)
-        if task is None or task.step.long_running or task.step.copies:
+        if task is None or task.step.copies:
             return
         last = task.start_doubt
         if last is not None and last.sent_ms > doubt.sent_ms:
@@ -109,6 +117,8 @@
         certain_ms = min(now_ms, self._engine.confirmed_ms)
         for key, task in list(self._tasks.items()):
             how = self._how_ended(key, task, certain_ms)
+            if how is None and self._is_limited(task, now_ms):
+                how = "limit"
             if how is None:
                 continue
             doubt = task.start_doubt
@@ -139,6 +149,28 @@
             self._extend(key, doubt)
         return "time" if certain_ms > self._until_ms[key] else None
 
+    def _is_limited(self, task: Task, now_ms: float) -> bool:
+        """Returns whether a long-running task must wait no longer.
+
+        It waits only where that costs little: for an incarnation that replies,
+        or for the first reply of the next one.
+        """
+        if not task.step.long_running:
+            return False
+        doubt = task.start_doubt
+        if task.state != "waiting":
+            return task.worker != doubt.worker
+        worker = self._engine.workers.get(doubt.worker)
+        since_ms = task.idle_since_ms
+        if worker is None or since_ms is None:
+            return True
+        if now_ms - since_ms > MAX_LONG_RUNNING_HOLD_MS:
+            return True
+        return worker.born <= doubt.born and not (
+            worker.is_responsive(now_ms)
+            and worker.silent_starts < MAX_LONG_RUNNING_SILENT_STARTS
+        )
+
     def _extend(self, key: TaskKey, doubt: StartDoubt) -> None:
         """Extends a doubt by the last order that may renew the late run."""
         worker = self._engine.workers.get(doubt.worker)
