--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -18,6 +18,10 @@
 )
 from limpetyard.jobs import StepSpec, Task
 
+# Start orders without a reply, since the last one that was answered, after
+# which a worker gets none for a task that may start nowhere else.
+MAX_SILENT_STARTS = 3
+
 
 class Ranking:
     """The workers that may get a task of a step, best first."""
@@ -88,6 +92,12 @@
             heapq.heappop(heap)
         return heap[0][3] if heap else None
 
+    def choose_only(self, candidate: Candidate | None) -> Candidate | None:
+        """Returns a worker if it may get a task, or None."""
+        self._update_scores()
+        is_suitable = self._entries.get(candidate) is not None
+        return candidate if is_suitable else None
+
     def _choose_after_failure(self, task: Task) -> Candidate | None:
         others = [
             entry
@@ -213,6 +223,20 @@
             return None
         return candidate if candidate.allows(step, task.key[:3]) else None
 
+    def doubted_place(self, task: Task) -> Candidate | None:
+        """Returns the worker on which a task with a doubt may start, or None.
+
+        None also if that incarnation gets no new work, or if it keeps on
+        leaving starts without a reply: each would prolong the doubt.
+        """
+        doubt = task.start_doubt
+        candidate = self._by_id.get(doubt.worker)
+        if candidate is None or candidate.worker.born != doubt.born:
+            return None
+        if candidate.worker.silent_starts >= MAX_SILENT_STARTS:
+            return None
+        return candidate
+
     @property
     def min_idle_ms(self) -> float:
         """Time without runs after which a job gets a trial.
