Fewer polls of idle workers, and no look at all workers for each record

Its loop lagged 0.3 to 1.2 s, the cell passed on every 8 to 20 s, and each new owner began again.

Change: a worker without runs is polled every 2 s (the longest delay that workers accept) where polls of all would exceed 400 a second, and counts as responsive for that wait and 0.6 s; workers are looked at once a round of planning; the bound is computed once for all.

--- a/src/limpetyard/engine/__init__.py
+++ b/src/limpetyard/engine/__init__.py
@@ -33,6 +33,7 @@
 from limpetyard.engine._worker import (
     MAX_ORDER_DELAY_MS,
     MIN_CLOCK_RATE,
+    REPLY_MARGIN_MS,
     RecordedState,
     RunState,
     StaleLeases,
@@ -57,6 +58,7 @@
     "PaceOrder",
     "PollReply",
     "PollRequest",
+    "REPLY_MARGIN_MS",
     "RecordedState",
     "RequestAdvice",
     "RunEndKind",
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -67,6 +67,10 @@
 # is no longer renewed: it may receive orders although its replies are lost.
 RESPONSIVE_WITHIN_MS = 1600
 
+# Time-out of a poll beyond the time that the worker may delay its reply. A
+# worker counts as responsive at least until then.
+REPLY_MARGIN_MS = 600
+
 
 def lease_bound_ms(lease_ms: float) -> float:
     """Returns the longest time that a lease may last on this process's clock.
@@ -313,6 +317,8 @@
         has_restarted: Whether owners are known to have sent orders to an
             earlier incarnation.
         replied_ms: When the worker last replied to a poll, or None.
+        poll_wait_ms: Time that the worker may delay its reply to the latest
+            poll.
         may_have_restarted: Whether a poll or a start order got no reply since
             the last poll that the current incarnation answered.
         missing_since_ms: Since when the worker has had no directory entry, or
@@ -366,6 +372,7 @@
         "lost_runs",
         "may_have_restarted",
         "missing_since_ms",
+        "poll_wait_ms",
         "prior_lease_end_ms",
         "recorded",
         "replied_ms",
@@ -416,6 +423,7 @@
         self.late_run_end_ms = 0.0
         self.has_restarted = incarnations > 0
         self.replied_ms: float | None = None
+        self.poll_wait_ms = 0
         self.may_have_restarted = False
         self.missing_since_ms: float | None = None
         self.ended = False
@@ -740,7 +748,10 @@
         """Returns whether the worker replied to a poll recently."""
         if self.replied_ms is None:
             return False
-        return now_ms - self.replied_ms < RESPONSIVE_WITHIN_MS
+        within_ms = max(
+            RESPONSIVE_WITHIN_MS, self.poll_wait_ms + REPLY_MARGIN_MS
+        )
+        return now_ms - self.replied_ms < within_ms
 
     def grant_lease(self, now_ms: float, lease_ms: float) -> int | None:
         """Grants a lease that starts now, and returns its end.
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -221,6 +221,8 @@
         self._poll_tasks: dict[str, asyncio.Task] = {}
         # Services whose workers are polled.
         self._tracked_services: frozenset[str] = frozenset()
+        # Whether records were read since the workers were last looked at.
+        self._track_due = False
         self._orders_suspended = False
         # Highest epoch by which this ownership was fenced.
         self._fencing_epoch = 0
@@ -416,17 +418,19 @@
         """
         if not self.state_loaded:
             return
+        # It is the same for all workers, and asks for all earlier owners.
+        orders_end_ms = self._predecessor.orders_end_ms
         for worker in self.engine.workers.values():
-            self._apply_lease_bounds(worker)
+            self._apply_lease_bounds(worker, orders_end_ms)
         self.engine.predecessor_until_ms = min(
-            self.engine.predecessor_until_ms, self._predecessor.orders_end_ms
+            self.engine.predecessor_until_ms, orders_end_ms
         )
         self.engine.on_unstarted_tasks(
             self._predecessor.unstarted_tasks, self._predecessor.task_histories
         )
         self._plan_needed.set()
 
-    def _apply_lease_bounds(self, worker: Worker) -> None:
+    def _apply_lease_bounds(self, worker: Worker, orders_end_ms: float) -> None:
         """Applies the bounds on runs and leases of one worker.
 
         What the previous owner reported holds for a recorded incarnation only.
@@ -439,11 +443,14 @@
                 predecessor.stale_lease_end_ms(worker.id),
             )
             end_ms = predecessor.latest_run_end_ms(
-                worker.id, worker.stale_leases(self._clock.now_ms())
+                worker.id,
+                worker.stale_leases(self._clock.now_ms()),
+                orders_end_ms,
             )
         elif worker.has_restarted or predecessor.may_have_ordered(worker.id):
             end_ms = max(
-                predecessor.latest_stale_run_end_ms, worker.stale_lease_end_ms
+                predecessor.latest_stale_run_end_ms(orders_end_ms),
+                worker.stale_lease_end_ms,
             )
         else:
             worker.stale_lease_end_ms = end_ms = 0.0
@@ -589,7 +596,8 @@
     def _on_records(self) -> None:
         """Handles records that were applied to the engine."""
         if self.deciding:
-            self._track_workers()
+            # Entries come all the time; workers are looked at once a round.
+            self._track_due = True
             self._on_change()
 
     def _on_change(self) -> None:
@@ -602,6 +610,7 @@
         Workers of a service that no queue names are polled only if they are
         recorded: an entry of another writer may lead anywhere.
         """
+        self._track_due = False
         self._tracked_services = self._services()
         for worker in self.engine.workers.values():
             is_used = (
@@ -867,7 +876,7 @@
             self._plan_needed.clear()
             now_ms = self._clock.now_ms()
             self.engine.zones_out = self._view.zones_out
-            if self._services() != self._tracked_services:
+            if self._track_due or self._services() != self._tracked_services:
                 self._track_workers()
             took_ms = 0.0
             if self._may_order():
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -6,6 +6,7 @@
 from limpetyard._clock import MS_PER_SECOND, Clock
 from limpetyard._events import event
 from limpetyard.engine import (
+    REPLY_MARGIN_MS,
     Engine,
     OrderWithheldError,
     PollRequest,
@@ -28,8 +29,14 @@
 # workers would exceed this rate.
 CALM_POLLS_PER_S = 120
 
+# Workers without runs are polled less often, at most every
+# `POLL_IDLE_WAIT_MS`, the longest delay that workers accept, where the polls of
+# all workers would exceed this rate.
+IDLE_POLLS_PER_S = 400
+POLL_IDLE_WAIT_MS = 2000
+
 # Time-out of a poll beyond the time that the worker may delay its reply.
-POLL_TIMEOUT_MARGIN_MS = 600
+POLL_TIMEOUT_MARGIN_MS = REPLY_MARGIN_MS
 
 # Delay after a failed poll, and interval of checks while orders are suspended.
 POLL_RETRY_MS = 150
@@ -162,6 +169,7 @@
         ):
             lease_until_ms = worker.grant_lease(now_ms, self._lease_ms)
         wait_ms = _wait_ms(worker, lease_until_ms, len(self._engine.workers))
+        worker.poll_wait_ms = wait_ms
         request = PollRequest(
             token, worker.end_to_acknowledge, lease_until_ms, wait_ms
         )
@@ -253,6 +261,9 @@
         or worker.last_received_end > worker.last_acked_end
     ):
         return 0
+    if not worker.runs:
+        spaced_ms = workers * MS_PER_SECOND // IDLE_POLLS_PER_S
+        return min(max(POLL_WAIT_MS, spaced_ms), POLL_IDLE_WAIT_MS)
     steps = [run.step for run in worker.runs.values()]
     if not any(step.target_ms for step in steps):
         return POLL_WAIT_MS
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -517,19 +517,28 @@
             return False
         return worker in leases.stale_left_ms
 
-    @property
-    def latest_stale_run_end_ms(self) -> float:
-        """Latest time at which earlier runs may exist on a restarted worker.
+    def latest_stale_run_end_ms(
+        self, orders_end_ms: float | None = None
+    ) -> float:
+        """Returns the latest time of earlier runs on a restarted worker.
 
         What earlier owners knew of its leases says nothing of the current
         incarnation, which may accept orders to the earlier one until they can
         no longer be carried out late.
+
+        Args:
+            orders_end_ms: The attribute, if the caller has just read it.
         """
+        if orders_end_ms is None:
+            orders_end_ms = self.orders_end_ms
         longest_ms = lease_bound_ms(self._params.longest_lease_ms)
-        return self.orders_end_ms + MAX_ORDER_DELAY_MS + longest_ms
+        return orders_end_ms + MAX_ORDER_DELAY_MS + longest_ms
 
     def latest_run_end_ms(
-        self, worker: str, stale_leases: StaleLeases = StaleLeases.EXPIRED
+        self,
+        worker: str,
+        stale_leases: StaleLeases = StaleLeases.EXPIRED,
+        orders_end_ms: float | None = None,
     ) -> float:
         """Returns the latest time at which earlier runs may exist on a worker.
 
@@ -539,13 +548,17 @@
         Args:
             worker: Id of a worker whose incarnation is recorded.
             stale_leases: Stale leases of that incarnation.
+            orders_end_ms: The attribute, if the caller has just read it for
+                all workers.
         """
+        if orders_end_ms is None:
+            orders_end_ms = self.orders_end_ms
         if stale_leases is StaleLeases.EXPIRED and self._reported_stale(worker):
             stale_leases = StaleLeases.POSSIBLE
-        end_ms = self.latest_stale_run_end_ms
+        end_ms = self.latest_stale_run_end_ms(orders_end_ms)
         if stale_leases is not StaleLeases.POSSIBLE:
             lease_ms = getattr(self._params, _LEASES[stale_leases])
-            end_ms = self.orders_end_ms + lease_bound_ms(lease_ms)
+            end_ms = orders_end_ms + lease_bound_ms(lease_ms)
         leases = self._fence_result.leases
         if leases is None or worker not in leases.left_ms:
             return min(end_ms, self._known_ends_ms.get(worker, end_ms))
--- a/tests/node/test_polling.py
+++ b/tests/node/test_polling.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
 
 import msgspec
 
@@ -16,7 +17,7 @@
     WorkerOutcomeUnknownError,
     WrongWorkerError,
 )
-from limpetyard.engine._worker import WorkerRun
+from limpetyard.engine._worker import Worker, WorkerRun
 from limpetyard.jobs import (
     JobSpec,
     QueueParams,
@@ -226,12 +227,19 @@
     serving = StepSpec(1, long_running=True, target_ms=10.0)
     best_effort = StepSpec(1, image="f", fills=True)
 
-    def polls(self, workers: int, *steps: StepSpec) -> int:
+    def polls(
+        self,
+        workers: int,
+        *steps: StepSpec,
+        observe: Callable[[Worker, float], None] = lambda worker, now_ms: None,
+    ) -> int:
         """Returns the number of polls in 10 s of one worker of many.
 
         Args:
             workers: Number of workers; the others are not polled.
             steps: Steps of the runs on the worker.
+            observe: Called with the worker and the time, every 100 ms after
+                the first reply.
         """
 
         async def main() -> int:
@@ -260,7 +268,9 @@
                 run = WorkerRun(task, 1, step, clock.now_ms())
                 engine.add_run(worker, run)
             polling = asyncio.create_task(poller.poll_until_removed("w"))
-            await asyncio.sleep(10)
+            for _ in range(100):
+                await asyncio.sleep(0.1)
+                observe(worker, clock.now_ms())
             polling.cancel()
             return len(client.polled)
 
@@ -278,6 +288,33 @@
         """The tail latencies on few workers are read too seldom."""
         self.assertGreaterEqual(self.polls(50, self.serving), 18)
 
+    def test_idle_on_very_many_workers(self):
+        """Each of 1,000 idle workers was polled once a second.
+
+        The polls took the owner's whole processor: tasks that could run did not
+        start, and the cell passed on every 10 s (LOST).
+        """
+        self.assertLessEqual(self.polls(1000), 6)
+
+    def test_idle_on_many_workers(self):
+        """Idle workers are polled less often where polls are few."""
+        self.assertGreaterEqual(self.polls(300), 9)
+
+    def test_running_on_very_many_workers(self):
+        """Workers with runs are polled as seldom as idle ones."""
+        plain = StepSpec(1, Resources(1000, 1000))
+        self.assertGreaterEqual(self.polls(1000, plain), 9)
+
+    def test_responsive_between_replies(self):
+        """An idle worker gets no tasks, as its replies are 2 s apart."""
+        times = []
+
+        def observe(worker, now_ms: float) -> None:
+            times.append(worker.is_responsive(now_ms))
+
+        self.polls(1000, observe=observe)
+        self.assertTrue(times and all(times))
+
     def test_serving_beside_best_effort(self):
         """Tail latencies beside best-effort tasks are read too seldom."""
         polls = self.polls(500, self.serving, self.best_effort)
