Time-outs of calls tolerate a busy event loop

Change: a time-out that is noticed more than 50 ms late is extended by the lag, to at most twice the time-out. 64 first polls in flight rather than 24.

--- a/src/limpetyard/_http_client.py
+++ b/src/limpetyard/_http_client.py
@@ -1,7 +1,9 @@
 """HTTP client that distinguishes unsent requests from unknown outcomes."""
 
+import asyncio
+import contextlib
 import contextvars
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 import msgspec
@@ -14,6 +16,10 @@
 # times the round trip between availability zones.
 CONNECT_TIMEOUT_MS = 500
 
+# A time-out that is noticed later than this says that the event loop was busy,
+# not that the peer is silent: the response may have arrived meanwhile.
+MAX_TIMER_LAG_MS = 50
+
 # Longer than the pause between any two calls, so that connections are reused.
 KEEP_ALIVE_S = 120
 
@@ -111,7 +117,8 @@
             method: HTTP method.
             url: URL.
             body: Body, or None.
-            timeout_ms: Time-out, which includes the wait for a connection.
+            timeout_ms: Time-out, which includes the wait for a connection; at
+                most twice as long if the event loop is busy.
             headers: Further headers.
             may_send: Asked when the request has a connection, right before it
                 is sent; None if it may always be sent.
@@ -150,17 +157,20 @@
     ) -> HttpResponse:
         session = self._get_session()
         timeout = aiohttp.ClientTimeout(
-            total=timeout_ms / MS_PER_SECOND,
+            total=None,
             sock_connect=CONNECT_TIMEOUT_MS / MS_PER_SECOND,
         )
         try:
-            async with session.request(
-                method,
-                URL(url, encoded=True),
-                data=body,
-                headers=headers,
-                timeout=timeout,
-            ) as resp:
+            async with (
+                _lag_tolerant_timeout(timeout_ms / MS_PER_SECOND),
+                session.request(
+                    method,
+                    URL(url, encoded=True),
+                    data=body,
+                    headers=headers,
+                    timeout=timeout,
+                ) as resp,
+            ):
                 return HttpResponse(resp.status, await resp.read())
         except aiohttp.ClientConnectorError as exc:
             connection_refused = isinstance(
@@ -197,6 +207,39 @@
         return self._session
 
 
+@contextlib.asynccontextmanager
+async def _lag_tolerant_timeout(timeout_s: float) -> AsyncIterator[None]:
+    """Cancels its body after some time, like `asyncio.timeout`.
+
+    If that is noticed late, the body gets the same time again, so that it
+    receives what arrived while the event loop was busy; in all at most
+    `timeout_s`.
+
+    Raises:
+        TimeoutError: If the body was cancelled.
+    """
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    async with asyncio.timeout(None) as scope:
+
+        def expire(due_s: float) -> None:
+            nonlocal timer
+            now_s = loop.time()
+            next_s = min(2 * now_s - due_s, start_s + 2 * timeout_s)
+            is_late = now_s - due_s >= MAX_TIMER_LAG_MS / MS_PER_SECOND
+            if is_late and next_s > now_s:
+                timer = loop.call_at(next_s, expire, next_s)
+            else:
+                scope.reschedule(now_s)
+
+        due_s = start_s + timeout_s
+        timer = loop.call_at(due_s, expire, due_s)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
 def _endpoint_name(url: str) -> str:
     """Returns the first path segment other than the API version."""
     path = url.split("/", 3)[-1].partition("?")[0]
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -51,7 +51,7 @@
 
 # Maximum number of polls in flight to workers whose token is not confirmed. A
 # takeover polls a large cell in several waves.
-MAX_FIRST_POLLS = 24
+MAX_FIRST_POLLS = 64
 
 
 class WorkerPoller:
