--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -65,6 +65,10 @@
 # is no longer renewed: it may receive orders although its replies are lost.
 RESPONSIVE_WITHIN_MS = 1600
 
+# Time-out of a poll beyond the time that the worker may delay its reply. A
+# worker counts as responsive at least until then.
+REPLY_MARGIN_MS = 600
+
 
 def lease_bound_ms(lease_ms: float) -> float:
     """Returns the longest time that a lease may last on this process's clock.
@@ -314,6 +318,8 @@
         polled_ms: When the last poll was sent that the incarnation known then
             answered.
         granted_ms: When an order that may grant a lease was last sent.
+        poll_wait_ms: Time that the worker may delay its reply to the latest
+            poll.
         may_have_restarted: Whether a poll or a start order got no reply since
             the last poll that the current incarnation answered.
         missing_since_ms: Since when the worker has had no directory entry, or
@@ -369,6 +375,7 @@
         "may_have_restarted",
         "missing_since_ms",
         "polled_ms",
+        "poll_wait_ms",
         "prior_lease_end_ms",
         "recorded",
         "replied_ms",
@@ -421,6 +428,7 @@
         self.replied_ms: float | None = None
         self.polled_ms = float("-inf")
         self.granted_ms = float("-inf")
+        self.poll_wait_ms = 0
         self.may_have_restarted = False
         self.missing_since_ms: float | None = None
         self.ended = False
@@ -745,7 +753,10 @@
         """Returns whether the worker replied to a poll recently."""
         if self.replied_ms is None:
             return False
-        return now_ms - self.replied_ms < RESPONSIVE_WITHIN_MS
+        within_ms = max(
+            RESPONSIVE_WITHIN_MS, self.poll_wait_ms + REPLY_MARGIN_MS
+        )
+        return now_ms - self.replied_ms < within_ms
 
     def grant_lease(self, now_ms: float, lease_ms: float) -> int | None:
         """Grants a lease that starts now, and returns its end.
