Hold back ends of tasks one of whose starts is still under way

Trace: w-1 gets a start at 4.06 s that is late; the second order is executed at 4.56 s, run 2 is done at 7.16 s and acknowledged; w-1 restarts at 10.18 and 11.62 s; at 15.90 s its third incarnation, which has seen no token, carries out the first order.

Cause: a restart forgets ended runs and tokens, and an acknowledged end counts.

Change: an end is not acknowledged until 12 s after the last start order of its task to that worker that got no reply, unless this was the run's only order and the worker reported the run. The worker then lists the end in each reply, so it is polled every 150 ms meanwhile. The progress of the job is stored as before. None is held back while more ends are listed than fit in a reply.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -543,6 +543,7 @@
             if run is None:
                 run = self._adopt_run(worker, report, now_ms)
             self._mark_begun(worker, run)
+            worker.settle_start(run)
             run.apply_report(report, now_ms)
             if (
                 not run.proven
--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -50,6 +50,10 @@
             worker.last_received_end = end.number
             worker.unacked_ends.append((end.number, end.task.job))
             has_new_ends = True
+            run = worker.runs.get((end.task, end.run))
+            if run is not None:
+                worker.settle_start(run)
+            worker.hold_end(end.number, end.task, now_ms)
             self._handle_end(worker, end, now_ms)
         return has_new_ends
 
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -141,8 +141,9 @@
             start orders that this owner sent; infinite if it sent none.
         start_sent_ms: When the last start order was sent or, if an earlier
             owner sent it, before when.
+        starts_sent: Number of start orders that this owner sent.
         unanswered_start: Whether a start order got no reply.
-        reported: Whether the worker has reported the run.
+        reported: Whether the worker has reported the run, or its end.
         checkpoint: Latest checkpoint that was reported.
         speed_percent: Share of its full speed that the run was last given.
         at_full_speed: Whether the last report showed the run at 100 % speed.
@@ -180,6 +181,7 @@
         "speed_percent",
         "start_expires_ms",
         "start_sent_ms",
+        "starts_sent",
         "state",
         "step",
         "task",
@@ -196,6 +198,7 @@
         self.began_in_doubt = False
         self.start_expires_ms = float("inf")
         self.start_sent_ms = now_ms
+        self.starts_sent = 0
         self.unanswered_start = False
         self.reported = False
         self.checkpoint = ""
@@ -243,6 +246,7 @@
     def add_start_expiry(self, until_ms: float, now_ms: float = 0.0) -> None:
         """Records a start order and when it expires on the worker's clock."""
         self.start_sent_ms = max(self.start_sent_ms, now_ms)
+        self.starts_sent += 1
         if math.isinf(self.start_expires_ms):
             self.start_expires_ms = until_ms
         self.start_expires_ms = max(self.start_expires_ms, until_ms)
@@ -293,6 +297,10 @@
             the worker therefore need not report again.
         unacked_ends: Number and job of each ended run that was processed after
             that one, in order.
+        pending_starts: When the last start order without a reply was sent that
+            may yet be carried out, by task and run.
+        held_ends: Number of each ended run that must not be acknowledged yet,
+            and until when, in order.
         first_listed_end: Number of the first ended run in the last reply, or 0
             if there was none.
         has_all_ends: Whether the last reply listed all ends that are not
@@ -354,6 +362,7 @@
         "first_listed_end",
         "has_all_ends",
         "has_restarted",
+        "held_ends",
         "incarnations",
         "isolated_run",
         "lapsed_ms",
@@ -366,6 +375,7 @@
         "lost_runs",
         "may_have_restarted",
         "missing_since_ms",
+        "pending_starts",
         "prior_lease_end_ms",
         "recorded",
         "replied_ms",
@@ -407,6 +417,8 @@
         self.last_received_end = 0
         self.last_acked_end = 0
         self.unacked_ends: list[tuple[int, str]] = []
+        self.pending_starts: dict[tuple[TaskKey, int], float] = {}
+        self.held_ends: list[tuple[int, float]] = []
         self.first_listed_end = 0
         self.has_all_ends = False
         self.lease_end_ms = 0.0
@@ -460,9 +472,8 @@
             self.incarnations, MAX_INCARNATIONS - 1
         )
 
-    @property
-    def end_to_acknowledge(self) -> int:
-        """Number of the last ended run to acknowledge in the next poll, or 0.
+    def end_to_acknowledge(self, now_ms: float) -> int:
+        """Returns the last ended run to acknowledge in the next poll, or 0.
 
         A later incarnation that executes the poll drops its own ends up to this
         number. So it is 0 unless the current one still lists such ends, and if
@@ -470,9 +481,51 @@
         """
         if self.may_have_restarted or not self.first_listed_end:
             return 0
-        if self.first_listed_end > self.last_acked_end:
-            return 0
-        return self.last_acked_end
+        last = self.last_acked_end
+        if self.holds_ends(now_ms):
+            last = min(last, self.held_ends[0][0] - 1)
+        return last if self.first_listed_end <= last else 0
+
+    def holds_ends(self, now_ms: float) -> bool:
+        """Returns whether an end is not acknowledged though it may be stored.
+
+        None is held back while the worker has more ends than fit in a reply.
+        """
+        while self.held_ends and self.held_ends[0][1] <= now_ms:
+            del self.held_ends[0]
+        return bool(self.held_ends) and self.has_all_ends
+
+    def record_pending_start(self, run: WorkerRun, now_ms: float) -> None:
+        """Records that the last start order of a run got no reply.
+
+        It has been carried out if the worker has reported the run, unless it
+        was not the only one.
+        """
+        if run.reported and run.starts_sent == 1:
+            return
+        self.pending_starts = {
+            key: sent_ms
+            for key, sent_ms in self.pending_starts.items()
+            if now_ms - sent_ms < MAX_ORDER_DELAY_MS
+        }
+        self.pending_starts[run.task, run.run] = run.start_sent_ms
+
+    def settle_start(self, run: WorkerRun) -> None:
+        """Records that the worker reports a run, or its end."""
+        run.reported = True
+        if run.starts_sent == 1:
+            self.pending_starts.pop((run.task, run.run), None)
+
+    def hold_end(self, number: int, task: TaskKey, now_ms: float) -> None:
+        """Holds back an end while a start of its task may yet be carried out.
+
+        Only a later incarnation would do so, and an end that was not
+        acknowledged before does not count.
+        """
+        sent = [ms for key, ms in self.pending_starts.items() if key[0] == task]
+        until_ms = max(sent, default=-math.inf) + MAX_ORDER_DELAY_MS
+        if now_ms < until_ms:
+            self.held_ends.append((number, until_ms))
 
     @property
     def is_idle(self) -> bool:
@@ -670,6 +723,7 @@
         self.last_received_end = 0
         self.last_acked_end = 0
         self.unacked_ends.clear()
+        self.held_ends.clear()
         self.first_listed_end = 0
         self.may_have_restarted = False
         self.lease_end_ms = 0.0
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -300,6 +300,7 @@
                 event("order_failed", order="start", reason=exc)
                 may_have_begun = run.unanswered_start = True
                 worker.record_unanswered(token)
+                worker.record_pending_start(run, self._clock.now_ms())
             except StaleTokenError:
                 if worker.token == token:
                     self._end_ownership(
--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -42,6 +42,10 @@
 # appends, workers with ended runs are polled no more often than serving ones.
 APPEND_WAIT_MS = POLL_SERVING_WAIT_MS
 
+# Pause between polls of a worker that replies at once, as it still reports ends
+# that are held back; see `Worker.hold_end`.
+HELD_ENDS_POLL_MS = 150
+
 # Maximum number of polls in flight to workers whose token is not confirmed. A
 # takeover polls a large cell in several waves.
 MAX_FIRST_POLLS = 24
@@ -123,6 +127,8 @@
                     worker.is_drained or self._engine.may_lease(worker.id)
                 ):
                     await self._wait_for_append()
+                elif worker.holds_ends(self._clock.now_ms()):
+                    await asyncio.sleep(HELD_ENDS_POLL_MS / MS_PER_SECOND)
             except StaleTokenError:
                 self._end_ownership(
                     f"worker {worker_id} has seen a higher fencing token"
@@ -163,7 +169,7 @@
             lease_until_ms = worker.grant_lease(now_ms, self._lease_ms)
         wait_ms = _wait_ms(worker, lease_until_ms, len(self._engine.workers))
         request = PollRequest(
-            token, worker.end_to_acknowledge, lease_until_ms, wait_ms
+            token, worker.end_to_acknowledge(now_ms), lease_until_ms, wait_ms
         )
         try:
             reply = await self._workers.poll(
--- a/tests/node/test_late_restarts.py
+++ b/tests/node/test_late_restarts.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from limpetyard.engine import (
     Engine,
@@ -19,6 +20,7 @@
     WorkerEntry,
     WorkerOutcomeUnknownError,
 )
+from limpetyard.engine._worker import MAX_ORDER_DELAY_MS
 from limpetyard.jobs import (
     JobSpec,
     QueueParams,
@@ -27,14 +29,17 @@
     TaskKey,
 )
 from limpetyard.node import _polling
+from limpetyard.node._polling import HELD_ENDS_POLL_MS
 from standins.platform import (
     SimulatedSite,
     run_in_virtual_time,
     violations,
 )
+from standins.platform._history import EndsAcknowledged, RunEnded
 from standins.platform._site import QUEUE
 from standins.platform._virtual_time import VirtualClock
-from tests.node.test_unstarted_doubts import DoubtTestCase, until
+from standins.platform._worker import WorkerModel
+from tests.node.test_unstarted_doubts import DoubtTestCase, cut_off, until
 
 REPLY_DELAY_MS = 10
 ENTRY = WorkerEntry("w", "pool", "", "z", "r", (), Resources(1000, 1000), 1)
@@ -231,6 +236,82 @@
         self.poll(scenario)
 
 
+class SecondStartTest(DoubtTestCase):
+    """A start is sent again as it got no reply, and its task is done then.
+
+    The order without a reply is still under way.
+    """
+
+    LATE_MS = 8000.0
+
+    def play(
+        self, late_ms: float, restart: bool, run_ms: int = 1000
+    ) -> SimulatedSite:
+        """Runs one task; its worker restarts or stays up."""
+        step = StepSpec(1, Resources(1000, 500), run_ms)
+        spec = JobSpec("1" * 16, QUEUE, "payload", (step,))
+        sent: list[str] = []
+        self.polls: list[float] = []
+        poll = WorkerModel.poll
+
+        async def count_and_poll(worker, request):
+            if sent and worker.entry.id == sent[0]:
+                self.polls.append(worker.now_ms())
+            return await poll(worker, request)
+
+        async def hook(site, dispatcher, worker, effect) -> None:
+            link = site.owner().worker_links[worker.id]
+            link.late_rate, link.late_ms = 1.0, (late_ms, late_ms)
+            sent.append(worker.id)
+            sending = asyncio.ensure_future(
+                self.send(dispatcher, worker, effect)
+            )
+            late_calls = link.late_calls
+            await until(lambda: link.late_calls > late_calls or sending.done())
+            link.late_rate = 0.0
+            await sending
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.assertTrue(await site.submit(spec))
+            await until(lambda: sent)
+            sent_ms = site.clock.now_ms()
+            worker = site.workers[sent[0]]
+            await until(lambda: site.history.of(RunEnded))
+            await asyncio.sleep(1)
+            state = await site.query_state(spec.id)
+            self.assertEqual(state, "completed")
+            if restart:
+                await asyncio.sleep(2)
+                cut_off(site, worker.entry.id)
+                worker.crash()
+                worker.restart(0.0)
+            await asyncio.sleep((sent_ms - site.clock.now_ms()) / 1000 + 13)
+
+        with mock.patch.object(WorkerModel, "poll", count_and_poll):
+            return self.run_site(scenario, hook)
+
+    def test_first_start_in_the_next_incarnation(self):
+        """TWICE: the next incarnation carried out the first of two starts.
+
+        The end by the second one had been acknowledged.
+        """
+        site = self.play(self.LATE_MS, restart=True)
+        self.assertEqual([s.born for s in self.starts(site)], [1, 2])
+        found = violations(site.history, finished=False)
+        self.assertEqual([v for v in found if v.startswith("TWICE")], [])
+
+    def test_end_is_acknowledged_in_time(self):
+        """An end was never acknowledged after an unanswered start."""
+        site = self.play(self.LATE_MS, restart=False)
+        (start,) = self.starts(site)
+        (acked,) = {
+            entry.at_ms for entry in site.history.of(EndsAcknowledged)[:1]
+        }
+        self.assertLess(acked - start.at_ms, MAX_ORDER_DELAY_MS)
+        self.assertGreater(acked - start.at_ms, MAX_ORDER_DELAY_MS - 1000)
+        self.assertLess(len(self.polls), 13_000 / HELD_ENDS_POLL_MS + 20)
+
+
 class LateStartTest(DoubtTestCase):
     """A start without a reply is executed seconds later, after a restart."""
 
