--- a/tests/engine/test_held_ends.py
+++ b/tests/engine/test_held_ends.py
@@ -67,6 +67,26 @@
         self.assertEqual(self.worker.end_to_acknowledge(until_ms - 1), 0)
         self.assertEqual(self.worker.end_to_acknowledge(until_ms), 1)
 
+    def test_report_before_the_second_time_out(self):
+        """TWICE: the report hid that the second order got no reply."""
+        self.send(SENT_MS, answered=False)
+        self.run_.add_start_expiry(5000.0, SENT_MS + 500)
+        self.poll(700.0, [RunReport(*self.key, "", 100, 0.0)])
+        self.worker.record_pending_start(self.run_, SENT_MS + 1000)
+        self.assertEqual(self.end(), 0)
+        until_ms = SENT_MS + 500 + MAX_ORDER_DELAY_MS
+        self.assertEqual(self.worker.end_to_acknowledge(until_ms - 1), 0)
+        self.assertEqual(self.worker.end_to_acknowledge(until_ms), 1)
+
+    def test_reported_run_before_a_restart(self):
+        """An end was held back for an order that had been carried out."""
+        self.send(SENT_MS, answered=False)
+        self.poll(1200.0, [RunReport(*self.key, "", 100, 0.0)])
+        self.poll(1300.0, born=2)
+        self.poll(1400.0, born=2)
+        self.key = (self.key[0], self.key[1] + 1)
+        self.assertEqual(self.end(born=2), 1)
+
     def test_later_run_of_the_task(self):
         """TWICE: the order was one for an earlier run of the task."""
         self.send(SENT_MS, answered=False)
@@ -131,9 +151,7 @@
         self.poll(1200.0, born=2)
         self.poll(1300.0, born=2)
         self.key = (self.key[0], self.key[1] + 1)
-        done = RunEndReport(1, *self.key, RunEndKind.DONE, "")
-        self.poll(END_MS, ends=[done], born=2)
-        self.assertEqual(self.worker.end_to_acknowledge(END_MS), 0)
+        self.assertEqual(self.end(born=2), 0)
 
 
 if __name__ == "__main__":
