--- a/src/limpetyard/node/_polling.py
+++ b/src/limpetyard/node/_polling.py
@@ -127,7 +127,9 @@
                     worker.is_drained or self._engine.may_lease(worker.id)
                 ):
                     await self._wait_for_append()
-                elif worker.holds_ends(self._clock.now_ms()):
+                elif worker.held_ends and worker.holds_ends(
+                    self._clock.now_ms()
+                ):
                     await asyncio.sleep(HELD_ENDS_POLL_MS / MS_PER_SECOND)
             except StaleTokenError:
                 self._end_ownership(
