--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -302,6 +302,7 @@
                 may_have_begun = True
                 self._engine.on_start_unanswered(effect, born, now_ms)
                 worker.record_unanswered(token)
+                worker.record_pending_start(run, self._clock.now_ms())
             except StaleTokenError:
                 if worker.token == token:
                     self._end_ownership(
