Test of an unknown worker gives the bound of earlier owners

The merged owner computes that bound once for all workers and passes it on, and the test called it without. The bound is infinite in the test, so that it would show if it were used.

--- a/tests/node/test_stale_leases.py
+++ b/tests/node/test_stale_leases.py
@@ -132,7 +132,7 @@
         owner = mock.Mock()
         owner._inherited_workers = frozenset()
         owner._predecessor.may_have_ordered.return_value = False
-        CellOwner._apply_lease_bounds(owner, worker)
+        CellOwner._apply_lease_bounds(owner, worker, float("inf"))
         self.assertEqual(worker.stale_lease_end_ms, 0)
         self.assertEqual(worker.prior_lease_end_ms, 0)
 
