Hold the end of a task for a start that was handed over

Callers saw nothing; the end of a task was acknowledged at once by an owner that had been told of a start of it without a reply, and the next incarnation of the worker then carried that order out: TWICE ("was done").

Cause: a doubt is handed over, and ends are held back for pending starts, which only the owner has that sent them. Change: an inherited doubt is a pending start of its worker, too.

Evidence: SecondStartTest.test_owner_that_is_told_of_the_first_start (the cell passes on 1 s after the start, while the task runs for 4 s) fails with TWICE before, and passes with the change.

--- a/src/limpetyard/engine/_doubts.py
+++ b/src/limpetyard/engine/_doubts.py
@@ -63,6 +63,9 @@
     def inherit(self, key: TaskKey, doubt: StartDoubt, until_ms: float) -> None:
         """Adds a doubt of an earlier owner, once.
 
+        The end of the task is held back by the worker as it was by that owner;
+        see `Worker.hold_end`.
+
         Args:
             key: The task.
             doubt: The doubt.
@@ -71,6 +74,9 @@
         if (key, doubt) not in self._inherited:
             self._inherited.add((key, doubt))
             self.add(key, doubt, until_ms)
+            worker = self._state.workers.get(doubt.worker)
+            if worker is not None:
+                worker.inherit_pending_start(key, doubt.sent_ms)
 
     def add(
         self, key: TaskKey, doubt: StartDoubt, until_ms: float = 0.0
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -65,6 +65,9 @@
 # is no longer renewed: it may receive orders although its replies are lost.
 RESPONSIVE_WITHIN_MS = 1600
 
+# Run number of pending starts that an earlier owner sent. No run has it.
+INHERITED_RUN = 0
+
 # Time-out of a poll beyond the time that the worker may delay its reply. A
 # worker counts as responsive at least until then.
 REPLY_MARGIN_MS = 600
@@ -523,6 +526,13 @@
         }
         self.pending_starts[run.task, run.run] = run.start_sent_ms
 
+    def inherit_pending_start(self, task: TaskKey, sent_ms: float) -> None:
+        """Records that an earlier owner had no reply to a start of a task."""
+        key = task, INHERITED_RUN
+        self.pending_starts[key] = max(
+            self.pending_starts.get(key, -math.inf), sent_ms
+        )
+
     def settle_start(self, run: WorkerRun) -> None:
         """Records that the worker reports a run, or its end."""
         run.reported = True
--- a/tests/node/test_late_restarts.py
+++ b/tests/node/test_late_restarts.py
@@ -248,14 +248,21 @@
 
     LATE_MS = 8000.0
 
-    def play(self, restart: bool, pass_on: bool = False) -> SimulatedSite:
+    def play(
+        self,
+        restart: bool,
+        pass_on: bool = False,
+        pass_on_early: bool = False,
+    ) -> SimulatedSite:
         """Runs one task; its worker restarts or stays up.
 
         Args:
             restart: Whether the worker restarts and is cut off after the end.
             pass_on: Whether another node becomes the owner before that.
+            pass_on_early: Whether it does so while the task runs.
         """
-        step = StepSpec(1, Resources(1000, 500), 1000)
+        work_ms = 4000 if pass_on_early else 1000
+        step = StepSpec(1, Resources(1000, 500), work_ms)
         spec = JobSpec("1" * 16, QUEUE, "payload", (step,))
         sent: list[str] = []
         self.polls: list[float] = []
@@ -284,6 +291,9 @@
             await until(lambda: sent)
             sent_ms = site.clock.now_ms()
             worker = site.workers[sent[0]]
+            if pass_on_early:
+                await asyncio.sleep(1)
+                self.assertTrue(await site.pass_cell_on())
             await until(lambda: site.history.of(RunEnded))
             await asyncio.sleep(1)
             state = await site.query_state(spec.id)
@@ -317,6 +327,13 @@
         found = violations(site.history, finished=False)
         self.assertEqual([v for v in found if v.startswith("TWICE")], [])
 
+    def test_owner_that_is_told_of_the_first_start(self):
+        """TWICE: an end was not held back for a start that was handed over."""
+        site = self.play(restart=True, pass_on_early=True)
+        self.assertEqual([s.born for s in self.starts(site)], [1, 2])
+        found = violations(site.history, finished=False)
+        self.assertEqual([v for v in found if v.startswith("TWICE")], [])
+
     def test_end_is_acknowledged_in_time(self):
         """An end was never acknowledged after an unanswered start."""
         site = self.play(restart=False)
