Keep a stopped run while its start order waits for the reply

A member of a gang is stopped while its start order is under way, as another member is rejected. The worker acknowledges the stop, and a poll that is sent then shows no run: the run was dropped, and its task could start elsewhere before the order's time-out (0.5 s, up to 1 s) left a doubt about it. The doubt then came to a task that already had a run elsewhere, and the owner's reply to the next owner had none at all. The next incarnation of the worker may carry the order out: TWICE.

Cause: the reply to a stop counts as one to the start. Change: a run whose start order is in flight is kept until the reply or the time-out, and is handed over as a doubt.

Evidence: StoppedStartTest.test_doubt and test_handover fail before (no run is left, nothing is told) and pass with the change; test_rejected passes on both. 218 tests of eight modules around starts, doubts and takeovers: only the two listed ones fail.

--- a/src/limpetyard/engine/_doubts.py
+++ b/src/limpetyard/engine/_doubts.py
@@ -122,7 +122,9 @@
         """
         for worker in self._state.workers.values():
             for run in worker.runs.values():
-                if run.may_exist and run.acked_ms is None:
+                if run.start_in_flight or (
+                    run.may_exist and run.acked_ms is None
+                ):
                     sent_ms = run.start_sent_ms
                     doubt = StartDoubt(worker.id, worker.born, sent_ms)
                     self.add(run.task, doubt)
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -541,7 +541,8 @@
 
         A run that is missing from the reply no longer exists if the worker had
         acknowledged an order for it, or reported it, before the poll was sent,
-        or if its start orders have expired.
+        or if its start orders have expired. It is kept while one of them is in
+        flight, as its task would have no doubt yet.
         """
         reported = set()
         for report in reply.runs:
@@ -566,6 +567,8 @@
         absent = [key for key in worker.runs if key not in reported]
         for key in absent:
             run = worker.runs[key]
+            if run.start_in_flight:
+                continue
             was_acked = run.acked_ms is not None and run.acked_ms < sent_ms
             if was_acked or run.start_expires_ms < reply.clock_ms:
                 del worker.runs[key]
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -147,6 +147,9 @@
         start_sent_ms: When the last start order was sent or, if an earlier
             owner sent it, before when.
         starts_sent: Number of start orders that this owner sent.
+        start_in_flight: Whether a start order waits for its reply. The worker
+            may carry it out after a stop that it has acknowledged, in its next
+            incarnation.
         unanswered_start: Whether a start order got no reply.
         reported: Whether the worker has reported the run, or its end.
         checkpoint: Latest checkpoint that was reported.
@@ -185,6 +188,7 @@
         "run",
         "speed_percent",
         "start_expires_ms",
+        "start_in_flight",
         "start_sent_ms",
         "starts_sent",
         "state",
@@ -204,6 +208,7 @@
         self.start_expires_ms = float("inf")
         self.start_sent_ms = now_ms
         self.starts_sent = 0
+        self.start_in_flight = False
         self.unanswered_start = False
         self.reported = False
         self.checkpoint = ""
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -287,6 +287,7 @@
             run.add_start_expiry(until_ms, now_ms)
             if not attempt:
                 queued_ms = now_ms - run.placed_ms
+            run.start_in_flight = True
             try:
                 result = await self._workers.start(worker.entry, order)
                 if may_have_begun and result is not StartResult.STARTED:
@@ -309,6 +310,7 @@
                         f"worker {worker.id} has seen a higher fencing token"
                     )
                 return
+        run.start_in_flight = False
         if result is None and not may_have_begun:
             now_ms = self._clock.now_ms()
             worker.record_silent_start(now_ms)
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -24,6 +24,7 @@
 )
 from limpetyard.jobs import JobSpec, QueueParams, Resources, StepSpec
 from limpetyard.node import _order_dispatch
+from limpetyard.node._handover import LeaseExpiries
 from limpetyard.node._order_dispatch import START_VALID_MS, OrderDispatcher
 
 REFUSED = "refused"
@@ -508,6 +509,60 @@
         self.assertEqual(self.client.stops, [(starts[0].task, starts[0].run)])
 
 
+class StoppedStartTest(DispatchTestCase):
+    """A run is stopped while its start order waits for the reply."""
+
+    async def stop_in_flight(self) -> None:
+        """Stops a member of a gang as another one is rejected."""
+        starts = self.plan(3, 9, gang=True)
+        self.orders = [
+            asyncio.create_task(self.dispatcher.execute(start))
+            for start in starts
+        ]
+        await self.settle()
+        (_, _, rejected), (worker, self.key, self.held) = self.client.starts
+        rejected.set_result(StartResult.NO_ROOM)
+        await self.settle()
+        self.worker = self.engine.workers[worker]
+        for effect in self.engine.plan(1000.0, 0.0):
+            await self.dispatcher.execute(effect)
+        self.assertEqual(self.client.stops, [self.key])
+        self.poll()
+
+    def poll(self) -> None:
+        """Has the worker report no runs."""
+        self.clock.advance(10.0)
+        now_ms = self.clock.now_ms()
+        reply = PollReply(1, now_ms, [], [])
+        self.engine.on_poll_reply(self.worker, now_ms, reply, now_ms)
+
+    async def test_doubt(self):
+        """TWICE: its task could start elsewhere before the time-out."""
+        await self.stop_in_flight()
+        self.assertIn(self.key, self.worker.runs)
+        self.held.set_exception(WorkerOutcomeUnknownError(self.worker.id))
+        await asyncio.gather(*self.orders)
+        self.assertIn(self.key[0], self.engine.doubts.all())
+        self.poll()
+        self.assertNotIn(self.key, self.worker.runs)
+
+    async def test_rejected(self):
+        """LOST: the run was kept after the order was answered."""
+        await self.stop_in_flight()
+        self.held.set_result(StartResult.STALE_RUN)
+        await asyncio.gather(*self.orders)
+        self.assertNotIn(self.key, self.worker.runs)
+        self.assertEqual(self.engine.doubts.all(), {})
+
+    async def test_handover(self):
+        """TWICE: the next owner was not told of an order in flight."""
+        await self.stop_in_flight()
+        leases = LeaseExpiries(self.engine).remaining(self.clock.now_ms())
+        self.assertIn(self.key[0], [doubt.task for doubt in leases.doubts])
+        self.held.cancel()
+        await asyncio.wait(self.orders)
+
+
 class WithdrawnStartTest(DispatchTestCase):
     """Starts that must not be sent any more."""
 
