Place a gang with doubts about workers that have room for several members

A gang whose members have doubts about several workers waited for up to 12 s (LOST) where the first of these workers had room for more members than its doubts name: it was to get all of them, and the others' workers were not chosen.

Change: a worker with doubts gets its own members first, and further ones only as far as places are left that no doubt takes.

Evidence: RoomyGangTest.test_worker_of_each_doubt fails before (no start) and passes with the change; 150 tests of test_doubts, test_gang_members, test_engine and test_placement pass.

--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -4,6 +4,7 @@
 `limpetyard.engine._advice`.
 """
 
+import collections
 import itertools
 import math
 from collections.abc import Collection, Mapping
@@ -792,10 +793,13 @@
     A task with a doubt gets the incarnation that this names.
     """
     count = len(tasks)
-    doubts = [
-        task.start_doubt for task in tasks if task.start_doubt is not None
-    ]
-    needed = {doubt.worker for doubt in doubts}
+    needed = collections.Counter(
+        task.start_doubt.worker
+        for task in tasks
+        if task.start_doubt is not None
+    )
+    # Places that the doubts do not take.
+    spare = count - needed.total()
     chosen: list[Candidate] = []
     for candidate in sorted(
         candidates,
@@ -804,17 +808,19 @@
             -c.free_resources.cores_milli,
         ),
     ):
+        own = needed[candidate.worker.id]
         for placed in itertools.count():
-            if len(chosen) == count:
+            if len(chosen) == count or (placed >= own and not spare):
                 break
             limit = step.per_worker
             full = limit and placed >= limit
             if full or not candidate.fits_times(step, placed + 1):
                 break
             chosen.append(candidate)
+            spare -= placed >= own
     if len(chosen) < count:
         return None
-    return _assigned(tasks, chosen) if doubts else chosen
+    return _assigned(tasks, chosen) if needed else chosen
 
 
 def _assigned(
--- a/tests/engine/test_doubts.py
+++ b/tests/engine/test_doubts.py
@@ -494,6 +494,23 @@
         self.assertEqual(self.plan(Start), [])
 
 
+class RoomyGangTest(EngineTestCase):
+    """All members of a gang have doubts, and one worker has room for all."""
+
+    def test_worker_of_each_doubt(self):
+        """LOST: the gang waited, as the first worker was to get all members."""
+        step = StepSpec(2, ONE_CORE, gang=True)
+        submitted = self.submit(job(1, step))
+        tasks = list(submitted.step_tasks(0, 0))
+        for task, worker_id in zip(tasks, self.engine.workers, strict=True):
+            doubt = StartDoubt(worker_id, 1, self.now_ms)
+            self.engine.doubts.add(task.key, doubt)
+        self.assertEqual(
+            {start.task: start.worker for start in self.plan(Start)},
+            {task.key: task.start_doubt.worker for task in tasks},
+        )
+
+
 class SuspectTest(DoubtTestCase):
     """A task with a doubt may crash workers."""
 
