Keep inherited doubts about occurrences that are not due yet

A doubt that is handed over about a task of an occurrence which is not due for the new owner was dropped, and counted as added. Replies are applied before the first plan, which is what makes occurrences due, so it needs no clock that is behind: the progress with that occurrence need only not be stored yet. The task then started elsewhere, and the late order could run it a second time (TWICE).

Change: such doubts wait until the occurrence is due or the job has ended, and are handed on meanwhile. The occurrence does not become due by them (ORDER).

--- a/src/limpetyard/engine/_doubts.py
+++ b/src/limpetyard/engine/_doubts.py
@@ -48,7 +48,7 @@
 class StartDoubts:
     """The doubts of one ownership."""
 
-    __slots__ = ("_inherited", "_state", "_tasks", "_until_ms")
+    __slots__ = ("_inherited", "_not_due", "_state", "_tasks", "_until_ms")
 
     def __init__(self, state: DoubtedState):
         self._state = state
@@ -59,6 +59,9 @@
         # Doubts of earlier owners that were added, as replies are applied
         # again and again.
         self._inherited: set[tuple[TaskKey, StartDoubt]] = set()
+        # Those about occurrences that are not due here yet, and until when they
+        # last.
+        self._not_due: dict[TaskKey, tuple[StartDoubt, float]] = {}
 
     def inherit(self, key: TaskKey, doubt: StartDoubt, until_ms: float) -> None:
         """Adds a doubt of an earlier owner, once.
@@ -73,11 +76,22 @@
         """
         if (key, doubt) not in self._inherited:
             self._inherited.add((key, doubt))
+            job = self._state.open_jobs.get(key.job)
+            if job is not None and key.occurrence >= job.due:
+                self._not_due[key] = (doubt, until_ms)
             self.add(key, doubt, until_ms)
             worker = self._state.workers.get(doubt.worker)
             if worker is not None:
                 worker.inherit_pending_start(key, doubt.sent_ms)
 
+    def add_due(self) -> None:
+        """Adds the doubts about occurrences that have become due."""
+        for key, (doubt, until_ms) in list(self._not_due.items()):
+            job = self._state.open_jobs.get(key.job)
+            if job is None or key.occurrence < job.due:
+                del self._not_due[key]
+                self.add(key, doubt, until_ms)
+
     def add(
         self, key: TaskKey, doubt: StartDoubt, until_ms: float = 0.0
     ) -> None:
@@ -110,7 +124,7 @@
         """Returns the doubts, and the times after which they are over."""
         for key, task in self._tasks.items():
             self._extend(key, task.start_doubt)
-        return {
+        return self._not_due | {
             key: (task.start_doubt, self._until_ms[key])
             for key, task in self._tasks.items()
         }
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -207,6 +207,8 @@
         for job in self._engine.open_jobs.values():
             if job.spec.timed:
                 self._make_due(job, wall_ms)
+        self._engine.doubts.add_due()
+        for job in self._engine.open_jobs.values():
             for occurrence, step in job.waiting_steps():
                 key = urgency(job, step, now_ms)
                 steps.append((key, job, occurrence, step, False))
--- a/tests/engine/test_doubts.py
+++ b/tests/engine/test_doubts.py
@@ -20,7 +20,7 @@
     MAX_LONG_RUNNING_HOLD_MS,
     MAX_LONG_RUNNING_SILENT_STARTS,
 )
-from limpetyard.jobs import StartDoubt, StepSpec
+from limpetyard.jobs import StartDoubt, StepSpec, TaskKey
 from limpetyard.node import RemainingLeases
 from limpetyard.node._handover import LeaseExpiries
 from limpetyard.node._predecessor import Predecessor
@@ -650,6 +650,44 @@
         self.assertEqual(until_ms, replied_ms + handed.left_ms / MIN_CLOCK_RATE)
 
 
+class NotDueTest(EngineTestCase):
+    """A doubt about an occurrence that is not due for the next owner."""
+
+    def setUp(self):
+        """Has the doubt inherited."""
+        super().setUp()
+        steps = (StepSpec(1, ONE_CORE),)
+        timing = {"occurrences": 2, "first_due_ms": 500.0, "interval_ms": 500.0}
+        spec = msgspec.structs.replace(job(1, *steps), **timing)
+        self.job = self.submit(spec)
+        self.key = TaskKey(spec.id, 1, 0, 0)
+        self.until_ms = self.now_ms + 50_000
+        self.doubt = StartDoubt("w-0", 1, self.now_ms)
+        self.engine.doubts.inherit(self.key, self.doubt, self.until_ms)
+        self.engine.workers["w-0"].backoff_until_ms = 1e9
+
+    def test_becomes_due(self):
+        """TWICE: the doubt was dropped, and the task started elsewhere."""
+        self.engine.plan(self.now_ms, 600.0)
+        self.assertEqual(self.job.due, 1)
+        effects = self.engine.plan(self.now_ms, 1100.0)
+        self.assertEqual(self.job.due, 2)
+        self.assertNotIn(self.key, [e.task for e in effects])
+        task = self.engine.find_task(self.key)
+        self.assertEqual(task.start_doubt, self.doubt)
+
+    def test_handed_on(self):
+        """TWICE: the owner after the next was not told of the doubt."""
+        told = self.engine.doubts.all()
+        self.assertEqual(told, {self.key: (self.doubt, self.until_ms)})
+
+    def test_cancelled_job(self):
+        """The doubt was kept for a job that had ended."""
+        self.engine.cancel_job(self.job.spec.id, self.now_ms)
+        self.plan()
+        self.assertEqual(self.engine.doubts.all(), {})
+
+
 class AnsweredTest(EngineTestCase):
     """A start whose second order was answered."""
 
