--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -65,6 +65,9 @@
 # is no longer renewed: it may receive orders although its replies are lost.
 RESPONSIVE_WITHIN_MS = 1600
 
+# Run number of pending starts that an earlier owner sent. No run has it.
+INHERITED_RUN = 0
+
 # Time-out of a poll beyond the time that the worker may delay its reply. A
 # worker counts as responsive at least until then.
 REPLY_MARGIN_MS = 600
@@ -144,6 +147,9 @@
         start_sent_ms: When the last start order was sent or, if an earlier
             owner sent it, before when.
         starts_sent: Number of start orders that this owner sent.
+        start_in_flight: Whether a start order waits for its reply. The worker
+            may carry it out after a stop that it has acknowledged, in its next
+            incarnation.
         unanswered_start: Whether a start order got no reply.
         reported: Whether the worker has reported the run, or its end.
         checkpoint: Latest checkpoint that was reported.
@@ -182,6 +188,7 @@
         "run",
         "speed_percent",
         "start_expires_ms",
+        "start_in_flight",
         "start_sent_ms",
         "starts_sent",
         "state",
@@ -201,6 +208,7 @@
         self.start_expires_ms = float("inf")
         self.start_sent_ms = now_ms
         self.starts_sent = 0
+        self.start_in_flight = False
         self.unanswered_start = False
         self.reported = False
         self.checkpoint = ""
@@ -523,6 +531,13 @@
         }
         self.pending_starts[run.task, run.run] = run.start_sent_ms
 
+    def inherit_pending_start(self, task: TaskKey, sent_ms: float) -> None:
+        """Records that an earlier owner had no reply to a start of a task."""
+        key = task, INHERITED_RUN
+        self.pending_starts[key] = max(
+            self.pending_starts.get(key, -math.inf), sent_ms
+        )
+
     def settle_start(self, run: WorkerRun) -> None:
         """Records that the worker reports a run, or its end."""
         run.reported = True
