--- a/src/limpetyard/_http_client.py
+++ b/src/limpetyard/_http_client.py
@@ -212,8 +212,8 @@
     """Cancels its body after some time, like `asyncio.timeout`.
 
     If that is noticed late, the body gets the same time again, so that it
-    receives what arrived while the event loop was busy; in all at most
-    `timeout_s`.
+    receives what arrived while the event loop was busy. All extensions
+    together are at most `timeout_s`.
 
     Raises:
         TimeoutError: If the body was cancelled.
