--- a/src/limpetyard/_node_process.py
+++ b/src/limpetyard/_node_process.py
@@ -129,8 +129,8 @@
 
 
 # Collections of the youngest and of the middle generation before the middle and
-# all generations are collected. With 1,000 workers, all take 0.2 to 0.4 s on
-# half a core.
+# all generations are collected. A full collection blocks the event loop of the
+# owner of a large cell.
 GC_MIDDLE_THRESHOLD = 10
 GC_FULL_THRESHOLD = 50
 
