--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -220,6 +220,10 @@
             self._process.send_signal(signal.SIGKILL)
             self._process.wait()
 
+    def terminate(self) -> None:
+        """Sends SIGTERM to the process."""
+        self._process.send_signal(signal.SIGTERM)
+
     def log(self) -> str:
         """Returns what the process has written."""
         return (self._folder / f"{self.name}.log").read_text()
