--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONPATH=target/deps:.:review/common-2
+exec python3 review/8/case.py
