Obey cancellations of jobs that are stored later

Cause: a job may be stored after its cancellation, by a node that the store did not answer or by a late call. The owner dropped cancellations of jobs that it did not know, and a DELETE that was answered with 410 was not stored at all.

Change: the owner keeps such cancellations for as long as the state of ended jobs, at most 10,000, and applies them when the job is read. A DELETE is stored before it is answered with 410. A later owner finds them in the store. Their records are deleted when they expire; before, those of jobs that never came stayed for good.

Conclusion: the order of records in the store is not the order in which clients caused them, so "not known" is not "does not exist".

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -43,6 +43,16 @@
         ("job", "queue"),
         "A cancellation came from another queue than the one of the job.",
     ),
+    "cancellation_kept": EventKind(
+        ("key",),
+        "The owner read a cancellation of a job that it does not know; it"
+        " takes effect if the job is read later.",
+    ),
+    "cancellations_dropped": EventKind(
+        ("number",),
+        "The owner keeps too many cancellations of jobs that it does not know;"
+        " the oldest were dropped.",
+    ),
     "cell_claimed": EventKind(
         ("cell", "epoch"),
         "This node claimed a cell; the new epoch fences lower ones.",
--- /dev/null
+++ b/src/limpetyard/node/_early_cancellations.py
@@ -0,0 +1,58 @@
+"""Cancellations of jobs that the owner has not read yet.
+
+A node may store a job after its caller has left and cancelled it at another
+node. The cancellation then comes first in the store, and may have been answered
+before any node but the first one knows of the job.
+"""
+
+from limpetyard._events import event
+from limpetyard.jobs import cancelled_job
+from limpetyard.store import StoredRecord
+
+# Maximum number of these cancellations. Each takes a few hundred bytes.
+MAX_EARLY_CANCELLATIONS = 10_000
+
+
+class EarlyCancellations:
+    """Records of cancellations, kept until their job is read or they expire."""
+
+    __slots__ = ("_records",)
+
+    def __init__(self):
+        # Records by key and when they were read, by job; oldest first.
+        self._records: dict[str, tuple[dict[str, StoredRecord], float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def add(self, record: StoredRecord, now_ms: float) -> None:
+        """Adds a record of a cancellation that was just read."""
+        job_id = cancelled_job(record.key)
+        records, _ = self._records.pop(job_id, ({}, 0.0))
+        records[record.key] = record
+        self._records[job_id] = (records, now_ms)
+
+    def pop(self, job_id: str) -> list[StoredRecord]:
+        """Removes and returns the records of a job."""
+        records, _ = self._records.pop(job_id, ({}, 0.0))
+        return list(records.values())
+
+    def pop_expired(self, now_ms: float, retention_ms: float) -> set[str]:
+        """Removes old records and returns their keys.
+
+        Args:
+            now_ms: Current time.
+            retention_ms: Time for which records are kept, unless they are too
+                many.
+        """
+        excess = len(self._records) - MAX_EARLY_CANCELLATIONS
+        if excess > 0:
+            event("cancellations_dropped", "WARNING", number=excess)
+        expired = [
+            job_id
+            for number, (job_id, (_, read_ms)) in enumerate(
+                self._records.items()
+            )
+            if number < excess or now_ms - read_ms > retention_ms
+        ]
+        return {record.key for job in expired for record in self.pop(job)}
--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -59,6 +59,10 @@
 MAX_BATCH_RECORDS = 64
 
 
+class OtherQueueError(JobNotFoundError):
+    """The job is one of another queue."""
+
+
 class _PendingRecords:
     """Records of one caller in the queue and the future that it awaits."""
 
@@ -211,9 +215,9 @@
     async def cancel(self, job_id: str, queue: str, deadline_ms: float) -> None:
         """Cancels a job of a queue.
 
-        While the owner is unavailable, a cancellation is accepted without a
-        check that the job exists. It names the queue, so that it does not
-        cancel a job of another queue.
+        The cancellation is stored even if the owner is unavailable or does not
+        know the job, as another node may be about to store the job. It names
+        the queue, so that it does not cancel a job of another queue.
 
         Args:
             job_id: Id of the job.
@@ -228,9 +232,11 @@
         try:
             state = await self._query_state(job_id, queue)
         except PeerUnavailableError:
-            state = ""
-        except JobNotFoundError:
+            state = "unknown"
+        except OtherQueueError:
             raise RequestError(ErrorKind.JOB_GONE, job_id) from None
+        except JobNotFoundError:
+            state = "not_found"
         if state not in FINAL_STATES:
             left_ms = deadline_ms - (self._clock.now_ms() - start_ms)
             value = encode_cancellation(queue)
@@ -239,7 +245,9 @@
                 for key in cancellation_keys(job_id, queue)
             ]
             await self._appender.append(records, left_ms - RESPONSE_RESERVE_MS)
-        event("job_cancelled", job=job_id, state=state or "unknown")
+        event("job_cancelled", job=job_id, state=state)
+        if state == "not_found":
+            raise RequestError(ErrorKind.JOB_GONE, job_id)
 
     async def state(self, job_id: str, queue: str, deadline_ms: float) -> str:
         """Returns the state of a job of a queue.
@@ -298,13 +306,14 @@
         """Returns the state of a job of a queue.
 
         Raises:
-            JobNotFoundError: If the queue has no such job.
+            JobNotFoundError: If the queue has no such job; `OtherQueueError`
+                if another queue has it.
             PeerUnavailableError: If the owner is unavailable.
         """
         status = await self._query_status(job_id)
         # An owner of a former release does not tell the queue.
         if status.queue not in ("", queue):
-            raise JobNotFoundError(f"{job_id} is a job of another queue")
+            raise OtherQueueError(job_id)
         return status.state
 
     async def _query_status(self, job_id: str) -> JobStatus:
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -914,7 +914,8 @@
     async def _purge(self, now_ms: float) -> None:
         """Deletes stray records and those of expired jobs and removed workers.
 
-        A job expires some time after its final state has been stored.
+        A job expires some time after its final state has been stored, and a
+        cancellation of a job that is not known after the same time.
         """
         expired_jobs = [
             job.spec
@@ -940,8 +941,12 @@
                 ACCEPTED_PREFIX + spec.id,
             ]
             groups.append([KeyedRecord(key, None) for key in keys])
+        applier = self._record_applier
+        applier.stray_keys |= applier.early_cancellations.pop_expired(
+            now_ms, self._retention_ms
+        )
         strays = self._stray_chunks()
-        strays += sorted(self._record_applier.stray_keys)
+        strays += sorted(applier.stray_keys)
         if self._settled_recorded:
             epochs = self._predecessor.witnesses
             strays += [f"{WITNESSES_PREFIX}{epoch}" for epoch in epochs]
@@ -963,8 +968,8 @@
             worker for worker in removed if WORKER_KEY_PREFIX + worker in stored
         )
         for key in stored.intersection(strays):
-            self._record_applier.stray_chunks.pop(key, None)
-            self._record_applier.stray_keys.discard(key)
+            applier.stray_chunks.pop(key, None)
+            applier.stray_keys.discard(key)
             if key.startswith(WITNESSES_PREFIX):
                 epoch = int(key.removeprefix(WITNESSES_PREFIX))
                 self._predecessor.witnesses.pop(epoch, None)
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -26,6 +26,7 @@
     decode_record,
     decode_spec,
 )
+from limpetyard.node._early_cancellations import EarlyCancellations
 from limpetyard.node._order_permit import decode_witnesses
 from limpetyard.node._store_layout import (
     PLACES_KEY,
@@ -58,6 +59,7 @@
         stray_keys: Keys of records that are of no use, to be deleted.
         stray_chunks: Chunks, by key, of jobs that are not known: an owner that
             knows no chunks has deleted the job.
+        early_cancellations: Cancellations of jobs that have not been read.
     """
 
     __slots__ = (
@@ -68,6 +70,7 @@
         "_parse_worker_entry",
         "_recorded_workers",
         "_wall_ms",
+        "early_cancellations",
         "stray_keys",
         "stray_chunks",
     )
@@ -103,6 +106,7 @@
         self._recorded_workers: dict[str, RecordedState] = {}
         self.stray_keys: set[str] = set()
         self.stray_chunks: dict[str, bytes] = {}
+        self.early_cancellations = EarlyCancellations()
 
     def places_epoch(self) -> int:
         """Returns the epoch of the latest owner that stored places.
@@ -221,6 +225,8 @@
         self._engine.add_job(spec, submitted_ms, loaded)
         if not known and not loaded:
             event("job_read", job=spec.id, queue=spec.queue.name, age_ms=age_ms)
+        for cancellation in self.early_cancellations.pop(spec.id):
+            self._apply_cancelled(cancellation, loaded)
 
     def _apply_progress(self, record: StoredRecord, loaded: bool) -> None:
         """Applies progress that was loaded.
@@ -242,8 +248,12 @@
         chunks[record.key] = record.value
 
     def _apply_cancelled(self, record: StoredRecord, loaded: bool) -> None:
+        """Cancels a job, at once or when it is read."""
+        self.stray_keys.discard(record.key)
         job = self._engine.jobs.get(cancelled_job(record.key))
         if job is None:
+            self.early_cancellations.add(record, self._clock.now_ms())
+            event("cancellation_kept", key=record.key)
             return
         queue = job.spec.queue.name
         if cancels_jobs_of(record.value, queue):
--- a/tests/node/test_job_service.py
+++ b/tests/node/test_job_service.py
@@ -6,7 +6,9 @@
 
 from limpetyard.errors import RequestError
 from limpetyard.jobs import JobSpec, StepSpec
+from limpetyard.node._store_layout import JOBS_TOPIC
 from standins.platform import SimulatedSite
+from standins.platform._history import RunStarted
 from standins.platform._site import DEADLINE_MS, QUEUE
 from tests.node.test_whole_site import SMALL, SiteTestCase
 
@@ -19,6 +21,11 @@
     return JobSpec(ID, QUEUE, "payload", (StepSpec(2, SMALL, run_ms),))
 
 
+def stored_keys(site: SimulatedSite) -> set[str]:
+    """Returns the keys of the jobs topic that have a value."""
+    return set(site.store.partition(JOBS_TOPIC, 0).latest)
+
+
 class OtherQueueTest(SiteTestCase):
     """Callers of a queue that use the id of another queue's job."""
 
@@ -90,3 +97,75 @@
             self.assertEqual(state, "cancelled")
 
         self.run_scenario(scenario)
+
+
+class StoredLateTest(SiteTestCase):
+    """Guards against UNASKED: a job is stored after its cancellation."""
+
+    def cancel_before_store(
+        self, of_owner: bool, kind: str | None, lose_owner: bool = False
+    ) -> None:
+        """Cancels a job while the node that has it cannot store it.
+
+        Args:
+            of_owner: Whether that is the node that owns the cell.
+            kind: Kind of error in the reply to the cancellation, if any.
+            lose_owner: Whether the owner is killed between the two.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            owner = site.owner()
+            others = [host for host in site.hosts if host is not owner]
+            cut, other = (owner if of_owner else others[0]), others[1]
+            cut.store_link.cut = True
+            site.history.submitted[ID] = job()
+            with self.assertRaises(RequestError):
+                await cut.job_service.submit(job(), 500)
+            site.history.cancel_requests.add(ID)
+            cancelling = other.job_service.cancel(ID, QUEUE.name, DEADLINE_MS)
+            if kind is None:
+                await cancelling
+            else:
+                with self.assertRaises(RequestError) as caught:
+                    await cancelling
+                self.assertEqual(caught.exception.kind.value, kind)
+            if lose_owner:
+                await site.kill_node(owner)
+                while site.owner() is None:
+                    await asyncio.sleep(0.1)
+            cut.store_link.cut = False
+            await asyncio.sleep(10)
+            self.assertIn(f"s/{ID}", stored_keys(site))
+            self.assertEqual(list(site.history.of(RunStarted)), [])
+            self.assertEqual(await site.query_state(ID), "cancelled")
+
+        self.run_scenario(scenario)
+
+    def test_node_of_the_owner(self):
+        """The cancellation is accepted without the owner."""
+        self.cancel_before_store(of_owner=True, kind=None)
+
+    def test_another_node(self):
+        """The owner does not know the job: the caller gets 410."""
+        self.cancel_before_store(of_owner=False, kind="job_gone")
+
+    def test_owner_lost_in_between(self):
+        """The next owner finds the cancellation in the store."""
+        self.cancel_before_store(
+            of_owner=False, kind="job_gone", lose_owner=True
+        )
+
+    def test_id_is_free_after_retention(self):
+        """A cancellation of no job expires, and its records are deleted."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            service = site.owner().job_service
+            with self.assertRaises(RequestError):
+                await service.cancel(ID, QUEUE.name, DEADLINE_MS)
+            self.assertIn(f"c/{ID}", stored_keys(site))
+            await asyncio.sleep(130)
+            self.assertNotIn(f"c/{ID}", stored_keys(site))
+            self.assertTrue(await site.submit(job()))
+            await self.complete(site, range(1, 2))
+
+        self.run_scenario(scenario)
