Start steps after running ones without waiting for a lost worker

Cause: a new owner takes it that any task of a job that it inherits may run on any worker that has not answered, also tasks whose step could not have been started yet.

Change: when a worker lists an earlier owner's run to the new owner, the steps after it count as not started. The worker has accepted the higher token, so that no earlier owner can learn of the end of that run. Gangs, copies and incarnations with stale leases are left out. The event steps_unstarted tells.

Conclusion: the token orders what workers tell. What remains are runs on the lost worker itself.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -318,6 +318,11 @@
         ("task", "run", "worker"),
         "A start order was not sent, as the run must not start any more.",
     ),
+    "steps_unstarted": EventKind(
+        ("after", "tasks"),
+        "A worker runs a task that an earlier owner started: that owner has"
+        " started none of the given number of tasks that come after it.",
+    ),
     "stop_unanswered": EventKind(
         ("worker", "reason"), "A worker did not answer a stop order."
     ),
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -604,6 +604,8 @@
             if is_needed:
                 # No owner starts a run while another one may exist, except for
                 # late orders to a worker that has restarted.
+                if task.may_be_running:
+                    self._exclude_later_steps(worker, job, task, now_ms)
                 task.put_on(worker.id, worker.born, report.run)
                 job.dirty |= task.step.long_running
                 job.mark_running()
@@ -627,6 +629,31 @@
         )
         return run
 
+    def _exclude_later_steps(
+        self, worker: Worker, job: Job, task: Task, now_ms: float
+    ) -> None:
+        """Excludes runs of earlier owners of the steps after a task's step.
+
+        An earlier owner starts such a step once a worker has told it of the end
+        of this task. The run exists, and from now on its worker tells earlier
+        owners nothing. This says nothing of a gang, as another worker may tell
+        of the end, of copies, and of a run that a late order to an earlier
+        incarnation may have started again.
+
+        Args:
+            worker: Worker that has reported the run, with a confirmed token.
+            job: Job of the task.
+            task: Task with an earlier owner's run.
+            now_ms: Current time.
+        """
+        is_only_run = not (task.step.gang or task.step.copies)
+        if not is_only_run or now_ms < worker.stale_lease_end_ms:
+            return
+        _, occurrence, step, _ = task.key
+        tasks = job.exclude_inherited_runs(occurrence, step)
+        if tasks:
+            event("steps_unstarted", after=task.key.name, tasks=tasks)
+
     def _release_run(
         self, worker: Worker, run: WorkerRun, now_ms: float
     ) -> None:
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -359,6 +359,30 @@
         for task in self.tasks.values():
             task.may_be_running = True
 
+    def exclude_inherited_runs(self, occurrence: int, after: int) -> int:
+        """Records that no earlier owner has started what follows a step.
+
+        Args:
+            occurrence: The occurrence.
+            after: Number of the step, of which no earlier owner can know that
+                it is done.
+
+        Returns:
+            Number of waiting tasks that may have had a run before.
+        """
+        later = {after}
+        changed = 0
+        for number, step in enumerate(self.spec.steps):
+            if number == after or later.isdisjoint(step.after):
+                continue
+            later.add(number)
+            for task in self.waiting_tasks(occurrence, number):
+                if task.may_be_running and not task.run:
+                    task.may_be_running = False
+                    task.possible_worker = ""
+                    changed += 1
+        return changed
+
     def forget_places(self) -> None:
         """Records that long-running tasks may have been started anywhere."""
         self.places_known = False
