Store which incarnation of a worker has begun a run

Cause: a later incarnation may carry out a late start. The next owner could not know that the start had been answered, so that there was none, and waited for 12 s and the longest lease.

Change: once the present incarnation is known to have begun a run, by a report or by its clock in the reply, the owner stores it with the progress of the job, 0.3 s later at most (AnsweredPlace). A later owner does not wait for a later incarnation of that worker. For that, no owner starts the task there until the store has forgotten it, places count only once orders of earlier owners are over, and only if all owners since are of this release, by their member names. StepWorkerClient.start returns the clock beside the result; the tests' fakes follow.

Conclusion: what is left is the doubt about starts without a reply and about those of the last 0.3 s.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -51,6 +51,7 @@
     lease_bound_ms,
 )
 from limpetyard.jobs import (
+    AnsweredPlace,
     Job,
     JobSpec,
     Resources,
@@ -82,6 +83,10 @@
 # longer than that of the worker, so that other tasks get a turn.
 MAX_REJECTED_BACKOFF_MS = 1600
 
+# Time after which the answered places of running tasks are stored. Those of
+# shorter tasks never are, and those of one such time share an append.
+ANSWERS_DELAY_MS = 300
+
 # A worker whose directory entry is missing for longer than this counts as
 # departed. After an outage of the store, entries are back within two seconds.
 MISSING_ENTRY_GRACE_MS = 2500
@@ -104,16 +109,19 @@
         received_ends: Incarnation of each worker and number of its last ended
             run that was processed, by worker id.
         places: Long-running tasks whose place changes, and the new place.
+        answers: Tasks whose `recorded_answers` change, and the new ones.
     """
 
-    __slots__ = ("jobs", "places", "received_ends")
+    __slots__ = ("answers", "jobs", "places", "received_ends")
 
     def __init__(
         self,
         jobs: dict[str, str],
         received_ends: dict[str, tuple[int, int]],
         places: list[tuple[Task, str]],
+        answers: list[tuple[Task, frozenset[str]]],
     ):
+        self.answers = answers
         self.jobs = jobs
         self.received_ends = received_ends
         self.places = places
@@ -148,6 +156,7 @@
     """
 
     __slots__ = (
+        "_answers_since_ms",
         "_census",
         "_offered_loads",
         "_pace",
@@ -155,6 +164,7 @@
         "_removed_incarnations",
         "_run_end_handler",
         "_takeover_progress",
+        "_unstored_answers",
         "_workers_by_job",
         "crashes",
         "dirty_workers",
@@ -204,6 +214,10 @@
         # Number of incarnations of each dropped worker, by id.
         self._removed_incarnations: dict[str, int] = {}
         self.unstored_jobs: set[str] = set()
+        # Ids of jobs with answered places that are not stored, and since when
+        # there are any.
+        self._unstored_answers: set[str] = set()
+        self._answers_since_ms = 0.0
 
     def add_job(self, spec: JobSpec, now_ms: float, loaded: bool) -> Job:
         """Adds an accepted job and returns it; idempotent by id.
@@ -553,6 +567,7 @@
             self._mark_begun(worker, run)
             worker.settle_start(run)
             run.apply_report(report, now_ms)
+            self._note_answered(worker, run, now_ms)
             if (
                 not run.proven
                 and run.acked_ms is not None
@@ -606,7 +621,14 @@
                 # late orders to a worker that has restarted.
                 if task.may_be_running:
                     self._exclude_later_steps(worker, job, task, now_ms)
+                answered = task.inherited_answer
+                is_answered = report.run == task.run and (
+                    worker.id,
+                    worker.born,
+                ) == (answered and answered[:2])
                 task.put_on(worker.id, worker.born, report.run)
+                if is_answered:
+                    task.answered = answered
                 job.dirty |= task.step.long_running
                 job.mark_running()
                 job.started_ms = now_ms
@@ -617,7 +639,7 @@
             # It may have been over its target since long before.
             run.over_since_ms = now_ms - adopted_strain_ms(self.params)
         run.acked_ms = now_ms
-        run.unanswered_start = True
+        run.unanswered_start = task is None or task.answered is None
         run.proven = task is None or not task.crash_score
         self.add_run(worker, run)
         event(
@@ -681,9 +703,54 @@
             task.fire("release")
             task.worker = ""
             task.idle_since_ms = now_ms
-            if task.step.long_running:
+            task.answered = None
+            if task.step.long_running or task.recorded_answers:
                 self.jobs[task.key.job].dirty = True
 
+    def withdraw_answer(self, task: Task) -> None:
+        """Has the store forget the answered place of a task that may start.
+
+        Once it has, the task may also start on that worker.
+        """
+        if task.answered is not None:
+            task.answered = None
+            self.jobs[task.key.job].dirty = True
+
+    def _note_answered(
+        self, worker: Worker, run: WorkerRun, now_ms: float
+    ) -> None:
+        """Records the answered place of a task, once it is known.
+
+        Late orders of earlier owners are over by then. Tasks of which copies
+        may run, and members of gangs, have none.
+        """
+        job = self.open_jobs.get(run.task.job)
+        task = job and job.task(*run.task[1:])
+        if (
+            task is None
+            or task.answered is not None
+            or (task.worker, task.run) != (worker.id, run.run)
+            or run.state is not RunState.RUNNING
+            or run.may_outlast_incarnation(now_ms)
+            or task.start_doubt is not None
+            or task.step.gang
+            or task.step.copies
+        ):
+            return
+        late_orders_end_ms = self.predecessor_until_ms + MAX_ORDER_DELAY_MS
+        if job.inherited and now_ms < late_orders_end_ms:
+            return
+        task.answered = AnsweredPlace(worker.id, worker.born, self.epoch)
+        if not self._unstored_answers:
+            self._answers_since_ms = now_ms
+        self._unstored_answers.add(job.spec.id)
+
+    def store_answers(self) -> None:
+        """Has the answered places stored that are not stored yet."""
+        for job_id in self._unstored_answers & self.open_jobs.keys():
+            self.open_jobs[job_id].dirty = True
+        self._unstored_answers.clear()
+
     def _start_incarnation(
         self, worker: Worker, born: int, now_ms: float
     ) -> None:
@@ -764,7 +831,11 @@
         self.doubts.add(effect.task, StartDoubt(effect.worker, born, sent_ms))
 
     def on_start_reply(
-        self, effect: Start, result: StartResult | None, now_ms: float
+        self,
+        effect: Start,
+        result: StartResult | None,
+        now_ms: float,
+        clock_ms: float | None = None,
     ) -> None:
         """Handles the reply to a start order.
 
@@ -776,6 +847,8 @@
             effect: The `Start` that was executed.
             result: Result in the reply, or None if no reply arrived.
             now_ms: Current time.
+            clock_ms: Reading of the worker's clock in a reply that has just
+                arrived, or None.
         """
         worker = self.workers.get(effect.worker)
         run = worker and worker.runs.get((effect.task, effect.run))
@@ -793,6 +866,10 @@
             if run.state is RunState.ORDERED:
                 run.state = RunState.RUNNING
             self._record_job_start(effect.task.job, now_ms)
+            run.answered_here = clock_ms is not None and worker.shows_clock(
+                clock_ms, run.start_sent_ms, now_ms
+            )
+            self._note_answered(worker, run, now_ms)
             return
         if result is None:
             worker.record_silent_start(now_ms)
@@ -930,6 +1007,8 @@
         """
         self._expire_leases(now_ms)
         self.doubts.end_over(now_ms)
+        if now_ms - self._answers_since_ms >= ANSWERS_DELAY_MS:
+            self.store_answers()
         effects: list[Effect] = self._due_stops(now_ms)
         effects += self._planner.place(
             now_ms, wall_ms, max_starts, max_unrecorded
@@ -991,14 +1070,22 @@
         }
         self.dirty_workers = False
         places: list[tuple[Task, str]] = []
+        answers: list[tuple[Task, frozenset[str]]] = []
         for job in jobs:
             job.dirty = False
+            self._unstored_answers.discard(job.spec.id)
+            for task in job.tasks.values():
+                if task.answered is None and not task.recorded_answers:
+                    continue
+                stored = frozenset((task.answered or ())[:1])
+                task.recorded_answers |= stored
+                answers.append((task, stored))
             for task in job.long_running_tasks():
                 if task.recorded_place != task.place:
                     task.recorded_place = None
                     places.append((task, task.place))
         return jobs, ChangeBatch(
-            {j.spec.id: j.state for j in jobs}, received_ends, places
+            {j.spec.id: j.state for j in jobs}, received_ends, places, answers
         )
 
     def unstarted_tasks(self) -> tuple[TaskKey, ...]:
@@ -1106,6 +1193,9 @@
         for task, place in batch.places:
             if task.key.job not in left_out:
                 task.recorded_place = place
+        for task, stored in batch.answers:
+            if task.key.job not in left_out:
+                task.recorded_answers = stored
         for worker_id, (born, last_received_end) in batch.received_ends.items():
             worker = self.workers.get(worker_id)
             if worker is not None and worker.born == born:
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -7,7 +7,7 @@
 import collections
 import itertools
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from limpetyard._events import event
@@ -98,7 +98,7 @@
             Starts, and requests for advice that must precede starts.
         """
         unconfirmed = self._unconfirmed_workers(now_ms)
-        unconfirmed_by_service = _by_service(unconfirmed)
+        unconfirmed_by_service = _by_service(unconfirmed.values())
         restarted = self._restarted_workers(now_ms)
         self._confirm_places(unconfirmed, now_ms)
         self._placed = []
@@ -127,10 +127,12 @@
                 continue
             waiting = _startable(
                 job.waiting_tasks(occurrence, step),
-                unconfirmed_by_service.get(service, ()),
+                unconfirmed_by_service.get(service, {}),
                 restarted,
                 now_ms,
             )
+            for task in waiting:
+                self._engine.withdraw_answer(task)
             waiting = [
                 task
                 for task in waiting
@@ -173,7 +175,7 @@
                 break
             waiting = _startable(
                 job.waiting_tasks(occurrence, step),
-                unconfirmed_by_service.get(service, ()),
+                unconfirmed_by_service.get(service, {}),
                 restarted,
                 now_ms,
             )
@@ -298,7 +300,7 @@
             job.make_due(job.due + 1)
             job.dirty = True
 
-    def _unconfirmed_workers(self, now_ms: float) -> dict[str, str]:
+    def _unconfirmed_workers(self, now_ms: float) -> dict[str, Worker]:
         """Returns the workers on which earlier runs may exist.
 
         These are runs of an earlier owner or of an earlier incarnation. Such a
@@ -306,11 +308,11 @@
         earlier leases may not have expired.
 
         Returns:
-            Service of each of these workers, by worker id.
+            These workers by id.
         """
         certain_ms = min(now_ms, self._engine.confirmed_ms)
         return {
-            worker.id: worker.entry.service
+            worker.id: worker
             for worker in self._engine.workers.values()
             if not worker.token_confirmed
             and certain_ms < worker.prior_lease_end_ms
@@ -327,14 +329,15 @@
         }
 
     def _confirm_places(
-        self, unconfirmed: Mapping[str, str], now_ms: float
+        self, unconfirmed: Mapping[str, Worker], now_ms: float
     ) -> None:
         """Confirms the places of the jobs of each service that is confirmed."""
         if now_ms < self._engine.predecessor_until_ms:
             return
+        services = {worker.entry.service for worker in unconfirmed.values()}
         for job in self._engine.open_jobs.values():
             service = job.spec.queue.service
-            if not job.places_known and service not in unconfirmed.values():
+            if not job.places_known and service not in services:
                 job.confirm_places()
 
     def _candidates(self, service: str, now_ms: float) -> list[Candidate]:
@@ -545,6 +548,8 @@
                     continue
             else:
                 candidate = ranking.choose(task)
+            if candidate is None and task.recorded_answers:
+                continue
             if candidate is None:
                 break
             if task.step.long_running:
@@ -586,6 +591,7 @@
             candidate
             for candidate in service_round.labelled(step.label)
             if candidate.accepts_trial(step)
+            and candidate.worker.id not in task.recorded_answers
             and candidate.allows(step, step_key)
             and (
                 job.spec.queue.advice is None
@@ -731,11 +737,12 @@
         )
 
 
-def _by_service(unconfirmed: Mapping[str, str]) -> dict[str, set[str]]:
-    """Returns ids of workers by their service, given the reverse."""
-    by_service: dict[str, set[str]] = {}
-    for worker_id, service in unconfirmed.items():
-        by_service.setdefault(service, set()).add(worker_id)
+def _by_service(workers: Iterable[Worker]) -> dict[str, dict[str, int]]:
+    """Returns the incarnations of workers, by service and id."""
+    by_service: dict[str, dict[str, int]] = {}
+    for worker in workers:
+        service = by_service.setdefault(worker.entry.service, {})
+        service[worker.id] = worker.born
     return by_service
 
 
@@ -752,7 +759,7 @@
 
 def _startable(
     waiting: list[Task],
-    unconfirmed: Collection[str],
+    unconfirmed: Mapping[str, int],
     restarted: Collection[str],
     now_ms: float,
 ) -> list[Task]:
@@ -760,8 +767,8 @@
 
     Args:
         waiting: Waiting tasks.
-        unconfirmed: Ids of the workers of the service on which runs of an
-            earlier owner may exist.
+        unconfirmed: Incarnations, by id, of the workers of the service on
+            which runs of an earlier owner may exist.
         restarted: Ids of the workers, of any service, on which tasks of before
             their restart may run.
         now_ms: Current time.
@@ -852,6 +859,11 @@
 ) -> Candidate | None:
     """Returns the first worker on which the doubt of a task lets it start."""
     if task.start_doubt is None:
-        return candidates[0] if candidates else None
+        allowed = (
+            candidate
+            for candidate in candidates
+            if candidate.worker.id not in task.recorded_answers
+        )
+        return next(allowed, None)
     place = service_round.doubted_place(task)
     return place if place in candidates else None
--- a/src/limpetyard/engine/_ranking.py
+++ b/src/limpetyard/engine/_ranking.py
@@ -82,15 +82,21 @@
         """Returns the best worker for a task, or None.
 
         Avoids, if there are others, the worker where the task failed last and,
-        once it has failed, all workers with recent failures.
+        once it has failed, all workers with recent failures. Never returns one
+        of `Task.recorded_answers`.
         """
         self._update_scores()
         if task.has_failed:
-            return self._choose_after_failure(task)
+            return self._choose_other(task)
         heap = self._heap
         while heap and self._entries.get(heap[0][3]) is not heap[0]:
             heapq.heappop(heap)
-        return heap[0][3] if heap else None
+        if not heap:
+            return None
+        best: Candidate = heap[0][3]
+        if best.worker.id in task.recorded_answers:
+            return self._choose_other(task)
+        return best
 
     def choose_only(self, candidate: Candidate | None) -> Candidate | None:
         """Returns a worker if it may get a task, or None."""
@@ -98,14 +104,19 @@
         is_suitable = self._entries.get(candidate) is not None
         return candidate if is_suitable else None
 
-    def _choose_after_failure(self, task: Task) -> Candidate | None:
+    def _choose_other(self, task: Task) -> Candidate | None:
+        allowed = {
+            candidate: entry
+            for candidate, entry in self._entries.items()
+            if candidate.worker.id not in task.recorded_answers
+        }
         others = [
             entry
-            for candidate, entry in self._entries.items()
+            for candidate, entry in allowed.items()
             if candidate.worker.id != task.avoided_worker
             and not (task.failure_count and candidate.worker.failures)
         ]
-        entries = others or self._entries.values()
+        entries = others or allowed.values()
         best = min((e for e in entries if e is not None), default=None)
         return None if best is None else best[3]
 
@@ -217,6 +228,8 @@
         """
         candidate = self._by_id.get(task.recorded_place)
         step = task.step
+        if task.recorded_place in task.recorded_answers:
+            return None
         if candidate is None or (
             step.label and step.label not in candidate.entry.labels
         ):
@@ -231,6 +244,8 @@
         """
         doubt = task.start_doubt
         candidate = self._by_id.get(doubt.worker)
+        if doubt.worker in task.recorded_answers:
+            return None
         if candidate is None or candidate.worker.born != doubt.born:
             return None
         if candidate.worker.silent_starts >= MAX_SILENT_STARTS:
--- a/src/limpetyard/engine/_step_worker_client.py
+++ b/src/limpetyard/engine/_step_worker_client.py
@@ -195,6 +195,18 @@
     INVALID = "invalid"
 
 
+class StartReply(msgspec.Struct, frozen=True):
+    """Reply of a worker to a start order.
+
+    Attributes:
+        result: The result.
+        clock_ms: Reading of the worker's clock, or None if it cannot be read.
+    """
+
+    result: StartResult
+    clock_ms: float | None = None
+
+
 class PaceOrder(msgspec.Struct, frozen=True):
     """Limits a run to a percentage of its full speed."""
 
@@ -227,7 +239,7 @@
     ) -> PollReply:
         """Renews the lease and returns the worker's reports."""
 
-    async def start(self, entry: WorkerEntry, order: StartOrder) -> StartResult:
+    async def start(self, entry: WorkerEntry, order: StartOrder) -> StartReply:
         """Starts a run."""
 
     async def stop(
--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -13,6 +13,7 @@
     withheld_workers,
 )
 from limpetyard.engine._ranking import ServiceRound
+from limpetyard.engine._worker import Worker
 from limpetyard.jobs import Job, Task
 
 if TYPE_CHECKING:
@@ -65,8 +66,8 @@
     Attributes:
         now_ms: Time of the round.
         rounds: Workers by service, of the services that were looked at.
-        unconfirmed: Service of each worker on which a run of an earlier owner
-            or incarnation may exist, by worker id.
+        unconfirmed: Workers on which a run of an earlier owner or incarnation
+            may exist, by id.
         starts_left: Number of starts that were not used.
         restarted: Ids of the workers on which tasks of before their restart may
             run.
@@ -85,7 +86,7 @@
         self,
         now_ms: float,
         rounds: dict[str, ServiceRound],
-        unconfirmed: dict[str, str],
+        unconfirmed: dict[str, Worker],
         starts_left: float,
         restarted: Collection[str] = (),
     ):
@@ -245,10 +246,14 @@
 def _earlier_owner(step: WaitingStep, state: RoundState) -> str | None:
     """A run of an earlier owner may exist on a worker."""
     service = step.job.spec.queue.service
-    workers = [w for w, other in state.unconfirmed.items() if other == service]
+    workers = {
+        worker.id: worker.born
+        for worker in state.unconfirmed.values()
+        if worker.entry.service == service
+    }
     if not step.task.may_run_on(workers):
         return None
-    return f"unconfirmed: {step.task.possible_worker or workers[0]}"
+    return f"unconfirmed: {step.task.possible_worker or next(iter(workers))}"
 
 
 @REASONS.register("no_room")
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -22,6 +22,9 @@
 # older than the arrival of the reply.
 LEASE_SLACK_MS = 100
 
+# Readings of a worker's clock are rounded down to this.
+CLOCK_UNIT_MS = 1
+
 # Longest time after which an order without a reply is still carried out.
 MAX_ORDER_DELAY_MS = 12_000
 
@@ -152,6 +155,8 @@
             incarnation.
         unanswered_start: Whether a start order got no reply.
         reported: Whether the worker has reported the run, or its end.
+        answered_here: Whether the reply to a start order is known to be one of
+            the present incarnation; see `Worker.shows_clock`.
         checkpoint: Latest checkpoint that was reported.
         speed_percent: Share of its full speed that the run was last given.
         at_full_speed: Whether the last report showed the run at 100 % speed.
@@ -172,6 +177,7 @@
 
     __slots__ = (
         "acked_ms",
+        "answered_here",
         "at_full_speed",
         "began",
         "began_in_doubt",
@@ -211,6 +217,7 @@
         self.start_in_flight = False
         self.unanswered_start = False
         self.reported = False
+        self.answered_here = False
         self.checkpoint = ""
         self.speed_percent = 100
         self.at_full_speed = False
@@ -233,9 +240,10 @@
 
         It may have accepted, or may still accept, a start order that the
         present one has not answered. An answered one counts once the present
-        one has reported the run, as the reply does not tell the incarnation.
+        one has reported the run, or by the clock in the reply, as that does not
+        tell the incarnation.
         """
-        if not self.reported:
+        if not (self.reported or self.answered_here):
             return self.may_exist
         return (
             self.unanswered_start
@@ -818,6 +826,27 @@
             self._clock_ms = clock_ms
             self._clock_read_ms = at_ms
 
+    def shows_clock(
+        self, clock_ms: float, sent_ms: float, now_ms: float
+    ) -> bool:
+        """Returns whether a reading can be one of this incarnation's clock.
+
+        The clock of each incarnation starts anew. A reading that arrives late
+        counts as one of another incarnation.
+
+        Args:
+            clock_ms: The reading, in the reply to an order.
+            sent_ms: When the order was sent.
+            now_ms: When the reply arrived.
+        """
+        if self._clock_read_ms is None:
+            return False
+        since_ms = sent_ms - self._clock_read_ms
+        slowest = MIN_CLOCK_RATE if since_ms > 0 else 1 / MIN_CLOCK_RATE
+        earliest_ms = self._clock_ms + since_ms * slowest - CLOCK_UNIT_MS
+        latest_ms = self._clock_ms + now_ms - self._clock_read_ms
+        return earliest_ms <= clock_ms <= latest_ms + LEASE_SLACK_MS
+
     def is_responsive(self, now_ms: float) -> bool:
         """Returns whether the worker replied to a poll recently."""
         if self.replied_ms is None:
--- a/src/limpetyard/jobs/__init__.py
+++ b/src/limpetyard/jobs/__init__.py
@@ -4,7 +4,14 @@
 `limpetyard.daemon`.
 """
 
-from limpetyard.jobs._job import FINAL_STATES, Job, StartDoubt, Task, TaskKey
+from limpetyard.jobs._job import (
+    FINAL_STATES,
+    AnsweredPlace,
+    Job,
+    StartDoubt,
+    Task,
+    TaskKey,
+)
 from limpetyard.jobs._records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -47,6 +54,7 @@
     "CHUNK_PREFIX",
     "PROGRESS_PREFIX",
     "AdviceParams",
+    "AnsweredPlace",
     "InvalidJobError",
     "Job",
     "JobProgress",
--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -1,6 +1,6 @@
 """State of a job and its tasks."""
 
-from collections.abc import Collection, Iterator
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
 from limpetyard._chart import StateChart
@@ -47,6 +47,23 @@
     sent_ms: float
 
 
+class AnsweredPlace(NamedTuple):
+    """The only incarnation that can have a run of a task, or had one.
+
+    It has begun the latest run, and no start order of the task is left that
+    another incarnation of its worker may carry out.
+
+    Attributes:
+        worker: Id of the worker.
+        born: Incarnation of the worker.
+        epoch: Epoch of the owner that knew this first.
+    """
+
+    worker: str
+    born: int
+    epoch: int
+
+
 class Task:
     """One task and the state of its runs.
 
@@ -84,6 +101,12 @@
             none, or None if it may exist on any.
         recorded_place: What the store has as `place`, or None while an append
             that changes it is in progress.
+        answered: Place of the latest run once that is known to be answered, as
+            it is stored; kept while an earlier owner's run may exist. Or None.
+        inherited_answer: `answered` of an earlier owner that this owner may
+            rely on, until the task is placed, or None.
+        recorded_answers: Workers that the store may have as `answered`. The
+            task is not started there, as a later owner would not expect it.
         restarted_worker: Worker that restarted with a run of the task, or "". A
             late order to its earlier incarnation may start that run again until
             the worker is confirmed.
@@ -99,6 +122,7 @@
 
     __slots__ = (
         "_waiting",
+        "answered",
         "begun_run",
         "checkpoint",
         "crash_counted_run",
@@ -109,10 +133,12 @@
         "avoided_worker",
         "failure_count",
         "idle_since_ms",
+        "inherited_answer",
         "isolate_until_ms",
         "key",
         "may_be_running",
         "possible_worker",
+        "recorded_answers",
         "recorded_place",
         "rejections",
         "restarted_worker",
@@ -166,6 +192,9 @@
         self.may_be_running = False
         self.possible_worker: str | None = None
         self.recorded_place: str | None = ""
+        self.answered: AnsweredPlace | None = None
+        self.inherited_answer: AnsweredPlace | None = None
+        self.recorded_answers: frozenset[str] = frozenset()
         self.restarted_worker = ""
         self.start_doubt: StartDoubt | None = None
         self.stray_workers: frozenset[str] = frozenset()
@@ -212,17 +241,29 @@
         earlier = self.restarted_worker or self.possible_worker
         return self.worker or earlier or ""
 
-    def may_run_on(self, unconfirmed: Collection[str]) -> bool:
+    def may_run_on(self, unconfirmed: Mapping[str, int]) -> bool:
         """Returns whether an earlier owner's run may exist on some workers.
 
+        A run that was answered has ended with its incarnation.
+
         Args:
-            unconfirmed: Ids of the workers on which such runs may exist.
+            unconfirmed: Latest known incarnations, by worker id, of the workers
+                on which such runs may exist.
         """
-        if not self.may_be_running:
+        if not self.may_be_running or not unconfirmed:
             return False
+        place = self.inherited_answer
+        free = (
+            place.worker
+            if place is not None
+            and unconfirmed.get(place.worker, 0) > place.born
+            else None
+        )
         if self.possible_worker is None:
-            return bool(unconfirmed)
-        return self.possible_worker in unconfirmed
+            return len(unconfirmed) > (free is not None)
+        return (
+            self.possible_worker in unconfirmed and self.possible_worker != free
+        )
 
     def put_on(self, worker: str, born: int, run: int) -> None:
         """Records that a waiting task has a run on a worker, and nowhere else.
@@ -239,6 +280,7 @@
         self.stored_worker = ""
         self.may_be_running = False
         self.possible_worker = ""
+        self.answered = self.inherited_answer = None
 
     def fire(self, event: str) -> None:
         """Applies an event of the task state machine."""
@@ -480,6 +522,7 @@
             return
         task.fire("finish")
         task.worker = ""
+        task.answered = None
         _, occurrence, step, _ = task.key
         self._remaining[occurrence, step] -= 1
         if not self._remaining[occurrence, step]:
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from limpetyard._events import event
-from limpetyard.jobs._job import FINAL_STATES, JOB_CHART, Job
+from limpetyard.jobs._job import FINAL_STATES, JOB_CHART, AnsweredPlace, Job
 from limpetyard.jobs._occurrences import OccurrenceSet
 from limpetyard.jobs._spec import (
     MAX_AMOUNT,
@@ -62,6 +62,9 @@
         born: Incarnation of that worker.
         place: Worker on which a run of a long-running task may exist, or "";
             see `JobProgress.places_known`.
+        answered_worker: Worker of `Task.answered`, or "".
+        answered_born: Its incarnation.
+        answered_epoch: Epoch of the owner that knew this first.
     """
 
     occurrence: int
@@ -76,6 +79,9 @@
     worker: str = ""
     born: int = 0
     place: str = ""
+    answered_worker: str = ""
+    answered_born: int = 0
+    answered_epoch: int = 0
 
 
 class JobProgress(msgspec.Struct):
@@ -334,6 +340,7 @@
             task.crash_score,
             *task.suspect_place,
             task.place if task.step.long_running else "",
+            *(task.answered or ()),
         )
         for task in job.tasks.values()
         if task.run or task.state == "done"
@@ -379,6 +386,11 @@
             task.possible_worker = task.recorded_place = mark.place
         if mark.done:
             job.mark_task_done(task)
+        elif mark.answered_worker:
+            task.answered = AnsweredPlace(
+                mark.answered_worker, mark.answered_born, mark.answered_epoch
+            )
+            task.recorded_answers = frozenset((mark.answered_worker,))
     if progress.state != job.state:
         job.started_ms = now_ms
     job.state = progress.state
@@ -412,6 +424,8 @@
         mark.failure_count,
         mark.crash_score,
         mark.born,
+        mark.answered_born,
+        mark.answered_epoch,
         *mark.ended_runs,
     )
     return all(0 <= number <= MAX_AMOUNT for number in numbers)
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -37,7 +37,7 @@
 from limpetyard.node._settings import NodeSettings
 from limpetyard.node._site import SiteView
 from limpetyard.node._store_layout import (
-    CLAIMS_MARK,
+    ANSWERS_MARK,
     EXTERNAL_PARTITION,
     OPERATORS_TOPIC,
     member_name,
@@ -157,7 +157,7 @@
         self._adapters = adapters
         self._clock = clock
         self._wall_ms = wall_ms
-        self._nonce = CLAIMS_MARK + uuid.uuid4().hex[:12]
+        self._nonce = ANSWERS_MARK + uuid.uuid4().hex[:12]
         self._owners: dict[int, CellOwner] = {}
         self._former_leases: dict[int, LeaseExpiries] = {}
         # Member names in claims by epoch, by cell.
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -253,7 +253,7 @@
         start any more, or if all connections were refused or orders withheld.
         """
         token = worker.token
-        result = None
+        result = clock_ms = None
         sends = 0
         # Whether an earlier attempt may have been executed.
         may_have_begun = False
@@ -289,7 +289,8 @@
                 queued_ms = now_ms - run.placed_ms
             run.start_in_flight = True
             try:
-                result = await self._workers.start(worker.entry, order)
+                reply = await self._workers.start(worker.entry, order)
+                result, clock_ms = reply.result, reply.clock_ms
                 if may_have_begun and result is not StartResult.STARTED:
                     # The unanswered first attempt may have started a run,
                     # which may have ended already. The result is unknown.
@@ -327,7 +328,9 @@
             sends=sends,
             until_ms=run.start_expires_ms,
         )
-        self._engine.on_start_reply(effect, result, self._clock.now_ms())
+        self._engine.on_start_reply(
+            effect, result, self._clock.now_ms(), clock_ms
+        )
 
     def _grant_start(
         self, worker: Worker, run: WorkerRun, effect: Start, now_ms: float
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -544,6 +544,7 @@
             if not places_trusted:
                 job.forget_places()
         self._inherit_workers()
+        await self._inherit_answers()
         self.engine.predecessor_until_ms = float("inf")
         self.engine.crashes.expect_runs(self._clock.now_ms())
         # What is stored and handed over of earlier owners' runs must be finite.
@@ -581,6 +582,23 @@
         self._inherited_workers = frozenset(inherited)
         self.engine.may_have_stale_orders = self._predecessor.may_have_ordered
 
+    async def _inherit_answers(self) -> None:
+        """Relies on the answered places that all later owners have kept to."""
+        tasks = [
+            task
+            for job in self.engine.open_jobs.values()
+            for task in job.tasks.values()
+            if task.answered is not None
+        ]
+        if not tasks:
+            return
+        since = await self._predecessor.answers_kept_since(
+            min(task.answered.epoch for task in tasks), self.engine.epoch
+        )
+        for task in tasks:
+            if task.answered.epoch >= since:
+                task.inherited_answer = task.answered
+
     async def _has_stored_places(self) -> bool:
         """Returns whether the places of long-running tasks are stored.
 
@@ -1023,6 +1041,7 @@
     async def release(self, reason: str) -> None:
         """Stores pending changes, if time allows, and ends the ownership."""
         if self.deciding:
+            self.engine.store_answers()
             try:
                 async with asyncio.timeout(RELEASE_TIMEOUT_MS / MS_PER_SECOND):
                     await self._persist()
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -30,6 +30,7 @@
     OWNERS_TOPIC,
     member_address,
     member_confirms_by_claims,
+    member_keeps_answers,
     member_needs_witnesses,
     member_stores_places,
 )
@@ -333,6 +334,21 @@
                 return False
         return True
 
+    async def answers_kept_since(self, lowest: int, epoch: int) -> int:
+        """Returns the first epoch after which all owners keep to answers.
+
+        See `ANSWERS_MARK`. What the owner of that epoch has stored counts, too.
+
+        Args:
+            lowest: Lowest epoch that matters.
+            epoch: Epoch of the new ownership.
+        """
+        for owner_epoch in range(epoch - 1, lowest, -1):
+            member = await self._member_of(owner_epoch, epoch)
+            if member is None or not member_keeps_answers(member):
+                return owner_epoch
+        return lowest
+
     async def fence(self, epoch: int) -> None:
         """Fences the previous owners and requests the remaining leases.
 
--- a/src/limpetyard/node/_store_layout.py
+++ b/src/limpetyard/node/_store_layout.py
@@ -54,6 +54,10 @@
 # while it is in the group.
 CLAIMS_MARK = WITNESSES_MARK + "s"
 
+# Begin of the nonce of a member that, in addition, starts a task on a worker
+# that the store has as its `AnsweredPlace` only once the store has it no more.
+ANSWERS_MARK = CLAIMS_MARK + "r"
+
 # Key prefix, before the id, of workers that may have received orders.
 WORKER_KEY_PREFIX = "w/"
 
@@ -94,6 +98,11 @@
     return member_nonce(member).startswith(CLAIMS_MARK)
 
 
+def member_keeps_answers(member: str) -> bool:
+    """Returns whether a member keeps to answers; see `ANSWERS_MARK`."""
+    return member_nonce(member).startswith(ANSWERS_MARK)
+
+
 def member_nonce(member: str) -> str:
     """Returns the random string in a member name, or "" if it has none."""
     parts = member.split("|")
--- a/src/limpetyard/platform/_worker_client.py
+++ b/src/limpetyard/platform/_worker_client.py
@@ -24,6 +24,7 @@
     RunReport,
     StaleTokenError,
     StartOrder,
+    StartReply,
     StartResult,
     Ticket,
     WorkerDisconnectedError,
@@ -34,7 +35,10 @@
 )
 from limpetyard.jobs import TaskKey
 from limpetyard.platform._bounds import Count, Time
-from limpetyard.platform._decode_errors import translate_decode_errors
+from limpetyard.platform._decode_errors import (
+    DECODE_ERRORS,
+    translate_decode_errors,
+)
 
 # One poll and two orders at the same time; connections to workers are
 # expensive.
@@ -138,6 +142,10 @@
     reason: str = ""
 
 
+class _Reading(msgspec.Struct, rename="camel"):
+    clock_ms: Time | None = None
+
+
 class _AdviseRequest(msgspec.Struct):
     step: str
     workers: list[str]
@@ -239,7 +247,7 @@
         )
 
     @translate_decode_errors(WorkerOutcomeUnknownError)
-    async def start(self, entry: WorkerEntry, order: StartOrder) -> StartResult:
+    async def start(self, entry: WorkerEntry, order: StartOrder) -> StartReply:
         """See `limpetyard.engine.StepWorkerClient.start`."""
         body = _RunStartRequest(
             format_task_key(order.task),
@@ -252,15 +260,15 @@
         )
         reply = await self._call(entry, "/run-start", body, ORDER_TIMEOUT_MS)
         if reply.status == 200:
-            return StartResult.STARTED
+            return StartReply(StartResult.STARTED, _read_clock(reply))
         if reply.status in _UNHEALTHY_STATUSES:
-            return StartResult.UNHEALTHY
+            return StartReply(StartResult.UNHEALTHY)
         if reply.status == 409:
             reason = msgspec.json.decode(reply.body, type=_Rejection).reason
             if reason in _START_RESULTS:
-                return _START_RESULTS[reason]
+                return StartReply(_START_RESULTS[reason])
         _check_reply(entry, reply)
-        return StartResult.INVALID
+        return StartReply(StartResult.INVALID)
 
     @translate_decode_errors(WorkerOutcomeUnknownError)
     async def stop(
@@ -372,6 +380,14 @@
         return advised.to_tickets()
 
 
+def _read_clock(reply: HttpResponse) -> float | None:
+    """Returns the clock in a reply; None if there is none to be read."""
+    try:
+        return msgspec.json.decode(reply.body, type=_Reading).clock_ms
+    except DECODE_ERRORS:
+        return None
+
+
 def _check_reply(entry: WorkerEntry, reply: HttpResponse) -> None:
     """Checks a reply for a wrong worker or a stale fencing token only.
 
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -19,6 +19,7 @@
     RunReport,
     StaleTokenError,
     StartOrder,
+    StartReply,
     StartResult,
     WorkerDisconnectedError,
     WorkerDownError,
@@ -558,14 +559,14 @@
             entry, "poll", order.token, lambda m: m.poll(order), timeout_ms
         )
 
-    async def start(self, entry: WorkerEntry, order: StartOrder) -> StartResult:
+    async def start(self, entry: WorkerEntry, order: StartOrder) -> StartReply:
         """See `limpetyard.engine.StepWorkerClient.start`."""
+
+        async def execute(model: WorkerModel) -> StartReply:
+            return StartReply(await model.start(order), model.clock_ms())
+
         return await self._call(
-            entry,
-            "start",
-            order.token,
-            lambda m: m.start(order),
-            ORDER_TIMEOUT_MS,
+            entry, "start", order.token, execute, ORDER_TIMEOUT_MS
         )
 
     async def stop(
--- /dev/null
+++ b/tests/engine/test_answered_places.py
@@ -0,0 +1,119 @@
+"""Tests of what is known, and stored, of runs whose start was answered."""
+
+import unittest
+
+from limpetyard.engine import StartResult
+from limpetyard.engine._engine import ANSWERS_DELAY_MS
+from limpetyard.engine._worker import MAX_ORDER_DELAY_MS
+from limpetyard.jobs import (
+    AnsweredPlace,
+    Job,
+    StepSpec,
+    apply_progress,
+    encode_progress,
+)
+from tests.engine.test_engine import ONE_CORE, EngineTestCase, job
+
+READING_MS = 70_000
+
+
+class AnsweredPlaceTest(EngineTestCase):
+    """A run is known to have begun in the present incarnation."""
+
+    workers = 1
+
+    def start(self, late_clock_ms: float = 0.0, **step):
+        """Starts a task whose start is answered; returns it.
+
+        Args:
+            late_clock_ms: Added to the reading in the reply.
+            **step: Arguments of the step.
+        """
+        step_spec = StepSpec(1, ONE_CORE, **step)
+        self.job = self.engine.add_job(job(1, step_spec), self.now_ms, False)
+        (effect,) = self.engine.plan(self.now_ms, 0.0)
+        worker = self.engine.workers["w-0"]
+        self.now_ms += 1
+        worker.set_clock(READING_MS, self.now_ms)
+        run = worker.runs[effect.task, effect.run]
+        run.add_start_expiry(READING_MS + 1000, self.now_ms)
+        self.now_ms += 200
+        self.engine.on_start_reply(
+            effect,
+            StartResult.STARTED,
+            self.now_ms,
+            READING_MS + 200 + late_clock_ms,
+        )
+        return self.engine.find_task(effect.task)
+
+    def test_clock_of_the_incarnation(self):
+        """The clock in the reply shows which incarnation has begun the run."""
+        self.assertEqual(self.start().answered, AnsweredPlace("w-0", 1, 3))
+
+    def test_clock_of_another_incarnation(self):
+        """TWICE: a later incarnation, not known yet, may have begun it."""
+        for late_clock_ms in (-READING_MS, -250.0, 150.0, 10_000.0):
+            with self.subTest(late_clock_ms):
+                self.setUp()
+                self.assertIsNone(self.start(late_clock_ms).answered)
+
+    def test_other_kinds_of_tasks(self):
+        """Gangs and tasks of which copies run start in several places."""
+        for step in ({"gang": True}, {"copies": True}):
+            with self.subTest(step):
+                self.setUp()
+                self.assertIsNone(self.start(**step).answered)
+
+    def test_late_orders_of_an_earlier_owner(self):
+        """TWICE: they may reach a later incarnation of the worker."""
+        self.engine.predecessor_until_ms = self.now_ms + 1
+        self.engine.workers["w-0"].token_confirmed = True
+        task = self.start()
+        self.assertTrue(self.job.inherited)
+        self.assertIsNone(task.answered)
+        self.now_ms += MAX_ORDER_DELAY_MS
+        self.poll("w-0")
+        self.assertIsNotNone(task.answered)
+
+    def test_stored_once_for_all(self):
+        """Answered places are stored a little later, in one append."""
+        self.start()
+        self.engine.plan(self.now_ms, 0.0)
+        self.assertFalse(self.job.dirty)
+        self.now_ms += ANSWERS_DELAY_MS
+        self.engine.plan(self.now_ms, 0.0)
+        self.assertTrue(self.job.dirty)
+
+    def test_worker_is_barred_until_the_store_forgets(self):
+        """TWICE: a later owner would not expect a start there."""
+        task = self.start()
+        self.job.dirty = True
+        _, batch = self.engine.pop_dirty()
+        self.engine.on_stored(batch)
+        self.assertEqual(task.recorded_answers, {"w-0"})
+        self.engine.workers["w-0"].runs.clear()
+        self.engine.release_task(task, self.now_ms)
+        self.assertEqual(self.engine.plan(self.now_ms, 0.0), [])
+        self.assertTrue(self.job.dirty)
+        _, batch = self.engine.pop_dirty()
+        self.assertEqual(self.engine.plan(self.now_ms, 0.0), [])
+        self.engine.on_stored(batch)
+        self.assertEqual(len(self.engine.plan(self.now_ms, 0.0)), 1)
+
+    def test_next_owner(self):
+        """Its task need not wait for a later incarnation of that worker."""
+        self.start()
+        restored = Job(self.job.spec, 0.0)
+        apply_progress(restored, encode_progress(self.job, 0.0), 0.0)
+        restored.mark_inherited()
+        task = restored.task(0, 0, 0)
+        self.assertEqual(task.recorded_answers, {"w-0"})
+        self.assertTrue(task.may_run_on({"w-0": 2}))
+        task.inherited_answer = task.answered
+        self.assertFalse(task.may_run_on({"w-0": 2}))
+        self.assertTrue(task.may_run_on({"w-0": 1}))
+        self.assertTrue(task.may_run_on({"w-0": 2, "w-1": 1}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/node/test_lost_after_restart.py
+++ b/tests/node/test_lost_after_restart.py
@@ -6,11 +6,13 @@
 
 import asyncio
 
+from limpetyard._clock import MS_PER_SECOND
 from limpetyard.jobs import JobSpec, StepSpec
 from standins.platform import SimulatedSite
 from standins.platform._history import RunEnded, RunStarted
 from standins.platform._site import QUEUE
 from standins.platform._worker import WorkerModel
+from tests.node.test_long_running import long_running_job
 from tests.node.test_unstarted_doubts import cut_off, until
 from tests.node.test_whole_site import SMALL, SiteTestCase
 
@@ -21,6 +23,17 @@
 # is lost.
 KILLED_S, RESTARTED_S, LOST_S = 0.5, 3.0, 4.5
 
+# Time in which what is known of new runs is stored, and in which the restart of
+# a worker is read from the directory.
+STORED_S = 1.0
+READ_MS = 2000
+
+# Time in which the owner would start a failed task again.
+RETRIED_S = 0.4
+
+# A late start order is carried out after the restart.
+LATE_MS = 3000.0
+
 # Longest delay of the start of a task that need not wait for the worker.
 START_DELAY_MS = 100
 
@@ -37,13 +50,24 @@
 class LostAfterRestartTest(SiteTestCase):
     """Guards against LOST: jobs that wait for a worker that never returns."""
 
-    async def lose(self, site: SimulatedSite, worker: WorkerModel) -> None:
-        """Cuts a worker off, kills the owner, then loses the worker."""
+    async def lose(
+        self, site: SimulatedSite, worker: WorkerModel, answers: bool = False
+    ) -> None:
+        """Cuts a worker off, ends the owner, then loses the worker.
+
+        Args:
+            site: The site.
+            worker: The worker.
+            answers: Whether the owner answers its successor rather than is killed.
+        """
         cut_off(site, worker.entry.id)
         await asyncio.sleep(KILLED_S)
         owner = site.owner()
-        await site.kill_node(owner)
-        await site.start_node(owner)
+        if answers:
+            site.pass_cell_on()
+        else:
+            await site.kill_node(owner)
+            await site.start_node(owner)
         await asyncio.sleep(RESTARTED_S - KILLED_S)
         worker.crash()
         worker.restart()
@@ -93,6 +117,86 @@
 
         self.run_scenario(scenario, workers=7)
 
+    def check_answered(self, answers: bool) -> None:
+        """Checks that tasks of runs that were answered start again.
+
+        Args:
+            answers: See `lose`.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.assertTrue(await site.submit(long_running_job(1)))
+            await asyncio.sleep(0.5)
+            for number in range(JOBS):
+                self.assertTrue(await site.submit(two_steps(number)))
+            await asyncio.sleep(STORED_S)
+            (worker,) = (
+                w
+                for w in site.workers.values()
+                if any(t.job == "1" * 16 for t in w.running())
+            )
+            lost = set(worker.running())
+            self.assertGreater(len(lost), 1)
+            await self.lose(site, worker, answers)
+            restarted_ms = site.clock.now_ms() - MS_PER_SECOND * (
+                LOST_S - RESTARTED_S
+            )
+            await asyncio.sleep(READ_MS / MS_PER_SECOND)
+            again = {
+                start.task
+                for start in site.history.of(RunStarted)
+                if start.at_ms > restarted_ms
+                and start.worker != worker.entry.id
+            }
+            self.assertEqual(lost - again, set())
+            await self.complete(site, range(JOBS))
+
+        self.run_scenario(scenario, workers=7)
+
+    def test_runs_that_were_answered(self):
+        """Runs on the worker itself have ended with their incarnation.
+
+        Their tasks waited for late orders to it, of which none can exist.
+        """
+        self.check_answered(answers=False)
+
+    def test_runs_of_an_owner_that_answers(self):
+        """The same with an owner that tells its leases."""
+        self.check_answered(answers=True)
+
+    def test_start_after_the_answer(self):
+        """TWICE: a start that the store did not allow for was late.
+
+        The store has that a run was answered, but not that it failed. So the
+        task must not start on that worker again.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.assertTrue(await site.submit(two_steps(0)))
+            await asyncio.sleep(STORED_S)
+            owner, worker = site.owner(), site.workers["w-0"]
+            (key,) = worker.running()
+            task = owner.node._owners[0].engine.find_task(key)
+            self.assertEqual(task.recorded_answers, {"w-0"})
+            owner.store_link.cut = True
+            worker._runs[key].end("failed")
+            await until(lambda: task.state == "waiting")
+            link = owner.worker_links["w-0"]
+            link.late_rate, link.late_ms = 1.0, (LATE_MS, LATE_MS)
+            await asyncio.sleep(RETRIED_S)
+            self.assertIs(site.owner(), owner)
+            cut_off(site, "w-0")
+            await site.kill_node(owner)
+            worker.crash()
+            worker.restart(0.0)
+            site.add_worker(1)
+            await asyncio.sleep(5)
+            starts = [s.worker for s in site.history.of(RunStarted)]
+            self.assertIn("w-1", starts)
+            await self.complete(site, range(1))
+
+        self.run_scenario(scenario, workers=1)
+
     def test_step_that_was_started(self):
         """TWICE: the killed owner knew of an end that its successor reads."""
 
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -16,6 +16,7 @@
     RunReport,
     RunState,
     Start,
+    StartReply,
     StartResult,
     Stop,
     WorkerDownError,
@@ -41,7 +42,7 @@
     def __init__(self, replies: list[StartResult | str | None]):
         self.replies = replies
 
-    async def start(self, entry, order) -> StartResult:
+    async def start(self, entry, order) -> StartReply:
         reply = self.replies.pop(0)
         if reply is None:
             raise WorkerOutcomeUnknownError(entry.id)
@@ -49,7 +50,7 @@
             raise WorkerDownError(entry.id)
         if reply is WITHHELD:
             raise OrderWithheldError(entry.id)
-        return reply
+        return StartReply(reply)
 
 
 class StartTest(unittest.IsolatedAsyncioTestCase):
@@ -167,12 +168,12 @@
         self.stops: list[tuple] = []
         self.held_stops: asyncio.Event | None = None
 
-    async def start(self, entry, order) -> StartResult:
+    async def start(self, entry, order) -> StartReply:
         """Records a start order and waits for the test's answer."""
         fut = asyncio.get_running_loop().create_future()
         self.start_expiries_ms.append(order.lease_until_ms)
         self.starts.append((entry.id, (order.task, order.run), fut))
-        return await fut
+        return StartReply(await fut)
 
     async def stop(self, entry, task, run, token) -> None:
         """Records a stop order and waits for `held_stops`."""
--- a/tests/node/test_predecessor.py
+++ b/tests/node/test_predecessor.py
@@ -252,6 +252,18 @@
         self.assertTrue(run_in_virtual_time(trusted(5)))
         self.assertFalse(run_in_virtual_time(trusted(6)))
 
+    def test_answers(self):
+        """TWICE: an owner of an earlier release does not keep to them."""
+        predecessor = self.fence({})
+        predecessor.claims = {3: "a|b|pwsrabc", 4: "a|b|pwsabc", 5: "a|b|pwsrd"}
+
+        async def since(lowest: int, epoch: int) -> int:
+            return await predecessor.answers_kept_since(lowest, epoch)
+
+        self.assertEqual(run_in_virtual_time(since(5, 6)), 5)
+        self.assertEqual(run_in_virtual_time(since(2, 4)), 2)
+        self.assertEqual(run_in_virtual_time(since(2, 6)), 4)
+
 
 class UntoldTest(unittest.TestCase):
     """What earlier owners tell of tasks; epoch 6 is the new one."""
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -92,7 +92,8 @@
         result = await self.workers.start(self.entry, self.order())
         poll = PollRequest(1, 0, 60_000, 0)
         reply = await self.workers.poll(self.entry, poll, 500)
-        self.assertIs(result, StartResult.STARTED)
+        self.assertIs(result.result, StartResult.STARTED)
+        self.assertAlmostEqual(result.clock_ms, reply.clock_ms, delta=1000)
         self.assertEqual(reply.born, 7)
         self.assertEqual([(r.task, r.run) for r in reply.runs], [(TASK, 1)])
 
@@ -101,8 +102,8 @@
         await self.workers.stop(self.entry, TASK, 3, 1)
         stopped = await self.workers.start(self.entry, self.order(run=3))
         later = await self.workers.start(self.entry, self.order(run=4))
-        self.assertIs(stopped, StartResult.STALE_RUN)
-        self.assertIs(later, StartResult.STARTED)
+        self.assertIs(stopped.result, StartResult.STALE_RUN)
+        self.assertIs(later.result, StartResult.STARTED)
 
     async def test_fenced(self):
         """Every order with a lower fencing token is rejected."""
@@ -118,7 +119,7 @@
         """A start order has no effect after its lease has expired."""
         order = msgspec.structs.replace(self.order(), lease_until_ms=-1)
         result = await self.workers.start(self.entry, order)
-        self.assertIs(result, StartResult.EXPIRED)
+        self.assertIs(result.result, StartResult.EXPIRED)
 
     async def test_pace(self):
         """A poll reports the speed limit of a run."""
@@ -139,7 +140,7 @@
         """An unhealthy worker rejects a start order."""
         self.model.up = False
         result = await self.workers.start(self.entry, self.order())
-        self.assertIs(result, StartResult.UNHEALTHY)
+        self.assertIs(result.result, StartResult.UNHEALTHY)
 
     async def test_closed_connection(self):
         """A crash that closes the connection is taken for a time-out."""
