Count jobs as begun once a run has been shown

Cause: a planned start marked its job as running. Nothing took that back when a worker rejected the start, or did not answer.

Change: a reply, a report or the end of a run marks the job. A start without a reply does not, so that callers are told of more work that waits rather than of less.

Conclusion: what is shown to callers follows from what workers say.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -564,7 +564,7 @@
             run = worker.runs.get((report.task, report.run))
             if run is None:
                 run = self._adopt_run(worker, report, now_ms)
-            self._mark_begun(worker, run)
+            self._mark_begun(worker, run, now_ms)
             worker.settle_start(run)
             run.apply_report(report, now_ms)
             self._note_answered(worker, run, now_ms)
@@ -857,7 +857,7 @@
         if result is StartResult.STARTED:
             if not run.began:
                 run.began_in_doubt = worker.may_have_restarted
-            self._mark_begun(worker, run)
+            self._mark_begun(worker, run, now_ms)
             run.acked_ms = now_ms
             worker.silent_starts = 0
             task = self.find_task(effect.task)
@@ -865,7 +865,6 @@
                 task.rejections = 0
             if run.state is RunState.ORDERED:
                 run.state = RunState.RUNNING
-            self._record_job_start(effect.task.job, now_ms)
             run.answered_here = clock_ms is not None and worker.shows_clock(
                 clock_ms, run.start_sent_ms, now_ms
             )
@@ -902,11 +901,14 @@
                 FAILED_TASK_BACKOFF_MS << doublings, MAX_REJECTED_BACKOFF_MS
             )
 
-    def _mark_begun(self, worker: Worker, run: WorkerRun) -> None:
+    def _mark_begun(
+        self, worker: Worker, run: WorkerRun, now_ms: float
+    ) -> None:
         """Records that a run has begun, and has it stored if a crash counts."""
         if run.began:
             return
         run.began = True
+        self._record_job_start(run.task.job, now_ms)
         task = self.find_task(run.task)
         if (
             task is not None
@@ -957,9 +959,15 @@
                     run.state = RunState.STOPPING
 
     def _record_job_start(self, job_id: str, now_ms: float) -> None:
+        """Records that a run of a job has begun.
+
+        A planned or an unanswered start says nothing, as the worker may have
+        rejected it.
+        """
         job = self.jobs.get(job_id)
         if job is None or job.started_ms is not None:
             return
+        job.mark_running()
         job.started_ms = now_ms
         event(
             "job_begun",
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -710,7 +710,6 @@
         worker: Worker = candidate.worker
         task.put_on(worker.id, worker.born, run_number)
         task.restarted_worker = ""
-        job.mark_running()
         run = WorkerRun(task.key, run_number, task.step, now_ms)
         run.checkpoint = task.checkpoint
         run.speed_percent = speed_percent
--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -73,6 +73,10 @@
         task = self._engine.find_reported_task(end.task)
         if task is None or end.run in task.ended_runs:
             return
+        # Its start may have got no reply, or an earlier owner had sent it.
+        job.mark_running()
+        if job.started_ms is None:
+            job.started_ms = now_ms
         is_other_run = task.state == "placed" and (
             task.worker != worker.id or task.run != end.run
         )
@@ -80,8 +84,6 @@
             self._handle_outdated_end(worker, job, task, end, now_ms)
             return
         self._record_end(task, end)
-        # An earlier owner may have started it.
-        job.mark_running()
         job.dirty = True
         if run is not None:
             event(
--- a/tests/node/test_job_service.py
+++ b/tests/node/test_job_service.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from limpetyard._clock import MS_PER_SECOND
 from limpetyard.errors import RequestError
 from limpetyard.jobs import JobSpec, StepSpec
+from limpetyard.node._job_service import PENDING_MAX_AGE_MS
 from limpetyard.node._store_layout import JOBS_TOPIC
 from standins.platform import SimulatedSite
 from standins.platform._history import RunStarted
@@ -169,3 +171,42 @@
             await self.complete(site, range(1, 2))
 
         self.run_scenario(scenario)
+
+
+class PendingTest(SiteTestCase):
+    """Guards against MIXED: jobs that have not begun are not pending."""
+
+    async def assert_pending(self, site: SimulatedSite, number: int) -> None:
+        """Asserts what all nodes tell, once older counts have expired."""
+        await asyncio.sleep(PENDING_MAX_AGE_MS / MS_PER_SECOND)
+        for host in site.hosts:
+            if host.job_service is not None:
+                pending = await host.job_service.pending(QUEUE.name)
+                self.assertEqual(pending, number)
+
+    def test_worker_that_does_not_answer(self):
+        """Starts were sent, and none of them is carried out.
+
+        The same holds for the next owner.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            owner = site.owner()
+            for host in site.hosts:
+                host.worker_links["w-0"].cut = True
+            for number in range(1, 4):
+                spec = msgspec.structs.replace(job(), id=f"{number:016x}")
+                self.assertTrue(await site.submit(spec))
+            await self.assert_pending(site, 3)
+            self.assertEqual(await site.query_state(ID), "queued")
+            await site.kill_node(owner)
+            while site.owner() is None:
+                await asyncio.sleep(0.1)
+            await self.assert_pending(site, 3)
+            for host in site.hosts:
+                host.worker_links["w-0"].cut = False
+            self.assertEqual(list(site.history.of(RunStarted)), [])
+            await self.complete(site, range(1, 4))
+            await self.assert_pending(site, 0)
+
+        self.run_scenario(scenario, workers=1)
--- a/tests/node/test_lost_after_restart.py
+++ b/tests/node/test_lost_after_restart.py
@@ -58,7 +58,7 @@
         Args:
             site: The site.
             worker: The worker.
-            answers: Whether the owner answers its successor rather than is killed.
+            answers: Whether the owner answers its successor, or is killed.
         """
         cut_off(site, worker.entry.id)
         await asyncio.sleep(KILLED_S)
