Plan when the lease of a silent worker ends

Cause: the planner looks every 100 ms, and takes a lease for ended only when the claims were read after its end, a third of a second later at most. Which of them adds how much depends on when the loss comes.

Change: the next round of planning comes when the next lease of a silent worker ends. If the last read of the claims was before that, they are read at once, 50 ms apart at least, and the planner runs after it.

The test plays eight of these times.

Conclusion: a bound that is known need not be found by polling.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -1050,6 +1050,24 @@
             worker.lapsed_ms = now_ms
             self._drop_runs(worker, now_ms)
 
+    def awaited_ends_ms(self, now_ms: float) -> tuple[float, float]:
+        """Returns ends of leases of silent workers.
+
+        Returns:
+            The latest one that has passed, but not when the ownership was
+            confirmed last, and the next one; infinite without any.
+        """
+        passed_ms, next_ms = -math.inf, math.inf
+        for worker in self.workers.values():
+            if worker.token_confirmed and worker.is_responsive(now_ms):
+                continue
+            end_ms = worker.runs_until_ms
+            if end_ms > now_ms:
+                next_ms = min(next_ms, end_ms)
+            elif end_ms > self.confirmed_ms:
+                passed_ms = max(passed_ms, end_ms)
+        return passed_ms, next_ms
+
     def _due_stops(self, now_ms: float) -> list[Effect]:
         """Returns stop orders for stopping runs that are due for one."""
         effects: list[Effect] = []
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -85,6 +85,9 @@
 # passing of time causes.
 PLAN_MAX_INTERVAL_MS = 100
 
+# Added to the time until a lease ends, for the next round to be after it.
+LEASE_END_MARGIN_MS = 1
+
 # Minimum time between two rounds of planning.
 PLAN_MIN_INTERVAL_MS = 10
 
@@ -352,7 +355,11 @@
             self._end_if_fenced()
             if self.ended:
                 return
-            self._spawn(self._term.confirm_repeatedly(self.end_ownership))
+            self._spawn(
+                self._term.confirm_repeatedly(
+                    self.end_ownership, self._plan_needed.set
+                )
+            )
             self._spawn(self._fence_predecessor())
         await self._writer.fence()
         # What earlier owners have stored was made before this.
@@ -887,13 +894,13 @@
             job.stored_chunks[record.key] = record.value
 
     async def _plan_loop(self) -> None:
+        wait_ms: float = PLAN_MAX_INTERVAL_MS
         while not self.ended and not self.should_stop:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(
-                    PLAN_MAX_INTERVAL_MS / MS_PER_SECOND
-                ):
+                async with asyncio.timeout(wait_ms / MS_PER_SECOND):
                     await self._plan_needed.wait()
             self._plan_needed.clear()
+            wait_ms = PLAN_MAX_INTERVAL_MS
             now_ms = self._clock.now_ms()
             self.engine.zones_out = self._view.zones_out
             if self._track_due or self._services() != self._tracked_services:
@@ -910,6 +917,9 @@
                 took_ms = self._clock.now_ms() - now_ms
                 self._report_plan(took_ms, len(effects))
                 self._execute(effects)
+                passed_ms, next_ms = self.engine.awaited_ends_ms(now_ms)
+                self._term.confirm_after(passed_ms)
+                wait_ms = min(wait_ms, next_ms - now_ms + LEASE_END_MARGIN_MS)
             if self._ownership_records_due() or any(
                 job.dirty for job in self.engine.open_jobs.values()
             ):
--- a/src/limpetyard/node/_term.py
+++ b/src/limpetyard/node/_term.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from limpetyard._clock import MS_PER_SECOND, Clock
@@ -15,6 +16,9 @@
 from limpetyard.node._store_layout import CLAIM_KEY, OWNERS_TOPIC
 from limpetyard.store import KeyedRecord, Store, StoreError
 
+# Minimum time between two reads of the claims that are asked for.
+MIN_INTERVAL_MS = 50
+
 
 class SupersededError(Exception):
     """Another node has claimed the cell first."""
@@ -33,11 +37,13 @@
         "_cell",
         "_claims",
         "_clock",
+        "_confirmation_due",
         "_interval_ms",
         "_is_retry",
         "_is_superseded",
         "_member",
         "_permit",
+        "_read_sent_ms",
         "_store",
         "claimed_ms",
         "epoch",
@@ -78,6 +84,8 @@
         self._interval_ms = interval_ms
         self._is_retry = False
         self._is_superseded = False
+        self._confirmation_due = asyncio.Event()
+        self._read_sent_ms = float("-inf")
 
     async def claim(self, latest_epoch: int) -> None:
         """Appends the claim; may be called again after a StoreError.
@@ -105,22 +113,45 @@
         self.claimed_ms = self._clock.now_ms()
         self._permit.confirm(sent_ms)
 
-    async def confirm_repeatedly(self, end: Callable[[str], None]) -> None:
+    async def confirm_repeatedly(
+        self,
+        end: Callable[[str], None],
+        on_confirmed: Callable[[], None] = lambda: None,
+    ) -> None:
         """Reads the claims at the interval until there is a later one.
 
-        Slow replies do not lengthen the interval: reads overlap, as many as
-        their time-out allows.
+        Also reads them when `confirm_after` asks for it. Slow replies do not
+        lengthen the interval: reads overlap, as many as their time-out allows.
 
         Args:
             end: Called with the reason when there is a later claim.
+            on_confirmed: Called after a read that was asked for.
         """
         async with asyncio.TaskGroup() as reads:
             while not self._is_superseded:
-                reads.create_task(self._confirm(end))
-                await asyncio.sleep(self._interval_ms / MS_PER_SECOND)
+                read = reads.create_task(self._confirm(end))
+                if self._confirmation_due.is_set():
+                    self._confirmation_due.clear()
+                    read.add_done_callback(lambda _: on_confirmed())
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(
+                        self._interval_ms / MS_PER_SECOND
+                    ):
+                        await self._confirmation_due.wait()
+
+    def confirm_after(self, at_ms: float) -> None:
+        """Reads the claims now, unless they were read lately or after a time.
+
+        Args:
+            at_ms: A time that has passed, and for which it matters whether
+                there was a later claim by then.
+        """
+        lately_ms = self._clock.now_ms() - MIN_INTERVAL_MS
+        if self._read_sent_ms <= min(at_ms, lately_ms):
+            self._confirmation_due.set()
 
     async def _confirm(self, end: Callable[[str], None]) -> None:
-        sent_ms = self._clock.now_ms()
+        sent_ms = self._read_sent_ms = self._clock.now_ms()
         try:
             latest = await self._claims.read()
         except StoreError as exc:
--- a/tests/node/test_unstarted_doubts.py
+++ b/tests/node/test_unstarted_doubts.py
@@ -163,9 +163,15 @@
         self,
         pass_on: Callable[[SimulatedSite, str], Awaitable[None]],
         nodes: int = 4,
+        settled_s: float = SETTLED_S,
     ) -> tuple[SimulatedSite, list[float]]:
         """Withholds an order, loses its worker, and passes the cell on.
 
+        Args:
+            pass_on: Called with the site and the id of the worker.
+            nodes: Number of nodes.
+            settled_s: Time after which a run fails.
+
         Returns:
             The site, and how long after the loss each run started.
         """
@@ -180,7 +186,7 @@
 
         async def scenario(site: SimulatedSite) -> None:
             self.assertTrue(await site.submit(long_running_job(1)))
-            await asyncio.sleep(SETTLED_S)
+            await asyncio.sleep(settled_s)
             fail_task(site)
             worker_id = await stored.get()
             site.workers[worker_id].crash()
@@ -232,10 +238,14 @@
                 await asyncio.sleep(0.05)
                 await site.kill_node(between)
 
-        site, waits_ms = self.run_chain(pass_on)
-        self.assertEqual(violations(site.history), [])
-        self.assertEqual(len(waits_ms), 1)
-        self.assertLess(waits_ms[0], 9000)
+        for step in range(8):
+            # Joins and reads of the claims are a third of a second apart.
+            settled_s = SETTLED_S + step * 0.05
+            with self.subTest(settled_s=settled_s):
+                site, waits_ms = self.run_chain(pass_on, settled_s=settled_s)
+                self.assertEqual(violations(site.history), [])
+                self.assertEqual(len(waits_ms), 1)
+                self.assertLess(waits_ms[0], 9000)
 
     def test_two_nodes_in_turn(self):
         """TWICE, or LOST: a process that had the cell twice."""
