Hand over unanswered starts of tasks that are done

The worker restarted 6 s later and carried out the first start.

Cause: an owner holds such an end back for 12 s, but handed over doubts about tasks that are not done only. And an end that the next owner read before the reply of the one before was not held back at all.

Change: the reply to a fence has all pending starts (RemainingLeases. pending_starts). What is told after an end was read holds it back, too; until the reply, ends of inherited jobs are held back for 0.5 s at most.

Conclusion: a killed owner still tells nothing.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -145,6 +145,8 @@
             orders to a worker, by id, that no record of theirs names.
         predecessor_until_ms: Time until which an earlier owner may still start
             tasks, including those of jobs that arrive now.
+        predecessor_asked: Whether the previous owner has replied, or has not
+            done so in time.
         places_trusted: Whether the earlier owners stored the places of
             long-running tasks before they started them.
         unstored_jobs: Ids of the jobs whose progress was left out of a batch
@@ -175,6 +177,7 @@
         "open_jobs",
         "params",
         "places_trusted",
+        "predecessor_asked",
         "confirmed_ms",
         "may_have_stale_orders",
         "may_lease",
@@ -198,6 +201,7 @@
             True
         )
         self.predecessor_until_ms = float("-inf")
+        self.predecessor_asked = False
         self.places_trusted = False
         self.interference = InterferenceModel()
         self.crashes = CrashTracker(self)
--- a/src/limpetyard/engine/_run_ends.py
+++ b/src/limpetyard/engine/_run_ends.py
@@ -14,6 +14,10 @@
 # use up all attempts of the task before it is put on probation.
 FAILED_TASK_BACKOFF_MS = 100
 
+# Time for which ends of inherited jobs are held back while the previous owner
+# has not told of which starts it had no reply. It answers sooner, if at all.
+PREDECESSOR_REPLY_MS = 500
+
 # Exponential backoff of a long-running task whose runs fail soon. It is longer
 # than that of a worker on probation, so that another task gets the next probe.
 # The maximum is below 3 s, the longest time that a long-running task may wait.
@@ -48,12 +52,19 @@
             if end.number <= worker.last_received_end:
                 continue
             worker.last_received_end = end.number
-            worker.unacked_ends.append((end.number, end.task.job))
+            worker.unacked_ends.append((end.number, end.task))
             has_new_ends = True
             run = worker.runs.get((end.task, end.run))
             if run is not None:
                 worker.settle_start(run)
-            worker.hold_end(end.number, end.task, now_ms)
+            job = self._engine.jobs.get(end.task.job)
+            awaits_reply = (
+                job is not None
+                and job.inherited
+                and not self._engine.predecessor_asked
+            )
+            least_ms = PREDECESSOR_REPLY_MS if awaits_reply else 0.0
+            worker.hold_end(end.number, end.task, now_ms, least_ms)
             self._handle_end(worker, end, now_ms)
         return has_new_ends
 
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -313,7 +313,7 @@
         last_received_end: Number of the last ended run that was processed.
         last_acked_end: Number of the last ended run that is stored, and that
             the worker therefore need not report again.
-        unacked_ends: Number and job of each ended run that was processed after
+        unacked_ends: Number and task of each ended run that was processed after
             that one, in order.
         pending_starts: When the last start order without a reply was sent that
             may yet be carried out, by task and run.
@@ -442,7 +442,7 @@
         self.strain_counts_from_ms = float("-inf")
         self.last_received_end = 0
         self.last_acked_end = 0
-        self.unacked_ends: list[tuple[int, str]] = []
+        self.unacked_ends: list[tuple[int, TaskKey]] = []
         self.pending_starts: dict[tuple[TaskKey, int], float] = {}
         self.held_ends: list[tuple[int, float]] = []
         self.first_listed_end = 0
@@ -540,11 +540,20 @@
         self.pending_starts[run.task, run.run] = run.start_sent_ms
 
     def inherit_pending_start(self, task: TaskKey, sent_ms: float) -> None:
-        """Records that an earlier owner had no reply to a start of a task."""
+        """Records that an earlier owner had no reply to a start of a task.
+
+        Holds back its ends that are not stored yet.
+        """
         key = task, INHERITED_RUN
         self.pending_starts[key] = max(
             self.pending_starts.get(key, -math.inf), sent_ms
         )
+        held = dict(self.held_ends)
+        for number, other in self.unacked_ends:
+            if other == task:
+                until_ms = self.pending_starts[key] + MAX_ORDER_DELAY_MS
+                held[number] = max(held.get(number, -math.inf), until_ms)
+        self.held_ends = sorted(held.items())
 
     def settle_start(self, run: WorkerRun) -> None:
         """Records that the worker reports a run, or its end."""
@@ -552,14 +561,27 @@
         if run.starts_sent == 1:
             self.pending_starts.pop((run.task, run.run), None)
 
-    def hold_end(self, number: int, task: TaskKey, now_ms: float) -> None:
+    def hold_end(
+        self,
+        number: int,
+        task: TaskKey,
+        now_ms: float,
+        least_ms: float = 0.0,
+    ) -> None:
         """Holds back an end while a start of its task may yet be carried out.
 
         Only a later incarnation would do so, and an end that was not
         acknowledged before does not count.
+
+        Args:
+            number: Number of the end.
+            task: Key of the task.
+            now_ms: Current time.
+            least_ms: Time for which it is held back in any case.
         """
         sent = [ms for key, ms in self.pending_starts.items() if key[0] == task]
         until_ms = max(sent, default=-math.inf) + MAX_ORDER_DELAY_MS
+        until_ms = max(until_ms, now_ms + least_ms)
         if now_ms < until_ms:
             self.held_ends.append((number, until_ms))
 
@@ -740,8 +762,8 @@
             last: Number of the last end that may be acknowledged.
             held_jobs: Ids of the jobs whose progress is not stored.
         """
-        for number, job_id in self.unacked_ends:
-            if job_id in held_jobs:
+        for number, task in self.unacked_ends:
+            if task.job in held_jobs:
                 last = min(last, number - 1)
                 break
         self.last_acked_end = max(self.last_acked_end, last)
--- a/src/limpetyard/node/_handover.py
+++ b/src/limpetyard/node/_handover.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from limpetyard.engine import Engine
+from limpetyard.engine import MAX_ORDER_DELAY_MS, Engine
 from limpetyard.jobs import TaskHistory, TaskKey
 
 
@@ -26,6 +26,23 @@
     left_ms: float
 
 
+class HandedStart(msgspec.Struct, frozen=True):
+    """A start without a reply, in a reply to another node.
+
+    It may yet be carried out by a later incarnation of its worker, whether the
+    task is done or not; see `limpetyard.engine.Worker.hold_end`.
+
+    Attributes:
+        worker: Id of the worker.
+        task: Key of the task.
+        age_ms: Time since the start was sent.
+    """
+
+    worker: str
+    task: TaskKey
+    age_ms: float
+
+
 class RemainingLeases(msgspec.Struct, frozen=True):
     """Remaining leases that one ownership granted or took over.
 
@@ -56,6 +73,8 @@
             None as a whole in the replies of earlier releases.
         doubts: Starts that later incarnations may still carry out; none in the
             replies of earlier releases.
+        pending_starts: Starts for which the ends of their tasks are held back;
+            none in the replies of earlier releases.
     """
 
     epoch: int
@@ -69,6 +88,7 @@
     untold: tuple[TaskKey, ...] = ()
     stale_left_ms: dict[str, float | None] | None = None
     doubts: tuple[HandedDoubt, ...] = ()
+    pending_starts: tuple[HandedStart, ...] = ()
 
     def unstarted_among(self, keys: Collection[TaskKey]) -> "RemainingLeases":
         """Returns the reply with some of the tasks that have no run."""
@@ -99,6 +119,7 @@
         "_epoch",
         "_histories",
         "_orders_until_ms",
+        "_pending_starts",
         "_stale_until_ms",
         "_unstarted",
         "_until_ms",
@@ -116,6 +137,11 @@
         self._epoch = engine.epoch
         engine.doubts.add_unanswered()
         self._doubts = engine.doubts.all()
+        self._pending_starts = [
+            (worker.id, task, sent_ms)
+            for worker in engine.workers.values()
+            for (task, _), sent_ms in worker.pending_starts.items()
+        ]
         self._orders_until_ms = engine.predecessor_until_ms
         self._unstarted = engine.unstarted_tasks()
         self._histories = engine.task_histories(self._unstarted)
@@ -158,6 +184,11 @@
                 )
                 for task, (doubt, until_ms) in self._doubts.items()
             ),
+            pending_starts=tuple(
+                HandedStart(worker, task, now_ms - sent_ms)
+                for worker, task, sent_ms in self._pending_starts
+                if now_ms - sent_ms < MAX_ORDER_DELAY_MS
+            ),
         )
 
 
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -437,6 +437,11 @@
         )
         for task, doubt, until_ms in self._predecessor.start_doubts:
             self.engine.doubts.inherit(task, doubt, until_ms)
+        for worker_id, task, sent_ms in self._predecessor.pending_starts:
+            worker = self.engine.workers.get(worker_id)
+            if worker is not None:
+                worker.inherit_pending_start(task, sent_ms)
+        self.engine.predecessor_asked = self._predecessor.fence_ended.is_set()
         self._plan_needed.set()
 
     def _apply_lease_bounds(self, worker: Worker, orders_end_ms: float) -> None:
--- a/src/limpetyard/node/_predecessor.py
+++ b/src/limpetyard/node/_predecessor.py
@@ -180,6 +180,17 @@
                 doubt = StartDoubt(handed.worker, handed.born, sent_ms)
                 yield handed.task, doubt, until_ms
 
+    @property
+    def pending_starts(self) -> Iterator[tuple[str, TaskKey, float]]:
+        """Starts without a reply: worker, task and when each was sent at last.
+
+        The clocks of nodes may differ, so that they count as sent later.
+        """
+        for leases, replied_ms in self._reports:
+            for start in leases.pending_starts:
+                sent_ms = replied_ms - start.age_ms * MIN_CLOCK_RATE
+                yield start.worker, start.task, sent_ms
+
     @property
     def orders_end_ms(self) -> float:
         """Latest time at which any earlier owner may issue an order."""
--- a/tests/engine/test_held_ends.py
+++ b/tests/engine/test_held_ends.py
@@ -4,6 +4,7 @@
 
 from limpetyard.engine import PollReply, RunEndKind, RunEndReport, RunReport
 from limpetyard.engine._engine import Engine, EngineParams
+from limpetyard.engine._run_ends import PREDECESSOR_REPLY_MS
 from limpetyard.engine._step_worker_client import WorkerEntry
 from limpetyard.engine._worker import MAX_ORDER_DELAY_MS
 from limpetyard.jobs import JobSpec, QueueParams, Resources, StepSpec
@@ -57,6 +58,26 @@
         self.assertEqual(self.worker.end_to_acknowledge(until_ms - 1), 0)
         self.assertEqual(self.worker.end_to_acknowledge(until_ms), 1)
 
+    def test_start_that_is_told_after_the_end(self):
+        """TWICE: the previous owner replies once the end has been read."""
+        self.send(SENT_MS, answered=True)
+        done = RunEndReport(1, *self.key, RunEndKind.DONE, "")
+        reply = PollReply(1, END_MS, [], [done])
+        self.engine.on_poll_reply(self.worker, END_MS - 1, reply, END_MS)
+        self.worker.inherit_pending_start(self.start.task, SENT_MS)
+        self.engine.on_stored(self.engine.pop_dirty()[1])
+        until_ms = SENT_MS + MAX_ORDER_DELAY_MS
+        self.assertEqual(self.worker.end_to_acknowledge(until_ms - 1), 0)
+        self.assertEqual(self.worker.end_to_acknowledge(until_ms), 1)
+
+    def test_end_before_the_previous_owner_has_replied(self):
+        """TWICE: it may tell of a start without a reply."""
+        self.send(SENT_MS, answered=True)
+        self.engine.jobs[self.start.task.job].inherited = True
+        self.assertEqual(self.end(), 0)
+        until_ms = END_MS + PREDECESSOR_REPLY_MS
+        self.assertEqual(self.worker.end_to_acknowledge(until_ms), 1)
+
     def test_both_starts_unanswered(self):
         """TWICE: a report shows that one of two orders was carried out."""
         self.send(SENT_MS, answered=False)
