Answer the successor before a leaving node exits

Cause: a leaving owner exits when it sees the claim of its successor, which asks for the leases a few milliseconds later.

Change: it waits until it has been asked, 0.4 s at most, and 50 ms for the reply to go out. successor_told tells.

Conclusion: a planned end must include the answer to the successor. How much a roll gains from it was not measured.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -332,6 +332,11 @@
         "The store rejected an append; the append is retried.",
     ),
     "store_regained": EventKind(("call",), "The store answers again."),
+    "successor_told": EventKind(
+        ("told",),
+        "A leaving node that owned a cell has waited for the next owner to ask"
+        " what it knows, and whether that did.",
+    ),
     "takeover_failed": EventKind(
         ("cell", "reason"), "A takeover failed and is retried."
     ),
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -1,6 +1,7 @@
 """Node of one VM: sockets, group membership and ownerships of cells."""
 
 import asyncio
+import contextlib
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -79,6 +80,11 @@
 # successor and leaving the group take less.
 HAND_OVER_MS = 1200
 
+# A leaving node that owned a cell answers its successor before it exits, which
+# may take this long to ask, and then has this long to send the reply.
+SUCCESSOR_ASKS_MS = 400
+REPLY_SENT_MS = 50
+
 # Interval at which a leaving node checks whether it still owns a cell.
 KEEP_CHECK_MS = 50
 
@@ -163,6 +169,7 @@
         # Member names in claims by epoch, by cell.
         self._former_claims: dict[int, dict[int, str]] = {}
         self._leaving = False
+        self._successor_told = asyncio.Event()
         self._in_flight = 0
         self._params = EngineParams(
             min(LEASE_MS, cfg.longest_lease_ms),
@@ -250,15 +257,35 @@
         notice_end_ms = self._clock.now_ms() + DRAIN_NOTICE_MS
         await self._keep_cells(min(notice_end_ms, until_ms - HAND_OVER_MS))
         await self.member.stop()
+        owned = any(not owner.ended for owner in self._owners.values())
+        self._successor_told.clear()
         for cell in list(self._owners):
             await self._release(cell, "leaving")
         await self.member.leave()
+        if owned:
+            await self._tell_successor(until_ms)
         left_ms = notice_end_ms - self._clock.now_ms()
         await asyncio.sleep(max(0.0, left_ms) / MS_PER_SECOND)
         while self._in_flight and self._clock.now_ms() < until_ms:
             await asyncio.sleep(0.02)
         event("node_left", cut=self._in_flight)
 
+    async def _tell_successor(self, until_ms: float) -> None:
+        """Waits until the next owner has asked what this one knows.
+
+        Otherwise it waits for leases that no longer last, and acknowledges ends
+        that this owner held back.
+
+        Args:
+            until_ms: Latest time.
+        """
+        left_ms = min(SUCCESSOR_ASKS_MS, until_ms - self._clock.now_ms())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, left_ms) / MS_PER_SECOND):
+                await self._successor_told.wait()
+                await asyncio.sleep(REPLY_SENT_MS / MS_PER_SECOND)
+        event("successor_told", told=self._successor_told.is_set())
+
     async def _keep_cells(self, until_ms: float) -> None:
         """Keeps the cells of a leaving node until a time, if it owns any.
 
@@ -500,6 +527,7 @@
             self._save_claims(owner)
             if owner.ended:
                 self._save_leases(owner)
+                self._successor_told.set()
         expiries = self._former_leases.get(cell)
         leases = (
             expiries.remaining(self._clock.now_ms())
--- a/tests/node/test_ownership_changes.py
+++ b/tests/node/test_ownership_changes.py
@@ -31,6 +31,9 @@
 UNOWNED_MS = 50
 START_PAUSE_MS = 300
 
+# Latency of calls between nodes, so that a claim is seen before a call.
+PEER_DELAY_MS = 30.0
+
 # Tasks that keep two workers busy, so that starts follow each other closely.
 LOAD_JOBS = 40
 LOAD_TASKS = 32
@@ -326,6 +329,34 @@
         self.assertLessEqual(max(found.values()), START_PAUSE_MS, found)
 
 
+class LeavingOwnerTest(unittest.TestCase):
+    """The process of an owner that leaves ends at once after that."""
+
+    def test_next_owner_is_told(self):
+        """It exited before the next owner had asked for its leases.
+
+        So that one waited for tasks that had no run, and acknowledged ends that
+        had been held back.
+        """
+
+        async def main() -> bool:
+            site = SimulatedSite(4, 4)
+            await site.start()
+            await asyncio.sleep(SETTLED_S)
+            for host in site.hosts:
+                host.peer_link.delay_ms = PEER_DELAY_MS
+            former = site.owner()
+            await former.node.leave()
+            await site.kill_node(former)
+            await asyncio.sleep(1)
+            owner = site.owner().node._owners[0]
+            told = owner._predecessor.fence_confirmed
+            await site.stop()
+            return told
+
+        self.assertTrue(run_in_virtual_time(main()))
+
+
 class UnplannedLossTest(unittest.TestCase):
     """The owner dies."""
 
