Show a job as running until its end is stored

Cause: a final state is shown once it is stored, and until then the latest stored one was, which is mostly the first.

Change: a job that has begun is shown as running until then.

Before: EndTest fails with `queued`. After: it passes.

--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -365,6 +365,13 @@
         """Whether the state is final."""
         return self.state in FINAL_STATES
 
+    @property
+    def shown_state(self) -> str:
+        """State that callers are told: a final one only once it is stored."""
+        if not self.is_final or self.stored_state in FINAL_STATES:
+            return self.state
+        return self.stored_state if self.started_ms is None else "running"
+
     def make_due(self, occurrences: int) -> None:
         """Creates the tasks of the first occurrences; idempotent.
 
--- a/src/limpetyard/node/_node.py
+++ b/src/limpetyard/node/_node.py
@@ -474,8 +474,7 @@
         job = owner.engine.jobs.get(job_id)
         if job is None:
             raise JobNotFoundError(job_id)
-        state = job.stored_state if job.is_final else job.state
-        return JobStatus(state, job.spec.queue.name)
+        return JobStatus(job.shown_state, job.spec.queue.name)
 
     def queue_pending(self, queue: str) -> int:
         """See `LocalCells.queue_pending`."""
--- a/tests/node/test_job_service.py
+++ b/tests/node/test_job_service.py
@@ -10,7 +10,7 @@
 from limpetyard.node._job_service import PENDING_MAX_AGE_MS
 from limpetyard.node._store_layout import JOBS_TOPIC
 from standins.platform import SimulatedSite
-from standins.platform._history import RunStarted
+from standins.platform._history import RunEnded, RunStarted
 from standins.platform._site import DEADLINE_MS, QUEUE
 from tests.node.test_whole_site import SMALL, SiteTestCase
 
@@ -173,6 +173,29 @@
         self.run_scenario(scenario)
 
 
+class EndTest(SiteTestCase):
+    """The state of a job between its last end and the append of that."""
+
+    def test_state_before_the_end_is_stored(self):
+        """The job was shown as queued again."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            self.assertTrue(await site.submit(job(run_ms=200)))
+            await asyncio.sleep(0.1)
+            owner = site.owner()
+            owner.store_link.cut = True
+            while len(list(site.history.of(RunEnded))) < 2:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            self.assertTrue(owner.node._owners[0].engine.jobs[ID].is_final)
+            state = await owner.job_service.state(ID, QUEUE.name, DEADLINE_MS)
+            self.assertEqual(state, "running")
+            owner.store_link.cut = False
+            await self.complete(site, range(1, 2))
+
+        self.run_scenario(scenario)
+
+
 class PendingTest(SiteTestCase):
     """Guards against MIXED: jobs that have not begun are not pending."""
 
