Keep stray runs in doubt beside an answered run

Found by reading: a worker that reports a run which its task does not need was taken to have answered its start, if the task has an answered place elsewhere. After a restart of that worker the task would not wait for a late order.

Cause: the task was asked, not the run.

Change: only the run that the place is about counts as answered. The placing of a reported run is a method of its own, and a method without a caller is gone from EarlyCancellations.

Before: test_stray_run fails.

Conclusion: an answer belongs to a run.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -621,21 +621,7 @@
                 and report.run >= task.run
             )
             if is_needed:
-                # No owner starts a run while another one may exist, except for
-                # late orders to a worker that has restarted.
-                if task.may_be_running:
-                    self._exclude_later_steps(worker, job, task, now_ms)
-                answered = task.inherited_answer
-                is_answered = report.run == task.run and (
-                    worker.id,
-                    worker.born,
-                ) == (answered and answered[:2])
-                task.put_on(worker.id, worker.born, report.run)
-                if is_answered:
-                    task.answered = answered
-                job.dirty |= task.step.long_running
-                job.mark_running()
-                job.started_ms = now_ms
+                self._place_reported(worker, job, task, run, now_ms)
             else:
                 run.state = RunState.STOPPING
                 task.stray_workers |= {worker.id}
@@ -643,7 +629,7 @@
             # It may have been over its target since long before.
             run.over_since_ms = now_ms - adopted_strain_ms(self.params)
         run.acked_ms = now_ms
-        run.unanswered_start = task is None or task.answered is None
+        run.unanswered_start = not run.answered_here
         run.proven = task is None or not task.crash_score
         self.add_run(worker, run)
         event(
@@ -655,6 +641,35 @@
         )
         return run
 
+    def _place_reported(
+        self,
+        worker: Worker,
+        job: Job,
+        task: Task,
+        run: WorkerRun,
+        now_ms: float,
+    ) -> None:
+        """Places a waiting task where a run of it was reported.
+
+        No owner starts a run while another one may exist, except for late
+        orders to a worker that has restarted.
+        """
+        if task.may_be_running:
+            self._exclude_later_steps(worker, job, task, now_ms)
+        answered = task.inherited_answer
+        is_answered = (
+            answered is not None
+            and (answered.worker, answered.born) == (worker.id, worker.born)
+            and run.run == task.run
+        )
+        task.put_on(worker.id, worker.born, run.run)
+        if is_answered:
+            task.answered = answered
+            run.answered_here = True
+        job.dirty |= task.step.long_running
+        job.mark_running()
+        job.started_ms = now_ms
+
     def _exclude_later_steps(
         self, worker: Worker, job: Job, task: Task, now_ms: float
     ) -> None:
--- a/src/limpetyard/node/_early_cancellations.py
+++ b/src/limpetyard/node/_early_cancellations.py
@@ -22,9 +22,6 @@
         # Records by key and when they were read, by job; oldest first.
         self._records: dict[str, tuple[dict[str, StoredRecord], float]] = {}
 
-    def __len__(self) -> int:
-        return len(self._records)
-
     def add(self, record: StoredRecord, now_ms: float) -> None:
         """Adds a record of a cancellation that was just read."""
         job_id = cancelled_job(record.key)
--- a/tests/engine/test_answered_places.py
+++ b/tests/engine/test_answered_places.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from limpetyard.engine import StartResult
+from limpetyard.engine import RunReport, StartResult
 from limpetyard.engine._engine import ANSWERS_DELAY_MS
 from limpetyard.engine._worker import MAX_ORDER_DELAY_MS
 from limpetyard.jobs import (
@@ -12,7 +12,7 @@
     apply_progress,
     encode_progress,
 )
-from tests.engine.test_engine import ONE_CORE, EngineTestCase, job
+from tests.engine.test_engine import ONE_CORE, EngineTestCase, entry, job
 
 READING_MS = 70_000
 
@@ -75,6 +75,15 @@
         self.poll("w-0")
         self.assertIsNotNone(task.answered)
 
+    def test_stray_run(self):
+        """TWICE: the answer of one run says nothing of another one."""
+        task = self.start()
+        self.add(entry(1))
+        stray = RunReport(task.key, task.run + 5, "", 100, 0.0)
+        self.poll("w-1", extra=(stray,))
+        (run,) = self.engine.workers["w-1"].runs.values()
+        self.assertTrue(run.may_outlast_incarnation(self.now_ms))
+
     def test_stored_once_for_all(self):
         """Answered places are stored a little later, in one append."""
         self.start()
