Review case 11: a completed task starts again after its owner was killed

Cause: starts without a reply are in the owner's memory alone, so that the next owner acknowledges the end.

--- a/review/common-3/site3.py
+++ b/review/common-3/site3.py
@@ -12,9 +12,12 @@
 import shlex
 import signal
 import socket
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 
 import aiohttp
@@ -91,11 +94,31 @@
 """
 
 
+# Below the ports that the system gives to outgoing connections.
+PORTS = range(15_000, 32_000)
+_given: set[int] = set()
+
+
 def free_address() -> str:
-    """Returns a loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Returns a loopback address that is free now, each one once."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _given:
+            continue
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            _given.add(port)
+            return f"127.0.0.1:{port}"
+
+
+def play(case: Callable[[bool], Coroutine[None, None, int]]) -> None:
+    """Plays a case and exits with its status, 2 if it couldn't run."""
+    try:
+        status = asyncio.run(case(os.environ.get("TROUBLE", "1") != "0"))
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
 
 
 class Record:
@@ -131,11 +154,17 @@
         self._server: web.Server | None = None
         self._timers: set[asyncio.Task] = set()
         self.id = ""
-
-    async def start(self) -> None:
-        """Starts a new life."""
+        # The first start of a task of this job is left without an answer.
+        self.late_job = ""
+        self.late_start: dict | None = None
+        # Task and run of the ends `done` that `lastSeen` has reached.
+        self.noted: set[tuple[str, int]] = set()
+
+    async def start(self, same_id: bool = False) -> None:
+        """Starts a new life, under the id of the last one or a new one."""
         self._lives += 1
-        self.id = f"minion-{self.number}-{self._lives}"
+        if not same_id:
+            self.id = f"minion-{self.number}-{self._lives}"
         self.born = int(time.time() * 1000)
         self._clock_start = time.monotonic()
         self._token = 0
@@ -219,6 +248,14 @@
         if req.headers.get("Expected-Instance", self.id) != self.id:
             return web.Response(status=421)
         body = json.loads(await req.read() or b"{}")
+        is_late = self.late_job and req.path == "/run-start"
+        if is_late and body["task"].startswith(self.late_job):
+            self.late_job, self.late_start = "", body
+            self._site.record.add(
+                f"{self.id} leaves the start of {body['task']} run"
+                f" {body['runId']} without an answer"
+            )
+            await asyncio.sleep(3600)
         token = body.get("fencingToken", 0)
         if token < self._token:
             return self._reply({"reason": "fence"}, 409)
@@ -240,6 +277,10 @@
     async def _hold(self, body: dict) -> web.Response:
         self._renew(body)
         seen = body.get("lastSeen", 0)
+        for number, task, run, how, _ in self._ends:
+            if number <= seen and how == "done":
+                self.noted.add((task, run))
+                self._site.record.add(f"{self.id}: {task} done is noted")
         self._ends = [end for end in self._ends if end[0] > seen]
         if body.get("waitMs") and not self._ends:
             with contextlib.suppress(TimeoutError):
@@ -283,6 +324,20 @@
 
         self._timers.add(asyncio.ensure_future(end()))
 
+    async def carry_out_late(self) -> int:
+        """Carries out the start that was left without an answer."""
+        body = self.late_start
+        if body["fencingToken"] < self._token:
+            status = 409
+        else:
+            self._token = body["fencingToken"]
+            status = (await self._start_run(body)).status
+        self._site.record.add(
+            f"{self.id} carries out the start of {body['task']} run"
+            f" {body['runId']}: {status}"
+        )
+        return status
+
     async def _stop_run(self, body: dict) -> web.Response:
         task, number = body["task"], body["runId"]
         self._highest[task] = max(self._highest.get(task, 0), number)
@@ -351,6 +406,14 @@
         if self.process is not None:
             await self.process.wait()
 
+    @property
+    def owns(self) -> bool:
+        """Whether the process says that it has taken the cell over."""
+        lines = self.log().splitlines()
+        taken = [n for n, x in enumerate(lines) if "event=cell_taken_over" in x]
+        lost = [n for n, x in enumerate(lines) if "event=cell_lost" in x]
+        return bool(taken) and max(taken) > max(lost, default=-1)
+
     def log(self) -> str:
         """Returns what the process has written."""
         return self._log.read_text(errors="replace")
