--- a/review/common-3/site3.py
+++ b/review/common-3/site3.py
@@ -31,6 +31,7 @@
 HOST = "queue.example"
 PREFIX = "/orders/"
 SERVICE = "orders"
+OTHER_SERVICE = "orders-new"
 HEARTBEAT_S = 1.5
 MAX_HOLD_MS = 6000
 STOP_MS = 50
@@ -143,8 +144,15 @@
     Each life has an id of its own. The address stays the same.
     """
 
-    def __init__(self, number: int, site: "Site", cpu: int = 32000):
+    def __init__(
+        self,
+        number: int,
+        site: "Site",
+        cpu: int = 32000,
+        service: str = SERVICE,
+    ):
         self.number = number
+        self.service = service
         self.address = free_address()
         self.up = False
         self._site = site
@@ -157,6 +165,8 @@
         # The first start of a task of this job is left without an answer.
         self.late_job = ""
         self.late_start: dict | None = None
+        # Whether calls and answers are lost.
+        self.is_cut = False
         # Task and run of the ends `done` that `lastSeen` has reached.
         self.noted: set[tuple[str, int]] = set()
 
@@ -209,7 +219,7 @@
     def beat(self) -> None:
         """Writes the entry in the directory."""
         entry = {
-            "service": SERVICE,
+            "service": self.service,
             "address": self.address,
             "zone": "zone-0",
             "version": "1",
@@ -245,6 +255,18 @@
         self._ended = asyncio.Event()
 
     async def _handle(self, req: web.BaseRequest) -> web.Response:
+        await req.read()
+        if not self.is_cut:
+            resp = await self._answer(req)
+            if not self.is_cut:
+                return resp
+        while self.is_cut:
+            await asyncio.sleep(0.02)
+        if req.transport is not None:
+            req.transport.abort()
+        return web.Response()
+
+    async def _answer(self, req: web.BaseRequest) -> web.Response:
         if req.headers.get("Expected-Instance", self.id) != self.id:
             return web.Response(status=421)
         body = json.loads(await req.read() or b"{}")
@@ -422,7 +444,13 @@
 class Site:
     """Nodes, store and minions."""
 
-    def __init__(self, case: Path, nodes: int = 2, minions: int = 8):
+    def __init__(
+        self,
+        case: Path,
+        nodes: int = 2,
+        minions: int = 8,
+        other_minions: int = 0,
+    ):
         self.record = Record(case / "record.txt")
         self.store = StoreModel(BootClock())
         self.store_address = free_address()
@@ -430,6 +458,10 @@
         self._node_count = nodes
         self.nodes: list[Node] = []
         self.minions = [Minion(n, self) for n in range(minions)]
+        self.minions += [
+            Minion(minions + n, self, service=OTHER_SERVICE)
+            for n in range(other_minions)
+        ]
         self.on_start = lambda minion, task, run: None
         self.http: aiohttp.ClientSession | None = None
         self._tasks: list[asyncio.Task] = []
@@ -463,22 +495,25 @@
             task.cancel()
         await self._stack.aclose()
 
-    def configure(self, version: int, max_attempts: int = 2) -> None:
+    def configure(self, version: int, service: str = SERVICE) -> None:
         """Writes a configuration."""
         route = {
             "name": "orders",
             "host": HOST,
             "pathPrefix": PREFIX,
-            "service": SERVICE,
+            "service": service,
             "priority": 0,
-            "maxAttempts": max_attempts,
+            "maxAttempts": 2,
             "stretch": 2.0,
             "targetLatencyMs": 1000,
         }
         config = {
             "version": version,
             "routes": [route],
-            "services": [{"name": SERVICE, "enforcesCapacity": False}],
+            "services": [
+                {"name": name, "enforcesCapacity": False}
+                for name in (SERVICE, OTHER_SERVICE)
+            ],
             "limits": {"maxBodyBytes": 262144},
         }
         self.store.write("operators", "config", json.dumps(config).encode())
