--- a/review/common-3/site3.py
+++ b/review/common-3/site3.py
@@ -33,6 +33,7 @@
 SERVICE = "orders"
 OTHER_SERVICE = "orders-new"
 HEARTBEAT_S = 1.5
+LONGEST_S = 100
 MAX_HOLD_MS = 6000
 STOP_MS = 50
 
@@ -115,7 +116,8 @@
 def play(case: Callable[[bool], Coroutine[None, None, int]]) -> None:
     """Plays a case and exits with its status, 2 if it couldn't run."""
     try:
-        status = asyncio.run(case(os.environ.get("TROUBLE", "1") != "0"))
+        trouble = os.environ.get("TROUBLE", "1") != "0"
+        status = asyncio.run(asyncio.wait_for(case(trouble), LONGEST_S))
     except Exception:
         traceback.print_exc()
         status = 2
@@ -467,6 +469,14 @@
         self._tasks: list[asyncio.Task] = []
 
     async def __aenter__(self) -> "Site":
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
         server = StoreServer(self.store)
         runner = web.ServerRunner(web.Server(server.handle, access_log=None))
@@ -488,7 +498,6 @@
             for node in self.nodes:
                 await self._wait_ready(node)
         self.record.add("all nodes are ready")
-        return self
 
     async def __aexit__(self, *exc) -> None:
         for task in self._tasks:
