Wait for the workers of all services of a queue after a takeover

Cause: a repeat overwrites the stored job, and the next owner related silent workers to jobs by the service that it had loaded. It overlooked in the same way a worker that was back under its id with another service and might carry out a late start.

Change: a node stores a service for its queue in the append of the first job that it accepts with it (q/QUEUE/SERVICE), so that the store has each service under which an owner may have loaded a job of the queue. A new owner waits for unconfirmed workers of all of them; a worker counts with the services of all its entries and of its record. A queue without such a record has jobs of an earlier release and counts with all services.

Conclusion: the wait no longer depends on which submission was stored last, so that it also holds if the owner is lost before it has read the repeat.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -149,6 +149,9 @@
             done so in time.
         places_trusted: Whether the earlier owners stored the places of
             long-running tasks before they started them.
+        queue_services: Services under which jobs of each queue may have been
+            accepted, by queue; those of jobs that were added, and others that
+            the caller adds.
         unstored_jobs: Ids of the jobs whose progress was left out of a batch
             and is in none since.
         interference: Model of the effect of best-effort tasks on tail
@@ -182,6 +185,7 @@
         "may_have_stale_orders",
         "may_lease",
         "predecessor_until_ms",
+        "queue_services",
         "unstored_jobs",
         "workers",
         "zones_out",
@@ -218,6 +222,7 @@
         # Number of incarnations of each dropped worker, by id.
         self._removed_incarnations: dict[str, int] = {}
         self.unstored_jobs: set[str] = set()
+        self.queue_services: dict[str, set[str]] = {}
         # Ids of jobs with answered places that are not stored, and since when
         # there are any.
         self._unstored_answers: set[str] = set()
@@ -245,9 +250,14 @@
             if not loaded:
                 # Earlier owners cannot store places any more.
                 job.exclude_earlier_starts()
+        self.add_queue_service(spec.queue.name, spec.queue.service)
         self.offered_load(spec.queue.service).add(spec, now_ms)
         return job
 
+    def add_queue_service(self, queue: str, service: str) -> None:
+        """Adds a service under which jobs of a queue may have been accepted."""
+        self.queue_services.setdefault(queue, set()).add(service)
+
     @property
     def services(self) -> frozenset[str]:
         """Services of all jobs that were added."""
--- a/src/limpetyard/engine/_planner.py
+++ b/src/limpetyard/engine/_planner.py
@@ -7,7 +7,7 @@
 import collections
 import itertools
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 from typing import TYPE_CHECKING
 
 from limpetyard._events import event
@@ -22,6 +22,7 @@
 from limpetyard.engine._reserve import LongRunningRoom
 from limpetyard.engine._step_worker_client import Ticket
 from limpetyard.engine._trials import IdleJobs, trial_cores, trial_percent
+from limpetyard.engine._unconfirmed import UnconfirmedWorkers
 from limpetyard.engine._urgency import restart_urgency, urgency
 from limpetyard.engine._waiting import RoundState, WaitReporter
 from limpetyard.engine._worker import Worker, WorkerRun
@@ -98,7 +99,6 @@
             Starts, and requests for advice that must precede starts.
         """
         unconfirmed = self._unconfirmed_workers(now_ms)
-        unconfirmed_by_service = _by_service(unconfirmed.values())
         restarted = self._restarted_workers(now_ms)
         self._confirm_places(unconfirmed, now_ms)
         self._placed = []
@@ -127,7 +127,7 @@
                 continue
             waiting = _startable(
                 job.waiting_tasks(occurrence, step),
-                unconfirmed_by_service.get(service, {}),
+                unconfirmed.of_queue(queue.name),
                 restarted,
                 now_ms,
             )
@@ -175,7 +175,7 @@
                 break
             waiting = _startable(
                 job.waiting_tasks(occurrence, step),
-                unconfirmed_by_service.get(service, {}),
+                unconfirmed.of_queue(job.spec.queue.name),
                 restarted,
                 now_ms,
             )
@@ -300,23 +300,21 @@
             job.make_due(job.due + 1)
             job.dirty = True
 
-    def _unconfirmed_workers(self, now_ms: float) -> dict[str, Worker]:
+    def _unconfirmed_workers(self, now_ms: float) -> UnconfirmedWorkers:
         """Returns the workers on which earlier runs may exist.
 
         These are runs of an earlier owner or of an earlier incarnation. Such a
         worker has not yet replied to a poll with its present token, and
         earlier leases may not have expired.
-
-        Returns:
-            These workers by id.
         """
         certain_ms = min(now_ms, self._engine.confirmed_ms)
-        return {
-            worker.id: worker
+        workers = [
+            worker
             for worker in self._engine.workers.values()
             if not worker.token_confirmed
             and certain_ms < worker.prior_lease_end_ms
-        }
+        ]
+        return UnconfirmedWorkers(workers, self._engine.queue_services)
 
     def _restarted_workers(self, now_ms: float) -> set[str]:
         """Returns the workers on which tasks of before a restart may run."""
@@ -329,15 +327,15 @@
         }
 
     def _confirm_places(
-        self, unconfirmed: Mapping[str, Worker], now_ms: float
+        self, unconfirmed: UnconfirmedWorkers, now_ms: float
     ) -> None:
-        """Confirms the places of the jobs of each service that is confirmed."""
+        """Confirms the places of the jobs of each queue that is confirmed."""
         if now_ms < self._engine.predecessor_until_ms:
             return
-        services = {worker.entry.service for worker in unconfirmed.values()}
         for job in self._engine.open_jobs.values():
-            service = job.spec.queue.service
-            if not job.places_known and service not in services:
+            if not job.places_known and not unconfirmed.of_queue(
+                job.spec.queue.name
+            ):
                 job.confirm_places()
 
     def _candidates(self, service: str, now_ms: float) -> list[Candidate]:
@@ -736,15 +734,6 @@
         )
 
 
-def _by_service(workers: Iterable[Worker]) -> dict[str, dict[str, int]]:
-    """Returns the incarnations of workers, by service and id."""
-    by_service: dict[str, dict[str, int]] = {}
-    for worker in workers:
-        service = by_service.setdefault(worker.entry.service, {})
-        service[worker.id] = worker.born
-    return by_service
-
-
 def _may_restart_first(job: Job, step: int) -> bool:
     """Returns whether a step has restarts that come before first starts."""
     spec = job.spec.steps[step]
@@ -766,10 +755,10 @@
 
     Args:
         waiting: Waiting tasks.
-        unconfirmed: Incarnations, by id, of the workers of the service on
-            which runs of an earlier owner may exist.
-        restarted: Ids of the workers, of any service, on which tasks of before
-            their restart may run.
+        unconfirmed: Incarnations, by id, of the workers on which runs of an
+            earlier owner may exist.
+        restarted: Ids of the workers on which tasks of before their restart may
+            run.
         now_ms: Current time.
     """
     return [
--- a/src/limpetyard/engine/_waiting.py
+++ b/src/limpetyard/engine/_waiting.py
@@ -13,7 +13,7 @@
     withheld_workers,
 )
 from limpetyard.engine._ranking import ServiceRound
-from limpetyard.engine._worker import Worker
+from limpetyard.engine._unconfirmed import UnconfirmedWorkers
 from limpetyard.jobs import Job, Task
 
 if TYPE_CHECKING:
@@ -67,7 +67,7 @@
         now_ms: Time of the round.
         rounds: Workers by service, of the services that were looked at.
         unconfirmed: Workers on which a run of an earlier owner or incarnation
-            may exist, by id.
+            may exist.
         starts_left: Number of starts that were not used.
         restarted: Ids of the workers on which tasks of before their restart may
             run.
@@ -86,7 +86,7 @@
         self,
         now_ms: float,
         rounds: dict[str, ServiceRound],
-        unconfirmed: dict[str, Worker],
+        unconfirmed: UnconfirmedWorkers,
         starts_left: float,
         restarted: Collection[str] = (),
     ):
@@ -245,12 +245,7 @@
 @REASONS.register("earlier_owner")
 def _earlier_owner(step: WaitingStep, state: RoundState) -> str | None:
     """A run of an earlier owner may exist on a worker."""
-    service = step.job.spec.queue.service
-    workers = {
-        worker.id: worker.born
-        for worker in state.unconfirmed.values()
-        if worker.entry.service == service
-    }
+    workers = state.unconfirmed.of_queue(step.job.spec.queue.name)
     if not step.task.may_run_on(workers):
         return None
     return f"unconfirmed: {step.task.possible_worker or next(iter(workers))}"
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -298,6 +298,7 @@
     Attributes:
         entry: Latest directory entry of the worker, which may be that of an
             earlier incarnation; see `entry_is_current`.
+        services: Services in this and earlier directory entries of the worker.
         token: Fencing token of orders to the current incarnation.
         born: Current incarnation, as the Unix milliseconds of its start.
         incarnations: Number of incarnations that this owner has counted.
@@ -410,6 +411,7 @@
         "recorded",
         "replied_ms",
         "runs",
+        "services",
         "silent_starts",
         "slowed_ms",
         "stale_lease_end_ms",
@@ -431,6 +433,7 @@
                 dropped it before, or 0.
         """
         self.entry = entry
+        self.services = frozenset((entry.service,))
         self._epoch = epoch
         self.incarnations = incarnations
         self.born = 0
@@ -841,6 +844,7 @@
     def set_entry(self, entry: WorkerEntry, now_ms: float) -> None:
         """Sets a new directory entry."""
         self.entry = entry
+        self.services |= {entry.service}
         self.departure_ms = float("inf")
         if entry.draining:
             self.departure_ms = now_ms + entry.remaining_ms
--- a/src/limpetyard/jobs/_records.py
+++ b/src/limpetyard/jobs/_records.py
@@ -25,6 +25,10 @@
 PROGRESS_PREFIX = "p/"
 CHUNK_PREFIX = "t/"
 
+# Prefix of the keys of `QueueService` records. Builds that do not know it
+# ignore these records.
+QUEUE_SERVICE_PREFIX = "q/"
+
 # Tasks of one step whose progress shares a chunk. A change of one task rewrites
 # 2 to 8 KB; a job of 10,000 tasks has 79 chunks.
 CHUNK_TASKS = 128
@@ -32,9 +36,9 @@
 # Value of a cancellation by a release that did not store the queue.
 ANY_QUEUE = b"1"
 
-# Length of the part of a key that stands for a queue. Names of queues may be
-# longer than the keys of the store.
-QUEUE_TAG_BYTES = 8
+# Length of the part of a key that stands for a queue or a service. Their names
+# may be longer than the keys of the store.
+TAG_BYTES = 8
 
 # Most marks of tasks whose occurrence is done. Beyond, such occurrences are
 # stored as ranges, so that the record of a long schedule stays small.
@@ -43,6 +47,27 @@
 _spec_decoder = msgspec.msgpack.Decoder(JobSpec)
 
 
+class QueueService(msgspec.Struct, frozen=True, array_like=True):
+    """A service under which jobs of a queue may have been accepted.
+
+    Attributes:
+        queue: Name of the queue.
+        service: Name of the service.
+    """
+
+    queue: str
+    service: str
+
+    @property
+    def key(self) -> str:
+        """Key of its record."""
+        tags = f"{_tag(self.queue)}/{_tag(self.service)}"
+        return QUEUE_SERVICE_PREFIX + tags
+
+
+_queue_service_decoder = msgspec.msgpack.Decoder(QueueService)
+
+
 class TaskProgress(msgspec.Struct, array_like=True):
     """Stored progress of one task.
 
@@ -130,9 +155,11 @@
 
 def queue_tag(queue: str) -> str:
     """Returns what stands for a queue in the records of its jobs."""
-    return hashlib.blake2b(
-        queue.encode(), digest_size=QUEUE_TAG_BYTES
-    ).hexdigest()
+    return _tag(queue)
+
+
+def _tag(name: str) -> str:
+    return hashlib.blake2b(name.encode(), digest_size=TAG_BYTES).hexdigest()
 
 
 def cancellation_keys(job_id: str, queue: str) -> tuple[str, str]:
@@ -160,6 +187,20 @@
     return value in (ANY_QUEUE, encode_cancellation(queue))
 
 
+def encode_queue_service(pair: QueueService) -> bytes:
+    """Returns the stored form of a service of a queue."""
+    return msgspec.msgpack.encode(pair)
+
+
+def decode_queue_service(data: bytes) -> QueueService:
+    """Decodes a service of a queue.
+
+    Raises:
+        msgspec.MsgspecError: If `data` is not valid.
+    """
+    return decode_record(_queue_service_decoder, data)
+
+
 def encode_spec(spec: JobSpec) -> bytes:
     """Returns the stored form of an accepted job."""
     return msgspec.msgpack.encode(spec)
--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -14,8 +14,10 @@
 from limpetyard.jobs import (
     ACCEPTED_PREFIX,
     JobSpec,
+    QueueService,
     cancellation_keys,
     encode_cancellation,
+    encode_queue_service,
     encode_spec,
 )
 from limpetyard.node._peers import (
@@ -161,13 +163,17 @@
                 STORE_REFUSED if no record is or will be stored,
                 STORE_SILENT if the outcome is unknown.
         """
-        size = sum(map(size_bytes, records))
-        limit = self._store.limits.largest_bytes
-        if size > limit:
-            raise RequestError(
-                ErrorKind.BAD_REQUEST,
-                f"{size} bytes are to be stored, limit is {limit} bytes",
-            )
+        sizes = [size_bytes(record) for record in records]
+        limits = self._store.limits
+        for size, limit in (
+            (max(sizes), limits.record_bytes),
+            (sum(sizes), limits.call_bytes),
+        ):
+            if size > limit:
+                raise RequestError(
+                    ErrorKind.BAD_REQUEST,
+                    f"{size} bytes are to be stored, limit is {limit} bytes",
+                )
         since_ms = self._writer.unanswered_since_ms
         now_ms = self._clock.now_ms()
         if since_ms is not None and now_ms - since_ms > UNANSWERED_LIMIT_MS:
@@ -206,6 +212,7 @@
         "_clock",
         "_peers",
         "_pending",
+        "_recorded_services",
     )
 
     def __init__(
@@ -220,6 +227,8 @@
         self._cells = cells
         self._clock = clock
         self._pending: dict[str, tuple[float, int]] = {}
+        # Services of queues whose records are known to be stored.
+        self._recorded_services: set[QueueService] = set()
 
     async def submit(self, spec: JobSpec, deadline_ms: float) -> None:
         """Accepts a job; idempotent by the id of the job.
@@ -232,10 +241,15 @@
             RequestError: If the job is not accepted, or acceptance is unknown.
         """
         start_ms = self._clock.now_ms()
-        record = KeyedRecord(ACCEPTED_PREFIX + spec.id, encode_spec(spec))
+        # A repeat overwrites the job, perhaps with another service.
+        pair = QueueService(spec.queue.name, spec.queue.service)
+        records = [KeyedRecord(ACCEPTED_PREFIX + spec.id, encode_spec(spec))]
+        if pair not in self._recorded_services:
+            records.append(KeyedRecord(pair.key, encode_queue_service(pair)))
         await self._appender.append(
-            spec.id, [record], deadline_ms - RESPONSE_RESERVE_MS
+            spec.id, records, deadline_ms - RESPONSE_RESERVE_MS
         )
+        self._recorded_services.add(pair)
         event(
             "job_accepted",
             job=spec.id,
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -35,6 +35,7 @@
     Job,
     cancellation_keys,
     chunk_job,
+    encode_queue_service,
     progress_changes,
 )
 from limpetyard.node._claims import ClaimsFollower
@@ -832,6 +833,10 @@
         if self._is_settled():
             value = epoch.to_bytes(EPOCH_BYTES)
             records.append(KeyedRecord(SETTLED_KEY, value))
+        records += [
+            KeyedRecord(pair.key, encode_queue_service(pair))
+            for pair in self._record_applier.unrecorded_services
+        ]
         return records
 
     def _ownership_records_due(self) -> bool:
@@ -840,6 +845,7 @@
         others = self._member.other_addresses()
         return (
             self._unleased_due
+            or bool(self._record_applier.unrecorded_services)
             or (others is not None and self._permit.needs_record(others))
             or self._is_settled()
         )
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -19,10 +19,14 @@
     CANCELLED_PREFIX,
     CHUNK_PREFIX,
     PROGRESS_PREFIX,
+    QUEUE_SERVICE_PREFIX,
+    JobSpec,
+    QueueService,
     apply_progress,
     cancelled_job,
     cancels_jobs_of,
     chunk_job,
+    decode_queue_service,
     decode_record,
     decode_spec,
 )
@@ -60,6 +64,8 @@
         stray_chunks: Chunks, by key, of jobs that are not known: an owner that
             knows no chunks has deleted the job.
         early_cancellations: Cancellations of jobs that have not been read.
+        unrecorded_services: Services of queues of jobs that were read, without
+            a record: nodes of an earlier release have accepted the jobs.
     """
 
     __slots__ = (
@@ -68,11 +74,13 @@
         "_engine",
         "_on_change",
         "_parse_worker_entry",
+        "_recorded_services",
         "_recorded_workers",
         "_wall_ms",
         "early_cancellations",
         "stray_keys",
         "stray_chunks",
+        "unrecorded_services",
     )
 
     def __init__(
@@ -107,6 +115,8 @@
         self.stray_keys: set[str] = set()
         self.stray_chunks: dict[str, bytes] = {}
         self.early_cancellations = EarlyCancellations()
+        self._recorded_services: set[QueueService] = set()
+        self.unrecorded_services: set[QueueService] = set()
 
     def places_epoch(self) -> int:
         """Returns the epoch of the latest owner that stored places.
@@ -176,6 +186,7 @@
         latest = {record.key: record for record in records}
         for prefix in (
             WORKER_KEY_PREFIX,
+            QUEUE_SERVICE_PREFIX,
             ACCEPTED_PREFIX,
             CHUNK_PREFIX,
             PROGRESS_PREFIX,
@@ -222,6 +233,7 @@
         _check_key(record, ACCEPTED_PREFIX + spec.id)
         now_ms = self._clock.now_ms()
         age_ms = max(0.0, self._wall_ms() - spec.accepted_ms)
+        self._check_service(spec, loaded)
         known = spec.id in self._engine.jobs
         submitted_ms = now_ms - age_ms if loaded else now_ms
         job = self._engine.add_job(spec, submitted_ms, loaded)
@@ -231,6 +243,30 @@
         for cancellation in self.early_cancellations.pop(spec.id):
             self._apply_cancelled(cancellation, loaded)
 
+    def _check_service(self, spec: JobSpec, loaded: bool) -> None:
+        """Looks whether the service of a job's queue is recorded.
+
+        If it is not, earlier owners may have known the job with any service,
+        which a node of an earlier release has overwritten.
+        """
+        queue = spec.queue
+        pair = QueueService(queue.name, queue.service)
+        if pair in self._recorded_services:
+            return
+        self.unrecorded_services.add(pair)
+        self._engine.add_queue_service(queue.name, queue.service)
+        if loaded:
+            for worker in self._engine.workers.values():
+                for service in worker.services:
+                    self._engine.add_queue_service(queue.name, service)
+
+    def _apply_queue_service(self, record: StoredRecord, _: bool) -> None:
+        pair = decode_queue_service(record.value)
+        _check_key(record, pair.key)
+        self._recorded_services.add(pair)
+        self.unrecorded_services.discard(pair)
+        self._engine.add_queue_service(pair.queue, pair.service)
+
     def _apply_progress(self, record: StoredRecord, loaded: bool) -> None:
         """Applies progress that was loaded.
 
@@ -286,9 +322,12 @@
             entry.born, entry.draining, stored.stale_leases
         )
         now_ms = self._clock.now_ms()
-        if entry.id not in self._engine.workers:
-            self._engine.set_entry(entry, now_ms)
-            self._engine.mark_entry_missing(entry.id, now_ms)
+        worker = self._engine.workers.get(entry.id)
+        if worker is not None:
+            worker.services |= {entry.service}
+            return
+        self._engine.set_entry(entry, now_ms)
+        self._engine.mark_entry_missing(entry.id, now_ms)
 
     def apply_entries(self, records: list[StoredRecord]) -> None:
         """Applies directory entries of workers."""
@@ -332,6 +371,7 @@
 
 
 _APPLIERS = {
+    QUEUE_SERVICE_PREFIX: RecordApplier._apply_queue_service,
     ACCEPTED_PREFIX: RecordApplier._apply_accepted,
     CHUNK_PREFIX: RecordApplier._apply_chunk,
     PROGRESS_PREFIX: RecordApplier._apply_progress,
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -248,7 +248,13 @@
     def place(self, now_ms, wall_ms, max_starts=None, max_unrecorded=None):
         """Places tasks as `Planner.place` does, one by one."""
         candidates = self._candidates("pool", now_ms)
-        unconfirmed = self._unconfirmed_workers(now_ms)
+        certain_ms = min(now_ms, self._engine.confirmed_ms)
+        unconfirmed = {
+            worker.id
+            for worker in self._engine.workers.values()
+            if not worker.token_confirmed
+            and certain_ms < worker.prior_lease_end_ms
+        }
         steps = []
         for a_job in self._engine.open_jobs.values():
             for occurrence, number in a_job.open_steps():
--- a/tests/node/test_records.py
+++ b/tests/node/test_records.py
@@ -18,10 +18,12 @@
     CANCELLED_PREFIX,
     JobSpec,
     QueueParams,
+    QueueService,
     Resources,
     StepSpec,
     cancellation_keys,
     encode_cancellation,
+    encode_queue_service,
     encode_spec,
 )
 from limpetyard.node._records import APPLIED_PER_ITERATION, RecordApplier
@@ -100,6 +102,51 @@
         self.assertEqual(list(engine.jobs), ["a" * 16])
 
 
+class QueueServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against TWICE: runs of a queue's earlier service."""
+
+    async def load(self, *pairs: QueueService) -> RecordApplier:
+        """Loads a job and workers of two services, with some pairs recorded."""
+        self.engine = Engine(1, EngineParams(4000, 5000))
+        applier = RecordApplier(
+            self.engine,
+            lambda _: None,
+            ManualClock(),
+            lambda: 0.0,
+            lambda: None,
+        )
+        records = {ACCEPTED_PREFIX + ID: encode_spec(SPEC)}
+        for service in ("pool", "other"):
+            worker = WorkerEntry(
+                service, service, "127.0.0.1:1", "z", "r", (), Resources(9), 7
+            )
+            records[f"w/{service}"] = msgspec.msgpack.encode(worker)
+        for pair in pairs:
+            records[pair.key] = encode_queue_service(pair)
+        applier.apply_jobs(
+            [StoredRecord(n, *item) for n, item in enumerate(records.items())]
+        )
+        await applier.apply_collected()
+        return applier
+
+    async def test_recorded_services(self):
+        """Those that are recorded count, and the job's own is one of them."""
+        own, past = QueueService("q", "pool"), QueueService("q", "past")
+        applier = await self.load(own, past)
+        self.assertEqual(self.engine.queue_services, {"q": {"pool", "past"}})
+        self.assertEqual(applier.unrecorded_services, set())
+
+    async def test_job_of_an_earlier_release(self):
+        """A node that records no services may have overwritten any."""
+        own = QueueService("q", "pool")
+        applier = await self.load()
+        self.assertEqual(self.engine.queue_services, {"q": {"pool", "other"}})
+        self.assertEqual(applier.unrecorded_services, {own})
+        record = StoredRecord(9, own.key, encode_queue_service(own))
+        applier.apply_jobs([record])
+        self.assertEqual(applier.unrecorded_services, set())
+
+
 ID = f"{1:016x}"
 SPEC = JobSpec(ID, QueueParams("q", "pool"), "", (StepSpec(2),))
 
