Restore the first acceptance of a job that a repeat has overwritten

Cause: any node stores a repeat under the key of the job. The running owner keeps what it read first, the next one loads what was stored last.

Change: an owner that reads a repeat that differs from the job, in more than the time of acceptance, stores the first specification again with its next append and logs job_overwritten. Its appends are fenced, so that no earlier owner can do so late. A refused append leaves the job on the list.

Evidence: RepeatedSubmissionTest.test_stored_job_is_the_first_one fails before. RecordOrderTest.test_other_queue_then_next_owner passed its own assertions with the change, and failed in the checks of the site, which want the end of the job to be seen; the scenario now also waits for it.

Conclusion: running and next owner agree on the job. An owner that is lost before it has restored the job leaves the repeat; the rule is then kept by the services of the queue.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -192,6 +192,11 @@
         ("job", "queue", "state", "age_ms"),
         "A job is complete, failed or cancelled.",
     ),
+    "job_overwritten": EventKind(
+        ("job", "queue", "service", "first_queue", "first_service"),
+        "A repeated submission has stored a known job with another"
+        " specification; the owner stores the first one again.",
+    ),
     "job_read": EventKind(
         ("job", "queue", "age_ms"), "The owner has read an accepted job."
     ),
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -36,6 +36,7 @@
     cancellation_keys,
     chunk_job,
     encode_queue_service,
+    encode_spec,
     progress_changes,
 )
 from limpetyard.node._claims import ClaimsFollower
@@ -786,6 +787,8 @@
             groups.append([KeyedRecord(PLACES_KEY, epoch)])
         # First, as a call with many jobs may fail again and again.
         groups[:0] = [[record] for record in self._ownership_records()]
+        accepted = self._overwritten_records()
+        groups += [[record] for record in accepted]
         stored: set[str] = set()
         failure: StoreError | None = None
         try:
@@ -795,6 +798,8 @@
                 self.engine.on_store_rejected(batch)
                 raise
             failure = exc
+        finally:
+            self._note_overwritten(accepted, stored)
         self._places_recorded |= PLACES_KEY in stored
         self._settled_recorded |= SETTLED_KEY in stored
         if UNLEASED_KEY in stored:
@@ -820,6 +825,36 @@
                 job.dirty = True
             raise failure
 
+    def _overwritten_records(self) -> list[KeyedRecord]:
+        """Returns the records that restore overwritten jobs, once.
+
+        The caller must pass them to `_note_overwritten`.
+        """
+        overwritten = self._record_applier.overwritten_jobs
+        jobs = [self.engine.jobs.get(job_id) for job_id in sorted(overwritten)]
+        # A job that is overwritten again meanwhile must be restored again.
+        overwritten.clear()
+        return [
+            KeyedRecord(ACCEPTED_PREFIX + job.spec.id, encode_spec(job.spec))
+            for job in jobs
+            if job is not None
+        ]
+
+    def _note_overwritten(
+        self, records: list[KeyedRecord], stored: set[str]
+    ) -> None:
+        """Notes which overwritten jobs are still to be restored.
+
+        Args:
+            records: Records that restore jobs.
+            stored: Keys of the records that are stored.
+        """
+        self._record_applier.overwritten_jobs.update(
+            record.key.removeprefix(ACCEPTED_PREFIX)
+            for record in records
+            if record.key not in stored
+        )
+
     def _ownership_records(self) -> list[KeyedRecord]:
         """Returns records of what the next owner must know of this one."""
         epoch = self.engine.epoch
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -64,6 +64,8 @@
         stray_chunks: Chunks, by key, of jobs that are not known: an owner that
             knows no chunks has deleted the job.
         early_cancellations: Cancellations of jobs that have not been read.
+        overwritten_jobs: Ids of known jobs that a later submission under their
+            id has overwritten in the store with another specification.
         unrecorded_services: Services of queues of jobs that were read, without
             a record: nodes of an earlier release have accepted the jobs.
     """
@@ -78,6 +80,7 @@
         "_recorded_workers",
         "_wall_ms",
         "early_cancellations",
+        "overwritten_jobs",
         "stray_keys",
         "stray_chunks",
         "unrecorded_services",
@@ -115,6 +118,7 @@
         self.stray_keys: set[str] = set()
         self.stray_chunks: dict[str, bytes] = {}
         self.early_cancellations = EarlyCancellations()
+        self.overwritten_jobs: set[str] = set()
         self._recorded_services: set[QueueService] = set()
         self.unrecorded_services: set[QueueService] = set()
 
@@ -240,9 +244,30 @@
         if not known and not loaded:
             event("job_read", job=spec.id, queue=spec.queue.name, age_ms=age_ms)
             job.accepted_ms = now_ms - age_ms
+        if known:
+            self._check_repeat(job.spec, spec)
         for cancellation in self.early_cancellations.pop(spec.id):
             self._apply_cancelled(cancellation, loaded)
 
+    def _check_repeat(self, first: JobSpec, spec: JobSpec) -> None:
+        """Looks whether a stored job is still the one that was accepted first.
+
+        Only the first one counts. The times of acceptance may differ.
+        """
+        accepted_ms = first.accepted_ms
+        if msgspec.structs.replace(spec, accepted_ms=accepted_ms) == first:
+            self.overwritten_jobs.discard(spec.id)
+            return
+        self.overwritten_jobs.add(spec.id)
+        event(
+            "job_overwritten",
+            job=spec.id,
+            queue=spec.queue.name,
+            service=spec.queue.service,
+            first_queue=first.queue.name,
+            first_service=first.queue.service,
+        )
+
     def _check_service(self, spec: JobSpec, loaded: bool) -> None:
         """Looks whether the service of a job's queue is recorded.
 
--- a/tests/node/test_record_order.py
+++ b/tests/node/test_record_order.py
@@ -114,6 +114,9 @@
             host = next(h for h in site.hosts if h.job_service is not None)
             state = await host.job_service.state(ID, QUEUE.name, DEADLINE_MS)
             self.assertEqual(state, "running")
+            # The checks of the site expect that its clients see the end.
+            await asyncio.sleep(50)
+            await self.complete(site, range(1, 2))
 
         self.run_scenario(scenario)
 
--- a/tests/node/test_repeated_submissions.py
+++ b/tests/node/test_repeated_submissions.py
@@ -1,11 +1,14 @@
 """Submissions that repeat the id of a job after its route has changed."""
 
 import asyncio
+from unittest import mock
 
 import msgspec
 
 from limpetyard._clock import MS_PER_SECOND
-from limpetyard.jobs import JobSpec, QueueParams, StepSpec
+from limpetyard.jobs import JobSpec, QueueParams, StepSpec, decode_spec
+from limpetyard.node._store_layout import JOBS_TOPIC
+from limpetyard.store import RefusalKind, StoreRefusedError, Writer
 from standins.platform import SimulatedSite
 from standins.platform._history import RunStarted
 from standins.platform._site import DEADLINE_MS, QUEUE
@@ -84,6 +87,11 @@
             host.worker_links[worker.entry.id].cut = False
         await self.complete(site, range(1, 2))
 
+    def stored_spec(self, site: SimulatedSite) -> JobSpec:
+        """Returns the job as it is stored."""
+        record = site.store.partition(JOBS_TOPIC, 0).latest[f"s/{ID}"]
+        return decode_spec(record.value)
+
     def test_route_with_another_service(self):
         """The job's route has got another service."""
 
@@ -102,6 +110,7 @@
             worker = await self.start(site)
             site.owner().store_link.cut = True
             await self.repeat(site, OTHER_ROUTE)
+            self.assertEqual(self.stored_spec(site).queue, OTHER_ROUTE)
             await self.check_taken_over(site, worker)
 
         self.run_scenario(scenario)
@@ -120,6 +129,50 @@
 
         self.run_scenario(scenario)
 
+    def test_stored_job_is_the_first_one(self):
+        """A repeat changes nothing of the job, in this owner or in the next."""
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.start(site)
+            changed = msgspec.structs.replace(
+                OTHER_ROUTE, max_attempts=9, priority=3
+            )
+            await self.repeat(site, changed)
+            await asyncio.sleep(READ_S)
+            self.assertEqual(self.stored_spec(site), job())
+            await self.take_over(site)
+            owner = site.owner().node._owners[0]
+            self.assertEqual(owner.engine.jobs[ID].spec, job())
+            await self.complete(site, range(1, 2))
+
+        self.run_scenario(scenario)
+
+    def test_refused_while_the_first_one_is_stored_again(self):
+        """It is stored with a later append."""
+        append, refused = Writer.append, []
+
+        async def refuse_first(writer, records, *args) -> None:
+            if not refused and any(r.key == f"s/{ID}" for r in records):
+                refused.append(records)
+                raise StoreRefusedError(RefusalKind.BUSY, "busy")
+            await append(writer, records, *args)
+
+        async def scenario(site: SimulatedSite) -> None:
+            await self.start(site)
+            owner = site.owner()
+            owner.store_link.cut = True
+            await self.repeat(site, OTHER_ROUTE)
+            self.assertEqual(self.stored_spec(site).queue, OTHER_ROUTE)
+            with mock.patch.object(Writer, "append", refuse_first):
+                owner.store_link.cut = False
+                await until(lambda: refused)
+                await asyncio.sleep(READ_S)
+            self.assertEqual(len(refused), 1)
+            self.assertEqual(self.stored_spec(site), job())
+            await self.complete(site, range(1, 2))
+
+        self.run_scenario(scenario)
+
     def test_worker_back_under_another_service(self):
         """A late start order reaches a worker that has changed its service."""
 
