Store answered starts within tens of milliseconds

Cause: that a start was answered was stored 0.3 s later. Without it the next owner has to take the start for one that the later life of the worker may carry out: 12 s, and the longest lease.

Change: it is stored after 0.1 ms for each task of the job, 0.3 s at most, as each change rewrites all tasks of the job. The round of planning wakes for it.

Evidence: LostAfterRestartTest.test_runs_that_were_answered_right_before fails before. The test of the common append now has a narrow and a wide job and the times between which nothing is stored.

Conclusion: a kill in the last 40 ms or so, or a start without a reply, still leaves the doubt, which is due as long as nobody knows of the answer.

--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -83,9 +83,11 @@
 # longer than that of the worker, so that other tasks get a turn.
 MAX_REJECTED_BACKOFF_MS = 1600
 
-# Time after which the answered places of running tasks are stored. Those of
-# shorter tasks never are, and those of one such time share an append.
-ANSWERS_DELAY_MS = 300
+# Time for each task of a job after which its answered places are stored, and
+# the longest such time. Each change rewrites what is stored of all its tasks;
+# those of one such time share an append.
+ANSWERS_DELAY_PER_TASK_MS = 0.1
+MAX_ANSWERS_DELAY_MS = 300
 
 # A worker whose directory entry is missing for longer than this counts as
 # departed. After an outage of the store, entries are back within two seconds.
@@ -161,7 +163,6 @@
     """
 
     __slots__ = (
-        "_answers_since_ms",
         "_census",
         "_offered_loads",
         "_pace",
@@ -223,10 +224,9 @@
         self._removed_incarnations: dict[str, int] = {}
         self.unstored_jobs: set[str] = set()
         self.queue_services: dict[str, set[str]] = {}
-        # Ids of jobs with answered places that are not stored, and since when
-        # there are any.
-        self._unstored_answers: set[str] = set()
-        self._answers_since_ms = 0.0
+        # When the answered places of a job are to be stored, by its id; only if
+        # they are not yet.
+        self._unstored_answers: dict[str, float] = {}
 
     def add_job(self, spec: JobSpec, now_ms: float, loaded: bool) -> Job:
         """Adds an accepted job and returns it; idempotent by id.
@@ -778,15 +778,27 @@
         if may_be_late and now_ms < late_orders_end_ms:
             return
         task.answered = AnsweredPlace(worker.id, worker.born, self.epoch, sole)
-        if not self._unstored_answers:
-            self._answers_since_ms = now_ms
-        self._unstored_answers.add(job.spec.id)
+        delay_ms = min(
+            ANSWERS_DELAY_PER_TASK_MS * len(job.tasks), MAX_ANSWERS_DELAY_MS
+        )
+        self._unstored_answers.setdefault(job.spec.id, now_ms + delay_ms)
 
-    def store_answers(self) -> None:
-        """Has the answered places stored that are not stored yet."""
-        for job_id in self._unstored_answers & self.open_jobs.keys():
-            self.open_jobs[job_id].dirty = True
-        self._unstored_answers.clear()
+    @property
+    def answers_due_ms(self) -> float:
+        """When answered places are to be stored; infinite if all are."""
+        return min(self._unstored_answers.values(), default=math.inf)
+
+    def store_answers(self, until_ms: float = math.inf) -> None:
+        """Has the answered places stored that are due by some time."""
+        due = [
+            j
+            for j, due_ms in self._unstored_answers.items()
+            if due_ms <= until_ms
+        ]
+        for job_id in due:
+            del self._unstored_answers[job_id]
+            if job_id in self.open_jobs:
+                self.open_jobs[job_id].dirty = True
 
     def _start_incarnation(
         self, worker: Worker, born: int, now_ms: float
@@ -1058,8 +1070,7 @@
         """
         self._expire_leases(now_ms)
         self.doubts.end_over(now_ms)
-        if now_ms - self._answers_since_ms >= ANSWERS_DELAY_MS:
-            self.store_answers()
+        self.store_answers(now_ms)
         effects: list[Effect] = self._due_stops(now_ms)
         effects += self._planner.place(
             now_ms, wall_ms, max_starts, max_unrecorded
@@ -1142,7 +1153,7 @@
         answers: list[tuple[Task, frozenset[str]]] = []
         for job in jobs:
             job.dirty = False
-            self._unstored_answers.discard(job.spec.id)
+            self._unstored_answers.pop(job.spec.id, None)
             for task in job.tasks.values():
                 if task.answered is None and not task.recorded_answers:
                     continue
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -986,7 +986,11 @@
                 self._execute(effects)
                 passed_ms, next_ms = self.engine.awaited_ends_ms(now_ms)
                 self._term.confirm_after(passed_ms)
-                wait_ms = min(wait_ms, next_ms - now_ms + LEASE_END_MARGIN_MS)
+                wait_ms = min(
+                    wait_ms,
+                    next_ms - now_ms + LEASE_END_MARGIN_MS,
+                    self.engine.answers_due_ms - now_ms,
+                )
             if self._ownership_records_due() or any(
                 job.dirty for job in self.engine.open_jobs.values()
             ):
--- a/tests/engine/test_answered_places.py
+++ b/tests/engine/test_answered_places.py
@@ -4,7 +4,10 @@
 import unittest
 
 from limpetyard.engine import RunReport, Start, StartResult
-from limpetyard.engine._engine import ANSWERS_DELAY_MS
+from limpetyard.engine._engine import (
+    ANSWERS_DELAY_PER_TASK_MS,
+    MAX_ANSWERS_DELAY_MS,
+)
 from limpetyard.engine._worker import MAX_ORDER_DELAY_MS, WorkerRun
 from limpetyard.jobs import (
     AnsweredPlace,
@@ -30,9 +33,9 @@
             late_clock_ms: Added to the reading in the reply.
             **step: Arguments of the step.
         """
-        step_spec = StepSpec(1, ONE_CORE, **step)
+        step_spec = StepSpec(step.pop("count", 1), ONE_CORE, **step)
         self.job = self.engine.add_job(job(1, step_spec), self.now_ms, False)
-        (effect,) = self.engine.plan(self.now_ms, 0.0)
+        (effect,) = self.engine.plan(self.now_ms, 0.0, 1)
         worker = self.engine.workers["w-0"]
         self.now_ms += 1
         worker.set_clock(READING_MS, self.now_ms)
@@ -87,14 +90,30 @@
         (run,) = self.engine.workers["w-1"].runs.values()
         self.assertTrue(run.may_outlast_incarnation(self.now_ms))
 
-    def test_stored_once_for_all(self):
-        """Answered places are stored a little later, in one append."""
-        self.start()
+    def check_delay(self, tasks: int, delay_ms: float) -> None:
+        """Checks when the answered place of a task of a job is stored.
+
+        Args:
+            tasks: Number of tasks of the job.
+            delay_ms: Time after which it must be stored, and not before.
+        """
+        self.start(count=tasks)
+        self.assertEqual(self.engine.answers_due_ms, self.now_ms + delay_ms)
+        self.now_ms += 0.9 * delay_ms
         self.engine.plan(self.now_ms, 0.0)
         self.assertFalse(self.job.dirty)
-        self.now_ms += ANSWERS_DELAY_MS
+        self.now_ms += 0.1 * delay_ms
         self.engine.plan(self.now_ms, 0.0)
         self.assertTrue(self.job.dirty)
+        self.assertEqual(self.engine.answers_due_ms, math.inf)
+
+    def test_stored_once_for_all(self):
+        """Answered places are stored a little later, in one append."""
+        self.check_delay(5, 5 * ANSWERS_DELAY_PER_TASK_MS)
+
+    def test_stored_once_for_a_wide_job(self):
+        """Each append has all tasks of the job, but comes in time."""
+        self.check_delay(9999, MAX_ANSWERS_DELAY_MS)
 
     def test_worker_is_barred_until_the_store_forgets(self):
         """TWICE: a later owner would not expect a start there."""
--- a/tests/exploring/test_restart_storms.py
+++ b/tests/exploring/test_restart_storms.py
@@ -68,7 +68,7 @@
                 task.answered = AnsweredPlace(
                     worker.id, worker.born, engine.epoch
                 )
-                engine._unstored_answers.add(run.task.job)
+                engine._unstored_answers[run.task.job] = 0.0
 
         with mock.patch.object(Engine, "add_run", add_answered_run):
             self.assert_detects(range(133, 160))
--- a/tests/node/test_lost_after_restart.py
+++ b/tests/node/test_lost_after_restart.py
@@ -31,6 +31,7 @@
 # Time in which what is known of new runs is stored, and in which the restart of
 # a worker is read from the directory.
 STORED_S = 1.0
+SOON_S = 0.1
 READ_MS = 2000
 
 # Time in which the owner would start a failed task again.
@@ -65,7 +66,11 @@
     """Guards against LOST: jobs that wait for a worker that never returns."""
 
     async def lose(
-        self, site: SimulatedSite, worker: WorkerModel, answers: bool = False
+        self,
+        site: SimulatedSite,
+        worker: WorkerModel,
+        answers: bool = False,
+        killed_s: float = KILLED_S,
     ) -> None:
         """Cuts a worker off, ends the owner, then loses the worker.
 
@@ -73,9 +78,10 @@
             site: The site.
             worker: The worker.
             answers: Whether the owner answers its successor, or is killed.
+            killed_s: Time from the beginning of the cut until then.
         """
         cut_off(site, worker.entry.id)
-        await asyncio.sleep(KILLED_S)
+        await asyncio.sleep(killed_s)
         owner = site.owner()
         if answers:
             site.pass_cell_on()
@@ -84,7 +90,7 @@
             await site.start_node(owner)
             # Its links are sound again.
             cut_off(site, worker.entry.id)
-        await asyncio.sleep(RESTARTED_S - KILLED_S)
+        await asyncio.sleep(RESTARTED_S - killed_s)
         worker.crash()
         worker.restart()
         await asyncio.sleep(LOST_S - RESTARTED_S)
@@ -133,19 +139,24 @@
 
         self.run_scenario(scenario, workers=7)
 
-    def check_answered(self, answers: bool) -> None:
+    def check_answered(
+        self, answers: bool = False, known_s: float = STORED_S
+    ) -> None:
         """Checks that tasks of runs that were answered start again.
 
         Args:
             answers: See `lose`.
+            known_s: Time from the last start until the worker is cut off; the
+                owner ends soon after it if this is short.
         """
+        killed_s = KILLED_S if known_s >= STORED_S else 0.0
 
         async def scenario(site: SimulatedSite) -> None:
             self.assertTrue(await site.submit(long_running_job(1)))
             await asyncio.sleep(0.5)
             for number in range(JOBS):
                 self.assertTrue(await site.submit(two_steps(number)))
-            await asyncio.sleep(STORED_S)
+            await asyncio.sleep(known_s)
             (worker,) = (
                 w
                 for w in site.workers.values()
@@ -153,7 +164,7 @@
             )
             lost = set(worker.running())
             self.assertGreater(len(lost), 1)
-            await self.lose(site, worker, answers)
+            await self.lose(site, worker, answers, killed_s)
             restarted_ms = site.clock.now_ms() - MS_PER_SECOND * (
                 LOST_S - RESTARTED_S
             )
@@ -174,7 +185,14 @@
 
         Their tasks waited for late orders to it, of which none can exist.
         """
-        self.check_answered(answers=False)
+        self.check_answered()
+
+    def test_runs_that_were_answered_right_before(self):
+        """The owner is killed soon after it has sent the starts.
+
+        The store did not have their answers yet.
+        """
+        self.check_answered(known_s=SOON_S)
 
     def test_runs_of_an_owner_that_answers(self):
         """The same with an owner that tells its leases."""
