Store answers of steps that only the new owner can have started

Cause: in jobs of before its claim an owner stores no answers until late orders of earlier owners are over. Tasks of steps after one that still ran, of which earlier owners can have sent no start at all, waited, too.

Change: they count as free of earlier starts, by the proof that lets them start at once (steps_unstarted).

Evidence: LostAfterRestartTest.test_steps_that_a_new_owner_has_started fails before.

Conclusion: the 12 s remain for tasks that were ready when the owner claimed.

--- a/src/limpetyard/jobs/_job.py
+++ b/src/limpetyard/jobs/_job.py
@@ -109,8 +109,8 @@
             it is stored; kept while an earlier owner's run may exist. Or None.
         inherited_answer: `answered` of an earlier owner that this owner may
             rely on, until the task is placed, or None.
-        earlier_starts_over: Whether it is known from the store that no start
-            order of the task by an earlier owner is left.
+        earlier_starts_over: Whether it is known that no start order of the task
+            by an earlier owner is left.
         unanswered_until_ms: Time until which a start order of this owner that
             got no reply may be carried out, by any incarnation.
         recorded_answers: Workers that the store may have as `answered`. The
@@ -463,6 +463,7 @@
                 if task.may_be_running and not task.run:
                     task.may_be_running = False
                     task.possible_worker = ""
+                    task.earlier_starts_over = True
                     changed += 1
         return changed
 
--- a/tests/node/test_lost_after_restart.py
+++ b/tests/node/test_lost_after_restart.py
@@ -198,6 +198,42 @@
         """The same with an owner that tells its leases."""
         self.check_answered(answers=True)
 
+    def test_steps_that_a_new_owner_has_started(self):
+        """No earlier owner can have started a step after one that still ran.
+
+        They waited for late orders of earlier owners.
+        """
+
+        async def scenario(site: SimulatedSite) -> None:
+            for number in range(JOBS):
+                self.assertTrue(await site.submit(two_steps(number)))
+            await asyncio.sleep(STORED_S)
+            await site.kill_node(site.owner())
+            await until(
+                lambda: (
+                    sum(s.task.step for s in site.history.of(RunStarted))
+                    == JOBS
+                )
+            )
+            await asyncio.sleep(SOON_S)
+            worker = next(w for w in site.workers.values() if w.running())
+            lost = set(worker.running())
+            await self.lose(site, worker, killed_s=0.0)
+            restarted_ms = site.clock.now_ms() - MS_PER_SECOND * (
+                LOST_S - RESTARTED_S
+            )
+            await asyncio.sleep(READ_MS / MS_PER_SECOND)
+            again = {
+                start.task
+                for start in site.history.of(RunStarted)
+                if start.at_ms > restarted_ms
+                and start.worker != worker.entry.id
+            }
+            self.assertEqual(lost - again, set())
+            await self.complete(site, range(JOBS))
+
+        self.run_scenario(scenario, workers=7)
+
     def check_after_takeover(self, arrives_late: bool) -> None:
         """Checks that a long-running task of a new owner starts again.
 
