Keep an ended job that is submitted again while it is deleted

What callers saw: a submission under the id of a job that had ended 120 s before was accepted, and answered with 410 milliseconds later (RecordOrderTest, LOST).

Cause: an owner deletes and forgets a job by the time of its end. A repeat right before the deletion was deleted with it; one before its reply was taken for a repeat of a known job, which was then forgotten.

Change: a repeat of an ended job keeps it as if it ended then. A deleted job stays known until the owner has read the log to a point after the deletion, so that it meets each repeat before it; such a job and its progress are stored again. It does not run again, as a run after an acknowledged end breaks TWICE.

Conclusion: an acknowledged id is known for status_s after its last submission.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -131,6 +131,11 @@
     "deadline_unreadable": EventKind(
         ("value",), "A caller's deadline is not a number; the default applies."
     ),
+    "deleted_job_kept": EventKind(
+        ("job", "state"),
+        "An ended job was submitted again while its records were deleted; the"
+        " owner stores them once more.",
+    ),
     "doubt_ended": EventKind(
         ("task", "worker", "how", "age_ms", "waited_ms"),
         "A start without a reply, sent to this worker age_ms ago, holds its"
--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -1008,8 +1008,27 @@
             # A batch in progress may hold a record that would be deleted.
             async with self._persist_lock:
                 await self._purge(self._clock.now_ms())
+            await self._drop_deleted()
             await asyncio.sleep(PURGE_INTERVAL_MS / MS_PER_SECOND)
 
+    async def _drop_deleted(self) -> None:
+        """Drops the jobs whose records are deleted.
+
+        A job may be submitted again right before the deletion, so this waits
+        until all that was stored by then has been read.
+        """
+        deleted = self._record_applier.deleted_jobs
+        if not deleted:
+            return
+        try:
+            await self.read_jobs()
+        except StoreError as exc:
+            event("forget_failed", reason=exc)
+            return
+        for job_id in deleted:
+            self.engine.drop_job(job_id)
+        deleted.clear()
+
     async def _purge(self, now_ms: float) -> None:
         """Deletes stray records and those of expired jobs and removed workers.
 
@@ -1022,6 +1041,7 @@
             if job.is_final
             and job.stored_state == job.state
             and now_ms - job.ended_ms > self._retention_ms
+            and job.spec.id not in self._record_applier.deleted_jobs
         ]
         self._removed_workers.update(self.engine.remove_gone_workers(now_ms))
         self._on_change()
@@ -1058,13 +1078,16 @@
         for worker in removed:
             self._recorded_workers.pop(worker, None)
         stored: set[str] = set()
+        applier.deleted_jobs.update(spec.id for spec in expired_jobs)
         try:
             await self._append(groups, stored)
         except StoreError as exc:
             event("forget_failed", reason=exc)
-        for spec in expired_jobs:
-            if ACCEPTED_PREFIX + spec.id in stored:
-                self.engine.drop_job(spec.id)
+        applier.deleted_jobs.difference_update(
+            spec.id
+            for spec in expired_jobs
+            if ACCEPTED_PREFIX + spec.id not in stored
+        )
         self._removed_workers.difference_update(
             worker for worker in removed if WORKER_KEY_PREFIX + worker in stored
         )
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -20,6 +20,7 @@
     CHUNK_PREFIX,
     PROGRESS_PREFIX,
     QUEUE_SERVICE_PREFIX,
+    Job,
     JobSpec,
     QueueService,
     apply_progress,
@@ -63,6 +64,8 @@
         stray_keys: Keys of records that are of no use, to be deleted.
         stray_chunks: Chunks, by key, of jobs that are not known: an owner that
             knows no chunks has deleted the job.
+        deleted_jobs: Ids of ended jobs whose records are deleted, or about to
+            be, but which are still known.
         early_cancellations: Cancellations of jobs that have not been read.
         overwritten_jobs: Ids of known jobs that a later submission under their
             id has overwritten in the store with another specification.
@@ -79,6 +82,7 @@
         "_recorded_services",
         "_recorded_workers",
         "_wall_ms",
+        "deleted_jobs",
         "early_cancellations",
         "overwritten_jobs",
         "stray_keys",
@@ -118,6 +122,7 @@
         self.stray_keys: set[str] = set()
         self.stray_chunks: dict[str, bytes] = {}
         self.early_cancellations = EarlyCancellations()
+        self.deleted_jobs: set[str] = set()
         self.overwritten_jobs: set[str] = set()
         self._recorded_services: set[QueueService] = set()
         self.unrecorded_services: set[QueueService] = set()
@@ -246,6 +251,8 @@
             job.accepted_ms = now_ms - age_ms
         if known:
             self._check_repeat(job.spec, spec)
+            if job.is_final:
+                self._keep_ended(job, now_ms)
         for cancellation in self.early_cancellations.pop(spec.id):
             self._apply_cancelled(cancellation, loaded)
 
@@ -268,6 +275,15 @@
             first_service=first.queue.service,
         )
 
+    def _keep_ended(self, job: Job, now_ms: float) -> None:
+        """Keeps an ended job that was submitted again as if it ended now."""
+        job.ended_ms = now_ms
+        if job.spec.id in self.deleted_jobs:
+            event("deleted_job_kept", job=job.spec.id, state=job.state)
+            self.deleted_jobs.remove(job.spec.id)
+            self.overwritten_jobs.add(job.spec.id)
+            job.dirty = True
+
     def _check_service(self, spec: JobSpec, loaded: bool) -> None:
         """Looks whether the service of a job's queue is recorded.
 
