Restore a cancellation that a purge has deleted in the next append

What callers saw: a cancellation that had been acknowledged was lost, and the job ran, when the owner was lost within 5 s after cancellation_undone (RecordOrderTest, UNASKED).

Cause: it was stored again by the next purge.

Change: it is stored with the next append, as are overwritten jobs.

Evidence: RecordOrderTest.test_undone_while_job_is_read fails before and passes unchanged; its entry leaves KNOWN-RED.

Conclusion: the loss needs an owner that is lost within some 20 ms, between the deletion and the append after it.

--- a/src/limpetyard/node/_owner.py
+++ b/src/limpetyard/node/_owner.py
@@ -787,8 +787,8 @@
             groups.append([KeyedRecord(PLACES_KEY, epoch)])
         # First, as a call with many jobs may fail again and again.
         groups[:0] = [[record] for record in self._ownership_records()]
-        accepted = self._overwritten_records()
-        groups += [[record] for record in accepted]
+        restored = self._records_to_restore()
+        groups += [[record] for record in restored]
         stored: set[str] = set()
         failure: StoreError | None = None
         try:
@@ -799,7 +799,7 @@
                 raise
             failure = exc
         finally:
-            self._note_overwritten(accepted, stored)
+            self._note_restored(restored, stored)
         self._places_recorded |= PLACES_KEY in stored
         self._settled_recorded |= SETTLED_KEY in stored
         if UNLEASED_KEY in stored:
@@ -825,35 +825,40 @@
                 job.dirty = True
             raise failure
 
-    def _overwritten_records(self) -> list[KeyedRecord]:
-        """Returns the records that restore overwritten jobs, once.
+    def _records_to_restore(self) -> list[KeyedRecord]:
+        """Returns records that others have overwritten, or a purge deleted.
 
-        The caller must pass them to `_note_overwritten`.
+        These are jobs and cancellations. The caller must pass them to
+        `_note_restored`.
         """
-        overwritten = self._record_applier.overwritten_jobs
-        jobs = [self.engine.jobs.get(job_id) for job_id in sorted(overwritten)]
+        applier = self._record_applier
+        jobs = map(self.engine.jobs.get, sorted(applier.overwritten_jobs))
         # A job that is overwritten again meanwhile must be restored again.
-        overwritten.clear()
-        return [
+        applier.overwritten_jobs.clear()
+        records = [
             KeyedRecord(ACCEPTED_PREFIX + job.spec.id, encode_spec(job.spec))
             for job in jobs
             if job is not None
         ]
+        undone = applier.early_cancellations.undone
+        return records + [KeyedRecord(k, r.value) for k, r in undone.items()]
 
-    def _note_overwritten(
+    def _note_restored(
         self, records: list[KeyedRecord], stored: set[str]
     ) -> None:
-        """Notes which overwritten jobs are still to be restored.
+        """Notes which records are still to be restored.
 
         Args:
-            records: Records that restore jobs.
-            stored: Keys of the records that are stored.
+            records: The records.
+            stored: Keys of those that are stored.
         """
-        self._record_applier.overwritten_jobs.update(
-            record.key.removeprefix(ACCEPTED_PREFIX)
-            for record in records
-            if record.key not in stored
-        )
+        applier = self._record_applier
+        for record in records:
+            job_id = record.key.removeprefix(ACCEPTED_PREFIX)
+            if record.key in stored:
+                applier.early_cancellations.undone.pop(record.key, None)
+            elif job_id != record.key:
+                applier.overwritten_jobs.add(job_id)
 
     def _ownership_records(self) -> list[KeyedRecord]:
         """Returns records of what the next owner must know of this one."""
@@ -1070,8 +1075,6 @@
             epochs = self._predecessor.witnesses
             strays += [f"{WITNESSES_PREFIX}{epoch}" for epoch in epochs]
         groups += [[KeyedRecord(key, None)] for key in strays]
-        undone = applier.early_cancellations.undone
-        groups += [[KeyedRecord(k, r.value)] for k, r in undone.items()]
         if not groups:
             return
         # One that is listed again before the reply must be recorded anew.
@@ -1091,8 +1094,6 @@
         self._removed_workers.difference_update(
             worker for worker in removed if WORKER_KEY_PREFIX + worker in stored
         )
-        for key in stored.intersection(undone):
-            del undone[key]
         for key in stored.intersection(strays):
             applier.stray_chunks.pop(key, None)
             applier.stray_keys.discard(key)
