Keep a deleted job that is cancelled or submitted several times

An id that was cancelled right before the deletion of its ended job ran when it was submitted again (UNASKED); a job that was submitted twice in that moment was lost (LOST).

Cause: a cancellation of a job that was about to be dropped counted for that job only. A second, equal submission took the first one off the list of jobs to store again, though the deletion was still to come.

Change: a cancellation keeps the job like a submission, and an equal submission takes nothing off the list. Services of queues are looked up once for each pair while a cell is loaded, and stored before the first job.

Evidence: RecordOrderTest.test_cancelled_right_before_the_deletion and test_accepted_twice_right_before_the_deletion fail before.

Conclusion: whatever is stored before the deletion of a job finds it known.

--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -133,8 +133,8 @@
     ),
     "deleted_job_kept": EventKind(
         ("job", "state"),
-        "An ended job was submitted again while its records were deleted; the"
-        " owner stores them once more.",
+        "An ended job was submitted or cancelled again while its records were"
+        " deleted; the owner stores them once more.",
     ),
     "doubt_ended": EventKind(
         ("task", "worker", "how", "age_ms", "waited_ms"),
--- a/src/limpetyard/node/_job_service.py
+++ b/src/limpetyard/node/_job_service.py
@@ -243,9 +243,12 @@
         start_ms = self._clock.now_ms()
         # A repeat overwrites the job, perhaps with another service.
         pair = QueueService(spec.queue.name, spec.queue.service)
-        records = [KeyedRecord(ACCEPTED_PREFIX + spec.id, encode_spec(spec))]
+        records = []
         if pair not in self._recorded_services:
             records.append(KeyedRecord(pair.key, encode_queue_service(pair)))
+        records.append(
+            KeyedRecord(ACCEPTED_PREFIX + spec.id, encode_spec(spec))
+        )
         await self._appender.append(
             spec.id, records, deadline_ms - RESPONSE_RESERVE_MS
         )
--- a/src/limpetyard/node/_records.py
+++ b/src/limpetyard/node/_records.py
@@ -263,7 +263,6 @@
         """
         accepted_ms = first.accepted_ms
         if msgspec.structs.replace(spec, accepted_ms=accepted_ms) == first:
-            self.overwritten_jobs.discard(spec.id)
             return
         self.overwritten_jobs.add(spec.id)
         event(
@@ -276,7 +275,7 @@
         )
 
     def _keep_ended(self, job: Job, now_ms: float) -> None:
-        """Keeps an ended job that was submitted again as if it ended now."""
+        """Keeps a job that was submitted or cancelled as if it ended now."""
         job.ended_ms = now_ms
         if job.spec.id in self.deleted_jobs:
             event("deleted_job_kept", job=job.spec.id, state=job.state)
@@ -292,7 +291,8 @@
         """
         queue = spec.queue
         pair = QueueService(queue.name, queue.service)
-        if pair in self._recorded_services:
+        known = (self._recorded_services, self.unrecorded_services)
+        if any(pair in pairs for pairs in known):
             return
         self.unrecorded_services.add(pair)
         self._engine.add_queue_service(queue.name, queue.service)
@@ -342,7 +342,7 @@
             now_ms = self._clock.now_ms()
             self._engine.cancel_job(job_id, now_ms)
             # It is kept as long as it would be without the job.
-            job.ended_ms = now_ms
+            self._keep_ended(job, now_ms)
             return
         event("cancellation_ignored", job=job_id, queue=queue)
         self.stray_keys.add(record.key)
--- a/tests/node/test_record_order.py
+++ b/tests/node/test_record_order.py
@@ -164,7 +164,7 @@
 
         self.run_scenario(scenario)
 
-    def resubmit_during_purge(self, before: bool) -> None:
+    def resubmit_during_purge(self, before: bool, times: int = 1) -> None:
         """Hands a job in again while its records are being deleted."""
         append = Writer._append
 
@@ -176,7 +176,12 @@
             resubmitted = []
 
             async def submit() -> None:
-                await service.submit(job(), DEADLINE_MS)
+                if times == 1:
+                    await service.submit(job(), DEADLINE_MS)
+                for _ in range(times - 1):
+                    # Equal ones, read before anything else is stored.
+                    await service.submit(job(500), DEADLINE_MS)
+                    await asyncio.sleep(0.1)
                 resubmitted.append(site.clock.now_ms())
 
             async def append_beside(writer, records, is_wanted):
@@ -204,6 +209,38 @@
 
         self.run_scenario(scenario)
 
+    def test_accepted_twice_right_before_the_deletion(self):
+        """The second one must not pass for one that is still stored."""
+        self.resubmit_during_purge(before=True, times=3)
+
+    def test_cancelled_right_before_the_deletion(self):
+        """UNASKED: it is read while the job is still known."""
+        append = Writer._append
+
+        async def scenario(site: SimulatedSite) -> None:
+            owner = site.owner()
+            service = next(
+                host.job_service for host in site.hosts if host is not owner
+            )
+            cancelled = []
+
+            async def append_after(writer, records, is_wanted):
+                if KeyedRecord(f"s/{ID}", None) in records and not cancelled:
+                    self.assertEqual(await cancel(service), "")
+                    cancelled.append(site.clock.now_ms())
+                await append(writer, records, is_wanted)
+
+            await site.submit(job(500))
+            await self.complete(site, range(1, 2))
+            with mock.patch.object(Writer, "_append", append_after):
+                await asyncio.sleep(130)
+            self.assertEqual(len(cancelled), 1)
+            await service.submit(job(), DEADLINE_MS)
+            await asyncio.sleep(5)
+            self.assertEqual(self.started_after(site, cancelled[0]), [])
+
+        self.run_scenario(scenario)
+
     def test_accepted_right_before_the_deletion(self):
         """Its acknowledged record is deleted."""
         self.resubmit_during_purge(before=True)
