Give the guard of silent workers the type that the planner expects

Cause: GuardTest.test_silent_workers replaced the unconfirmed workers by a dict, so that planning failed and nothing ran twice.

Change: it replaces them by UnconfirmedWorkers without any.

Evidence: the guard finds TWICE again.

Conclusion: as strict as before.

--- a/tests/exploring/test_storms.py
+++ b/tests/exploring/test_storms.py
@@ -14,6 +14,7 @@
 from limpetyard.engine import Engine, Worker
 from limpetyard.engine._candidate import Candidate
 from limpetyard.engine._planner import Planner
+from limpetyard.engine._unconfirmed import UnconfirmedWorkers
 from limpetyard.engine._worker import MAX_INCARNATIONS
 from limpetyard.jobs import Job
 from limpetyard.node import CellOwner
@@ -93,7 +94,9 @@
     def test_silent_workers(self):
         """An owner does not wait for the leases of silent workers: TWICE."""
         with mock.patch.object(
-            Planner, "_unconfirmed_workers", lambda planner, now_ms: {}
+            Planner,
+            "_unconfirmed_workers",
+            lambda planner, now_ms: UnconfirmedWorkers((), {}),
         ):
             self.assert_detects("TWICE")
 
