--- a/tests/node/test_lost_after_restart.py
+++ b/tests/node/test_lost_after_restart.py
@@ -96,6 +96,25 @@
         await asyncio.sleep(LOST_S - RESTARTED_S)
         worker.refuse_connections()
 
+    async def check_started_again(
+        self, site: SimulatedSite, lost: set[TaskKey], worker: WorkerModel
+    ) -> None:
+        """Checks that tasks of a worker that was just lost go on elsewhere.
+
+        They must have started soon after its restart.
+        """
+        restarted_ms = site.clock.now_ms() - MS_PER_SECOND * (
+            LOST_S - RESTARTED_S
+        )
+        await asyncio.sleep(READ_MS / MS_PER_SECOND)
+        again = {
+            start.task
+            for start in site.history.of(RunStarted)
+            if start.at_ms > restarted_ms and start.worker != worker.entry.id
+        }
+        self.assertEqual(lost - again, set())
+        await self.complete(site, range(JOBS))
+
     def first_runs(self, site: SimulatedSite) -> dict[str, str]:
         """Returns the worker of the first run of each job."""
         workers: dict[str, str] = {}
@@ -165,18 +184,7 @@
             lost = set(worker.running())
             self.assertGreater(len(lost), 1)
             await self.lose(site, worker, answers, killed_s)
-            restarted_ms = site.clock.now_ms() - MS_PER_SECOND * (
-                LOST_S - RESTARTED_S
-            )
-            await asyncio.sleep(READ_MS / MS_PER_SECOND)
-            again = {
-                start.task
-                for start in site.history.of(RunStarted)
-                if start.at_ms > restarted_ms
-                and start.worker != worker.entry.id
-            }
-            self.assertEqual(lost - again, set())
-            await self.complete(site, range(JOBS))
+            await self.check_started_again(site, lost, worker)
 
         self.run_scenario(scenario, workers=7)
 
@@ -219,18 +227,7 @@
             worker = next(w for w in site.workers.values() if w.running())
             lost = set(worker.running())
             await self.lose(site, worker, killed_s=0.0)
-            restarted_ms = site.clock.now_ms() - MS_PER_SECOND * (
-                LOST_S - RESTARTED_S
-            )
-            await asyncio.sleep(READ_MS / MS_PER_SECOND)
-            again = {
-                start.task
-                for start in site.history.of(RunStarted)
-                if start.at_ms > restarted_ms
-                and start.worker != worker.entry.id
-            }
-            self.assertEqual(lost - again, set())
-            await self.complete(site, range(JOBS))
+            await self.check_started_again(site, lost, worker)
 
         self.run_scenario(scenario, workers=7)
 
