--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -361,6 +361,68 @@
         "The store rejected an append; the append is retried.",
     ),
     "store_regained": EventKind(("call",), "The store answers again."),
+    "strain_began": EventKind(
+        (
+            "task",
+            "run",
+            "worker",
+            "tail_ms",
+            "target_ms",
+            "since_report_ms",
+            "best_effort",
+            "working",
+            "unreported",
+            "stopping",
+        ),
+        "A report shows the tail of a serving task over its target; the report"
+        " before arrived since_report_ms earlier. The counts are of best-effort"
+        " runs beside it: all, those that work, those not reported yet, and"
+        " those that work and are being stopped.",
+    ),
+    "strain_ended": EventKind(
+        (
+            "task",
+            "run",
+            "worker",
+            "tail_ms",
+            "target_ms",
+            "peak_ms",
+            "reports",
+            "shown_ms",
+            "possible_ms",
+            "response",
+            "response_age_ms",
+            "effect_ms",
+            "best_effort",
+            "working",
+            "unreported",
+            "stopping",
+        ),
+        "A report shows the tail of a serving task back under its target. It"
+        " was over it for shown_ms by reports, and for possible_ms from the"
+        " last report before. The last response was ordered response_age_ms"
+        " ago and showed in reports after effect_ms; -1 means never.",
+    ),
+    "strain_response": EventKind(
+        (
+            "task",
+            "run",
+            "worker",
+            "response",
+            "tail_ms",
+            "report_age_ms",
+            "counted_ms",
+            "possible_ms",
+            "orders",
+            "best_effort",
+            "working",
+            "unreported",
+            "stopping",
+        ),
+        "Best-effort tasks beside a serving task are slowed or paused, as it"
+        " counts as over its target for counted_ms; it may have been for"
+        " possible_ms. The counts are those of strain_began.",
+    ),
     "successor_told": EventKind(
         ("told",),
         "A leaving node that owned a cell has waited for the next owner to ask"
@@ -375,7 +437,7 @@
         " score fails the job.",
     ),
     "task_paced": EventKind(
-        ("task", "worker", "percent"),
+        ("task", "worker", "percent", "took_ms"),
         "A best-effort task may use this share of its full speed.",
     ),
     "task_started": EventKind(
--- a/src/limpetyard/engine/_candidate.py
+++ b/src/limpetyard/engine/_candidate.py
@@ -147,7 +147,7 @@
         """Returns whether a serving run here is over its latency target."""
         if self._is_strained is None:
             self._is_strained = any(
-                run.over_since_ms is not None
+                run.strain is not None
                 for run in serving_runs(self.worker.runs.values())
             )
         return self._is_strained
--- a/src/limpetyard/engine/_census.py
+++ b/src/limpetyard/engine/_census.py
@@ -97,4 +97,4 @@
                 entry.running += 1
                 entry.slowed += run.speed_percent < 100
                 entry.paused += run.speed_percent == 0
-                entry.over_target += run.over_since_ms is not None
+                entry.over_target += run.strain is not None
--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -41,6 +41,8 @@
     Ticket,
     WorkerEntry,
 )
+from limpetyard.engine._strain import Strain
+from limpetyard.engine._strain_log import note_effects, update_strain
 from limpetyard.engine._worker import (
     MAX_ORDER_DELAY_MS,
     PROVEN_RUN_MS,
@@ -583,7 +585,9 @@
                 run = self._adopt_run(worker, report, now_ms)
             self._mark_begun(worker, run, now_ms)
             worker.settle_start(run)
+            previous_ms = run.reported_ms or run.placed_ms
             run.apply_report(report, now_ms)
+            update_strain(worker, run, previous_ms, now_ms)
             self._note_answered(worker, run, now_ms)
             if (
                 not run.proven
@@ -592,6 +596,7 @@
             ):
                 run.proven = True
                 self.crashes.clear(run.task)
+        note_effects(worker, now_ms)
         worker.reset_failures_if_healthy(now_ms)
         if not reply.has_all_ends:
             # The end of an absent run may be among those that are missing.
@@ -640,7 +645,8 @@
                 task.stray_workers |= {worker.id}
         if run.step.target_ms and report.measurement > run.step.target_ms:
             # It may have been over its target since long before.
-            run.over_since_ms = now_ms - adopted_strain_ms(self.params)
+            since_ms = now_ms - adopted_strain_ms(self.params)
+            run.strain = Strain(since_ms, since_ms)
         run.acked_ms = now_ms
         run.unanswered_start = not run.answered_here
         run.proven = task is None or not task.crash_score
--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -19,6 +19,7 @@
 from limpetyard.engine._load import serving_runs
 from limpetyard.engine._params import EngineParams
 from limpetyard.engine._speeds import pause_all, restore, slow, stop_paused
+from limpetyard.engine._strain_log import respond
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 
 # Thresholds of the lowest predicted headroom on a worker. Below SLOW_BELOW,
@@ -152,17 +153,23 @@
     strained = _longest_over_target(worker)
     effects: list[Effect] = []
     if strained is not None:
-        since_ms = max(strained.over_since_ms, worker.strain_counts_from_ms)
-        share = (now_ms - since_ms) / strain_limit_ms
+        since_ms = max(strained.strain.since_ms, worker.strain_counts_from_ms)
+        counted_ms = now_ms - since_ms
+        share = counted_ms / strain_limit_ms
         if now_ms - worker.slowed_ms >= SETTLING_MS and share >= SLOW_SHARE:
             mitigate = next(m for least, m in MITIGATIONS if share >= least)
             effects = mitigate(worker, strained, runs, interference)
+            response = mitigate.__name__.removeprefix("_")
             if effects:
                 worker.slowed_ms = now_ms
         elif share >= PAUSE_ALL_SHARE:
             # The limit is too near to wait for the effect of another stage.
             working = [run for run in runs if run.speed_percent > 0]
             effects = pause_all(worker, working)
+            response = "pause_again"
+        if effects:
+            orders = len(effects)
+            respond(worker, strained, response, counted_ms, orders, now_ms)
     elif any(run.speed_percent < 100 for run in runs):
         lowest, image = _lowest_headroom(worker, interference, now_ms)
         spare = lowest - RESTORE_DOWN_TO
@@ -219,9 +226,9 @@
     over = [
         run
         for run in serving_runs(worker.runs.values())
-        if run.over_since_ms is not None
+        if run.strain is not None
     ]
-    return min(over, key=lambda run: run.over_since_ms, default=None)
+    return min(over, key=lambda run: run.strain.since_ms, default=None)
 
 
 def _lowest_headroom(
--- /dev/null
+++ b/src/limpetyard/engine/_strain_log.py
@@ -0,0 +1,155 @@
+"""Strains of serving runs: their begin and end by reports, and responses."""
+
+from typing import NamedTuple
+
+from limpetyard._events import event
+from limpetyard.engine._strain import Strain
+from limpetyard.engine._worker import RunState, Worker, WorkerRun
+
+
+def update_strain(
+    worker: Worker, run: WorkerRun, previous_ms: float, now_ms: float
+) -> None:
+    """Updates the strain of a run from its latest report.
+
+    Args:
+        worker: Worker of the run.
+        run: The run, to which the report was applied.
+        previous_ms: When the report before it arrived, or the run was placed.
+        now_ms: When the report arrived.
+    """
+    strain, target_ms = run.strain, run.step.target_ms
+    if not target_ms or run.measurement <= target_ms:
+        if strain is not None:
+            run.strain = None
+            _log_end(worker, run, strain, now_ms)
+        return
+    if strain is None:
+        strain = run.strain = Strain(now_ms, previous_ms)
+        counts = _count_best_effort(worker)
+        event(
+            "strain_began",
+            task=run.task.name,
+            run=run.run,
+            worker=worker.id,
+            tail_ms=run.measurement,
+            target_ms=target_ms,
+            since_report_ms=now_ms - previous_ms,
+            best_effort=counts.runs,
+            working=counts.working,
+            unreported=counts.unreported,
+            stopping=counts.stopping,
+        )
+    strain.add_report(run.measurement)
+
+
+def note_effects(worker: Worker, now_ms: float) -> None:
+    """Records when reports show the speeds that a strain has led to."""
+    waiting = [
+        run.strain
+        for run in worker.runs.values()
+        if run.strain is not None
+        and run.strain.response
+        and run.strain.effect_ms is None
+    ]
+    if waiting and all(
+        run.reported_percent <= run.speed_percent
+        for run in worker.runs.values()
+        if run.step.fills and run.state is RunState.RUNNING
+    ):
+        for strain in waiting:
+            strain.effect_ms = now_ms - strain.response_ms
+
+
+def respond(
+    worker: Worker,
+    run: WorkerRun,
+    response: str,
+    counted_ms: float,
+    orders: int,
+    now_ms: float,
+) -> None:
+    """Records and logs what is done about the strain of a run.
+
+    Args:
+        worker: Worker of the run.
+        run: The run.
+        response: What is done.
+        counted_ms: For how long the run counts as over its target.
+        orders: Number of orders for a speed.
+        now_ms: Current time.
+    """
+    run.strain.respond(response, now_ms)
+    counts = _count_best_effort(worker)
+    event(
+        "strain_response",
+        task=run.task.name,
+        run=run.run,
+        worker=worker.id,
+        response=response,
+        tail_ms=run.measurement,
+        report_age_ms=now_ms - run.reported_ms,
+        counted_ms=counted_ms,
+        possible_ms=now_ms - run.strain.possible_since_ms,
+        orders=orders,
+        best_effort=counts.runs,
+        working=counts.working,
+        unreported=counts.unreported,
+        stopping=counts.stopping,
+    )
+
+
+def _log_end(
+    worker: Worker, run: WorkerRun, strain: Strain, now_ms: float
+) -> None:
+    """Logs the first report that is not over the target; -1 means never."""
+    counts = _count_best_effort(worker)
+    event(
+        "strain_ended",
+        task=run.task.name,
+        run=run.run,
+        worker=worker.id,
+        tail_ms=run.measurement,
+        target_ms=run.step.target_ms,
+        peak_ms=strain.peak_ms,
+        reports=strain.reports,
+        shown_ms=now_ms - strain.since_ms,
+        possible_ms=now_ms - strain.possible_since_ms,
+        response=strain.response or "none",
+        response_age_ms=(
+            now_ms - strain.response_ms if strain.response else -1
+        ),
+        effect_ms=-1 if strain.effect_ms is None else strain.effect_ms,
+        best_effort=counts.runs,
+        working=counts.working,
+        unreported=counts.unreported,
+        stopping=counts.stopping,
+    )
+
+
+class _Counts(NamedTuple):
+    """Best-effort runs of a worker.
+
+    Attributes:
+        runs: All of them.
+        working: Those that were not paused in their last report, or were not
+            reported yet.
+        unreported: Those that were not reported yet.
+        stopping: Those that are being stopped, of the working ones.
+    """
+
+    runs: int
+    working: int
+    unreported: int
+    stopping: int
+
+
+def _count_best_effort(worker: Worker) -> _Counts:
+    runs = [run for run in worker.runs.values() if run.step.fills]
+    working = [run for run in runs if run.reported_percent > 0]
+    return _Counts(
+        len(runs),
+        len(working),
+        sum(not run.reported for run in runs),
+        sum(run.state is RunState.STOPPING for run in working),
+    )
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -9,6 +9,7 @@
 
 from limpetyard.engine._load import WorkerLoad
 from limpetyard.engine._step_worker_client import RunReport, WorkerEntry
+from limpetyard.engine._strain import Strain
 from limpetyard.jobs import Resources, StepSpec, TaskKey
 
 # Number of incarnations of a worker that fencing tokens of one epoch can tell
@@ -162,8 +163,9 @@
         speed_percent: Share of its full speed that the run was last given.
         at_full_speed: Whether the last report showed the run at 100 % speed.
         measurement: Measurement in the last report.
-        over_since_ms: Since when the reported tail latency has been over the
-            target, or None.
+        reported_percent: Share of its full speed in the last report.
+        strain: The time on end for which reports have shown the tail latency
+            over the target, or None.
         pace_failed: Whether the worker may not have the order for its speed:
             the last one got no reply, or none was sent yet.
         paused_since_ms: Since when the run has been given 0 % speed, or None.
@@ -186,13 +188,13 @@
         "crash_counted",
         "last_stop_ms",
         "measurement",
-        "over_since_ms",
         "pace_failed",
         "paused_since_ms",
         "placed_ms",
         "proven",
         "reported",
         "reported_ms",
+        "reported_percent",
         "run",
         "speed_percent",
         "start_expires_ms",
@@ -201,6 +203,7 @@
         "starts_sent",
         "state",
         "step",
+        "strain",
         "task",
         "unanswered_start",
     )
@@ -225,7 +228,8 @@
         self.speed_percent = 100
         self.at_full_speed = False
         self.measurement = 0.0
-        self.over_since_ms: float | None = None
+        self.reported_percent = 100.0
+        self.strain: Strain | None = None
         self.pace_failed = False
         self.paused_since_ms: float | None = None
         self.placed_ms = now_ms
@@ -283,11 +287,8 @@
             self.state = RunState.RUNNING
         self.checkpoint = report.checkpoint or self.checkpoint
         self.at_full_speed = report.percent >= 100
+        self.reported_percent = report.percent
         self.measurement = report.measurement
-        if not self.step.target_ms or self.measurement <= self.step.target_ms:
-            self.over_since_ms = None
-        elif self.over_since_ms is None:
-            self.over_since_ms = now_ms
 
 
 class Worker:
--- a/src/limpetyard/node/_order_dispatch.py
+++ b/src/limpetyard/node/_order_dispatch.py
@@ -451,6 +451,7 @@
         if worker is None or not self._may_order():
             return
         order = PaceOrder(effect.task, effect.run, effect.percent, worker.token)
+        sent_ms = self._clock.now_ms()
         try:
             await self._workers.pace(worker.entry, order)
         except (
@@ -466,6 +467,7 @@
             task=effect.task.name,
             worker=effect.worker,
             percent=effect.percent,
+            took_ms=self._clock.now_ms() - sent_ms,
         )
 
     async def _request_advice(self, effect: RequestAdvice) -> None:
--- a/tests/engine/test_census.py
+++ b/tests/engine/test_census.py
@@ -4,6 +4,7 @@
 
 from limpetyard._events import add_listener
 from limpetyard.engine._census import COUNT_INTERVAL_MS
+from limpetyard.engine._strain import Strain
 from limpetyard.jobs import Resources, StepSpec
 from tests.engine.test_engine import ONE_CORE, EngineTestCase, job
 
@@ -37,7 +38,7 @@
         self.start_all()
         paced = self.runs("filling")[0]
         paced.speed_percent = 0
-        self.runs("serving")[0].over_since_ms = self.now_ms
+        self.runs("serving")[0].strain = Strain(self.now_ms, self.now_ms)
         LINES.clear()
         self.now_ms += COUNT_INTERVAL_MS
         self.plan()
--- a/tests/engine/test_planning_cost.py
+++ b/tests/engine/test_planning_cost.py
@@ -416,7 +416,7 @@
             return None
         headroom, excess = float("inf"), None
         for run in serving_runs(worker.runs.values()):
-            if run.over_since_ms is not None:
+            if run.strain is not None:
                 return None
             image = run.step.image
             weight = model.weight(image, step.image)
