--- a/src/limpetyard/engine/_step_worker_client.py
+++ b/src/limpetyard/engine/_step_worker_client.py
@@ -90,8 +90,8 @@
         task: Key of the task.
         run: Number of the run.
         checkpoint: Latest checkpoint, or "".
-        percent: Share of its full speed that the run may use; 100 once it is
-            working without a limit.
+        percent: Progress: for a run that lasts, 100 once it has started up and
+            works without a limit; for others, the share of the work done.
         measurement: Measurement over the last half second: tail latency in
             milliseconds for a serving task, else CPU use in thousandths of a
             core.
--- a/src/limpetyard/engine/_strain_log.py
+++ b/src/limpetyard/engine/_strain_log.py
@@ -6,6 +6,9 @@
 from limpetyard.engine._strain import Strain
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 
+# Reported CPU use of a run relative to what it may use, at most.
+CPU_USE_TOLERANCE = 1.1
+
 
 def update_strain(
     worker: Worker, run: WorkerRun, previous_ms: float, now_ms: float
@@ -53,7 +56,7 @@
         and run.strain.effect_ms is None
     ]
     if waiting and all(
-        run.reported_percent <= run.speed_percent
+        run.measurement <= _most_cores_milli(run)
         for run in worker.runs.values()
         if run.step.fills and run.state is RunState.RUNNING
     ):
@@ -99,6 +102,12 @@
     )
 
 
+def _most_cores_milli(run: WorkerRun) -> float:
+    """Returns what a best-effort run reports at most, at its speed."""
+    share = run.speed_percent / 100
+    return CPU_USE_TOLERANCE * run.step.need.cores_milli * share
+
+
 def _log_end(
     worker: Worker, run: WorkerRun, strain: Strain, now_ms: float
 ) -> None:
@@ -132,7 +141,7 @@
 
     Attributes:
         runs: All of them.
-        working: Those that were not paused in their last report, or were not
+        working: Those that used a core in their last report, or were not
             reported yet.
         unreported: Those that were not reported yet.
         stopping: Those that are being stopped, of the working ones.
@@ -146,7 +155,7 @@
 
 def _count_best_effort(worker: Worker) -> _Counts:
     runs = [run for run in worker.runs.values() if run.step.fills]
-    working = [run for run in runs if run.reported_percent > 0]
+    working = [run for run in runs if run.measurement or not run.reported]
     return _Counts(
         len(runs),
         len(working),
--- a/src/limpetyard/engine/_worker.py
+++ b/src/limpetyard/engine/_worker.py
@@ -161,9 +161,9 @@
             the present incarnation; see `Worker.shows_clock`.
         checkpoint: Latest checkpoint that was reported.
         speed_percent: Share of its full speed that the run was last given.
-        at_full_speed: Whether the last report showed the run at 100 % speed.
+        at_full_speed: Whether the last report showed 100 %, which a run that
+            lasts reaches once it has started up.
         measurement: Measurement in the last report.
-        reported_percent: Share of its full speed in the last report.
         strain: The time on end for which reports have shown the tail latency
             over the target, or None.
         pace_failed: Whether the worker may not have the order for its speed:
@@ -194,7 +194,6 @@
         "proven",
         "reported",
         "reported_ms",
-        "reported_percent",
         "run",
         "speed_percent",
         "start_expires_ms",
@@ -228,7 +227,6 @@
         self.speed_percent = 100
         self.at_full_speed = False
         self.measurement = 0.0
-        self.reported_percent = 100.0
         self.strain: Strain | None = None
         self.pace_failed = False
         self.paused_since_ms: float | None = None
@@ -287,7 +285,6 @@
             self.state = RunState.RUNNING
         self.checkpoint = report.checkpoint or self.checkpoint
         self.at_full_speed = report.percent >= 100
-        self.reported_percent = report.percent
         self.measurement = report.measurement
 
 
