--- a/standins/colocation.py
+++ b/standins/colocation.py
@@ -7,6 +7,7 @@
 serving tasks leave idle.
 """
 
+import collections
 import dataclasses
 import math
 import random
@@ -27,9 +28,11 @@
 from limpetyard.jobs import JobSpec, QueueParams, Resources, StepSpec
 
 STEP_MS = 100
-POLL_MS = 500
 LEASE_MS = 4000
 
+# Time that a reported tail latency covers.
+WINDOW_MS = 500
+
 # Time from a pace order to its effect.
 PACE_DELAY_MS = 100
 
@@ -59,6 +62,8 @@
         task_ms: Length of each on cores of its own.
         task_cores: Cores that each uses.
         duration_s: Time that is played.
+        report_ms: Time between two reports of a worker.
+        noise: Standard deviation of a reported tail, relative to it.
     """
 
     workers: int = 12
@@ -76,6 +81,8 @@
     task_ms: float = 2200.0
     task_cores: float = 1.8
     duration_s: float = 48.0
+    report_ms: int = 500
+    noise: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -138,7 +145,9 @@
         # Actual state of each run, by worker, task and run.
         self._speeds: dict[tuple, float] = {}
         self._work_left_ms: dict[tuple, float] = {}
-        self._tails: dict[tuple, list[float]] = {}
+        self._tails: dict[tuple, collections.deque[float]] = {}
+        # Separate, so that noise leaves the load as it is.
+        self._noise_rng = random.Random(f"noise {seed}")
         self._due_paces: list[tuple[float, tuple, int]] = []
         self._ended: dict[str, list[tuple]] = {}
         self._end_numbers: dict[str, int] = {}
@@ -215,7 +224,8 @@
         self._apply_paces()
         for number, worker in enumerate(self.engine.workers.values()):
             self._work(worker)
-            if (self.now_ms // STEP_MS + number) % (POLL_MS // STEP_MS) == 0:
+            steps = self._pattern.report_ms // STEP_MS
+            if (self.now_ms // STEP_MS + number) % steps == 0:
                 self._poll(worker)
 
     def _arrive(self) -> None:
@@ -302,7 +312,9 @@
         for key, run in serving.items():
             own = self._load(run.task.job)
             tail_ms = _tail_ms(own + pressure)
-            self._tails.setdefault(key, []).append(tail_ms)
+            self._tails.setdefault(
+                key, collections.deque(maxlen=WINDOW_MS // STEP_MS)
+            ).append(tail_ms)
             self._count(key, run, tail_ms, _tail_ms(own), pressure)
         for key in list(fillers):
             self._work_left_ms[key] -= STEP_MS * rate * self._speeds[key]
@@ -338,8 +350,11 @@
         for run in worker.runs.values():
             key = (worker.id, run.task, run.run)
             if run.step.target_ms:
-                tails = self._tails.pop(key, None) or [BASE_TAIL_MS]
-                value = float(round(sum(tails) / len(tails)))
+                tails = self._tails.get(key) or [BASE_TAIL_MS]
+                tail_ms = sum(tails) / len(tails)
+                if self._pattern.noise:
+                    tail_ms *= self._noise_rng.gauss(1.0, self._pattern.noise)
+                value = float(round(tail_ms))
                 reports.append(RunReport(run.task, run.run, "", 100, value))
             elif key in self._work_left_ms:
                 speed = self._speeds[key]
--- a/tests/engine/test_pacing_loads.py
+++ b/tests/engine/test_pacing_loads.py
@@ -22,6 +22,9 @@
 # tasks over their targets for as long as they work.
 LONG_TASKS = Pattern(pressure=1.0, swing_s=40.0, task_ms=9000.0, jobs_per_s=0.4)
 
+# Tails that stay near their targets for long.
+SLOW_SWING = dataclasses.replace(LONG_TASKS, swing_s=80.0)
+
 STRAIN_LIMIT_MS = EngineParams(1.0, 1.0).strain_limit_ms
 
 
@@ -88,6 +91,29 @@
         self.assertGreater(longest_over_ms(outcomes), STRAIN_LIMIT_MS)
 
 
+class ReportsTest(unittest.TestCase):
+    """Reports that are rare or inexact."""
+
+    def setUp(self):
+        """Turns logging off."""
+        logger.remove()
+
+    def test_rare_reports(self):
+        """HARM: a tail rises long before the first report that shows it."""
+        pattern = dataclasses.replace(LONG_TASKS, report_ms=2000)
+        outcomes = play(pattern, "measured")
+        self.assertLess(longest_over_ms(outcomes), STRAIN_LIMIT_MS)
+
+    def test_inexact_reports(self):
+        """HARM: a tail that stays over its target is reported under it."""
+        for noise in (0.03, 0.1):
+            pattern = dataclasses.replace(SLOW_SWING, noise=noise)
+            for seed in (6, 8):
+                with self.subTest(noise=noise, seed=seed):
+                    outcome = ColocationModel(pattern, "measured", seed).play()
+                    self.assertLess(outcome.longest_over_ms, STRAIN_LIMIT_MS)
+
+
 class OtherRatiosTest(unittest.TestCase):
     """Sizes of workers and shares of serving work that no site has."""
 
