--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -19,6 +19,7 @@
 from limpetyard.engine._load import serving_runs
 from limpetyard.engine._params import EngineParams
 from limpetyard.engine._speeds import pause_all, restore, slow, stop_paused
+from limpetyard.engine._strain import MEASUREMENT_WINDOW_MS
 from limpetyard.engine._strain_log import respond
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 
@@ -30,17 +31,14 @@
 SLOW_TO = 1.15 * HEADROOM_AT_TARGET
 RESTORE_DOWN_TO = 1.25 * HEADROOM_AT_TARGET
 
-# Time that a measurement of a worker covers. A change of load or speed shows in
-# full only after it.
-MEASUREMENT_WINDOW_MS = 500
+# Time before a serving task may have been over its target for
+# `EngineParams.strain_limit_ms` at which all best-effort tasks are paused: a
+# round of planning, an order that is repeated once, and its effect.
+PAUSE_ALL_LEAD_MS = 500
 
-# Shares of `EngineParams.strain_limit_ms` for which a serving task may be over
-# its target before best-effort tasks are slowed, before those that interfere
-# are paused, and before all are. The rest is left for a report, an order and
-# its effect.
-SLOW_SHARE = 0.4
-PAUSE_SHARE = 0.6
-PAUSE_ALL_SHARE = 0.7
+# The same for those that interfere, and for slowing them first.
+PAUSE_LEAD_MS = 700
+SLOW_LEAD_MS = 1400
 
 # Time after lowering a speed until reports show its full effect: the order, and
 # a measurement that begins after it.
@@ -64,7 +62,7 @@
 
 def adopted_strain_ms(params: EngineParams) -> float:
     """Returns for how long a found run counts as over its target."""
-    return SLOW_SHARE * params.strain_limit_ms
+    return max(0.0, params.strain_limit_ms - SLOW_LEAD_MS)
 
 
 def update_interference(
@@ -125,11 +123,11 @@
     [Worker, WorkerRun, list[WorkerRun], InterferenceModel], list[Effect]
 ]
 
-# What is done from each share of the limit of strain on, longest first.
+# What is done from each time before the limit of strain on, latest first.
 MITIGATIONS: tuple[tuple[float, Mitigation], ...] = (
-    (PAUSE_ALL_SHARE, _pause_all),
-    (PAUSE_SHARE, _pause_interfering),
-    (SLOW_SHARE, _slow_as_measured),
+    (PAUSE_ALL_LEAD_MS, _pause_all),
+    (PAUSE_LEAD_MS, _pause_interfering),
+    (SLOW_LEAD_MS, _slow_as_measured),
 )
 
 
@@ -140,7 +138,7 @@
     strain_limit_ms: float,
     now_ms: float,
 ) -> list[Effect]:
-    """Slows tasks once a serving task has been over its target for a while.
+    """Slows tasks once a serving task may have been over its target for long.
 
     The load of serving tasks varies within seconds, and most excesses end
     sooner than a slowed task could make up for. Acts by `MITIGATIONS`, and
@@ -153,16 +151,19 @@
     strained = _longest_over_target(worker)
     effects: list[Effect] = []
     if strained is not None:
-        since_ms = max(strained.strain.since_ms, worker.strain_counts_from_ms)
+        since_ms = max(
+            strained.strain.possible_since_ms, worker.strain_counts_from_ms
+        )
         counted_ms = now_ms - since_ms
-        share = counted_ms / strain_limit_ms
-        if now_ms - worker.slowed_ms >= SETTLING_MS and share >= SLOW_SHARE:
-            mitigate = next(m for least, m in MITIGATIONS if share >= least)
+        left_ms = strain_limit_ms - counted_ms
+        settled = now_ms - worker.slowed_ms >= SETTLING_MS
+        if settled and left_ms <= SLOW_LEAD_MS:
+            mitigate = next(m for lead, m in MITIGATIONS if left_ms <= lead)
             effects = mitigate(worker, strained, runs, interference)
             response = mitigate.__name__.removeprefix("_")
             if effects:
                 worker.slowed_ms = now_ms
-        elif share >= PAUSE_ALL_SHARE:
+        elif left_ms <= PAUSE_ALL_LEAD_MS:
             # The limit is too near to wait for the effect of another stage.
             working = [run for run in runs if run.speed_percent > 0]
             effects = pause_all(worker, working)
@@ -228,7 +229,7 @@
         for run in serving_runs(worker.runs.values())
         if run.strain is not None
     ]
-    return min(over, key=lambda run: run.strain.since_ms, default=None)
+    return min(over, key=lambda run: run.strain.possible_since_ms, default=None)
 
 
 def _lowest_headroom(
--- a/src/limpetyard/engine/_strain_log.py
+++ b/src/limpetyard/engine/_strain_log.py
@@ -28,7 +28,7 @@
             _log_end(worker, run, strain, now_ms)
         return
     if strain is None:
-        strain = run.strain = Strain(now_ms, previous_ms)
+        strain = run.strain = Strain.shown_by_report(previous_ms, now_ms)
         counts = _count_best_effort(worker)
         event(
             "strain_began",
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -23,8 +23,9 @@
     WorkerEntry,
 )
 from limpetyard.engine._interference import InterferenceModel
-from limpetyard.engine._pacing import PAUSE_ALL_SHARE
+from limpetyard.engine._pacing import PAUSE_ALL_LEAD_MS
 from limpetyard.engine._speeds import MAX_PAUSE_MS
+from limpetyard.engine._strain import MEASUREMENT_WINDOW_MS
 from limpetyard.jobs import (
     AdviceParams,
     JobSpec,
@@ -976,7 +977,13 @@
         return self.now_ms - since_ms
 
     def test_paused_in_time_whatever_is_known(self):
-        """A stage that changes no speed, or a recent one, delays the pause."""
+        """A stage that changes no speed, or a recent one, delays the pause.
+
+        The first report over the target comes half a second after another
+        report, which itself covers half a second.
+        """
+        limit_ms = self.engine.params.strain_limit_ms
+        latest_ms = limit_ms - PAUSE_ALL_LEAD_MS - 2 * MEASUREMENT_WINDOW_MS
         for weight in (0.0, 0.001, 0.3):
             self.setUp()
             with (
@@ -985,9 +992,7 @@
                     InterferenceModel, "weight", return_value=weight
                 ),
             ):
-                self.assertLessEqual(
-                    self.paused_after_ms(), PAUSE_ALL_SHARE * 4000 + 40
-                )
+                self.assertLessEqual(self.paused_after_ms(), latest_ms + 40)
 
 
 class ServingPlacementTest(EngineTestCase):
