--- a/src/limpetyard/_event_list.py
+++ b/src/limpetyard/_event_list.py
@@ -398,7 +398,7 @@
             "unreported",
             "stopping",
         ),
-        "A report shows the tail of a serving task back under its target. It"
+        "Reports show the tail of a serving task back under its target. It"
         " was over it for shown_ms by reports, and for possible_ms at the"
         " longest. The last response was ordered response_age_ms"
         " ago and showed in reports after effect_ms; -1 means never.",
--- a/src/limpetyard/engine/_strain.py
+++ b/src/limpetyard/engine/_strain.py
@@ -8,6 +8,15 @@
 MAX_REPORT_INTERVAL_MS = 2000
 
 
+# A report ends a strain if it is below this share of the target: reports are
+# inexact and in whole milliseconds, so that one near the target says little.
+CLEAR_SHARE = 0.9
+
+# So do reports that are not over the target for this long on end, or that have
+# no measurement.
+CLEAR_AFTER_MS = 1000
+
+
 class Strain:
     """A strain of a serving run, as its reports show it.
 
@@ -15,7 +24,9 @@
         since_ms: When the first report over the target arrived.
         possible_since_ms: Earliest time at which the tail latency may have
             risen: within the window of the report before that one.
-        reports: Number of reports over the target.
+        reports: Number of reports since it began.
+        not_over_since_ms: When the first of the latest reports arrived that
+            were not over the target, or None if the last one was.
         peak_ms: Highest tail latency that was reported.
         response: What was done about it last, or "" before that.
         response_ms: When that was ordered, or None.
@@ -25,6 +36,7 @@
 
     __slots__ = (
         "effect_ms",
+        "not_over_since_ms",
         "peak_ms",
         "possible_since_ms",
         "reports",
@@ -36,6 +48,7 @@
     def __init__(self, since_ms: float, possible_since_ms: float):
         self.since_ms = since_ms
         self.possible_since_ms = possible_since_ms
+        self.not_over_since_ms: float | None = None
         self.reports = 0
         self.peak_ms = 0.0
         self.response = ""
@@ -54,10 +67,30 @@
         previous_ms = max(previous_ms, now_ms - MAX_REPORT_INTERVAL_MS)
         return cls(now_ms, previous_ms - MEASUREMENT_WINDOW_MS)
 
-    def add_report(self, tail_ms: float) -> None:
-        """Records a report over the target."""
+    def add_report(
+        self, tail_ms: float, target_ms: float, now_ms: float
+    ) -> bool:
+        """Records a report.
+
+        Args:
+            tail_ms: Tail latency in the report; 0 if there is none.
+            target_ms: Target of the run.
+            now_ms: When the report arrived.
+
+        Returns:
+            Whether the strain has ended.
+        """
         self.reports += 1
         self.peak_ms = max(self.peak_ms, tail_ms)
+        if tail_ms > target_ms:
+            self.not_over_since_ms = None
+            return False
+        if self.not_over_since_ms is None:
+            self.not_over_since_ms = now_ms
+        return (
+            0 < tail_ms < CLEAR_SHARE * target_ms
+            or now_ms - self.not_over_since_ms >= CLEAR_AFTER_MS
+        )
 
     def respond(self, response: str, now_ms: float) -> None:
         """Records what is done about the strain."""
--- a/src/limpetyard/engine/_strain_log.py
+++ b/src/limpetyard/engine/_strain_log.py
@@ -22,12 +22,9 @@
         now_ms: When the report arrived.
     """
     strain, target_ms = run.strain, run.step.target_ms
-    if not target_ms or run.measurement <= target_ms:
-        if strain is not None:
-            run.strain = None
-            _log_end(worker, run, strain, now_ms)
-        return
     if strain is None:
+        if not target_ms or run.measurement <= target_ms:
+            return
         strain = run.strain = Strain.shown_by_report(previous_ms, now_ms)
         counts = _count_best_effort(worker)
         event(
@@ -43,7 +40,9 @@
             unreported=counts.unreported,
             stopping=counts.stopping,
         )
-    strain.add_report(run.measurement)
+    if strain.add_report(run.measurement, target_ms, now_ms):
+        run.strain = None
+        _log_end(worker, run, strain, now_ms)
 
 
 def note_effects(worker: Worker, now_ms: float) -> None:
