--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -107,15 +107,6 @@
     return slow(worker, strained.step.image, runs, math.inf, interference)
 
 
-def _pause_all(
-    worker: Worker,
-    strained: WorkerRun,
-    runs: list[WorkerRun],
-    interference: InterferenceModel,
-) -> list[Effect]:
-    return pause_all(worker, runs)
-
-
 # Given a worker, the serving run that has been over its target for longest, the
 # best-effort runs and the model, returns orders for the runs whose speed
 # changes.
@@ -123,9 +114,9 @@
     [Worker, WorkerRun, list[WorkerRun], InterferenceModel], list[Effect]
 ]
 
-# What is done from each time before the limit of strain on, latest first.
+# What is done from each time before the limit of strain on, latest first, until
+# all are paused.
 MITIGATIONS: tuple[tuple[float, Mitigation], ...] = (
-    (PAUSE_ALL_LEAD_MS, _pause_all),
     (PAUSE_LEAD_MS, _pause_interfering),
     (SLOW_LEAD_MS, _slow_as_measured),
 )
@@ -145,9 +136,9 @@
     waits for the effect before it acts again, except to pause what still works
     in the last stage. Restores speeds when the predicted headroom allows it.
     """
-    runs = _running_best_effort(worker)
-    if not runs:
+    if not worker_load(worker).best_effort_runs:
         return []
+    runs = _running_best_effort(worker)
     strained = _longest_over_target(worker)
     effects: list[Effect] = []
     if strained is not None:
@@ -157,18 +148,21 @@
         counted_ms = now_ms - since_ms
         left_ms = strain_limit_ms - counted_ms
         settled = now_ms - worker.slowed_ms >= SETTLING_MS
-        if settled and left_ms <= SLOW_LEAD_MS:
+        if left_ms <= PAUSE_ALL_LEAD_MS:
+            # Runs that are being stopped work on until they have.
+            accepted = [
+                run for run in worker_load(worker).best_effort_runs if run.began
+            ]
+            working = [run for run in accepted if run.speed_percent > 0]
+            effects = pause_all(worker, accepted if settled else working)
+            response = "pause_all"
+        elif settled and left_ms <= SLOW_LEAD_MS:
             mitigate = next(m for lead, m in MITIGATIONS if left_ms <= lead)
             effects = mitigate(worker, strained, runs, interference)
             response = mitigate.__name__.removeprefix("_")
-            if effects:
-                worker.slowed_ms = now_ms
-        elif left_ms <= PAUSE_ALL_LEAD_MS:
-            # The limit is too near to wait for the effect of another stage.
-            working = [run for run in runs if run.speed_percent > 0]
-            effects = pause_all(worker, working)
-            response = "pause_again"
         if effects:
+            if settled:
+                worker.slowed_ms = now_ms
             orders = len(effects)
             respond(worker, strained, response, counted_ms, orders, now_ms)
     elif any(run.speed_percent < 100 for run in runs):
--- a/tests/engine/test_strain.py
+++ b/tests/engine/test_strain.py
@@ -138,6 +138,19 @@
                 self.assertLess(stopped_ms, limit_ms)
 
 
+class LastStageTest(StrainTestCase):
+    """Best-effort runs that would work on until the limit is over."""
+
+    def test_run_that_is_being_stopped(self):
+        """HARM: it works on until it has written its checkpoint."""
+        cancelled = self.engine.jobs[f"{2:016x}"]
+        self.engine.end_job(cancelled, "cancel", self.now_ms)
+        limit_ms = self.engine.params.strain_limit_ms
+        stopped_ms = self.play(lambda _: 23.0, 500, limit_ms)
+        self.assertIsNotNone(stopped_ms)
+        self.assertLess(stopped_ms + WINDOW_MS, limit_ms)
+
+
 class CalmTest(StrainTestCase):
     """Tails that are no strain, or none any more."""
 
