--- a/src/limpetyard/engine/_engine.py
+++ b/src/limpetyard/engine/_engine.py
@@ -42,7 +42,7 @@
     WorkerEntry,
 )
 from limpetyard.engine._strain import Strain
-from limpetyard.engine._strain_log import note_effects, update_strain
+from limpetyard.engine._strain_updates import note_effects, update_strain
 from limpetyard.engine._worker import (
     MAX_ORDER_DELAY_MS,
     PROVEN_RUN_MS,
--- a/src/limpetyard/engine/_pacing.py
+++ b/src/limpetyard/engine/_pacing.py
@@ -20,7 +20,7 @@
 from limpetyard.engine._params import EngineParams
 from limpetyard.engine._speeds import pause_all, restore, slow, stop_paused
 from limpetyard.engine._strain import MEASUREMENT_WINDOW_MS
-from limpetyard.engine._strain_log import respond
+from limpetyard.engine._strain_updates import respond
 from limpetyard.engine._worker import RunState, Worker, WorkerRun
 
 # Thresholds of the lowest predicted headroom on a worker. Below SLOW_BELOW,
--- a/src/limpetyard/engine/_strain_log.py
+++ b/src/limpetyard/engine/_strain_updates.py
@@ -1,4 +1,4 @@
-"""Strains of serving runs: their begin and end by reports, and responses."""
+"""Updates of the strains of serving runs, by reports and by responses."""
 
 from typing import NamedTuple
 
@@ -110,7 +110,7 @@
 def _log_end(
     worker: Worker, run: WorkerRun, strain: Strain, now_ms: float
 ) -> None:
-    """Logs the first report that is not over the target; -1 means never."""
+    """Logs the end of a strain; -1 stands for what never happened."""
     counts = _count_best_effort(worker)
     event(
         "strain_ended",
@@ -135,7 +135,7 @@
     )
 
 
-class _Counts(NamedTuple):
+class _BestEffortCounts(NamedTuple):
     """Best-effort runs of a worker.
 
     Attributes:
@@ -152,10 +152,10 @@
     stopping: int
 
 
-def _count_best_effort(worker: Worker) -> _Counts:
+def _count_best_effort(worker: Worker) -> _BestEffortCounts:
     runs = [run for run in worker.runs.values() if run.step.fills]
     working = [run for run in runs if run.measurement or not run.reported]
-    return _Counts(
+    return _BestEffortCounts(
         len(runs),
         len(working),
         sum(not run.reported for run in runs),
