--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -22,6 +22,7 @@
 from standins.platform._simulated_transport import SimulatedTransport
 from standins.platform._site import SimulatedSite
 from standins.platform._store import LinkedStoreClient, StoreModel
+from standins.platform._tails import TailModel
 from standins.platform._virtual_time import VirtualClock, run_in_virtual_time
 from standins.platform._worker import LinkedWorkerClient, WorkerModel
 
@@ -37,6 +38,7 @@
     "SimulatedSite",
     "SimulatedTransport",
     "StoreModel",
+    "TailModel",
     "Transport",
     "VirtualClock",
     "WorkerModel",
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -96,6 +96,7 @@
         last_closed_born: Latest incarnation that closed its connections when it
             ended.
         on_deadly_run: Called when a task of a deadly job crashes the worker.
+        measure: Returns the measurement of a run in a report.
     """
 
     def __init__(
@@ -138,6 +139,7 @@
         self._former_capacity = entry.capacity
         self._resized_ms = -math.inf
         self.on_deadly_run: Callable[[WorkerModel], None] = WorkerModel.crash
+        self.measure: Callable[[_Run], float] = lambda _: 0.0
         self._clock = clock
         self._history = history
         self._specs = specs
@@ -194,6 +196,11 @@
         age_ms = self._clock.now_ms() - self._started_ms
         return self._first_reading_ms + age_ms * self.clock_rate
 
+    @property
+    def runs(self) -> list[_Run]:
+        """Runs on the worker now."""
+        return list(self._runs.values())
+
     def running(self) -> list[TaskKey]:
         """Returns the tasks that run now."""
         return list(self._runs)
@@ -303,7 +310,13 @@
                 raise WorkerDisconnectedError(self.entry.id)
             self._check_token(order.token)
         reports = [
-            RunReport(run.task, run.run, run.checkpoint, run.percent, 0.0)
+            RunReport(
+                run.task,
+                run.run,
+                run.checkpoint,
+                run.percent,
+                self.measure(run),
+            )
             for run in self._runs.values()
         ]
         return PollReply(
